--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,1 @@
+//! The document that a team keeps for its service.
--- /dev/null
+++ b/crates/config/src/finding.rs
@@ -0,0 +1,1 @@
+//! Findings with their place.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,6 @@
+//! Service documents and daemon settings, read from JSON with comments.
+
+pub mod document;
+pub mod finding;
+pub mod reader;
+pub mod settings;
--- /dev/null
+++ b/crates/config/src/reader.rs
@@ -0,0 +1,1 @@
+//! Strict reading of JSON with comments.
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemon.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the operator command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The foxtailhinge daemon.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,1 @@
+//! Exact limits of one upstream: slots, connections and the queue before them.
--- /dev/null
+++ b/crates/policy/src/allowance.rs
@@ -0,0 +1,1 @@
+//! Cold-start allowance of an upstream and its ramp.
--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,1 @@
+//! Retry budget of a service.
--- /dev/null
+++ b/crates/policy/src/comeback.rs
@@ -0,0 +1,1 @@
+//! The time after which a refused caller should come back.
--- /dev/null
+++ b/crates/policy/src/health.rs
@@ -0,0 +1,1 @@
+//! Health of an upstream as its owner sees it.
--- /dev/null
+++ b/crates/policy/src/ledger.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests that are not idempotent.
--- /dev/null
+++ b/crates/policy/src/members.rs
@@ -0,0 +1,1 @@
+//! Members of the fleet, their liveness and incarnations.
--- /dev/null
+++ b/crates/policy/src/pause.rs
@@ -0,0 +1,1 @@
+//! Detection of a process that was paused.
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,1 @@
+//! Draw of candidate upstreams for a new flow.
--- /dev/null
+++ b/crates/policy/src/rendezvous.rs
@@ -0,0 +1,1 @@
+//! Owner of an upstream by rendezvous hashing.
--- /dev/null
+++ b/crates/policy/src/revisions.rs
@@ -0,0 +1,1 @@
+//! Service documents in force, which never go back.
--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,1 @@
+//! A caller over CoAP.
--- /dev/null
+++ b/crates/standins/src/fabric.rs
@@ -0,0 +1,1 @@
+//! The fabric, which hands any packet to any daemon.
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,1 @@
+//! A fleet of real daemon processes with its stand-ins.
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,1 @@
+//! The platform's configuration service and VM list.
--- /dev/null
+++ b/crates/standins/src/scenario.rs
@@ -0,0 +1,1 @@
+//! Scenario language of the golden scripts.
--- /dev/null
+++ b/crates/standins/src/upstream.rs
@@ -0,0 +1,1 @@
+//! An upstream with slots, cold start, drain and feeds.
--- /dev/null
+++ b/crates/wire/src/coap.rs
@@ -0,0 +1,1 @@
+//! Reading and writing of CoAP datagrams.
--- /dev/null
+++ b/crates/wire/src/envelope.rs
@@ -0,0 +1,1 @@
+//! Sealed envelopes between daemons.
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,1 @@
+//! Messages between daemons.
--- /dev/null
+++ b/crates/wire/src/ticket.rs
@@ -0,0 +1,1 @@
+//! The flow ticket that routes every packet.
