--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for operators: metrics, status, audit and explain.
--- /dev/null
+++ b/crates/daemon/src/audit.rs
@@ -0,0 +1,1 @@
+//! Audit trail of changes.
--- /dev/null
+++ b/crates/daemon/src/data/mod.rs
@@ -0,0 +1,1 @@
+//! Data path: ingress, relay, owner, requests and feeds.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,13 @@
-//! The foxtailhinge daemon.
+//! The foxtailhinge daemon, the same on every entry VM.
+
+pub mod admin;
+pub mod audit;
+pub mod data;
+pub mod links;
+pub mod logging;
+pub mod members;
+pub mod metrics;
+pub mod platform;
+pub mod signal;
+pub mod supervisor;
+pub mod timer;
--- /dev/null
+++ b/crates/daemon/src/links/mod.rs
@@ -0,0 +1,1 @@
+//! Links between daemons: documents and hand-over over h2.
--- /dev/null
+++ b/crates/daemon/src/members/mod.rs
@@ -0,0 +1,1 @@
+//! Liveness probes between daemons and the view of the fleet.
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of the daemon.
--- /dev/null
+++ b/crates/daemon/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Reader of the platform's configuration service and VM list.
--- /dev/null
+++ b/crates/daemon/src/signal.rs
@@ -0,0 +1,1 @@
+//! Process signals.
--- /dev/null
+++ b/crates/daemon/src/supervisor.rs
@@ -0,0 +1,1 @@
+//! Supervisor tree of the daemon's tasks.
--- /dev/null
+++ b/crates/daemon/src/timer.rs
@@ -0,0 +1,1 @@
+//! Timer service that parts subscribe to.
