--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -1,1 +1,218 @@
 //! Cold-start allowance of an upstream and its ramp.
+//!
+//! A new or returning upstream gets the slots and connections that its document states for a
+//! cold start, and more with each step of observed success. A fall back into a cold start is
+//! seen from load shed, timeouts or latency, and cuts the allowance at once.
+
+use std::time::{Duration, Instant};
+
+/// Steps from the cold allowance to the full one.
+const STEPS: u32 = 10;
+
+/// Successes needed for a step, for each slot allowed.
+const SUCCESSES_PER_SLOT: u32 = 2;
+
+/// Weight of a new sample in the share of failures and in the present latency.
+const FAST_GAIN: f64 = 0.125;
+
+/// Weight of a new sample in the warm baseline of the latency.
+const SLOW_GAIN: f64 = 1.0 / 64.0;
+
+/// Share of sheds and timeouts above which a warm upstream is taken for cold.
+const FAILURE_SHARE: f64 = 0.2;
+
+/// Samples before the baseline of the latency is used.
+const BASELINE_SAMPLES: u32 = 64;
+
+/// Least factor between present latency and baseline that means a cold start, as a logarithm.
+const LATENCY_RISE_LN: f64 = 1.0986;
+
+/// Deviations of the present latency from the baseline that mean a cold start.
+const LATENCY_DEVIATIONS: f64 = 4.5;
+
+/// Slots and connections at full allowance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Requests running at one time.
+    pub slots: u32,
+    /// Flows held open.
+    pub connections: u32,
+}
+
+/// What the document states about one upstream's cold start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AllowanceSpec {
+    /// Allowance of a warm upstream.
+    pub full: Capacity,
+    /// Slots in a cold start.
+    pub cold_slots: u32,
+    /// Connections in a cold start.
+    pub cold_connections: u32,
+    /// Shortest time from the cold allowance to the full one.
+    pub ramp: Duration,
+}
+
+impl AllowanceSpec {
+    /// Slots and connections at `step` of [`STEPS`].
+    fn at(&self, step: u32) -> (u32, u32) {
+        let slots = between(self.cold_slots, self.full.slots, step);
+        let connections = between(self.cold_connections, self.full.connections, step);
+        (slots, connections)
+    }
+}
+
+/// Allowance of one upstream, kept by its owner.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    spec: AllowanceSpec,
+    step: u32,
+    step_since: Instant,
+    successes: u32,
+    failure_share: f64,
+    latency: LatencyBaseline,
+    falls: u64,
+}
+
+impl Allowance {
+    /// Starts at the cold allowance.
+    pub fn cold(spec: AllowanceSpec, now: Instant) -> Self {
+        Self {
+            spec,
+            step: 0,
+            step_since: now,
+            successes: 0,
+            failure_share: 0.0,
+            latency: LatencyBaseline::default(),
+            falls: 0,
+        }
+    }
+
+    /// Starts at the full allowance, for an upstream handed over warm by its last owner.
+    pub fn warm(spec: AllowanceSpec, now: Instant) -> Self {
+        let mut allowance = Self::cold(spec, now);
+        allowance.step = STEPS;
+        allowance
+    }
+
+    /// Replaces the document's figures; the ramp keeps its step.
+    pub fn set_spec(&mut self, spec: AllowanceSpec) {
+        self.spec = spec;
+    }
+
+    /// Counts an answered request.
+    pub fn on_success(&mut self, now: Instant) {
+        self.failure_share -= FAST_GAIN * self.failure_share;
+        self.successes = self.successes.saturating_add(1);
+        self.climb(now);
+    }
+
+    /// Counts a request that the upstream shed.
+    pub fn on_shed(&mut self, now: Instant) {
+        self.fail(now);
+    }
+
+    /// Counts a request that the upstream did not answer in time.
+    pub fn on_timeout(&mut self, now: Instant) {
+        self.fail(now);
+    }
+
+    /// Learns the service time of an answered request.
+    pub fn on_latency(&mut self, now: Instant, latency: Duration) {
+        let rise = self.latency.observe(latency);
+        if rise && self.is_full() {
+            self.restart(now);
+        }
+    }
+
+    /// Falls back to the cold allowance.
+    pub fn restart(&mut self, now: Instant) {
+        self.step = 0;
+        self.step_since = now;
+        self.successes = 0;
+        self.failure_share = 0.0;
+        self.latency = LatencyBaseline::default();
+        self.falls += 1;
+    }
+
+    /// Slots and connections allowed.
+    pub fn limits(&self, _now: Instant) -> (u32, u32) {
+        self.spec.at(self.step)
+    }
+
+    /// Whether the ramp has ended.
+    pub fn is_full(&self) -> bool {
+        self.step >= STEPS
+    }
+
+    /// Falls into a cold start since the beginning, told or seen.
+    pub fn falls(&self) -> u64 {
+        self.falls
+    }
+
+    fn fail(&mut self, now: Instant) {
+        self.failure_share += FAST_GAIN * (1.0 - self.failure_share);
+        self.successes = 0;
+        self.step_since = now;
+        if self.failure_share > FAILURE_SHARE {
+            self.restart(now);
+        }
+    }
+
+    fn climb(&mut self, now: Instant) {
+        if self.is_full() {
+            return;
+        }
+        let (slots, _) = self.limits(now);
+        let enough = self.successes >= SUCCESSES_PER_SLOT * slots.max(1);
+        let elapsed = now.saturating_duration_since(self.step_since);
+        if enough && elapsed >= self.spec.ramp / STEPS {
+            self.step += 1;
+            self.step_since = now;
+            self.successes = 0;
+        }
+    }
+}
+
+/// Present latency against the warm baseline, both as logarithms.
+///
+/// Logarithms keep the tail of an ordinary service time from looking like a rise.
+#[derive(Clone, Debug, Default)]
+struct LatencyBaseline {
+    samples: u32,
+    baseline: f64,
+    variance: f64,
+    present: f64,
+}
+
+impl LatencyBaseline {
+    /// Adds a sample; true when the present latency is well above the baseline.
+    fn observe(&mut self, latency: Duration) -> bool {
+        let sample = latency.as_secs_f64().max(1e-6).ln();
+        if self.samples == 0 {
+            self.baseline = sample;
+            self.present = sample;
+        }
+        self.samples = self.samples.saturating_add(1);
+        self.present += FAST_GAIN * (sample - self.present);
+        if self.is_rise() {
+            return true;
+        }
+        let gain = SLOW_GAIN.max(1.0 / f64::from(self.samples));
+        let off = sample - self.baseline;
+        self.baseline += gain * off;
+        self.variance += gain * (off * off - self.variance);
+        false
+    }
+
+    fn is_rise(&self) -> bool {
+        let deviation = (self.variance * FAST_GAIN / (2.0 - FAST_GAIN)).sqrt();
+        let bound = LATENCY_RISE_LN.max(LATENCY_DEVIATIONS * deviation);
+        self.samples > BASELINE_SAMPLES && self.present - self.baseline > bound
+    }
+}
+
+fn between(cold: u32, full: u32, step: u32) -> u32 {
+    let cold = cold.min(full);
+    let rise = u64::from(full - cold) * u64::from(step) / u64::from(STEPS);
+    cold + rise as u32
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -1,1 +1,192 @@
 //! Draw of candidate upstreams for a new flow.
+//!
+//! The ingress draws a few distinct upstreams by capacity weight; their owners decide, by exact
+//! counts, which of them takes the flow.
+
+use {
+    rand::Rng,
+    serde::{Deserialize, Serialize},
+    smallvec::SmallVec,
+};
+
+/// Weights are kept as integers in units of 1 / `WEIGHT_UNITS`, so that sums stay exact.
+const WEIGHT_UNITS: f64 = 65_536.0;
+
+/// Largest weight; larger ones are cut to it.
+const MAX_WEIGHT: f64 = 1e9;
+
+/// One upstream offered for a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Candidate {
+    /// Index into the list of upstreams that the weights were given in.
+    pub upstream: u32,
+}
+
+/// Weighted draw without replacement over the upstreams of a service.
+///
+/// A Fenwick tree over integer weights: a draw and a change of weight each take O(log n).
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    weights: Vec<u64>,
+    /// Fenwick tree: entry `i` (from 1) holds the sum of the `i & -i` weights that end at `i`.
+    sums: Vec<u64>,
+    total: u64,
+}
+
+/// An upstream already drawn, as an interval of the cumulative weights.
+#[derive(Clone, Copy)]
+struct Drawn {
+    start: u64,
+    weight: u64,
+}
+
+impl Placement {
+    /// Builds the draw from the weights, in the order of the caller's list of upstreams.
+    ///
+    /// A weight is a capacity in any unit. Zero, negative and non-finite ones are not eligible.
+    pub fn new(weights: impl IntoIterator<Item = f64>) -> Self {
+        let weights: Vec<u64> = weights.into_iter().map(units).collect();
+        let total = weights.iter().sum();
+        let sums = tree(&weights);
+        Self {
+            weights,
+            sums,
+            total,
+        }
+    }
+
+    /// Number of upstreams, eligible or not.
+    pub fn len(&self) -> usize {
+        self.weights.len()
+    }
+
+    /// Whether no upstream is eligible.
+    pub fn is_empty(&self) -> bool {
+        self.total == 0
+    }
+
+    /// Changes the weight of one upstream; an index out of range is ignored.
+    pub fn set_weight(&mut self, index: usize, weight: f64) {
+        let Some(old) = self.weights.get_mut(index) else {
+            return;
+        };
+        let new = units(weight);
+        let previous = std::mem::replace(old, new);
+        self.total = self.total - previous + new;
+        let mut i = index + 1;
+        while i <= self.weights.len() {
+            self.sums[i] = self.sums[i] + new - previous;
+            i += i & i.wrapping_neg();
+        }
+    }
+
+    /// Draws up to `n` distinct upstreams by weight, without replacement.
+    ///
+    /// Fewer are returned when fewer are eligible.
+    pub fn draw(&self, n: usize, rng: &mut impl Rng) -> SmallVec<[usize; 4]> {
+        self.draw_at(rng.random(), n, rng)
+    }
+
+    /// Draws like [`Placement::draw`], with the first upstream given by `point` in `[0, 1)`.
+    ///
+    /// Points from a [`Sequence`] spread the first upstreams more evenly than random ones.
+    pub fn draw_at(&self, point: f64, n: usize, rng: &mut impl Rng) -> SmallVec<[usize; 4]> {
+        let mut found = SmallVec::new();
+        let mut drawn: SmallVec<[Drawn; 4]> = SmallVec::new();
+        let mut left = self.total;
+        while found.len() < n && left > 0 {
+            let offset = if found.is_empty() {
+                scale(point, left)
+            } else {
+                rng.random_range(0..left)
+            };
+            let (index, start) = self.find(skip(offset, &drawn));
+            let weight = self.weights[index];
+            let place = drawn.partition_point(|d| d.start < start);
+            drawn.insert(place, Drawn { start, weight });
+            found.push(index);
+            left -= weight;
+        }
+        found
+    }
+
+    /// Index whose interval of the cumulative weights holds `offset`, and that interval's start.
+    fn find(&self, offset: u64) -> (usize, u64) {
+        let mut index = 0;
+        let mut start = 0;
+        let mut step = (self.weights.len() + 1).next_power_of_two();
+        while step > 0 {
+            let next = index + step;
+            if next < self.sums.len() && start + self.sums[next] <= offset {
+                index = next;
+                start += self.sums[next];
+            }
+            step /= 2;
+        }
+        (index, start)
+    }
+}
+
+/// Low-discrepancy points for the first draw: additive recurrence by the golden ratio.
+///
+/// Each ingress keeps one for each service. Any run of k points meets each weight's share to
+/// within O(log k), where random points are off by O(sqrt k).
+#[derive(Clone, Debug)]
+pub struct Sequence {
+    point: u64,
+}
+
+/// 2^64 divided by the golden ratio.
+const GOLDEN_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+impl Sequence {
+    /// Starts at a random point, so that the sequences of different daemons are independent.
+    pub fn new(rng: &mut impl Rng) -> Self {
+        Self {
+            point: rng.random(),
+        }
+    }
+
+    /// The next point in `[0, 1)`.
+    pub fn next_point(&mut self) -> f64 {
+        self.point = self.point.wrapping_add(GOLDEN_STEP);
+        (self.point >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+fn units(weight: f64) -> u64 {
+    if !weight.is_finite() || weight <= 0.0 {
+        return 0;
+    }
+    let units = (weight.min(MAX_WEIGHT) * WEIGHT_UNITS).round() as u64;
+    units.max(1)
+}
+
+fn tree(weights: &[u64]) -> Vec<u64> {
+    let mut sums = vec![0; weights.len() + 1];
+    for (i, weight) in weights.iter().enumerate() {
+        sums[i + 1] += weight;
+        let i = i + 1;
+        let parent = i + (i & i.wrapping_neg());
+        if parent < sums.len() {
+            sums[parent] += sums[i];
+        }
+    }
+    sums
+}
+
+fn scale(point: f64, total: u64) -> u64 {
+    let offset = (point * total as f64) as u64;
+    offset.min(total - 1)
+}
+
+/// Moves `offset` past the intervals already drawn, which are sorted by start.
+fn skip(offset: u64, drawn: &[Drawn]) -> u64 {
+    let mut offset = offset;
+    for d in drawn {
+        if offset >= d.start {
+            offset += d.weight;
+        }
+    }
+    offset
+}
