Read documents and settings strictly, with all findings at once

Cause: the daemon needs documents and settings that are taken whole or refused whole, with every finding's place and what to write instead. Left: the check of upstream names that hash alike, tests and examples.

--- a/crates/config/src/finding.rs
+++ b/crates/config/src/finding.rs
@@ -1,1 +1,85 @@
 //! Findings with their place.
+
+use serde::Serialize;
+use std::{
+    error::Error,
+    fmt,
+    slice,
+    sync::Arc, //
+};
+
+/// One thing to change in a text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// File or document that was read.
+    pub file: Arc<str>,
+    /// Line, counted from 1.
+    pub line: u32,
+    /// Column in characters, counted from 1.
+    pub column: u32,
+    /// A whole sentence that says what to write instead.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            file,
+            line,
+            column,
+            message,
+        } = self;
+        write!(f, "{file}:{line}:{column}: {message}")
+    }
+}
+
+/// All findings of one text, in the order of their places.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(transparent)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Sorts the findings by place.
+    pub fn new(mut findings: Vec<Finding>) -> Self {
+        findings.sort_by_key(|f| (f.line, f.column));
+        Self(findings)
+    }
+
+    /// Iterates over the findings by place.
+    pub fn iter(&self) -> slice::Iter<'_, Finding> {
+        self.0.iter()
+    }
+
+    /// Number of findings.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Tells whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl<'a> IntoIterator for &'a Findings {
+    type Item = &'a Finding;
+    type IntoIter = slice::Iter<'a, Finding>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.iter()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, finding) in self.iter().enumerate() {
+            if i > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Findings {}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,11 @@
 //! Service documents and daemon settings, read from JSON with comments.
+//!
+//! Reading is strict: every finding is collected with its place and all of them are reported
+//! together, so a text is either taken whole or refused whole.
 
+pub mod bounds;
 pub mod document;
 pub mod finding;
 pub mod reader;
+pub mod report;
 pub mod settings;
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -1,1 +1,480 @@
 //! Strict reading of JSON with comments.
+
+use crate::{
+    bounds,
+    finding::{
+        Finding,
+        Findings, //
+    }, //
+};
+use jsonc_parser::{
+    ast::{
+        Array,
+        Object,
+        ObjectProp,
+        Value, //
+    },
+    common::Range,
+    parse_to_ast,
+    CollectOptions,
+    CommentCollectionStrategy,
+    ParseOptions, //
+};
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    ops::RangeInclusive,
+    str,
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Takes bytes as text, with a finding at the first byte that is not UTF-8.
+pub fn decode<'t>(file: &str, bytes: &'t [u8]) -> Result<&'t str, Findings> {
+    if bytes.len() > bounds::TEXT_BYTES {
+        return Err(too_long(file, bytes.len()));
+    }
+    str::from_utf8(bytes).map_err(|e| {
+        let good = str::from_utf8(&bytes[..e.valid_up_to()]).unwrap_or_default();
+        let reader = Reader::new(file, good);
+        reader.report(good.len(), "Write the file as UTF-8; this byte is not.");
+        reader.into_findings()
+    })
+}
+
+/// Parses `text` and hands its outermost object to `read`.
+///
+/// The result is given only if nothing was found.
+pub fn read_text<T>(
+    file: &str,
+    text: &str,
+    read: impl FnOnce(&Reader<'_>, &Object<'_>) -> Option<T>,
+) -> Result<T, Findings> {
+    if text.len() > bounds::TEXT_BYTES {
+        return Err(too_long(file, text.len()));
+    }
+    let reader = Reader::new(file, text);
+    let value = match parse_to_ast(text, &COLLECT, &STRICT) {
+        Ok(parsed) => parsed.value,
+        Err(e) => {
+            reader.report(
+                e.range().start,
+                format!("Write JSON with comments; the reader met: {}.", e.kind()),
+            );
+            None
+        }
+    };
+    let found = match &value {
+        Some(Value::Object(object)) => read(&reader, object),
+        Some(other) => {
+            reader.wrong_type(other, "an object in braces");
+            None
+        }
+        None => {
+            reader.report_if_first(0, "Write an object in braces; the text is empty.");
+            None
+        }
+    };
+    reader.finish(found)
+}
+
+const COLLECT: CollectOptions = CollectOptions {
+    comments: CommentCollectionStrategy::Off,
+    tokens: false,
+};
+
+const STRICT: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+fn too_long(file: &str, bytes: usize) -> Findings {
+    let message = format!(
+        "Write at most {} bytes; these are {bytes}.",
+        bounds::TEXT_BYTES
+    );
+    Findings::new(vec![Finding {
+        file: file.into(),
+        line: 1,
+        column: 1,
+        message,
+    }])
+}
+
+/// Collects the findings of one text.
+pub struct Reader<'t> {
+    file: Arc<str>,
+    text: &'t str,
+    line_starts: Vec<usize>,
+    findings: RefCell<Vec<Finding>>,
+    left_out: Cell<usize>,
+}
+
+impl<'t> Reader<'t> {
+    fn new(file: &str, text: &'t str) -> Self {
+        let line_ends = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self {
+            file: file.into(),
+            text,
+            line_starts: std::iter::once(0).chain(line_ends).collect(),
+            findings: RefCell::default(),
+            left_out: Cell::new(0),
+        }
+    }
+
+    /// Adds a finding at the byte `at`.
+    pub fn report(&self, at: usize, message: impl Into<String>) {
+        let mut findings = self.findings.borrow_mut();
+        if findings.len() >= bounds::FINDINGS {
+            self.left_out.set(self.left_out.get() + 1);
+            return;
+        }
+        let (line, column) = self.place(at);
+        findings.push(Finding {
+            file: self.file.clone(),
+            line,
+            column,
+            message: message.into(),
+        });
+    }
+
+    fn report_if_first(&self, at: usize, message: &str) {
+        if self.findings.borrow().is_empty() {
+            self.report(at, message);
+        }
+    }
+
+    fn place(&self, at: usize) -> (u32, u32) {
+        let line = self.line_starts.partition_point(|&start| start <= at);
+        let start = self.line_starts[line - 1];
+        let before = self.text.get(start..at).unwrap_or_default();
+        let column = before.chars().count() + 1;
+        (saturate(line), saturate(column))
+    }
+
+    fn wrong_type(&self, value: &Value<'_>, wanted: &str) {
+        let found = describe(value);
+        self.report(
+            start(value),
+            format!("Write {wanted} here instead of {found}."),
+        );
+    }
+
+    fn into_findings(self) -> Findings {
+        let mut findings = self.findings.into_inner();
+        let left_out = self.left_out.get();
+        if left_out > 0 {
+            findings.push(Finding {
+                file: self.file,
+                line: u32::MAX,
+                column: 1,
+                message: format!("Mend these first; {left_out} more findings are not shown."),
+            });
+        }
+        Findings::new(findings)
+    }
+
+    fn finish<T>(self, found: Option<T>) -> Result<T, Findings> {
+        self.report_missing_result(found.is_none());
+        match found {
+            Some(found) if self.findings.borrow().is_empty() => Ok(found),
+            _ => Err(self.into_findings()),
+        }
+    }
+
+    fn report_missing_result(&self, missing: bool) {
+        if missing {
+            self.report_if_first(0, "Write the text anew; it could not be read.");
+        }
+    }
+
+    /// Reads the fields of an object; fields not in `known` and duplicates are findings.
+    pub fn fields<'r, 'a>(&'r self, object: &'a Object<'a>, known: &[&str]) -> Fields<'r, 't, 'a> {
+        let fields = self.entries(object);
+        for (name, prop) in &fields.entries {
+            if !known.contains(name) {
+                let known = known.join(", ");
+                self.report(
+                    prop.range.start,
+                    format!("Remove the unknown field \"{name}\"; the fields here are {known}."),
+                );
+            }
+        }
+        fields
+    }
+
+    /// Reads an object whose field names are free; duplicates are findings.
+    pub fn entries<'r, 'a>(&'r self, object: &'a Object<'a>) -> Fields<'r, 't, 'a> {
+        let mut entries: Vec<(&str, &ObjectProp<'_>)> = Vec::new();
+        let mut seen = std::collections::HashSet::new();
+        for prop in &object.properties {
+            let name = prop.name.as_str();
+            if seen.insert(name) {
+                entries.push((name, prop));
+                continue;
+            }
+            self.report(
+                prop.range.start,
+                format!("Remove the second \"{name}\"; a field is written once."),
+            );
+        }
+        Fields {
+            reader: self,
+            range: object.range,
+            entries,
+        }
+    }
+
+    /// Reads an object.
+    pub fn object<'a>(&self, value: &'a Value<'a>) -> Option<&'a Object<'a>> {
+        let found = value.as_object();
+        if found.is_none() {
+            self.wrong_type(value, "an object in braces");
+        }
+        found
+    }
+
+    /// Reads a list of at most `most` items.
+    pub fn array<'a>(&self, value: &'a Value<'a>, most: usize) -> Option<&'a Array<'a>> {
+        let Some(found) = value.as_array() else {
+            self.wrong_type(value, "a list in brackets");
+            return None;
+        };
+        if found.elements.len() > most {
+            self.report(start(value), format!("Write at most {most} items."));
+            return None;
+        }
+        Some(found)
+    }
+
+    /// Reads a string.
+    pub fn text<'a>(&self, value: &'a Value<'a>, wanted: &str) -> Option<&'a str> {
+        let found = value.as_string_lit();
+        if found.is_none() {
+            self.wrong_type(value, wanted);
+        }
+        found.map(|s| s.value.as_ref())
+    }
+
+    /// Reads a boolean.
+    pub fn boolean(&self, value: &Value<'_>) -> Option<bool> {
+        let found = value.as_boolean_lit();
+        if found.is_none() {
+            self.wrong_type(value, "true or false");
+        }
+        found.map(|b| b.value)
+    }
+
+    /// Reads a whole number within `bounds`.
+    pub fn number(&self, value: &Value<'_>, bounds: &RangeInclusive<u64>) -> Option<u64> {
+        let wanted = format!("a whole number from {} to {}", bounds.start(), bounds.end());
+        let Some(found) = value.as_number_lit() else {
+            self.wrong_type(value, &wanted);
+            return None;
+        };
+        let number = found.value.parse().ok().filter(|n| bounds.contains(n));
+        if number.is_none() {
+            self.report(start(value), format!("Write {wanted}."));
+        }
+        number
+    }
+
+    /// Reads a whole number within `bounds`, which must fit into 32 bits.
+    pub fn number_u32(&self, value: &Value<'_>, bounds: &RangeInclusive<u64>) -> Option<u32> {
+        self.number(value, bounds)
+            .and_then(|n| u32::try_from(n).ok())
+    }
+
+    /// Reads one of a few words.
+    pub fn word<T: Copy>(&self, value: &Value<'_>, words: &[(&str, T)]) -> Option<T> {
+        let quoted: Vec<_> = words
+            .iter()
+            .map(|(word, _)| format!("\"{word}\""))
+            .collect();
+        let wanted = quoted.join(" or ");
+        let text = self.text(value, &wanted)?;
+        let found = words.iter().find(|(word, _)| *word == text);
+        if found.is_none() {
+            self.report(start(value), format!("Write {wanted}."));
+        }
+        found.map(|(_, meaning)| *meaning)
+    }
+
+    /// Reads a name of a service, VM, zone, upstream or fleet.
+    pub fn name(&self, value: &Value<'_>) -> Option<Arc<str>> {
+        let text = self.text(value, "a name in quotes")?;
+        self.check_name(start(value), text)
+    }
+
+    /// Checks a name that is written at the byte `at`.
+    pub fn check_name(&self, at: usize, text: &str) -> Option<Arc<str>> {
+        if is_name(text) {
+            return Some(text.into());
+        }
+        self.report(
+            at,
+            format!(
+                "Write a name of 1 to {} letters, digits, \"-\", \"_\" or \".\".",
+                bounds::NAME_BYTES
+            ),
+        );
+        None
+    }
+
+    /// Reads an IP number with its port.
+    pub fn address(&self, value: &Value<'_>) -> Option<SocketAddr> {
+        const WANTED: &str = "an IP number with its port such as \"10.0.0.1:5683\"";
+        let text = self.text(value, WANTED)?;
+        let found: Option<SocketAddr> = text.parse().ok();
+        let found = found.filter(|a| a.port() != 0 && is_unicast(a.ip()));
+        if found.is_none() {
+            self.report(start(value), format!("Write {WANTED}."));
+        }
+        found
+    }
+
+    /// Reads an IP number.
+    pub fn ip(&self, value: &Value<'_>) -> Option<IpAddr> {
+        const WANTED: &str = "an IP number such as \"10.0.0.1\"";
+        let text = self.text(value, WANTED)?;
+        let found: Option<IpAddr> = text.parse().ok();
+        let found = found.filter(|ip| is_unicast(*ip));
+        if found.is_none() {
+            self.report(start(value), format!("Write {WANTED}."));
+        }
+        found
+    }
+}
+
+/// Fields of one object, each at most once.
+pub struct Fields<'r, 't, 'a> {
+    reader: &'r Reader<'t>,
+    range: Range,
+    entries: Vec<(&'a str, &'a ObjectProp<'a>)>,
+}
+
+impl<'a> Fields<'_, '_, 'a> {
+    /// Looks up a field that may be left out.
+    pub fn optional(&self, name: &str) -> Option<&'a Value<'a>> {
+        let found = self.entries.iter().find(|(n, _)| *n == name);
+        found.map(|(_, prop)| &prop.value)
+    }
+
+    /// Looks up a field that must be there.
+    pub fn required(&self, name: &str) -> Option<&'a Value<'a>> {
+        let found = self.optional(name);
+        if found.is_none() {
+            self.reader.report(
+                self.range.start,
+                format!("Add the field \"{name}\" to this object."),
+            );
+        }
+        found
+    }
+
+    /// Iterates over the fields with the place of each name.
+    pub fn iter(&self) -> impl Iterator<Item = (usize, &'a str, &'a Value<'a>)> + '_ {
+        let entries = self.entries.iter();
+        entries.map(|(name, prop)| (prop.range.start, *name, &prop.value))
+    }
+
+    /// Place of the object.
+    pub fn start(&self) -> usize {
+        self.range.start
+    }
+
+    /// Reads a name.
+    pub fn name(&self, name: &str) -> Option<Arc<str>> {
+        self.required(name).and_then(|v| self.reader.name(v))
+    }
+
+    /// Reads an IP number with its port.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.required(name).and_then(|v| self.reader.address(v))
+    }
+
+    /// Reads a whole number that must be there.
+    pub fn number(&self, name: &str, bounds: &RangeInclusive<u64>) -> Option<u32> {
+        let value = self.required(name)?;
+        self.reader.number_u32(value, bounds)
+    }
+
+    /// Reads a whole number or takes the default.
+    pub fn number_or(&self, name: &str, bounds: &RangeInclusive<u64>, default: u32) -> Option<u32> {
+        match self.optional(name) {
+            Some(value) => self.reader.number_u32(value, bounds),
+            None => Some(default),
+        }
+    }
+
+    /// Reads milliseconds or takes the default.
+    pub fn millis_or(
+        &self,
+        name: &str,
+        bounds: &RangeInclusive<u64>,
+        default: Duration,
+    ) -> Option<Duration> {
+        match self.optional(name) {
+            Some(value) => self.reader.number(value, bounds).map(Duration::from_millis),
+            None => Some(default),
+        }
+    }
+
+    /// Reads seconds or takes the default.
+    pub fn seconds_or(
+        &self,
+        name: &str,
+        bounds: &RangeInclusive<u64>,
+        default: Duration,
+    ) -> Option<Duration> {
+        match self.optional(name) {
+            Some(value) => self.reader.number(value, bounds).map(Duration::from_secs),
+            None => Some(default),
+        }
+    }
+}
+
+/// Place of a value.
+pub fn start(value: &Value<'_>) -> usize {
+    use jsonc_parser::common::Ranged;
+
+    value.range().start
+}
+
+fn describe(value: &Value<'_>) -> &'static str {
+    match value {
+        Value::StringLit(_) => "a string",
+        Value::NumberLit(_) => "a number",
+        Value::BooleanLit(_) => "true or false",
+        Value::Object(_) => "an object",
+        Value::Array(_) => "a list",
+        Value::NullKeyword(_) => "null",
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let is_name_byte = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !text.is_empty() && text.len() <= bounds::NAME_BYTES && text.bytes().all(is_name_byte)
+}
+
+fn is_unicast(ip: IpAddr) -> bool {
+    !ip.is_unspecified() && !ip.is_multicast()
+}
+
+fn saturate(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/config/src/report.rs
@@ -0,0 +1,1 @@
+//! Reports of a daemon to its operators.
