--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -1,1 +1,319 @@
 //! At-most-once execution of requests that are not idempotent.
+//!
+//! The owner keeps one ledger for each flow. A run is remembered by the token of its request until [`RIGHT`] has passed
+//! since it ended; forgetting it raises the flow's forgotten epoch to that of its ticket, so that a late copy, which
+//! carries the same ticket, is refused instead of run. Correctness rests on epochs alone; the time only bounds memory.
+
+use {
+    bincode::{
+        Decode,
+        Encode, //
+    },
+    smallvec::SmallVec,
+    std::{
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// How long a finished run is remembered.
+pub const RIGHT: Duration = Duration::from_secs(60);
+
+/// Most runs that one flow remembers.
+pub const MAX_RUNS: usize = 64;
+
+/// Epoch of a new flow.
+pub const EPOCH_FIRST: u32 = 1;
+
+/// Last epoch of a flow; tickets carry 24 bits.
+pub const EPOCH_LAST: u32 = 0x00ff_ffff;
+
+/// Runs of one flow.
+#[derive(Clone, Debug)]
+pub struct FlowLedger {
+    started: Instant,
+    epoch: u32,
+    forgotten: u32,
+    handed_over: bool,
+    runs: Vec<Run>,
+}
+
+/// What to do with a request that is not idempotent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Send it to the upstream; [`FlowLedger::finish`] or [`FlowLedger::not_run`] must follow.
+    Run,
+    /// Drop it: the first copy is still in progress and its answer answers this copy too.
+    Join,
+    /// Send the first copy's answer.
+    Answered(Rc<[u8]>),
+    /// Refuse it as not run, as the first copy was.
+    Refused,
+    /// Answer that its outcome is unknown: its ticket's right has ended.
+    Expired,
+    /// Drop it or pass it to the other owner: a run at the previous owner, or a flow that was handed over.
+    Elsewhere,
+    /// Refuse it as not run: as many runs as can be remembered are in progress. Its copies will be [`Begin::Expired`].
+    Full,
+}
+
+/// Outcome of a run as it is handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum RunOutcome {
+    /// In progress at the previous owner, which answers it.
+    Elsewhere,
+    /// Answered with this datagram.
+    Answered(Vec<u8>),
+    /// Refused as not run.
+    Refused,
+}
+
+/// A remembered run as it is handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RunRecord {
+    /// Token of the request.
+    pub token: Vec<u8>,
+    /// Epoch of the ticket that the request carried.
+    pub epoch: u32,
+    /// What is known of its outcome.
+    pub outcome: RunOutcome,
+}
+
+/// A ledger as it is handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct LedgerRecord {
+    /// Epoch of the flow.
+    pub epoch: u32,
+    /// Highest epoch whose runs may have been forgotten.
+    pub forgotten: u32,
+    /// Remembered runs, oldest first.
+    pub runs: Vec<RunRecord>,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    token: SmallVec<[u8; 8]>,
+    epoch: u32,
+    /// Seconds since the ledger's start: of the end for answered runs, of the beginning for others.
+    at: u32,
+    state: RunState,
+}
+
+#[derive(Clone, Debug)]
+enum RunState {
+    InProgress,
+    Elsewhere,
+    Answered(Rc<[u8]>),
+    Refused,
+}
+
+impl Run {
+    fn in_progress(&self) -> bool {
+        matches!(self.state, RunState::InProgress)
+    }
+}
+
+impl FlowLedger {
+    /// Begins the ledger of a new flow.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            started: now,
+            epoch: EPOCH_FIRST,
+            forgotten: 0,
+            handed_over: false,
+            runs: Vec::new(),
+        }
+    }
+
+    /// The current epoch, for tickets that do not answer a run.
+    pub fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    /// The epoch for the ticket in the next answer to a run, the one that [`FlowLedger::finish`] advances to.
+    pub fn answer_epoch(&self) -> u32 {
+        next(self.epoch)
+    }
+
+    /// Highest epoch whose runs may have been forgotten.
+    pub fn forgotten(&self) -> u32 {
+        self.forgotten
+    }
+
+    /// Whether the flow has used up its epochs and should be given up.
+    ///
+    /// Runs go on until the last epoch is forgotten, then each new one is [`Begin::Expired`]. Give the flow up on an
+    /// idempotent request: a refused one that is not idempotent would be repeated in the caller's next flow.
+    pub fn exhausted(&self) -> bool {
+        self.epoch == EPOCH_LAST
+    }
+
+    /// Number of runs in progress here.
+    pub fn in_progress(&self) -> usize {
+        self.runs.iter().filter(|run| run.in_progress()).count()
+    }
+
+    /// Decides about a request by its token and the epoch of its ticket.
+    pub fn begin(&mut self, token: &[u8], ticket_epoch: u32, now: Instant) -> Begin {
+        if let Some(run) = self.runs.iter_mut().find(|run| run.token[..] == *token) {
+            run.epoch = run.epoch.max(ticket_epoch);
+            return match &run.state {
+                RunState::InProgress => Begin::Join,
+                RunState::Elsewhere => Begin::Elsewhere,
+                RunState::Answered(answer) => Begin::Answered(Rc::clone(answer)),
+                RunState::Refused => Begin::Refused,
+            };
+        }
+        if self.handed_over {
+            return Begin::Elsewhere;
+        }
+        if ticket_epoch <= self.forgotten {
+            return Begin::Expired;
+        }
+        self.epoch = self.epoch.max(ticket_epoch.min(EPOCH_LAST));
+        if self.runs.len() >= MAX_RUNS && !self.forget_oldest() {
+            self.forget_epoch(ticket_epoch);
+            return Begin::Full;
+        }
+        self.runs.push(Run {
+            token: SmallVec::from_slice(token),
+            epoch: ticket_epoch,
+            at: self.seconds(now),
+            state: RunState::InProgress,
+        });
+        Begin::Run
+    }
+
+    /// Remembers the answer of a run and advances the epoch, which it returns.
+    ///
+    /// An unknown outcome is an answer too. A run that was refused or answered before keeps its first outcome.
+    pub fn finish(&mut self, token: &[u8], answer: Rc<[u8]>, now: Instant) -> u32 {
+        let at = self.seconds(now);
+        if let Some(run) = self.pending(token) {
+            run.state = RunState::Answered(answer);
+            run.at = at;
+        }
+        self.epoch = next(self.epoch);
+        self.epoch
+    }
+
+    /// Remembers that the upstream said "not run" and that the caller is told so.
+    ///
+    /// Copies that come later are [`Begin::Refused`], since the caller may ask again with another token. To try another
+    /// upstream first, do so before this call.
+    pub fn not_run(&mut self, token: &[u8]) {
+        if let Some(run) = self.pending(token) {
+            run.state = RunState::Refused;
+        }
+    }
+
+    /// Forgets runs that ended more than [`RIGHT`] ago.
+    pub fn collect(&mut self, now: Instant) {
+        let now = self.seconds(now);
+        let right = RIGHT.as_secs() as u32;
+        let mut forgotten = 0;
+        self.runs.retain(|run| {
+            let keep = run.in_progress() || now.saturating_sub(run.at) <= right;
+            if !keep {
+                forgotten = forgotten.max(run.epoch);
+            }
+            keep
+        });
+        self.forget_epoch(forgotten);
+        if self.runs.is_empty() {
+            self.runs = Vec::new();
+        }
+    }
+
+    /// Gives the ledger to another owner; from now on nothing new runs here, while runs in progress still end here.
+    pub fn export(&mut self) -> LedgerRecord {
+        self.handed_over = true;
+        LedgerRecord {
+            epoch: self.epoch,
+            forgotten: self.forgotten,
+            runs: self.runs.iter().map(RunRecord::from).collect(),
+        }
+    }
+
+    /// Takes over a ledger; the age of its runs counts from now.
+    pub fn import(record: LedgerRecord, now: Instant) -> Self {
+        let runs = record.runs.into_iter().map(Run::from).collect();
+        Self {
+            epoch: record.epoch,
+            forgotten: record.forgotten,
+            runs,
+            ..Self::new(now)
+        }
+    }
+
+    fn pending(&mut self, token: &[u8]) -> Option<&mut Run> {
+        let run = self.runs.iter_mut().find(|run| run.token[..] == *token)?;
+        let pending = matches!(run.state, RunState::InProgress | RunState::Elsewhere);
+        pending.then_some(run)
+    }
+
+    fn forget_oldest(&mut self) -> bool {
+        let ended = self
+            .runs
+            .iter()
+            .enumerate()
+            .filter(|(_, run)| !run.in_progress());
+        let Some((oldest, _)) = ended.min_by_key(|(_, run)| run.at) else {
+            return false;
+        };
+        let run = self.runs.remove(oldest);
+        self.forget_epoch(run.epoch);
+        true
+    }
+
+    /// Ends the right of tickets up to `epoch`, and moves the flow past it so that the next ticket is good again.
+    fn forget_epoch(&mut self, epoch: u32) {
+        self.forgotten = self.forgotten.max(epoch);
+        if self.epoch <= self.forgotten {
+            self.epoch = next(self.forgotten);
+        }
+    }
+
+    fn seconds(&self, now: Instant) -> u32 {
+        let elapsed = now.saturating_duration_since(self.started);
+        u32::try_from(elapsed.as_secs()).unwrap_or(u32::MAX)
+    }
+}
+
+fn next(epoch: u32) -> u32 {
+    epoch.saturating_add(1).min(EPOCH_LAST)
+}
+
+impl From<&Run> for RunRecord {
+    fn from(run: &Run) -> Self {
+        let outcome = match &run.state {
+            RunState::InProgress | RunState::Elsewhere => RunOutcome::Elsewhere,
+            RunState::Answered(answer) => RunOutcome::Answered(answer.to_vec()),
+            RunState::Refused => RunOutcome::Refused,
+        };
+        Self {
+            token: run.token.to_vec(),
+            epoch: run.epoch,
+            outcome,
+        }
+    }
+}
+
+impl From<RunRecord> for Run {
+    fn from(record: RunRecord) -> Self {
+        let state = match record.outcome {
+            RunOutcome::Elsewhere => RunState::Elsewhere,
+            RunOutcome::Answered(answer) => RunState::Answered(answer.into()),
+            RunOutcome::Refused => RunState::Refused,
+        };
+        Self {
+            token: SmallVec::from_vec(record.token),
+            epoch: record.epoch,
+            at: 0,
+            state,
+        }
+    }
+}
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -1,1 +1,427 @@
-//! Reading and writing of CoAP datagrams.
+//! CoAP datagrams (RFC 7252) as the daemon sees them: header and options; the payload stays opaque.
+//!
+//! Options that are not interpreted here pass through unchanged.
+
+use {
+    coap_lite::{
+        CoapOption,
+        MessageClass,
+        MessageType,
+        Packet,
+        RequestType, //
+    },
+    std::{
+        collections::LinkedList,
+        time::Duration, //
+    },
+    thiserror::Error,
+};
+
+pub use coap_lite::{
+    MessageClass as Code,
+    ResponseType as Status, //
+};
+
+/// Longest token in bytes.
+pub const TOKEN_MAX: usize = 8;
+
+/// Number of the Echo option (RFC 9175), which carries the flow ticket.
+pub const ECHO: u16 = 252;
+
+/// Number of the option that carries the milliseconds which remain for a request.
+pub const DEADLINE: u16 = 65000;
+
+/// Number of the option that carries the incarnation of an upstream in its answers.
+pub const UPSTREAM_INCARNATION: u16 = 65002;
+
+/// Seconds for which an answer without Max-Age is fresh.
+const MAX_AGE_DEFAULT: Duration = Duration::from_secs(60);
+
+/// Why bytes were refused as a CoAP datagram.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq, Hash)]
+pub enum CoapError {
+    /// The bytes do not form a CoAP message.
+    #[error("The datagram is not a CoAP message; follow RFC 7252.")]
+    Format,
+}
+
+/// Type of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// Confirmable.
+    Con,
+    /// Non-confirmable.
+    Non,
+    /// Acknowledgement.
+    Ack,
+    /// Reset.
+    Rst,
+}
+
+/// Method of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Method {
+    /// GET, idempotent.
+    Get,
+    /// POST, not idempotent.
+    Post,
+    /// PUT, idempotent.
+    Put,
+    /// DELETE, idempotent.
+    Delete,
+    /// FETCH, idempotent (RFC 8132).
+    Fetch,
+    /// PATCH, not idempotent (RFC 8132).
+    Patch,
+    /// iPATCH, idempotent (RFC 8132).
+    IPatch,
+}
+
+impl Method {
+    /// Whether running a request twice has the effect of running it once.
+    pub fn is_idempotent(self) -> bool {
+        !matches!(self, Self::Post | Self::Patch)
+    }
+}
+
+/// Value of a Block1 or Block2 option (RFC 7959).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Block {
+    /// Number of the block.
+    pub number: u32,
+    /// Whether more blocks follow.
+    pub more: bool,
+    /// Exponent of the block's size, which is 2 to the power of this plus 4 bytes.
+    pub size_exponent: u8,
+}
+
+/// One CoAP message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Datagram {
+    packet: Packet,
+}
+
+impl Datagram {
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// See [`CoapError`].
+    pub fn parse(buf: &[u8]) -> Result<Self, CoapError> {
+        let packet = Packet::from_bytes(buf).map_err(|_| CoapError::Format)?;
+        Ok(Self { packet })
+    }
+
+    /// Writes the datagram.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        self.packet
+            .to_bytes_unlimited()
+            .expect("token and options have lengths that can be written")
+    }
+
+    /// A non-confirmable request for a path such as `/a/b`, with message id 0 and no token.
+    pub fn request(method: Method, path: &str) -> Self {
+        let mut packet = Packet::new();
+        packet.header.set_type(MessageType::NonConfirmable);
+        packet.header.code = MessageClass::Request(method.into());
+        for segment in path.split('/').filter(|segment| !segment.is_empty()) {
+            packet.add_option(CoapOption::UriPath, segment.as_bytes().to_vec());
+        }
+        Self { packet }
+    }
+
+    /// A response with the request's token: an acknowledgement of a confirmable request, which repeats its message id,
+    /// else a non-confirmable message with the given one.
+    pub fn response_to(req: &Self, status: Status, message_id: u16) -> Self {
+        let mut packet = Packet::new();
+        packet.header.code = MessageClass::Response(status);
+        let mut res = Self { packet };
+        res.set_token(req.token());
+        res.address_to(req, message_id);
+        res
+    }
+
+    /// A reset of the message with the given id.
+    pub fn reset(message_id: u16) -> Self {
+        let mut packet = Packet::new();
+        packet.header.set_type(MessageType::Reset);
+        packet.header.code = MessageClass::Empty;
+        packet.header.message_id = message_id;
+        Self { packet }
+    }
+
+    /// Gives a response the type and message id that answer `req`; see [`Datagram::response_to`].
+    pub fn address_to(&mut self, req: &Self, message_id: u16) {
+        if req.kind() == Kind::Con {
+            self.set_kind(Kind::Ack);
+            self.set_message_id(req.message_id());
+        } else {
+            self.set_kind(Kind::Non);
+            self.set_message_id(message_id);
+        }
+    }
+
+    /// The datagram with another token; see [`Datagram::set_token`].
+    pub fn with_token(mut self, token: &[u8]) -> Self {
+        self.set_token(token);
+        self
+    }
+
+    /// The datagram with another type.
+    pub fn with_kind(mut self, kind: Kind) -> Self {
+        self.set_kind(kind);
+        self
+    }
+
+    /// The datagram with another message id.
+    pub fn with_message_id(mut self, message_id: u16) -> Self {
+        self.set_message_id(message_id);
+        self
+    }
+
+    /// The datagram with another payload.
+    pub fn with_payload(mut self, payload: Vec<u8>) -> Self {
+        self.set_payload(payload);
+        self
+    }
+
+    /// Type of the message.
+    pub fn kind(&self) -> Kind {
+        match self.packet.header.get_type() {
+            MessageType::Confirmable => Kind::Con,
+            MessageType::NonConfirmable => Kind::Non,
+            MessageType::Acknowledgement => Kind::Ack,
+            MessageType::Reset => Kind::Rst,
+        }
+    }
+
+    /// Sets the type of the message.
+    pub fn set_kind(&mut self, kind: Kind) {
+        self.packet.header.set_type(match kind {
+            Kind::Con => MessageType::Confirmable,
+            Kind::Non => MessageType::NonConfirmable,
+            Kind::Ack => MessageType::Acknowledgement,
+            Kind::Rst => MessageType::Reset,
+        });
+    }
+
+    /// Message id.
+    pub fn message_id(&self) -> u16 {
+        self.packet.header.message_id
+    }
+
+    /// Sets the message id.
+    pub fn set_message_id(&mut self, message_id: u16) {
+        self.packet.header.message_id = message_id;
+    }
+
+    /// Token that ties a response to its request.
+    pub fn token(&self) -> &[u8] {
+        self.packet.get_token()
+    }
+
+    /// Sets the token; one over [`TOKEN_MAX`] bytes is cut to this length.
+    pub fn set_token(&mut self, token: &[u8]) {
+        let len = token.len().min(TOKEN_MAX);
+        self.packet.set_token(token[..len].to_vec());
+    }
+
+    /// Method of a request, `None` for anything else.
+    pub fn method(&self) -> Option<Method> {
+        let MessageClass::Request(method) = self.packet.header.code else {
+            return None;
+        };
+        match method {
+            RequestType::Get => Some(Method::Get),
+            RequestType::Post => Some(Method::Post),
+            RequestType::Put => Some(Method::Put),
+            RequestType::Delete => Some(Method::Delete),
+            RequestType::Fetch => Some(Method::Fetch),
+            RequestType::Patch => Some(Method::Patch),
+            RequestType::IPatch => Some(Method::IPatch),
+            RequestType::UnKnown => None,
+        }
+    }
+
+    /// Code of the message.
+    pub fn code(&self) -> Code {
+        self.packet.header.code
+    }
+
+    /// Status of a response, `None` for anything else.
+    pub fn status(&self) -> Option<Status> {
+        match self.packet.header.code {
+            MessageClass::Response(status) => Some(status),
+            _ => None,
+        }
+    }
+
+    /// Path of a request with a leading slash; `%` and `/` within a segment are percent-encoded, and bytes that are
+    /// not UTF-8 become replacement characters.
+    pub fn path(&self) -> String {
+        let Some(segments) = self.packet.get_option(CoapOption::UriPath) else {
+            return String::from("/");
+        };
+        let mut path = String::new();
+        for segment in segments {
+            let segment = String::from_utf8_lossy(segment);
+            path.push('/');
+            path.push_str(&segment.replace('%', "%25").replace('/', "%2F"));
+        }
+        path
+    }
+
+    /// Value of the Echo option.
+    pub fn echo(&self) -> Option<&[u8]> {
+        self.first(CoapOption::from(ECHO))
+    }
+
+    /// Sets the Echo option, at most 40 bytes (RFC 9175).
+    pub fn set_echo(&mut self, value: &[u8]) {
+        self.set(CoapOption::from(ECHO), value.to_vec());
+    }
+
+    /// Removes the Echo option.
+    pub fn remove_echo(&mut self) {
+        self.packet.clear_option(CoapOption::from(ECHO));
+    }
+
+    /// Value of the Observe option (RFC 7641): 0 registers and 1 cancels in a request, a sequence number in a
+    /// notification.
+    pub fn observe(&self) -> Option<u32> {
+        self.uint(CoapOption::Observe)
+    }
+
+    /// Sets the Observe option to the lower 24 bits of `value`.
+    pub fn set_observe(&mut self, value: u32) {
+        self.set_uint(CoapOption::Observe, value & 0x00ff_ffff);
+    }
+
+    /// Removes the Observe option.
+    pub fn clear_observe(&mut self) {
+        self.packet.clear_option(CoapOption::Observe);
+    }
+
+    /// Time that remains for a request.
+    pub fn deadline(&self) -> Option<Duration> {
+        let ms = self.uint(CoapOption::from(DEADLINE))?;
+        Some(Duration::from_millis(ms.into()))
+    }
+
+    /// Sets the time that remains for a request, rounded down to milliseconds and at most 49 days.
+    pub fn set_deadline(&mut self, deadline: Duration) {
+        let ms = u32::try_from(deadline.as_millis()).unwrap_or(u32::MAX);
+        self.set_uint(CoapOption::from(DEADLINE), ms);
+    }
+
+    /// How long a response is fresh, 60 s without the option; in a 5.03 the time to come back after.
+    pub fn max_age(&self) -> Duration {
+        self.uint(CoapOption::MaxAge)
+            .map_or(MAX_AGE_DEFAULT, |s| Duration::from_secs(s.into()))
+    }
+
+    /// Sets Max-Age, rounded up to seconds.
+    pub fn set_max_age(&mut self, max_age: Duration) {
+        let s = max_age.as_secs() + u64::from(max_age.subsec_nanos() > 0);
+        self.set_uint(CoapOption::MaxAge, u32::try_from(s).unwrap_or(u32::MAX));
+    }
+
+    /// Incarnation of the upstream that sent this response.
+    pub fn upstream_incarnation(&self) -> Option<u16> {
+        let value = self.uint(CoapOption::from(UPSTREAM_INCARNATION))?;
+        u16::try_from(value).ok()
+    }
+
+    /// Sets the incarnation of the upstream that sends this response.
+    pub fn set_upstream_incarnation(&mut self, incarnation: u16) {
+        self.set_uint(CoapOption::from(UPSTREAM_INCARNATION), incarnation.into());
+    }
+
+    /// Removes the incarnation of the upstream.
+    pub fn clear_upstream_incarnation(&mut self) {
+        self.packet
+            .clear_option(CoapOption::from(UPSTREAM_INCARNATION));
+    }
+
+    /// Value of the Block1 option, which is for the request's payload.
+    pub fn block1(&self) -> Option<Block> {
+        self.uint(CoapOption::Block1).map(Block::from)
+    }
+
+    /// Value of the Block2 option, which is for the response's payload.
+    pub fn block2(&self) -> Option<Block> {
+        self.uint(CoapOption::Block2).map(Block::from)
+    }
+
+    /// Sets the Block1 option.
+    pub fn set_block1(&mut self, block: Block) {
+        self.set_uint(CoapOption::Block1, block.into());
+    }
+
+    /// Sets the Block2 option.
+    pub fn set_block2(&mut self, block: Block) {
+        self.set_uint(CoapOption::Block2, block.into());
+    }
+
+    /// Payload, opaque to the daemon.
+    pub fn payload(&self) -> &[u8] {
+        &self.packet.payload
+    }
+
+    /// Sets the payload.
+    pub fn set_payload(&mut self, payload: Vec<u8>) {
+        self.packet.payload = payload;
+    }
+
+    fn first(&self, option: CoapOption) -> Option<&[u8]> {
+        let value = self.packet.get_first_option(option)?;
+        Some(value)
+    }
+
+    fn set(&mut self, option: CoapOption, value: Vec<u8>) {
+        self.packet.set_option(option, LinkedList::from([value]));
+    }
+
+    fn uint(&self, option: CoapOption) -> Option<u32> {
+        let value = self.first(option)?;
+        if value.len() > 4 {
+            return None;
+        }
+        Some(value.iter().fold(0, |acc, b| acc << 8 | u32::from(*b)))
+    }
+
+    fn set_uint(&mut self, option: CoapOption, value: u32) {
+        let zeros = value.leading_zeros() as usize / 8;
+        self.set(option, value.to_be_bytes()[zeros..].to_vec());
+    }
+}
+
+impl From<Method> for RequestType {
+    fn from(method: Method) -> Self {
+        match method {
+            Method::Get => Self::Get,
+            Method::Post => Self::Post,
+            Method::Put => Self::Put,
+            Method::Delete => Self::Delete,
+            Method::Fetch => Self::Fetch,
+            Method::Patch => Self::Patch,
+            Method::IPatch => Self::IPatch,
+        }
+    }
+}
+
+impl From<u32> for Block {
+    fn from(value: u32) -> Self {
+        Self {
+            number: value >> 4,
+            more: value & 8 != 0,
+            size_exponent: (value & 7) as u8,
+        }
+    }
+}
+
+impl From<Block> for u32 {
+    fn from(block: Block) -> Self {
+        block.number << 4 | Self::from(block.more) << 3 | Self::from(block.size_exponent & 7)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod coap;
 pub mod envelope;
+mod keys;
 pub mod message;
 pub mod ticket;
