--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -1,1 +1,116 @@
 //! Owner of an upstream by rendezvous hashing.
+//!
+//! Every daemon that sees the same live members computes the same owner, and the loss of a
+//! member moves only the upstreams that it owned. The hash is fixed by this module (FNV-1a over
+//! the name, then the SplitMix64 finaliser), because daemons of different builds have to agree.
+
+use {
+    crate::members::Members,
+    smallvec::SmallVec,
+    std::{cmp::Reverse, collections::HashMap, rc::Rc},
+};
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hash of a name, to be computed once and mixed with others many times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct NameKey(u64);
+
+impl NameKey {
+    /// Hashes `name`.
+    pub fn new(name: &str) -> Self {
+        let hash = name.bytes().fold(FNV_OFFSET, |h, b| {
+            (h ^ u64::from(b)).wrapping_mul(FNV_PRIME)
+        });
+        Self(mix(hash))
+    }
+
+    /// Returns the hash as a number.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// Finaliser of SplitMix64: every input bit changes about half of the output bits.
+pub(crate) fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Weight of a VM for an upstream, from the hashes of both names.
+pub fn score_keys(upstream: NameKey, vm: NameKey) -> u64 {
+    mix(upstream.0.rotate_left(32) ^ vm.0)
+}
+
+/// Weight of `vm` for `upstream`; the VM with the highest weight owns it.
+pub fn score(upstream: &str, vm: &str) -> u64 {
+    score_keys(NameKey::new(upstream), NameKey::new(vm))
+}
+
+/// Returns the owner of `upstream` among `vms`; equal weights go to the smaller name.
+pub fn owner<'a>(upstream: &str, vms: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let upstream = NameKey::new(upstream);
+    vms.max_by_key(|vm| (score_keys(upstream, NameKey::new(vm)), Reverse(*vm)))
+}
+
+/// Returns the `n` VMs of highest weight for `upstream`, highest first.
+pub fn ranked<'a>(
+    upstream: &str,
+    vms: impl Iterator<Item = &'a str>,
+    n: usize,
+) -> SmallVec<[&'a str; 4]> {
+    let upstream = NameKey::new(upstream);
+    let mut scored: Vec<_> = vms
+        .map(|vm| (Reverse(score_keys(upstream, NameKey::new(vm))), vm))
+        .collect();
+    scored.sort_unstable();
+    scored.into_iter().take(n).map(|(_, vm)| vm).collect()
+}
+
+/// Owners already computed, each valid for one version of its zone's live members.
+#[derive(Debug, Default)]
+pub struct OwnerCache {
+    owners: HashMap<Rc<str>, CachedOwner>,
+}
+
+#[derive(Debug)]
+struct CachedOwner {
+    zone_version: u64,
+    vm: Option<Rc<str>>,
+}
+
+impl OwnerCache {
+    /// Returns the owner of `upstream` among the live members of `zone`.
+    pub fn owner(&mut self, members: &Members, upstream: &Rc<str>, zone: &str) -> Option<Rc<str>> {
+        let zone_version = members.zone_version(zone);
+        if let Some(cached) = self.owners.get(upstream) {
+            if cached.zone_version == zone_version {
+                return cached.vm.clone();
+            }
+        }
+        let vm = members.owner(upstream, zone).map(|m| m.vm.clone());
+        let cached = CachedOwner {
+            zone_version,
+            vm: vm.clone(),
+        };
+        self.owners.insert(upstream.clone(), cached);
+        vm
+    }
+
+    /// Forgets an upstream that no document names any more.
+    pub fn forget(&mut self, upstream: &str) {
+        self.owners.remove(upstream);
+    }
+
+    /// Returns the number of upstreams held.
+    pub fn len(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Returns whether no upstream is held.
+    pub fn is_empty(&self) -> bool {
+        self.owners.is_empty()
+    }
+}
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -1,1 +1,310 @@
 //! Service documents in force, which never go back.
+//!
+//! A document is replaced only by one of a higher revision, wherever it comes from. Removals
+//! keep their revision, so that an old copy does not bring the document back. A document with
+//! findings is remembered with its revision while the last good one stays in force.
+
+use {
+    crate::rendezvous::{mix, NameKey},
+    serde::{Deserialize, Serialize},
+    std::{collections::HashMap, rc::Rc},
+};
+
+/// Number of groups into which services are divided to compare two sets cheaply.
+pub const BUCKETS: usize = 64;
+
+/// Outcome of an offered document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// The document is now in force.
+    Applied,
+    /// A higher revision is already known.
+    Older,
+    /// This revision is already known.
+    Same,
+    /// The service is now removed.
+    Removed,
+    /// The document has findings; the last good one stays in force.
+    Refused,
+}
+
+/// A document that was refused, with why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal<T> {
+    /// Revision of the refused document.
+    pub revision: u64,
+    /// Findings, each a whole sentence with its place.
+    pub findings: Vec<String>,
+    /// The refused document, kept to be passed on.
+    pub source: T,
+}
+
+/// Revisions that a daemon knows of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DigestEntry {
+    /// Name of the service.
+    pub service: Rc<str>,
+    /// Revision in force, or of the removal; 0 for none.
+    pub in_force: u64,
+    /// Highest revision seen, that of a refused document included.
+    pub seen: u64,
+}
+
+/// Revisions of some or all services.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// One entry for each service, sorted by name.
+    pub entries: Vec<DigestEntry>,
+}
+
+/// One service: its document in force or its removal, and a refused document if there is one.
+#[derive(Clone, Debug)]
+pub struct Entry<T> {
+    /// Revision in force, or of the removal; 0 when only refused documents were seen.
+    pub revision: u64,
+    /// Document in force; `None` when the service is removed.
+    pub document: Option<T>,
+    /// Newest refused document, if it is newer than the one in force.
+    pub refusal: Option<Refusal<T>>,
+}
+
+impl<T> Default for Entry<T> {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            document: None,
+            refusal: None,
+        }
+    }
+}
+
+impl<T> Entry<T> {
+    /// Returns the highest revision seen.
+    pub fn seen(&self) -> u64 {
+        let refused = self.refusal.as_ref().map_or(0, |r| r.revision);
+        refused.max(self.revision)
+    }
+}
+
+/// Documents in force.
+#[derive(Clone, Debug)]
+pub struct Documents<T> {
+    entries: HashMap<Rc<str>, Entry<T>>,
+    sums: [u64; BUCKETS],
+    synced: u64,
+}
+
+impl<T> Default for Documents<T> {
+    fn default() -> Self {
+        Self {
+            entries: HashMap::new(),
+            sums: [0; BUCKETS],
+            synced: 0,
+        }
+    }
+}
+
+impl<T> Documents<T> {
+    /// Creates an empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Offers a document, or with `None` a removal.
+    pub fn offer(&mut self, service: &Rc<str>, revision: u64, document: Option<T>) -> Offer {
+        if let Some(known) = self.compare(service, revision) {
+            return known;
+        }
+        let removed = document.is_none();
+        self.update(service, |e| {
+            e.revision = revision;
+            e.document = document;
+            e.refusal.take_if(|r| r.revision <= revision);
+        });
+        if removed {
+            Offer::Removed
+        } else {
+            Offer::Applied
+        }
+    }
+
+    /// Records a document that has findings.
+    pub fn refuse(
+        &mut self,
+        service: &Rc<str>,
+        revision: u64,
+        source: T,
+        findings: Vec<String>,
+    ) -> Offer {
+        let seen = self.entries.get(service).map_or(0, Entry::seen);
+        match revision.cmp(&seen) {
+            std::cmp::Ordering::Less => return Offer::Older,
+            std::cmp::Ordering::Equal => return Offer::Same,
+            std::cmp::Ordering::Greater => {}
+        }
+        self.update(service, |e| {
+            e.refusal = Some(Refusal {
+                revision,
+                findings,
+                source,
+            });
+        });
+        Offer::Refused
+    }
+
+    /// Returns what is known of a service.
+    pub fn entry(&self, service: &str) -> Option<&Entry<T>> {
+        self.entries.get(service)
+    }
+
+    /// Returns the document in force of a service.
+    pub fn get(&self, service: &str) -> Option<&T> {
+        self.entries.get(service)?.document.as_ref()
+    }
+
+    /// Returns all services known, removed ones included.
+    pub fn iter(&self) -> impl Iterator<Item = (&Rc<str>, &Entry<T>)> {
+        self.entries.iter()
+    }
+
+    /// Returns the documents in force.
+    pub fn in_force(&self) -> impl Iterator<Item = (&Rc<str>, u64, &T)> {
+        self.entries
+            .iter()
+            .filter_map(|(s, e)| Some((s, e.revision, e.document.as_ref()?)))
+    }
+
+    /// Returns the number of services known, removed ones included.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no service is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the platform's revision up to which everything is known.
+    pub fn synced(&self) -> u64 {
+        self.synced
+    }
+
+    /// Records that everything up to the platform's `revision` is known.
+    pub fn set_synced(&mut self, revision: u64) {
+        self.synced = self.synced.max(revision);
+    }
+
+    /// Returns one sum for each bucket; equal sums mean equal revisions.
+    pub fn sums(&self) -> &[u64; BUCKETS] {
+        &self.sums
+    }
+
+    /// Returns the revisions of all services.
+    pub fn digest(&self) -> Digest {
+        self.digest_of(|_| true)
+    }
+
+    /// Returns the revisions of the services whose bucket differs from `sums`.
+    pub fn digest_unlike(&self, sums: &[u64; BUCKETS]) -> Digest {
+        self.digest_of(|service| {
+            let bucket = bucket_of(service);
+            self.sums[bucket] != sums[bucket]
+        })
+    }
+
+    /// Returns the services of which `digest` knows a higher revision.
+    pub fn missing(&self, digest: &Digest) -> Vec<Rc<str>> {
+        digest
+            .entries
+            .iter()
+            .filter(|theirs| {
+                let ours = self.entries.get(&theirs.service);
+                let in_force = ours.map_or(0, |e| e.revision);
+                let seen = ours.map_or(0, Entry::seen);
+                theirs.in_force > in_force || theirs.seen > seen
+            })
+            .map(|theirs| theirs.service.clone())
+            .collect()
+    }
+
+    /// Returns the services of which this set knows a higher revision than `digest`.
+    ///
+    /// With `sums` of the sender a digest may be partial: services of equal buckets are skipped.
+    pub fn newer_than(&self, digest: &Digest) -> Vec<Rc<str>> {
+        self.newer_where(digest, |_| true)
+    }
+
+    /// Like [`newer_than`](Self::newer_than) for a digest of the buckets that differ from `sums`.
+    pub fn newer_unlike(&self, digest: &Digest, sums: &[u64; BUCKETS]) -> Vec<Rc<str>> {
+        self.newer_where(digest, |service| {
+            let bucket = bucket_of(service);
+            self.sums[bucket] != sums[bucket]
+        })
+    }
+
+    fn newer_where(&self, digest: &Digest, wanted: impl Fn(&str) -> bool) -> Vec<Rc<str>> {
+        let theirs: HashMap<&str, &DigestEntry> = digest
+            .entries
+            .iter()
+            .map(|e| (e.service.as_ref(), e))
+            .collect();
+        let mut newer: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(service, _)| wanted(service))
+            .filter(|(service, ours)| {
+                let theirs = theirs.get(service.as_ref());
+                let in_force = theirs.map_or(0, |e| e.in_force);
+                let seen = theirs.map_or(0, |e| e.seen);
+                ours.revision > in_force || ours.seen() > seen
+            })
+            .map(|(service, _)| service.clone())
+            .collect();
+        newer.sort_unstable();
+        newer
+    }
+
+    fn digest_of(&self, wanted: impl Fn(&str) -> bool) -> Digest {
+        let mut entries: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(service, _)| wanted(service))
+            .map(|(service, e)| DigestEntry {
+                service: service.clone(),
+                in_force: e.revision,
+                seen: e.seen(),
+            })
+            .collect();
+        entries.sort_unstable_by(|a, b| a.service.cmp(&b.service));
+        Digest { entries }
+    }
+
+    fn compare(&self, service: &str, revision: u64) -> Option<Offer> {
+        let entry = self.entries.get(service)?;
+        match revision.cmp(&entry.revision) {
+            std::cmp::Ordering::Less => Some(Offer::Older),
+            std::cmp::Ordering::Equal => Some(Offer::Same),
+            std::cmp::Ordering::Greater => None,
+        }
+    }
+
+    fn update(&mut self, service: &Rc<str>, change: impl FnOnce(&mut Entry<T>)) {
+        let bucket = bucket_of(service);
+        let entry = self.entries.entry(service.clone()).or_default();
+        self.sums[bucket] ^= sum_of(service, entry.revision, entry.seen());
+        change(entry);
+        self.sums[bucket] ^= sum_of(service, entry.revision, entry.seen());
+    }
+}
+
+/// Returns the bucket of a service.
+pub fn bucket_of(service: &str) -> usize {
+    (NameKey::new(service).get() >> 32) as usize % BUCKETS
+}
+
+fn sum_of(service: &str, in_force: u64, seen: u64) -> u64 {
+    if seen == 0 {
+        return 0;
+    }
+    mix(NameKey::new(service).get() ^ mix(in_force).rotate_left(17) ^ mix(!seen))
+}
