--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
 //! Entry point of the daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    foxtailhinge::command::run(std::env::args().skip(1))
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,6 +9,7 @@
 };
 
 pub use foxtailhinge_policy::ledger::{
+    LedgerRecord,
     RunOutcome,
     RunRecord, //
 };
@@ -29,6 +30,8 @@
         candidates: Vec<u32>,
         /// Index of the candidate that is asked now.
         next: u8,
+        /// Whether the caller's address is confirmed, so that the request is served at once.
+        confirmed: bool,
         /// The caller's datagram as it arrived.
         datagram: Vec<u8>,
     },
@@ -125,10 +128,19 @@
         /// The news.
         updates: Vec<MemberUpdate>,
     },
-    /// State of one upstream from its leaving owner to its next one.
+    /// The sender owns the upstream by its view and asks the former owner for its state.
+    Claim {
+        /// Address of the upstream.
+        upstream: SocketAddr,
+    },
+    /// Answers a claim: the upstream's state, which the sender has given up.
     HandOver(HandOver),
-    /// All upstreams were handed over and the sender is about to end.
-    HandOverDone,
+    /// Answers a claim: the receiver of the claim does not hold the upstream.
+    NotHeld,
+    /// Answers a claim: the claimant does not own the upstream by this daemon's view.
+    NotYours,
+    /// Requests that were in progress at the former owner have ended.
+    Finished(Finished),
     /// The request was taken in.
     Ok,
 }
@@ -165,20 +177,42 @@
 /// State of one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct HandOver {
-    /// Hash of the service's name.
-    pub service: u32,
-    /// Hash of the upstream's name.
-    pub upstream: u32,
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
     /// Incarnation of the upstream as last seen.
-    pub upstream_incarnation: u16,
+    pub upstream_incarnation: Option<u16>,
     /// Allowance that the upstream has reached.
     pub allowance: AllowanceRecord,
+    /// Requests that still run at the upstream for the former owner.
+    pub in_use: u32,
     /// Its flows.
     pub flows: Vec<FlowRecord>,
     /// Its feeds.
     pub feeds: Vec<FeedRecord>,
 }
 
+/// Requests that ended at the former owner after the hand-over.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Finished {
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
+    /// Slots that became free.
+    pub slots: u32,
+    /// Outcomes of runs that were handed over while in progress.
+    pub runs: Vec<FinishedRun>,
+}
+
+/// Outcome of one run that ended after the hand-over.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FinishedRun {
+    /// A key of the flow.
+    pub flow: FlowKey,
+    /// Token of the request.
+    pub token: Vec<u8>,
+    /// The answer as the caller got it.
+    pub answer: Vec<u8>,
+}
+
 /// Name of a flow within the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub struct FlowKey {
@@ -193,31 +227,25 @@
 /// State of one flow.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct FlowRecord {
-    /// Hash of the VM id of the daemon that began the flow.
-    pub owner: u32,
-    /// Incarnation of that daemon.
-    pub owner_incarnation: u32,
-    /// Number of the flow within that incarnation.
-    pub flow: u32,
+    /// Every key under which tickets may name the flow.
+    pub keys: Vec<FlowKey>,
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Hash of the upstream's name within the service.
+    pub name: u32,
     /// Address of the caller.
     pub caller: SocketAddr,
-    /// Epoch of the flow.
-    pub epoch: u32,
-    /// Highest epoch whose runs may have been forgotten.
-    pub forgotten: u32,
-    /// Remembered runs of requests that are not idempotent.
-    pub runs: Vec<RunRecord>,
+    /// Runs of requests that are not idempotent.
+    pub ledger: LedgerRecord,
 }
 
 /// One feed.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct FeedRecord {
-    /// The flow that the feed belongs to.
+    /// A key of the flow that the feed belongs to.
     pub flow: FlowKey,
     /// Address of the caller.
     pub caller: SocketAddr,
-    /// Token of the registration.
-    pub token: Vec<u8>,
     /// The registration as the caller sent it.
     pub request: Vec<u8>,
 }
