--- /dev/null
+++ b/crates/daemon/src/data/answer.rs
@@ -0,0 +1,70 @@
+//! Answers that the daemon itself gives to callers.
+
+use {
+    foxtailhinge_wire::{
+        coap::{
+            Code,
+            Datagram, //
+        },
+        ticket::TICKET_LEN,
+    },
+    std::{
+        cell::Cell,
+        time::Duration, //
+    },
+};
+
+/// Message ids for answers that are not piggybacked.
+#[derive(Debug)]
+pub struct MessageIds(Cell<u16>);
+
+impl MessageIds {
+    /// Starts at `first`, which should be random.
+    pub fn new(first: u16) -> MessageIds {
+        MessageIds(Cell::new(first))
+    }
+
+    /// The next message id.
+    pub fn next(&self) -> u16 {
+        let id = self.0.get().wrapping_add(1);
+        self.0.set(id);
+        id
+    }
+}
+
+/// What the daemon tells a caller when no upstream's answer is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    /// Repeat the request with this ticket: 4.01 with Echo.
+    Challenge([u8; TICKET_LEN]),
+    /// The flow is given up; begin a new one without a ticket: 4.01.
+    GivenUp,
+    /// The request was not run; come back after this time: 5.03 with Max-Age.
+    NotRun(Duration),
+    /// Whether the request ran is unknown: 5.04.
+    Unknown(Option<[u8; TICKET_LEN]>),
+}
+
+impl Notice {
+    /// The answer to `req` that carries the notice.
+    pub fn answer(&self, req: &Datagram, ids: &MessageIds) -> Datagram {
+        let code = match self {
+            Notice::Challenge(_) | Notice::GivenUp => Code::Unauthorized,
+            Notice::NotRun(_) => Code::ServiceUnavailable,
+            Notice::Unknown(_) => Code::GatewayTimeout,
+        };
+        let mut rsp = Datagram::response_to(req, code, ids.next());
+        match self {
+            Notice::Challenge(ticket) | Notice::Unknown(Some(ticket)) => rsp.set_echo(ticket),
+            Notice::NotRun(after) => rsp.set_max_age(whole_seconds(*after)),
+            Notice::GivenUp | Notice::Unknown(None) => {}
+        }
+        rsp
+    }
+}
+
+/// Rounds up to whole seconds, one at least, as Max-Age counts them.
+fn whole_seconds(time: Duration) -> u32 {
+    let secs = time.as_millis().div_ceil(1000).max(1);
+    u32::try_from(secs).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/data/flow.rs
@@ -0,0 +1,305 @@
+//! Flows that an owner holds for one upstream.
+
+use {
+    foxtailhinge_policy::ledger::FlowLedger,
+    foxtailhinge_wire::{
+        message::FlowKey,
+        ticket::Ticket, //
+    },
+    std::{
+        cell::Cell,
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time within which a caller has to use the ticket of a flow that was opened for it.
+pub const OPEN_LEASE: Duration = Duration::from_secs(60);
+
+/// Time for which a flow that was given up still answers copies of its requests.
+pub const GIVEN_UP_LEASE: Duration = Duration::from_secs(60);
+
+/// Numbers of flows, unique within one incarnation of the daemon.
+#[derive(Debug, Default)]
+pub struct FlowNumbers(Cell<u32>);
+
+impl FlowNumbers {
+    /// The next number.
+    pub fn next(&self) -> u32 {
+        let n = self.0.get().wrapping_add(1);
+        self.0.set(n);
+        n
+    }
+}
+
+/// One flow: a caller that stays with this upstream.
+#[derive(Debug)]
+pub struct Flow {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Address from which the caller was last heard.
+    pub caller: SocketAddr,
+    /// When the caller was last heard.
+    pub last_seen: Instant,
+    /// Set once the flow was given up; it then only answers copies.
+    pub given_up: Option<Instant>,
+    /// What makes requests that are not idempotent run at most once.
+    pub ledger: FlowLedger,
+}
+
+/// What an earlier key of a flow still stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Alias {
+    /// The flow's number at this owner.
+    pub flow: u32,
+    /// Whether the ledger covers requests sent with the earlier key.
+    pub ledger: bool,
+}
+
+/// What a ticket finds at this owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Found {
+    /// A flow held here, and whether its ledger covers the ticket.
+    Held {
+        /// The flow's number.
+        flow: u32,
+        /// Whether the ledger covers requests sent with the ticket.
+        ledger: bool,
+    },
+    /// A flow that was opened here and not used yet.
+    Opened {
+        /// The flow's number.
+        flow: u32,
+    },
+    /// Nothing: the flow ended, or its owner is gone.
+    Unknown,
+}
+
+/// The flows of one upstream.
+#[derive(Debug)]
+pub struct Flows {
+    owner: u32,
+    incarnation: u32,
+    numbers: Rc<FlowNumbers>,
+    held: HashMap<u32, Flow>,
+    aliases: HashMap<FlowKey, Alias>,
+    opened: HashMap<u32, Instant>,
+}
+
+impl Flows {
+    /// No flows yet; `owner` and `incarnation` are those of this daemon.
+    pub fn new(owner: u32, incarnation: u32, numbers: Rc<FlowNumbers>) -> Flows {
+        Flows {
+            owner,
+            incarnation,
+            numbers,
+            held: HashMap::new(),
+            aliases: HashMap::new(),
+            opened: HashMap::new(),
+        }
+    }
+
+    /// Flows held, given up ones included.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether no flow is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Takes a number for a flow whose caller has not come back with its ticket yet.
+    pub fn open(&mut self, now: Instant) -> u32 {
+        let flow = self.numbers.next();
+        self.opened.insert(flow, now);
+        flow
+    }
+
+    /// Looks up what `ticket` stands for here.
+    pub fn find(&self, ticket: &Ticket) -> Found {
+        let key = ticket_key(ticket);
+        if self.is_mine(key) {
+            if self.held.contains_key(&key.flow) {
+                return Found::Held {
+                    flow: key.flow,
+                    ledger: true,
+                };
+            }
+            if self.opened.contains_key(&key.flow) {
+                return Found::Opened { flow: key.flow };
+            }
+            return Found::Unknown;
+        }
+        match self.aliases.get(&key) {
+            Some(alias) => Found::Held {
+                flow: alias.flow,
+                ledger: alias.ledger,
+            },
+            None => Found::Unknown,
+        }
+    }
+
+    /// Holds a flow that was opened here and whose caller came back.
+    pub fn confirm(&mut self, flow: u32, service: u32, caller: SocketAddr, now: Instant) {
+        self.opened.remove(&flow);
+        self.insert(flow, service, caller, FlowLedger::new(now), now);
+    }
+
+    /// Holds a flow that an owner which is gone had opened; its ledger covers nothing sent before.
+    pub fn take_over(
+        &mut self,
+        ticket: &Ticket,
+        service: u32,
+        caller: SocketAddr,
+        now: Instant,
+    ) -> u32 {
+        let key = ticket_key(ticket);
+        let flow = self.numbers.next();
+        let ledger = FlowLedger::resume(ticket.epoch, now);
+        self.insert(flow, service, caller, ledger, now);
+        self.aliases.insert(
+            key,
+            Alias {
+                flow,
+                ledger: false,
+            },
+        );
+        flow
+    }
+
+    /// Holds a flow handed over by its former owner, under all keys it had.
+    pub fn import(
+        &mut self,
+        keys: &[FlowKey],
+        service: u32,
+        caller: SocketAddr,
+        ledger: FlowLedger,
+        now: Instant,
+    ) -> u32 {
+        let flow = self.numbers.next();
+        self.insert(flow, service, caller, ledger, now);
+        for key in keys {
+            self.aliases.insert(*key, Alias { flow, ledger: true });
+        }
+        flow
+    }
+
+    fn insert(
+        &mut self,
+        flow: u32,
+        service: u32,
+        caller: SocketAddr,
+        ledger: FlowLedger,
+        now: Instant,
+    ) {
+        let entry = Flow {
+            service,
+            caller,
+            last_seen: now,
+            given_up: None,
+            ledger,
+        };
+        self.held.insert(flow, entry);
+    }
+
+    /// The flow with this number.
+    pub fn get_mut(&mut self, flow: u32) -> Option<&mut Flow> {
+        self.held.get_mut(&flow)
+    }
+
+    /// All flows with their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Flow)> {
+        self.held.iter().map(|(flow, entry)| (*flow, entry))
+    }
+
+    /// Every key under which callers may still know `flow`.
+    pub fn keys(&self, flow: u32) -> Vec<FlowKey> {
+        let own = FlowKey {
+            owner: self.owner,
+            incarnation: self.incarnation,
+            flow,
+        };
+        let covered = self
+            .aliases
+            .iter()
+            .filter(|(_, alias)| alias.flow == flow && alias.ledger)
+            .map(|(key, _)| *key);
+        std::iter::once(own).chain(covered).collect()
+    }
+
+    /// Marks the flows of `service` as given up; gives their number.
+    pub fn give_up(&mut self, service: u32, now: Instant) -> usize {
+        let mut count = 0;
+        for flow in self.held.values_mut() {
+            if flow.service == service && flow.given_up.is_none() {
+                flow.given_up = Some(now);
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Ends a flow.
+    pub fn remove(&mut self, flow: u32) -> Option<Flow> {
+        self.aliases.retain(|_, alias| alias.flow != flow);
+        self.held.remove(&flow)
+    }
+
+    /// Ends flows that were idle longer than `idle` says for their service, and leases that ran out.
+    ///
+    /// Gives the numbers of the flows that held a connection until now.
+    pub fn collect(&mut self, now: Instant, idle: impl Fn(u32) -> Duration) -> Vec<u32> {
+        self.opened
+            .retain(|_, at| now.saturating_duration_since(*at) < OPEN_LEASE);
+        let mut ended = Vec::new();
+        let mut gone = Vec::new();
+        for (number, flow) in &mut self.held {
+            flow.ledger.collect(now);
+            let quiet = now.saturating_duration_since(flow.last_seen);
+            match flow.given_up {
+                Some(at) if now.saturating_duration_since(at) >= GIVEN_UP_LEASE => {
+                    gone.push(*number)
+                }
+                None if quiet >= idle(flow.service) => ended.push(*number),
+                _ => {}
+            }
+        }
+        for number in ended.iter().chain(&gone) {
+            self.held.remove(number);
+        }
+        if !(ended.is_empty() && gone.is_empty()) {
+            let held = &self.held;
+            self.aliases
+                .retain(|_, alias| held.contains_key(&alias.flow));
+        }
+        ended
+    }
+
+    /// The ticket's fields that name this owner's copy of `flow`.
+    pub fn name(&self, flow: u32) -> FlowKey {
+        FlowKey {
+            owner: self.owner,
+            incarnation: self.incarnation,
+            flow,
+        }
+    }
+
+    fn is_mine(&self, key: FlowKey) -> bool {
+        key.owner == self.owner && key.incarnation == self.incarnation
+    }
+}
+
+/// The key that a ticket names.
+pub fn ticket_key(ticket: &Ticket) -> FlowKey {
+    FlowKey {
+        owner: ticket.owner,
+        incarnation: ticket.owner_incarnation,
+        flow: ticket.flow,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/data/load.rs
@@ -0,0 +1,296 @@
+//! Load of one upstream as its owner counts it: limits, allowance and health together.
+
+use {
+    foxtailhinge_policy::{
+        admission::{
+            Admission,
+            Limits,
+            Refusal,
+            Start,
+            WaitingList, //
+        },
+        allowance::{
+            Allowance,
+            AllowanceSpec, //
+        },
+        comeback::Comeback,
+        health::{
+            EndpointReport,
+            Health,
+            HealthState,
+            HealthView, //
+        },
+    },
+    smallvec::SmallVec,
+    std::time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// What documents declare about one upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadSpec {
+    /// The cold-start allowance and the full one.
+    pub allowance: AllowanceSpec,
+    /// Requests that may wait for a slot.
+    pub queue: u32,
+    /// Whether every document that names the upstream has it draining.
+    pub draining: bool,
+}
+
+impl LoadSpec {
+    /// What holds when two documents name the same upstream: the smaller of each limit.
+    pub fn both(self, other: LoadSpec) -> LoadSpec {
+        let (a, b) = (self.allowance, other.allowance);
+        let mut full = a.full;
+        full.slots = full.slots.min(b.full.slots);
+        full.connections = full.connections.min(b.full.connections);
+        LoadSpec {
+            allowance: AllowanceSpec {
+                full,
+                cold_slots: a.cold_slots.min(b.cold_slots),
+                cold_connections: a.cold_connections.min(b.cold_connections),
+                ramp: a.ramp.max(b.ramp),
+            },
+            queue: self.queue.min(other.queue),
+            draining: self.draining && other.draining,
+        }
+    }
+}
+
+/// How a request ended at the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered after this time.
+    Answered(Duration),
+    /// The upstream said that it did not run it.
+    Shed,
+    /// No answer came in time.
+    TimedOut,
+    /// The upstream's host refused the datagram.
+    Refused,
+}
+
+/// State of an upstream for reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadState {
+    /// It carries its full allowance.
+    Warm,
+    /// It carries its cold-start allowance or ramps from it.
+    Cold,
+    /// It takes no new flows.
+    Draining,
+    /// It does not answer.
+    Down,
+}
+
+/// Exact counts, allowance and health of one upstream.
+#[derive(Debug)]
+pub struct Load {
+    spec: LoadSpec,
+    admission: Admission,
+    allowance: Allowance,
+    health: Health,
+    comeback: Comeback,
+    /// Slots that requests of the former owner still hold.
+    elsewhere: u32,
+}
+
+impl Load {
+    /// An upstream of which nothing is known: it starts at the cold-start allowance.
+    pub fn cold(spec: LoadSpec, now: Instant) -> Load {
+        Load::with(spec, Allowance::cold(spec.allowance, now), 0, now)
+    }
+
+    /// An upstream that the former owner handed over at this allowance, with requests still running there.
+    pub fn handed_over(spec: LoadSpec, slots: u32, elsewhere: u32, now: Instant) -> Load {
+        let allowance = Allowance::resume(spec.allowance, slots, now);
+        Load::with(spec, allowance, elsewhere, now)
+    }
+
+    fn with(spec: LoadSpec, allowance: Allowance, elsewhere: u32, now: Instant) -> Load {
+        let mut load = Load {
+            spec,
+            admission: Admission::new(Limits::default()),
+            allowance,
+            health: Health::new(),
+            comeback: Comeback::new(),
+            elsewhere,
+        };
+        load.refresh(now);
+        load
+    }
+
+    /// Takes over what the documents declare now.
+    pub fn set_spec(&mut self, spec: LoadSpec, now: Instant) {
+        self.spec = spec;
+        self.allowance.set_spec(spec.allowance);
+        self.refresh(now);
+    }
+
+    fn refresh(&mut self, now: Instant) {
+        let (slots, connections) = self.allowance.limits(now);
+        self.admission.set_limits(Limits {
+            slots: slots.saturating_sub(self.elsewhere),
+            connections,
+            queue: self.spec.queue,
+        });
+        self.admission.set_draining(self.spec.draining);
+        self.admission.set_cold(!self.allowance.is_full());
+    }
+
+    /// Whether a new flow may be opened; `last` when no other candidate is left.
+    ///
+    /// # Errors
+    ///
+    /// The reason for which the flow is not admitted.
+    pub fn open(&mut self, now: Instant, deadline: Instant, last: bool) -> Result<(), Refusal> {
+        self.refresh(now);
+        if self.health.state(now) == HealthState::Down {
+            return Err(Refusal::Draining);
+        }
+        let res = if last {
+            self.admission.open_last(now, deadline)
+        } else {
+            self.admission.open(now)
+        };
+        if res.is_ok() {
+            self.comeback.on_admitted(now);
+        }
+        res
+    }
+
+    /// Turns a reservation into a connection.
+    ///
+    /// # Errors
+    ///
+    /// The reason for which no connection is free.
+    pub fn confirm(&mut self, now: Instant) -> Result<(), Refusal> {
+        self.refresh(now);
+        self.admission.confirm(now)
+    }
+
+    /// Counts a connection that the upstream already holds.
+    pub fn adopt(&mut self) {
+        self.admission.adopt();
+    }
+
+    /// Gives a connection back.
+    pub fn disconnect(&mut self) {
+        self.admission.disconnect();
+    }
+
+    /// Decides whether a request runs, waits or is refused.
+    pub fn start(&mut self, now: Instant, deadline: Instant) -> Start {
+        self.refresh(now);
+        let start = self.admission.start(now, deadline);
+        if !matches!(start, Start::Refuse(_)) {
+            self.comeback.on_admitted(now);
+        }
+        start
+    }
+
+    /// Takes the first waiting request that may run now.
+    pub fn promote<T>(&mut self, waiting: &mut WaitingList<T>, now: Instant) -> Option<T> {
+        self.refresh(now);
+        waiting.promote(&mut self.admission, now)
+    }
+
+    /// Takes out the waiting requests whose deadline has passed.
+    pub fn expire<T>(&mut self, waiting: &mut WaitingList<T>, now: Instant) -> SmallVec<[T; 4]> {
+        let expired = waiting.expire(now);
+        for _ in &expired {
+            self.admission.leave_queue();
+        }
+        expired
+    }
+
+    /// Gives a slot back; `service_time` when the request was answered.
+    pub fn finish(&mut self, now: Instant, service_time: Option<Duration>) {
+        match service_time {
+            Some(time) => self.admission.finish(now, time),
+            None => self.admission.release(),
+        }
+    }
+
+    /// Requests of the former owner ended.
+    pub fn finish_elsewhere(&mut self, slots: u32, now: Instant) {
+        self.elsewhere = self.elsewhere.saturating_sub(slots);
+        self.refresh(now);
+    }
+
+    /// Learns from how a request ended.
+    pub fn learn(&mut self, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Answered(latency) => {
+                self.health.on_answer(now);
+                self.allowance.on_success(now);
+                self.allowance.on_latency(now, latency);
+            }
+            Outcome::Shed => {
+                self.health.on_shed(now);
+                self.allowance.on_shed(now);
+            }
+            Outcome::TimedOut => {
+                self.health.on_timeout(now);
+                self.allowance.on_timeout(now);
+            }
+            Outcome::Refused => {
+                self.health.on_refused(now);
+                self.allowance.on_timeout(now);
+            }
+        }
+        self.refresh(now);
+    }
+
+    /// Learns what the upstream's own endpoint says.
+    pub fn learn_report(&mut self, report: EndpointReport, now: Instant) {
+        self.health.on_endpoint(now, report);
+    }
+
+    /// The upstream restarted: back to the cold-start allowance.
+    pub fn restart(&mut self, now: Instant) {
+        self.allowance.restart(now);
+        self.elsewhere = 0;
+        self.refresh(now);
+    }
+
+    /// When a refused caller should come back.
+    pub fn come_back(&mut self, now: Instant) -> Duration {
+        self.comeback.after(now, 0.0, &mut rand::rng())
+    }
+
+    /// Health as its owner sees it.
+    pub fn health(&self, now: Instant) -> HealthView {
+        self.health.view(now)
+    }
+
+    /// Whether the upstream takes neither flows nor requests at present.
+    pub fn is_down(&self, now: Instant) -> bool {
+        self.health.state(now) == HealthState::Down
+    }
+
+    /// State for reports.
+    pub fn state(&self, now: Instant) -> LoadState {
+        if self.is_down(now) {
+            LoadState::Down
+        } else if self.spec.draining {
+            LoadState::Draining
+        } else if self.allowance.is_full() {
+            LoadState::Warm
+        } else {
+            LoadState::Cold
+        }
+    }
+
+    /// The allowance reached.
+    pub fn allowance(&self, now: Instant) -> (u32, u32) {
+        self.allowance.limits(now)
+    }
+
+    /// Exact counts.
+    pub fn admission(&self) -> &Admission {
+        &self.admission
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/data/socket.rs
@@ -0,0 +1,117 @@
+//! UDP sockets of the data path.
+
+use {
+    monoio::net::udp::UdpSocket,
+    std::{
+        cell::Cell,
+        io,
+        net::{
+            SocketAddr,
+            UdpSocket as StdSocket, //
+        },
+    },
+};
+
+/// Largest datagram that is read, in bytes; what is longer is cut off and then malformed.
+pub const DATAGRAM_MAX: usize = 2048;
+
+/// Datagrams read in a row before other tasks get their turn.
+const BURST: usize = 64;
+
+/// A UDP socket that one task reads and any task writes.
+///
+/// Writing never waits: a datagram for which the kernel has no room is dropped and counted, as the
+/// network would.
+#[derive(Debug)]
+pub struct Socket {
+    rx: UdpSocket,
+    tx: StdSocket,
+    addr: SocketAddr,
+    dropped: Cell<u64>,
+}
+
+impl Socket {
+    /// Binds `addr`; errors are those of the operating system.
+    pub fn bind(addr: SocketAddr) -> io::Result<Socket> {
+        Socket::adopt(StdSocket::bind(addr)?)
+    }
+
+    /// Binds any port of the wildcard address and connects it to `peer`, so that refusals are reported.
+    pub fn connect(peer: SocketAddr) -> io::Result<Socket> {
+        let any: SocketAddr = if peer.is_ipv4() {
+            ([0, 0, 0, 0], 0).into()
+        } else {
+            ([0u16; 8], 0).into()
+        };
+        let socket = StdSocket::bind(any)?;
+        socket.connect(peer)?;
+        Socket::adopt(socket)
+    }
+
+    fn adopt(tx: StdSocket) -> io::Result<Socket> {
+        tx.set_nonblocking(true)?;
+        let addr = tx.local_addr()?;
+        let rx = UdpSocket::from_std(tx.try_clone()?)?;
+        Ok(Socket {
+            rx,
+            tx,
+            addr,
+            dropped: Cell::new(0),
+        })
+    }
+
+    /// The bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Datagrams dropped for want of room.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.get()
+    }
+
+    /// Sends one datagram; false when it was dropped.
+    pub fn send_to(&self, buf: &[u8], to: SocketAddr) -> bool {
+        self.count(self.tx.send_to(buf, to)).is_ok()
+    }
+
+    /// Sends one datagram to the connected peer.
+    pub fn send(&self, buf: &[u8]) -> io::Result<()> {
+        self.count(self.tx.send(buf))
+    }
+
+    fn count(&self, res: io::Result<usize>) -> io::Result<()> {
+        if res.is_err() {
+            self.dropped.set(self.dropped.get() + 1);
+        }
+        res.map(|_| ())
+    }
+
+    /// Reads datagrams until the socket fails, and gives each to `handle`.
+    ///
+    /// A refusal reported by the peer's host is given to `refused`; it does not end the loop.
+    pub async fn read_each(
+        &self,
+        mut handle: impl FnMut(&[u8], SocketAddr),
+        mut refused: impl FnMut(),
+    ) -> io::Result<()> {
+        let mut buf = vec![0u8; DATAGRAM_MAX];
+        let mut burst = [0u8; DATAGRAM_MAX];
+        loop {
+            let (res, b) = self.rx.recv_from(buf).await;
+            buf = b;
+            match res {
+                Ok((len, from)) => handle(&buf[..len], from),
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => refused(),
+                Err(e) => return Err(e),
+            }
+            for _ in 0..BURST {
+                match self.tx.recv_from(&mut burst) {
+                    Ok((len, from)) => handle(&burst[..len], from),
+                    Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => refused(),
+                    Err(_) => break,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/data/upstream.rs
@@ -0,0 +1,416 @@
+//! One upstream that this daemon owns: its slots, its exchanges, its flows and its feeds.
+
+use {
+    crate::data::{
+        feed::Feeds,
+        flow::Flows,
+        load::{
+            Load,
+            Outcome, //
+        },
+        socket::Socket, //
+    },
+    foxtailhinge_policy::admission::{
+        Refusal,
+        Start,
+        WaitingList, //
+    },
+    foxtailhinge_wire::coap::{
+        Datagram,
+        Status, //
+    },
+    local_sync::oneshot,
+    smallvec::SmallVec,
+    std::{
+        cell::{
+            Cell,
+            Ref,
+            RefCell,
+            RefMut, //
+        },
+        collections::{
+            HashMap,
+            HashSet, //
+        },
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// How long a request that was given up keeps its slot while the upstream may still run it.
+const ABANDONED_LEASE: Duration = Duration::from_secs(5);
+
+/// A token towards the upstream, never used twice by one daemon incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct UpstreamToken(u64);
+
+impl UpstreamToken {
+    fn read(token: &[u8]) -> Option<UpstreamToken> {
+        let bytes = token.try_into().ok()?;
+        Some(UpstreamToken(u64::from_be_bytes(bytes)))
+    }
+
+    /// The token's bytes on the wire.
+    pub fn bytes(self) -> [u8; 8] {
+        self.0.to_be_bytes()
+    }
+}
+
+/// A caller's request, by which copies of it are known.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct CallerToken {
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// Token that the caller chose.
+    pub token: SmallVec<[u8; 8]>,
+}
+
+impl CallerToken {
+    /// The key of `req` from `caller`.
+    pub fn of(caller: SocketAddr, req: &Datagram) -> CallerToken {
+        CallerToken {
+            caller,
+            token: SmallVec::from_slice(req.token()),
+        }
+    }
+}
+
+/// Why an exchange with the upstream brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// No answer came in time.
+    TimedOut,
+    /// The upstream's host refused the datagram, or the upstream restarted.
+    Refused,
+}
+
+/// What arrived from the upstream besides answers to exchanges.
+#[derive(Debug)]
+pub enum Arrival {
+    /// A notification of a feed.
+    Notification(UpstreamToken, Datagram),
+    /// An answer that nobody waits for any more.
+    Late,
+    /// Nothing that concerns others.
+    Handled,
+}
+
+/// A slot of the upstream in use; dropping it gives it back.
+#[derive(Debug)]
+pub struct Slot {
+    upstream: Rc<Upstream>,
+    service_time: Cell<Option<Duration>>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.upstream
+            .load_mut()
+            .finish(now, self.service_time.get());
+        self.upstream.promote(now);
+    }
+}
+
+/// An exchange whose answer has not come.
+#[derive(Debug)]
+struct Pending {
+    answer: Option<oneshot::Sender<Datagram>>,
+    slot: Slot,
+    sent: Instant,
+}
+
+/// An upstream, by its address.
+#[derive(Debug)]
+pub struct Upstream {
+    addr: SocketAddr,
+    key: Rc<str>,
+    zone: Rc<str>,
+    socket: Socket,
+    load: RefCell<Load>,
+    waiting: RefCell<WaitingList<oneshot::Sender<Slot>>>,
+    pending: RefCell<HashMap<UpstreamToken, Pending>>,
+    tokens: Cell<u64>,
+    message_ids: Cell<u16>,
+    incarnation: Cell<Option<u16>>,
+    /// Flows that are held.
+    pub flows: RefCell<Flows>,
+    /// Feeds that are held.
+    pub feeds: RefCell<Feeds>,
+    /// Idempotent requests in progress, by which their copies are known.
+    pub in_progress: RefCell<HashSet<CallerToken>>,
+}
+
+impl Upstream {
+    /// Takes up an upstream; errors are those of its socket.
+    pub fn new(
+        addr: SocketAddr,
+        zone: Rc<str>,
+        load: Load,
+        flows: Flows,
+    ) -> io::Result<Rc<Upstream>> {
+        Ok(Rc::new(Upstream {
+            addr,
+            key: Rc::from(addr.to_string()),
+            zone,
+            socket: Socket::connect(addr)?,
+            load: RefCell::new(load),
+            waiting: RefCell::default(),
+            pending: RefCell::default(),
+            tokens: Cell::new(rand::random()),
+            message_ids: Cell::new(rand::random()),
+            incarnation: Cell::new(None),
+            flows: RefCell::new(flows),
+            feeds: RefCell::default(),
+            in_progress: RefCell::default(),
+        }))
+    }
+
+    /// Address of the upstream.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The name by which owners are drawn.
+    pub fn key(&self) -> &Rc<str> {
+        &self.key
+    }
+
+    /// The upstream's availability zone.
+    pub fn zone(&self) -> &Rc<str> {
+        &self.zone
+    }
+
+    /// Incarnation that the upstream last told.
+    pub fn incarnation(&self) -> Option<u16> {
+        self.incarnation.get()
+    }
+
+    /// Takes over the incarnation that the former owner knew.
+    pub fn set_incarnation(&self, incarnation: Option<u16>) {
+        self.incarnation.set(incarnation);
+    }
+
+    /// The socket towards the upstream.
+    pub fn socket(&self) -> &Socket {
+        &self.socket
+    }
+
+    /// Counts, allowance and health.
+    pub fn load(&self) -> Ref<'_, Load> {
+        self.load.borrow()
+    }
+
+    /// Counts, allowance and health, to change them.
+    pub fn load_mut(&self) -> RefMut<'_, Load> {
+        self.load.borrow_mut()
+    }
+
+    /// A token not used before.
+    pub fn next_token(&self) -> UpstreamToken {
+        let token = self.tokens.get().wrapping_add(1);
+        self.tokens.set(token);
+        UpstreamToken(token)
+    }
+
+    /// A message id towards the upstream.
+    pub fn next_message_id(&self) -> u16 {
+        let id = self.message_ids.get().wrapping_add(1);
+        self.message_ids.set(id);
+        id
+    }
+
+    /// Requests that run at the upstream, those given up included.
+    pub fn running(&self) -> u32 {
+        self.load().admission().in_use()
+    }
+
+    /// Waits for a slot until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Why the request was not let through; it was not run.
+    pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<Slot, Refusal> {
+        let now = Instant::now();
+        let start = self.load_mut().start(now, deadline);
+        match start {
+            Start::Run => return Ok(Slot::new(self)),
+            Start::Refuse(refusal) => return Err(refusal),
+            Start::Wait => {}
+        }
+        let (tx, rx) = oneshot::channel();
+        self.waiting.borrow_mut().push(deadline, tx);
+        let left = deadline.saturating_duration_since(now);
+        match monoio::time::timeout(left, rx).await {
+            Ok(Ok(slot)) => Ok(slot),
+            _ => {
+                self.promote(Instant::now());
+                Err(Refusal::Deadline)
+            }
+        }
+    }
+
+    /// Gives free slots to the requests that wait.
+    pub fn promote(self: &Rc<Self>, now: Instant) {
+        let expired = self
+            .load
+            .borrow_mut()
+            .expire(&mut self.waiting.borrow_mut(), now);
+        drop(expired);
+        loop {
+            let next = self
+                .load
+                .borrow_mut()
+                .promote(&mut self.waiting.borrow_mut(), now);
+            match next {
+                // A receiver that is gone gives the slot back by dropping it.
+                Some(tx) => drop(tx.send(Slot::new(self))),
+                None => return,
+            }
+        }
+    }
+
+    /// Sends a request and waits for its answer; the slot stays in use until the upstream is done with it.
+    ///
+    /// # Errors
+    ///
+    /// Why no answer came; unless the request is idempotent its outcome is then unknown.
+    pub async fn exchange(
+        &self,
+        slot: Slot,
+        token: UpstreamToken,
+        req: &Datagram,
+        timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
+        let (tx, rx) = oneshot::channel();
+        let pending = Pending {
+            answer: Some(tx),
+            slot,
+            sent: Instant::now(),
+        };
+        self.pending.borrow_mut().insert(token, pending);
+        // A refusal reported here belongs to an earlier datagram; the reading task sees it as well.
+        let _ = self.socket.send(&req.to_bytes());
+        match monoio::time::timeout(timeout, rx).await {
+            Ok(Ok(rsp)) => Ok(rsp),
+            Ok(Err(_)) => Err(ExchangeError::Refused),
+            Err(_) => {
+                self.abandon(token);
+                Err(ExchangeError::TimedOut)
+            }
+        }
+    }
+
+    fn abandon(&self, token: UpstreamToken) {
+        if let Some(pending) = self.pending.borrow_mut().get_mut(&token) {
+            pending.answer = None;
+        }
+        self.load_mut().learn(Outcome::TimedOut, Instant::now());
+    }
+
+    /// Takes in a datagram from the upstream.
+    pub fn on_datagram(&self, mut rsp: Datagram) -> Arrival {
+        let Some(token) = UpstreamToken::read(rsp.token()) else {
+            return Arrival::Handled;
+        };
+        let pending = self.pending.borrow_mut().remove(&token);
+        if let Some(pending) = pending {
+            if let Some(feed) = self.feeds.borrow_mut().get_mut(token) {
+                feed.stamp_answer(&mut rsp);
+            }
+            return self.on_answer(pending, rsp);
+        }
+        if let Some(feed) = self.feeds.borrow_mut().get_mut(token) {
+            return if feed.stamp(&mut rsp) {
+                Arrival::Notification(token, rsp)
+            } else {
+                Arrival::Late
+            };
+        }
+        if rsp.observe().is_some() {
+            let reset = Datagram::reset(rsp.message_id());
+            let _ = self.socket.send(&reset.to_bytes());
+        }
+        Arrival::Late
+    }
+
+    fn on_answer(&self, pending: Pending, rsp: Datagram) -> Arrival {
+        let now = Instant::now();
+        let latency = now.saturating_duration_since(pending.sent);
+        let outcome = if rsp.status() == Some(Status::ServiceUnavailable) {
+            Outcome::Shed
+        } else {
+            pending.slot.service_time.set(Some(latency));
+            Outcome::Answered(latency)
+        };
+        self.load_mut().learn(outcome, now);
+        let Pending { answer, slot, .. } = pending;
+        drop(slot);
+        match answer {
+            Some(tx) => {
+                let _ = tx.send(rsp);
+                Arrival::Handled
+            }
+            None => Arrival::Late,
+        }
+    }
+
+    /// Notes the incarnation that a datagram of the upstream carries; true when the upstream restarted.
+    pub fn note_incarnation(&self, rsp: &Datagram) -> bool {
+        let Some(now) = rsp.upstream_incarnation() else {
+            return false;
+        };
+        let before = self.incarnation.replace(Some(now));
+        before.is_some_and(|before| before != now)
+    }
+
+    /// The upstream restarted: what ran there is lost, and it carries its cold-start allowance.
+    pub fn restart(&self) {
+        self.load_mut().restart(Instant::now());
+        self.fail_pending();
+    }
+
+    /// The upstream's host says that nothing listens.
+    pub fn on_refused(&self) {
+        self.load_mut().learn(Outcome::Refused, Instant::now());
+        self.fail_pending();
+    }
+
+    fn fail_pending(&self) {
+        let failed = std::mem::take(&mut *self.pending.borrow_mut());
+        drop(failed);
+    }
+
+    /// Frees the slots of requests that were given up long ago.
+    pub fn collect(self: &Rc<Self>, now: Instant) {
+        let abandoned: SmallVec<[UpstreamToken; 4]> = self
+            .pending
+            .borrow()
+            .iter()
+            .filter(|(_, pending)| {
+                let age = now.saturating_duration_since(pending.sent);
+                pending.answer.is_none() && age >= ABANDONED_LEASE
+            })
+            .map(|(token, _)| *token)
+            .collect();
+        for token in abandoned {
+            let pending = self.pending.borrow_mut().remove(&token);
+            drop(pending);
+        }
+        self.promote(now);
+    }
+}
+
+impl Slot {
+    fn new(upstream: &Rc<Upstream>) -> Slot {
+        Slot {
+            upstream: Rc::clone(upstream),
+            service_time: Cell::new(None),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,52 @@
+//! Errors that end the daemon.
+
+use {
+    foxtailhinge_config::finding::Findings,
+    std::{
+        io,
+        net::SocketAddr,
+        path::PathBuf, //
+    },
+};
+
+/// Why the daemon could not start or had to end.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings file could not be read.
+    #[error("The settings file {} could not be read ({source}). Check the path and its permissions.", path.display())]
+    SettingsUnreadable {
+        /// The file named on the command line.
+        path: PathBuf,
+        /// Cause given by the operating system.
+        source: io::Error,
+    },
+    /// The settings have findings.
+    #[error("{0}")]
+    Findings(#[from] Findings),
+    /// A socket could not be bound.
+    #[error("The {role} address {addr} could not be bound ({source}). Choose a free address of this VM in the settings.")]
+    Bind {
+        /// What the address is for.
+        role: &'static str,
+        /// The address from the settings.
+        addr: SocketAddr,
+        /// Cause given by the operating system.
+        source: io::Error,
+    },
+    /// The runtime could not be built.
+    #[error("The runtime could not be started ({0}). Check the limit of open files.")]
+    Runtime(io::Error),
+    /// A task failed too often.
+    #[error("The daemon ends because of repeated failures: {0:#}.")]
+    Failed(#[from] anyhow::Error),
+}
+
+impl Error {
+    /// The exit code that belongs to the error: 2 for bad input, else 1.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Error::SettingsUnreadable { .. } | Error::Findings(_) => 2,
+            Error::Bind { .. } | Error::Runtime(_) | Error::Failed(_) => 1,
+        }
+    }
+}
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -94,6 +94,14 @@
         allowance
     }
 
+    /// Starts where the last owner was: at the highest step that allows no more than `slots`.
+    pub fn resume(spec: AllowanceSpec, slots: u32, now: Instant) -> Self {
+        let mut allowance = Self::cold(spec, now);
+        let within = |step: &u32| spec.at(*step).0 <= slots;
+        allowance.step = (0..=STEPS).rev().find(within).unwrap_or(0);
+        allowance
+    }
+
     /// Replaces the document's figures; the ramp keeps its step.
     pub fn set_spec(&mut self, spec: AllowanceSpec) {
         self.spec = spec;
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -210,6 +210,20 @@
         }
     }
 
+    /// Remembers that another owner runs the request; copies that come here are [`Begin::Elsewhere`].
+    pub fn moved(&mut self, token: &[u8]) {
+        if let Some(run) = self.pending(token) {
+            run.state = RunState::Elsewhere;
+        }
+    }
+
+    /// Takes over a flow of which nothing is known but a ticket with this epoch; no run of that ticket is let through.
+    pub fn resume(ticket_epoch: u32, now: Instant) -> Self {
+        let mut ledger = Self::new(now);
+        ledger.forget_epoch(ticket_epoch.min(EPOCH_LAST));
+        ledger
+    }
+
     /// Forgets runs that ended more than [`RIGHT`] ago.
     pub fn collect(&mut self, now: Instant) {
         let now = self.seconds(now);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -139,6 +139,11 @@
     NotHeld,
     /// Answers a claim: the claimant does not own the upstream by this daemon's view.
     NotYours,
+    /// The new owner has taken up the feeds of an upstream that was handed over.
+    Settled {
+        /// Address of the upstream.
+        upstream: SocketAddr,
+    },
     /// Requests that were in progress at the former owner have ended.
     Finished(Finished),
     /// The request was taken in.
@@ -246,6 +251,8 @@
     pub flow: FlowKey,
     /// Address of the caller.
     pub caller: SocketAddr,
+    /// Observe value of the last notification that the caller was sent.
+    pub observe: u32,
     /// The registration as the caller sent it.
     pub request: Vec<u8>,
 }
