Serve metrics, status, audit and explain to operators

Cause: operators and scrapers need one HTTP interface per daemon that a slow or hostile client cannot block. Change: typed metrics in a registry of their own, an audit trail of the last 1,000 records that also goes to the log, and an HTTP/1.1 server on monoio. A task per connection answers one request within 15 s; heads are bounded at 16 KiB, bodies at 64 KiB; the 65th connection takes the place of the oldest. Report types live in the configuration package, so that foxtailctl reads them without the daemon. Ruled out: refusing connections over the bound, since 64 silent clients would then lock operators out.

--- a/crates/config/src/finding.rs
+++ b/crates/config/src/finding.rs
@@ -1,6 +1,9 @@
 //! Findings with their place.
 
-use serde::Serialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::{
     error::Error,
     fmt,
@@ -9,7 +12,7 @@
 };
 
 /// One thing to change in a text.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
     /// File or document that was read.
     pub file: Arc<str>,
@@ -34,7 +37,7 @@
 }
 
 /// All findings of one text, in the order of their places.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Findings(Vec<Finding>);
 
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -1,1 +1,103 @@
 //! HTTP interface for operators: metrics, status, audit and explain.
+
+mod connections;
+mod operations;
+mod query;
+mod router;
+
+pub use operations::{
+    ExplainError,
+    ExplainQuery,
+    FaultsError,
+    Operations, //
+};
+
+use crate::admin::{
+    connections::Connections,
+    router::answer, //
+};
+use futures::future::{
+    select,
+    Either, //
+};
+use hyper::{
+    server::conn::http1,
+    service::service_fn, //
+};
+use monoio::{
+    io::IntoPollIo,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time, //
+};
+use monoio_compat::hyper::{
+    MonoioIo,
+    MonoioTimer, //
+};
+use std::{
+    convert::Infallible,
+    io,
+    pin::pin,
+    rc::Rc,
+    time::Duration, //
+};
+
+/// Connections held at a time; a further one takes the place of the oldest.
+pub const CONNECTIONS: usize = 64;
+/// Largest head of a request, in bytes.
+const HEAD_BYTES: usize = 16 * 1024;
+/// Most headers of a request.
+const HEADERS: usize = 32;
+/// Time for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for a request and its response.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(15);
+/// Delay after a connection could not be accepted.
+const ACCEPT_BACK_OFF: Duration = Duration::from_millis(50);
+
+/// Serves operators for as long as `listener` works.
+///
+/// A task per connection answers one request, so a slow client holds up nobody else.
+pub async fn serve<S: Operations + 'static>(listener: TcpListener, operations: Rc<S>) {
+    let connections = Connections::new(CONNECTIONS);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(target: "admin", "event=accept-failed error=\"{e}\"");
+                time::sleep(ACCEPT_BACK_OFF).await;
+                continue;
+            }
+        };
+        let evicted = connections.admit();
+        let operations = operations.clone();
+        monoio::spawn(async move {
+            let served = pin!(time::timeout(
+                CONNECTION_TIMEOUT,
+                answer_one(stream, operations)
+            ));
+            if let Either::Left((Ok(Err(e)), _)) = select(served, evicted).await {
+                log::debug!(target: "admin", "event=connection-failed error=\"{e}\"");
+            }
+        });
+    }
+}
+
+async fn answer_one<S: Operations>(stream: TcpStream, operations: Rc<S>) -> io::Result<()> {
+    let io = MonoioIo::new(stream.into_poll_io()?);
+    let service = service_fn(move |req| {
+        let operations = operations.clone();
+        async move { Ok::<_, Infallible>(answer(req, &*operations).await) }
+    });
+    http1::Builder::new()
+        .timer(MonoioTimer)
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_BYTES)
+        .max_headers(HEADERS)
+        .keep_alive(false)
+        .serve_connection(io, service)
+        .await
+        .map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/daemon/src/admin/router.rs
@@ -0,0 +1,172 @@
+//! Requests of operators and their responses.
+
+use crate::admin::{
+    operations::{
+        ExplainError,
+        FaultsError,
+        Operations, //
+    },
+    query::{
+        self,
+        QueryError, //
+    }, //
+};
+use bytes::Bytes;
+use foxtailhinge_config::report::{
+    Faults,
+    Refusal, //
+};
+use http::{
+    header::{
+        ALLOW,
+        CONTENT_TYPE, //
+    },
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::body::Incoming;
+use serde::Serialize;
+use thiserror::Error;
+
+/// Largest body of a request, in bytes.
+const BODY_BYTES: usize = 64 * 1024;
+const JSON: &str = "application/json";
+const PROMETHEUS_TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+type Answer = Response<Full<Bytes>>;
+
+/// Why a request was refused.
+#[derive(Debug, Error)]
+enum RequestError {
+    #[error("Ask for /metrics, /status, /audit or /explain; \"{0}\" is not served.")]
+    Path(String),
+    #[error("Use the method {0} for this path.")]
+    Method(&'static str),
+    #[error(transparent)]
+    Query(#[from] QueryError),
+    #[error("Send a body of at most {BODY_BYTES} bytes.")]
+    Body,
+    #[error(
+        "Send a body such as {{\"deny\":[\"vm-1\",\"platform\"]}}; this one was refused: {0}."
+    )]
+    Faults(serde_json::Error),
+    #[error(transparent)]
+    Explain(#[from] ExplainError),
+    #[error(transparent)]
+    FaultsRefused(#[from] FaultsError),
+    #[error("Report this failure; the response could not be written: {0}.")]
+    Response(serde_json::Error),
+}
+
+impl RequestError {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Path(_) => StatusCode::NOT_FOUND,
+            Self::Explain(ExplainError::UnknownService(_)) => StatusCode::NOT_FOUND,
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::FaultsRefused(FaultsError::NotEnabled) => StatusCode::FORBIDDEN,
+            Self::Response(_) => StatusCode::INTERNAL_SERVER_ERROR,
+            Self::Body => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Query(_) | Self::Faults(_) | Self::Explain(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    fn into_answer(self) -> Answer {
+        let refusal = Refusal {
+            error: self.to_string(),
+        };
+        let body = serde_json::to_vec(&refusal).unwrap_or_default();
+        let mut answer = respond(self.status(), JSON, body);
+        if let Self::Method(allowed) = self {
+            let headers = answer.headers_mut();
+            headers.insert(ALLOW, http::HeaderValue::from_static(allowed));
+        }
+        answer
+    }
+}
+
+/// Answers one request.
+pub(super) async fn answer<S: Operations>(req: Request<Incoming>, operations: &S) -> Answer {
+    match route(req, operations).await {
+        Ok(answer) => answer,
+        Err(e) => e.into_answer(),
+    }
+}
+
+async fn route<S: Operations>(
+    req: Request<Incoming>,
+    operations: &S,
+) -> Result<Answer, RequestError> {
+    let path = req.uri().path();
+    if path == "/faults" {
+        return set_faults(req, operations).await;
+    }
+    let read = match path {
+        "/metrics" => metrics,
+        "/status" => status,
+        "/audit" => audit,
+        "/explain" => explain,
+        _ => return Err(RequestError::Path(path.to_string())),
+    };
+    if req.method() != Method::GET {
+        return Err(RequestError::Method("GET"));
+    }
+    read(operations, req.uri().query().unwrap_or_default())
+}
+
+fn metrics<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
+    query::none(query)?;
+    Ok(respond(
+        StatusCode::OK,
+        PROMETHEUS_TEXT,
+        operations.metrics(),
+    ))
+}
+
+fn status<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
+    query::none(query)?;
+    json(&operations.status())
+}
+
+fn audit<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
+    json(&operations.audit(&query::audit(query)?))
+}
+
+fn explain<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
+    json(&operations.explain(&query::explain(query)?)?)
+}
+
+async fn set_faults<S: Operations>(
+    req: Request<Incoming>,
+    operations: &S,
+) -> Result<Answer, RequestError> {
+    if req.method() != Method::PUT {
+        return Err(RequestError::Method("PUT"));
+    }
+    query::none(req.uri().query().unwrap_or_default())?;
+    let body = Limited::new(req.into_body(), BODY_BYTES).collect().await;
+    let body = body.map_err(|_| RequestError::Body)?.to_bytes();
+    let faults: Faults = serde_json::from_slice(&body).map_err(RequestError::Faults)?;
+    operations.set_faults(faults.clone())?;
+    json(&faults)
+}
+
+fn json<T: Serialize>(report: &T) -> Result<Answer, RequestError> {
+    let body = serde_json::to_vec(report).map_err(RequestError::Response)?;
+    Ok(respond(StatusCode::OK, JSON, body))
+}
+
+fn respond(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, http::HeaderValue::from_static(content_type));
+    answer
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,1 +1,423 @@
 //! Metrics of the daemon.
+//!
+//! Labels come from small enums, so that no datagram or document can add a time series.
+
+pub use foxtailhinge_config::report::{
+    MemberState,
+    UpstreamState, //
+};
+
+use prometheus::{
+    core::Collector,
+    IntCounter,
+    IntCounterVec,
+    IntGauge,
+    IntGaugeVec,
+    Opts,
+    Registry,
+    TextEncoder, //
+};
+use std::marker::PhantomData;
+
+/// A label with a fixed set of values.
+pub trait Label: Copy + 'static {
+    /// Name of the label.
+    const NAME: &'static str;
+    /// All values, each at the place that `index` gives.
+    const ALL: &'static [Self];
+
+    /// Place of the value in `ALL`.
+    fn index(self) -> usize;
+
+    /// Word for the value.
+    fn word(self) -> &'static str;
+}
+
+macro_rules! labels {
+    ($(
+        $(#[$doc:meta])*
+        enum $name:ident = $label:literal {
+            $( $(#[$value_doc:meta])* $value:ident = $word:literal, )*
+        }
+    )*) => { $(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum $name {
+            $( $(#[$value_doc])* $value, )*
+        }
+
+        label!($name = $label { $( $value = $word, )* });
+    )* };
+}
+
+macro_rules! label {
+    ($name:ident = $label:literal { $( $value:ident = $word:literal, )* }) => {
+        impl Label for $name {
+            const NAME: &'static str = $label;
+            const ALL: &'static [Self] = &[ $( Self::$value, )* ];
+
+            fn index(self) -> usize {
+                self as usize
+            }
+
+            fn word(self) -> &'static str {
+                match self {
+                    $( Self::$value => $word, )*
+                }
+            }
+        }
+    };
+}
+
+labels! {
+    /// What became of a datagram from a caller.
+    enum DatagramResult = "result" {
+        /// It went on its way.
+        Accepted = "accepted",
+        /// It is no CoAP request.
+        Malformed = "malformed",
+        /// Its ticket has a wrong authentication code.
+        Forged = "forged",
+        /// Its ticket is for another service.
+        ForeignService = "foreign_service",
+        /// Its ticket has a wrong length or version.
+        Garbled = "garbled",
+        /// Its ticket is sealed with a key that is no longer accepted.
+        ExpiredKey = "expired_key",
+        /// Its service has no document in force.
+        NoService = "no_service",
+    }
+
+    /// Why a flow was given up.
+    enum FlowEnd = "reason" {
+        /// The caller released it.
+        Released = "released",
+        /// It had no packets for the idle time.
+        Idle = "idle",
+        /// Its availability zone was taken out of service.
+        ZoneOut = "zone_out",
+        /// Its upstream does not answer.
+        UpstreamGone = "upstream_gone",
+        /// Its upstream was removed from the document.
+        UpstreamRemoved = "upstream_removed",
+        /// Its service was removed.
+        ServiceRemoved = "service_removed",
+        /// Its reservation was not confirmed in time.
+        Unconfirmed = "unconfirmed",
+    }
+
+    /// Outcome of a request.
+    enum RequestOutcome = "outcome" {
+        /// The upstream answered.
+        Answered = "answered",
+        /// The upstream never got it.
+        NotRun = "not_run",
+        /// The upstream may have run it.
+        Unknown = "unknown",
+        /// The caller cancelled it.
+        Cancelled = "cancelled",
+    }
+
+    /// Result of a call to the platform.
+    enum PlatformResult = "result" {
+        /// It answered with news.
+        Changed = "changed",
+        /// It answered without news.
+        Unchanged = "unchanged",
+        /// It answered with an error.
+        Refused = "refused",
+        /// Its answer could not be read.
+        Garbled = "garbled",
+        /// It did not answer in time.
+        TimedOut = "timed_out",
+        /// No connection was made.
+        Unreachable = "unreachable",
+    }
+
+    /// Result of a hand-over of an upstream to its next owner.
+    enum HandOverResult = "result" {
+        /// The next owner confirmed it.
+        Confirmed = "confirmed",
+        /// It was taken over from the owner before.
+        Received = "received",
+        /// It was not confirmed in time.
+        TimedOut = "timed_out",
+        /// There was nobody to take it.
+        NoOwner = "no_owner",
+    }
+}
+
+label!(MemberState = "state" {
+    Live = "live",
+    Suspect = "suspect",
+    Leaving = "leaving",
+    Dead = "dead",
+});
+
+label!(UpstreamState = "state" {
+    Warm = "warm",
+    Cold = "cold",
+    Shedding = "shedding",
+    Draining = "draining",
+    Gone = "gone",
+});
+
+/// Counters of one metric by label.
+#[derive(Clone, Debug)]
+pub struct Counters<L> {
+    children: Vec<IntCounter>,
+    label: PhantomData<L>,
+}
+
+impl<L: Label> Counters<L> {
+    fn new(registry: &Registry, name: &str, help: &str) -> Self {
+        let opts = Opts::new(name, help);
+        let family = register(registry, IntCounterVec::new(opts, &[L::NAME]));
+        let children = L::ALL.iter().map(|l| family.with_label_values(&[l.word()]));
+        Self {
+            children: children.collect(),
+            label: PhantomData,
+        }
+    }
+
+    /// Counts one.
+    pub fn inc(&self, label: L) {
+        self.children[label.index()].inc();
+    }
+
+    /// Counts `n`.
+    pub fn inc_by(&self, label: L, n: u64) {
+        self.children[label.index()].inc_by(n);
+    }
+
+    /// Reads one counter.
+    pub fn get(&self, label: L) -> u64 {
+        self.children[label.index()].get()
+    }
+}
+
+/// Gauges of one metric by label.
+#[derive(Clone, Debug)]
+pub struct Gauges<L> {
+    children: Vec<IntGauge>,
+    label: PhantomData<L>,
+}
+
+impl<L: Label> Gauges<L> {
+    fn new(registry: &Registry, name: &str, help: &str) -> Self {
+        let opts = Opts::new(name, help);
+        let family = register(registry, IntGaugeVec::new(opts, &[L::NAME]));
+        let children = L::ALL.iter().map(|l| family.with_label_values(&[l.word()]));
+        Self {
+            children: children.collect(),
+            label: PhantomData,
+        }
+    }
+
+    /// Sets one gauge.
+    pub fn set(&self, label: L, value: i64) {
+        self.children[label.index()].set(value);
+    }
+
+    /// Sets every gauge to the number of `labels` with its value.
+    pub fn count(&self, labels: impl IntoIterator<Item = L>) {
+        let mut counts = vec![0; L::ALL.len()];
+        for label in labels {
+            counts[label.index()] += 1;
+        }
+        for (child, count) in self.children.iter().zip(counts) {
+            child.set(count);
+        }
+    }
+
+    /// Reads one gauge.
+    pub fn get(&self, label: L) -> i64 {
+        self.children[label.index()].get()
+    }
+}
+
+/// All metrics of one daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Datagrams from callers.
+    pub datagrams: Counters<DatagramResult>,
+    /// Flows that were opened.
+    pub flows_opened: IntCounter,
+    /// Flows that were given up.
+    pub flows_ended: Counters<FlowEnd>,
+    /// Flows held now by the upstreams that this daemon owns.
+    pub flows_held: IntGauge,
+    /// Requests that ended.
+    pub requests: Counters<RequestOutcome>,
+    /// Requests in progress now.
+    pub requests_in_progress: IntGauge,
+    /// Copies of a request that got the answer of the first one.
+    pub copies_joined: IntCounter,
+    /// New flows that were passed to the next candidate.
+    pub bounces: IntCounter,
+    /// Datagrams relayed to another daemon.
+    pub relay_sent: IntCounter,
+    /// Datagrams relayed from another daemon.
+    pub relay_received: IntCounter,
+    /// Answers of upstreams that came too late.
+    pub late_answers: IntCounter,
+    /// Requests that were tried again.
+    pub retries: IntCounter,
+    /// Messages of peers dropped for a wrong key.
+    pub peers_refused: IntCounter,
+    /// Documents put in force.
+    pub documents_applied: IntCounter,
+    /// Documents refused for their findings.
+    pub documents_refused: IntCounter,
+    /// Calls to the platform.
+    pub platform_calls: Counters<PlatformResult>,
+    /// Members of the fleet now.
+    pub members: Gauges<MemberState>,
+    /// Upstreams owned now.
+    pub upstreams: Gauges<UpstreamState>,
+    /// Tasks restarted after a failure.
+    pub task_restarts: IntCounter,
+    /// Pauses after which the daemon fenced itself.
+    pub pauses_fenced: IntCounter,
+    /// Hand-overs of upstreams between owners.
+    pub hand_overs: Counters<HandOverResult>,
+}
+
+impl Metrics {
+    /// Registers all metrics in a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let r = &registry;
+        Self {
+            datagrams: Counters::new(
+                r,
+                "foxtailhinge_datagrams_total",
+                "Datagrams from callers by result.",
+            ),
+            flows_opened: counter(r, "foxtailhinge_flows_opened_total", "Flows opened."),
+            flows_ended: Counters::new(
+                r,
+                "foxtailhinge_flows_ended_total",
+                "Flows given up by reason.",
+            ),
+            flows_held: gauge(
+                r,
+                "foxtailhinge_flows_held",
+                "Flows held by the upstreams owned here.",
+            ),
+            requests: Counters::new(
+                r,
+                "foxtailhinge_requests_total",
+                "Requests ended by outcome.",
+            ),
+            requests_in_progress: gauge(
+                r,
+                "foxtailhinge_requests_in_progress",
+                "Requests in progress.",
+            ),
+            copies_joined: counter(
+                r,
+                "foxtailhinge_copies_joined_total",
+                "Copies of a request answered with the first one's answer.",
+            ),
+            bounces: counter(
+                r,
+                "foxtailhinge_bounces_total",
+                "New flows passed to the next candidate.",
+            ),
+            relay_sent: counter(
+                r,
+                "foxtailhinge_relay_sent_total",
+                "Datagrams relayed to another daemon.",
+            ),
+            relay_received: counter(
+                r,
+                "foxtailhinge_relay_received_total",
+                "Datagrams relayed from another daemon.",
+            ),
+            late_answers: counter(
+                r,
+                "foxtailhinge_late_answers_total",
+                "Late answers of upstreams that were dropped.",
+            ),
+            retries: counter(r, "foxtailhinge_retries_total", "Requests tried again."),
+            peers_refused: counter(
+                r,
+                "foxtailhinge_peers_refused_total",
+                "Messages of peers dropped for a wrong key.",
+            ),
+            documents_applied: counter(
+                r,
+                "foxtailhinge_documents_applied_total",
+                "Documents put in force.",
+            ),
+            documents_refused: counter(
+                r,
+                "foxtailhinge_documents_refused_total",
+                "Documents refused for their findings.",
+            ),
+            platform_calls: Counters::new(
+                r,
+                "foxtailhinge_platform_calls_total",
+                "Calls to the platform by result.",
+            ),
+            members: Gauges::new(r, "foxtailhinge_members", "Members of the fleet by state."),
+            upstreams: Gauges::new(
+                r,
+                "foxtailhinge_upstreams",
+                "Upstreams owned here by state.",
+            ),
+            task_restarts: counter(
+                r,
+                "foxtailhinge_task_restarts_total",
+                "Tasks restarted after a failure.",
+            ),
+            pauses_fenced: counter(
+                r,
+                "foxtailhinge_pauses_fenced_total",
+                "Pauses after which the daemon fenced itself.",
+            ),
+            hand_overs: Counters::new(
+                r,
+                "foxtailhinge_hand_overs_total",
+                "Hand-overs of upstreams by result.",
+            ),
+            registry,
+        }
+    }
+
+    /// Writes all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    register(registry, IntCounter::new(name, help))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(name, help))
+}
+
+/// Names are constants of this module, so a refused one is a programming error.
+fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    collector: prometheus::Result<C>,
+) -> C {
+    let collector = collector.expect("metric names and labels are valid");
+    registry
+        .register(Box::new(collector.clone()))
+        .expect("metric names are unique");
+    collector
+}
