Refuse CoAP messages that the codec lets pass, with contract tests

Cause: coap-lite 0.13.3 takes other CoAP versions, reserved code classes, empty messages that are not empty, and a payload marker without a payload; the last is written back without its marker, so a relayed datagram changed. Ruled out: a panic of the codec; token lengths 9 to 15, truncated options and option numbers over 65535 were already refused by it.

--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -1,8 +1,9 @@
 //! At-most-once execution of requests that are not idempotent.
 //!
-//! The owner keeps one ledger for each flow. A run is remembered by the token of its request until [`RIGHT`] has passed
-//! since it ended; forgetting it raises the flow's forgotten epoch to that of its ticket, so that a late copy, which
-//! carries the same ticket, is refused instead of run. Correctness rests on epochs alone; the time only bounds memory.
+//! The owner keeps one ledger for each flow. A run is remembered by the token of its request until
+//! [`RIGHT`] has passed since it ended; forgetting it raises the flow's forgotten epoch to that of
+//! its ticket, so that a late copy, which carries the same ticket, is refused instead of run.
+//! Correctness rests on epochs alone; the time only bounds memory.
 
 use {
     bincode::{
@@ -54,9 +55,11 @@
     Refused,
     /// Answer that its outcome is unknown: its ticket's right has ended.
     Expired,
-    /// Drop it or pass it to the other owner: a run at the previous owner, or a flow that was handed over.
+    /// Drop it or pass it to the other owner: a run at the previous owner, or a flow that was
+    /// handed over.
     Elsewhere,
-    /// Refuse it as not run: as many runs as can be remembered are in progress. Its copies will be [`Begin::Expired`].
+    /// Refuse it as not run: as many runs as can be remembered are in progress. Its copies will be
+    /// [`Begin::Expired`].
     Full,
 }
 
@@ -133,7 +136,8 @@
         self.epoch
     }
 
-    /// The epoch for the ticket in the next answer to a run, the one that [`FlowLedger::finish`] advances to.
+    /// The epoch for the ticket in the next answer to a run, the one that [`FlowLedger::finish`]
+    /// advances to.
     pub fn answer_epoch(&self) -> u32 {
         next(self.epoch)
     }
@@ -145,8 +149,9 @@
 
     /// Whether the flow has used up its epochs and should be given up.
     ///
-    /// Runs go on until the last epoch is forgotten, then each new one is [`Begin::Expired`]. Give the flow up on an
-    /// idempotent request: a refused one that is not idempotent would be repeated in the caller's next flow.
+    /// Runs go on until the last epoch is forgotten, then each new one is [`Begin::Expired`]. Give
+    /// the flow up on an idempotent request: a refused one that is not idempotent would be repeated
+    /// in the caller's next flow.
     pub fn exhausted(&self) -> bool {
         self.epoch == EPOCH_LAST
     }
@@ -189,7 +194,8 @@
 
     /// Remembers the answer of a run and advances the epoch, which it returns.
     ///
-    /// An unknown outcome is an answer too. A run that was refused or answered before keeps its first outcome.
+    /// An unknown outcome is an answer too. A run that was refused or answered before keeps its
+    /// first outcome.
     pub fn finish(&mut self, token: &[u8], answer: Rc<[u8]>, now: Instant) -> u32 {
         let at = self.seconds(now);
         if let Some(run) = self.pending(token) {
@@ -202,8 +208,8 @@
 
     /// Remembers that the upstream said "not run" and that the caller is told so.
     ///
-    /// Copies that come later are [`Begin::Refused`], since the caller may ask again with another token. To try another
-    /// upstream first, do so before this call.
+    /// Copies that come later are [`Begin::Refused`], since the caller may ask again with another
+    /// token. To try another upstream first, do so before this call.
     pub fn not_run(&mut self, token: &[u8]) {
         if let Some(run) = self.pending(token) {
             run.state = RunState::Refused;
@@ -228,7 +234,8 @@
         }
     }
 
-    /// Gives the ledger to another owner; from now on nothing new runs here, while runs in progress still end here.
+    /// Gives the ledger to another owner; from now on nothing new runs here, while runs in progress
+    /// still end here.
     pub fn export(&mut self) -> LedgerRecord {
         self.handed_over = true;
         LedgerRecord {
@@ -269,7 +276,8 @@
         true
     }
 
-    /// Ends the right of tickets up to `epoch`, and moves the flow past it so that the next ticket is good again.
+    /// Ends the right of tickets up to `epoch`, and moves the flow past it so that the next ticket
+    /// is good again.
     fn forget_epoch(&mut self, epoch: u32) {
         self.forgotten = self.forgotten.max(epoch);
         if self.epoch <= self.forgotten {
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -34,7 +34,14 @@
 /// Number of the option that carries the incarnation of an upstream in its answers.
 pub const UPSTREAM_INCARNATION: u16 = 65002;
 
-/// Seconds for which an answer without Max-Age is fresh.
+const VERSION: u8 = 1;
+const HEAD_LEN: usize = 4;
+const PAYLOAD_MARKER: u8 = 0xff;
+
+/// Most options in one datagram.
+pub const OPTIONS_MAX: usize = 64;
+
+/// How long a response without Max-Age is fresh.
 const MAX_AGE_DEFAULT: Duration = Duration::from_secs(60);
 
 /// Why bytes were refused as a CoAP datagram.
@@ -43,6 +50,15 @@
     /// The bytes do not form a CoAP message.
     #[error("The datagram is not a CoAP message; follow RFC 7252.")]
     Format,
+    /// The version is not 1.
+    #[error("The datagram has an unknown CoAP version; send version 1.")]
+    Version,
+    /// The code is reserved, or an empty message is not empty.
+    #[error("The datagram has a reserved code; send a request, a response or an empty message.")]
+    Code,
+    /// It has more than [`OPTIONS_MAX`] options.
+    #[error("The datagram has more than {OPTIONS_MAX} options; send fewer.")]
+    Options,
 }
 
 /// Type of a message.
@@ -108,6 +124,7 @@
     ///
     /// See [`CoapError`].
     pub fn parse(buf: &[u8]) -> Result<Self, CoapError> {
+        check(buf)?;
         let packet = Packet::from_bytes(buf).map_err(|_| CoapError::Format)?;
         Ok(Self { packet })
     }
@@ -130,8 +147,8 @@
         Self { packet }
     }
 
-    /// A response with the request's token: an acknowledgement of a confirmable request, which repeats its message id,
-    /// else a non-confirmable message with the given one.
+    /// A response with the request's token: an acknowledgement of a confirmable request, which
+    /// repeats its message id, else a non-confirmable message with the given one.
     pub fn response_to(req: &Self, status: Status, message_id: u16) -> Self {
         let mut packet = Packet::new();
         packet.header.code = MessageClass::Response(status);
@@ -256,8 +273,8 @@
         }
     }
 
-    /// Path of a request with a leading slash; `%` and `/` within a segment are percent-encoded, and bytes that are
-    /// not UTF-8 become replacement characters.
+    /// Path of a request with a leading slash; `%` and `/` within a segment are percent-encoded,
+    /// and bytes that are not UTF-8 become replacement characters.
     pub fn path(&self) -> String {
         let Some(segments) = self.packet.get_option(CoapOption::UriPath) else {
             return String::from("/");
@@ -286,8 +303,8 @@
         self.packet.clear_option(CoapOption::from(ECHO));
     }
 
-    /// Value of the Observe option (RFC 7641): 0 registers and 1 cancels in a request, a sequence number in a
-    /// notification.
+    /// Value of the Observe option (RFC 7641): 0 registers and 1 cancels in a request, a sequence
+    /// number in a notification.
     pub fn observe(&self) -> Option<u32> {
         self.uint(CoapOption::Observe)
     }
@@ -314,7 +331,8 @@
         self.set_uint(CoapOption::from(DEADLINE), ms);
     }
 
-    /// How long a response is fresh, 60 s without the option; in a 5.03 the time to come back after.
+    /// How long a response is fresh, 60 s without the option; in a 5.03 the time to come back
+    /// after.
     pub fn max_age(&self) -> Duration {
         self.uint(CoapOption::MaxAge)
             .map_or(MAX_AGE_DEFAULT, |s| Duration::from_secs(s.into()))
@@ -396,6 +414,63 @@
     }
 }
 
+/// Refuses what RFC 7252 forbids and the codec lets pass, and what would take much memory.
+fn check(buf: &[u8]) -> Result<(), CoapError> {
+    let (head, rest) = buf.split_at_checked(HEAD_LEN).ok_or(CoapError::Format)?;
+    if head[0] >> 6 != VERSION {
+        return Err(CoapError::Version);
+    }
+    if matches!(head[1] >> 5, 1 | 6 | 7) {
+        return Err(CoapError::Code);
+    }
+    if head[1] == 0 && (head[0] & 0x0f != 0 || !rest.is_empty()) {
+        return Err(CoapError::Code);
+    }
+    let token_len = usize::from(head[0] & 0x0f);
+    if token_len > TOKEN_MAX {
+        return Err(CoapError::Format);
+    }
+    let rest = rest.get(token_len..).ok_or(CoapError::Format)?;
+    check_options(rest)
+}
+
+fn check_options(mut rest: &[u8]) -> Result<(), CoapError> {
+    let mut number = 0u16;
+    let mut options = 0;
+    while let Some((&head, after)) = rest.split_first() {
+        if head == PAYLOAD_MARKER {
+            return if after.is_empty() {
+                Err(CoapError::Format)
+            } else {
+                Ok(())
+            };
+        }
+        let (delta, after) = nibble(head >> 4, after).ok_or(CoapError::Format)?;
+        let (len, after) = nibble(head & 0x0f, after).ok_or(CoapError::Format)?;
+        let delta = u16::try_from(delta).map_err(|_| CoapError::Format)?;
+        number = number.checked_add(delta).ok_or(CoapError::Format)?;
+        rest = after.get(len..).ok_or(CoapError::Format)?;
+        options += 1;
+        if options > OPTIONS_MAX {
+            return Err(CoapError::Options);
+        }
+    }
+    Ok(())
+}
+
+/// Reads an option's delta or length with its extension (RFC 7252, section 3.1).
+fn nibble(nibble: u8, rest: &[u8]) -> Option<(usize, &[u8])> {
+    match (nibble, rest) {
+        (0..=12, _) => Some((nibble.into(), rest)),
+        (13, [byte, rest @ ..]) => Some((usize::from(*byte) + 13, rest)),
+        (14, [high, low, rest @ ..]) => {
+            let word = u16::from_be_bytes([*high, *low]);
+            Some((usize::from(word) + 269, rest))
+        }
+        _ => None,
+    }
+}
+
 impl From<Method> for RequestType {
     fn from(method: Method) -> Self {
         match method {
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -1,7 +1,8 @@
 //! Sealed envelopes between daemons.
 //!
-//! Layout, all integers big-endian: head 1 (version in the high 4 bits, key slot in the low 4), sender hash 4, sender
-//! incarnation 4, receiver hash 4, the `bincode` body, then 16 bytes of keyed BLAKE3 over everything before them.
+//! Layout, all integers big-endian: head 1 (version in the high 4 bits, key slot in the low 4),
+//! sender hash 4, sender incarnation 4, receiver hash 4, the `bincode` body, then 16 bytes of keyed
+//! BLAKE3 over everything before them.
 
 use {
     crate::keys::{
@@ -69,11 +70,13 @@
 }
 
 impl PeerKeys {
-    /// Takes the fleet's name and keys as pairs of slot (0 to 15) and secret: the first one signs, all are accepted.
+    /// Takes the fleet's name and keys as pairs of slot (0 to 15) and secret: the first one signs,
+    /// all are accepted.
     ///
     /// # Panics
     ///
-    /// Panics when `keys` is empty or a slot is over 15; settings with such keys are refused before.
+    /// Panics when `keys` is empty or a slot is over 15; settings with such keys are refused
+    /// before.
     pub fn new(fleet: &str, keys: Vec<(u8, [u8; 32])>) -> Self {
         let context = format!("foxtailhinge 2026-12 peer envelope of fleet {fleet}");
         Self {
@@ -102,7 +105,8 @@
         buf
     }
 
-    /// Opens an envelope at the daemon whose VM id has the hash `me`; nothing is decoded before the MAC was checked.
+    /// Opens an envelope at the daemon whose VM id has the hash `me`; nothing is decoded before the
+    /// MAC was checked.
     ///
     /// # Errors
     ///
@@ -143,7 +147,8 @@
     mac
 }
 
-/// Decodes a body with a limit that follows its length, so that a length field cannot ask for much more memory.
+/// Decodes a body with a limit that follows its length, so that a length field cannot ask for much
+/// more memory.
 ///
 /// Typed lists take more room in memory than on the wire, hence the factor of four.
 fn decode<T: Decode<()>>(body: &[u8]) -> Result<T, DecodeError> {
--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -1,8 +1,9 @@
 //! The flow ticket: an opaque, authenticated value that callers repeat in the CoAP Echo option.
 //!
-//! Layout, all integers big-endian: head 1 (version in the high 4 bits, key slot in the low 4), service hash 4,
-//! upstream hash 4, upstream incarnation 2, zone hash 2, owner hash 4, owner incarnation 4, flow 4, epoch 3, caller
-//! tag 2, then the first 10 bytes of keyed BLAKE3 over these 30 bytes and the name of the service.
+//! Layout, all integers big-endian: head 1 (version in the high 4 bits, key slot in the low 4),
+//! service hash 4, upstream hash 4, upstream incarnation 2, zone hash 2, owner hash 4, owner
+//! incarnation 4, flow 4, epoch 3, caller tag 2, then the first 10 bytes of keyed BLAKE3 over these
+//! 30 bytes and the name of the service.
 
 use {
     crate::keys::{
@@ -48,7 +49,8 @@
     pub owner_incarnation: u32,
     /// Number of the flow, unique within the owner's incarnation.
     pub flow: u32,
-    /// Epoch of the flow, at most [`EPOCH_MAX`]; it bounds the right to send requests that are not idempotent.
+    /// Epoch of the flow, at most [`EPOCH_MAX`]; it bounds the right to send requests that are not
+    /// idempotent.
     pub epoch: u32,
     /// Tag of the caller's address.
     pub caller_tag: u16,
@@ -85,7 +87,8 @@
     ///
     /// # Panics
     ///
-    /// Panics when `keys` is empty or a slot is over 15; settings with such keys are refused before.
+    /// Panics when `keys` is empty or a slot is over 15; settings with such keys are refused
+    /// before.
     pub fn new(keys: Vec<(u8, [u8; 32])>) -> Self {
         Self {
             ring: KeyRing::derive(KEY_CONTEXT, &keys),
@@ -178,7 +181,8 @@
     u16::from_be_bytes([b[0], b[1]])
 }
 
-/// Tag of a caller's address and port, the same in every process; an IPv4-mapped address counts as IPv4.
+/// Tag of a caller's address and port, the same in every process; an IPv4-mapped address counts as
+/// IPv4.
 pub fn caller_tag(caller: SocketAddr) -> u16 {
     let mut hasher = Hasher::new();
     match caller.ip().to_canonical() {
--- /dev/null
+++ b/crates/wire/tests/envelope.rs
@@ -0,0 +1,174 @@
+//! Contract of the sealed envelope and the messages in it.
+
+mod support;
+
+use {
+    foxtailhinge_wire::{
+        envelope::{
+            EnvelopeError,
+            Opened,
+            PeerKeys,
+            ENVELOPE_OVERHEAD, //
+        },
+        message::{
+            LinkMessage,
+            RelayMessage, //
+        },
+    },
+    rstest::rstest,
+    support::{
+        check,
+        link_messages,
+        member,
+        peer_keys,
+        relay_messages,
+        OTHER_SECRET,
+        SECRET, //
+    },
+};
+
+const FROM: u32 = 11;
+const FROM_INCARNATION: u32 = 12;
+const TO: u32 = 13;
+
+fn hex(buf: &[u8]) -> String {
+    buf.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn opened<T>(message: T) -> Opened<T> {
+    Opened {
+        from: FROM,
+        from_incarnation: FROM_INCARNATION,
+        message,
+    }
+}
+
+#[test]
+fn round_trip() {
+    let keys = peer_keys();
+    for message in relay_messages() {
+        let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
+        assert_eq!(keys.open(TO, &buf), Ok(opened(message)));
+    }
+    for message in link_messages() {
+        let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
+        assert_eq!(keys.open(TO, &buf), Ok(opened(message)));
+    }
+}
+
+/// Daemons of different versions run side by side, so the bytes of a message must not change.
+#[test]
+fn sealed_bytes() {
+    let keys = peer_keys();
+    let relay = relay_messages();
+    let link = link_messages();
+    let relay = relay
+        .iter()
+        .map(|m| hex(&keys.seal(FROM, FROM_INCARNATION, TO, m)));
+    let link = link
+        .iter()
+        .map(|m| hex(&keys.seal(FROM, FROM_INCARNATION, TO, m)));
+    insta::assert_snapshot!(relay.chain(link).collect::<Vec<_>>().join("\n"));
+}
+
+#[test]
+fn forwarded_datagrams_of_any_length() {
+    fn property(datagram: Vec<u8>, times: u8) -> bool {
+        let message = RelayMessage::Forward {
+            caller: "192.0.2.1:5683".parse().unwrap(),
+            service: 1,
+            bounces: 0,
+            datagram: datagram.repeat(times.into()),
+        };
+        let keys = peer_keys();
+        let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
+        keys.open(TO, &buf) == Ok(opened(message))
+    }
+    check(500, property as fn(_, _) -> _);
+}
+
+/// Lists take more room in memory than on the wire and must still open, whatever their length.
+#[test]
+fn lists_of_any_length() {
+    let keys = peer_keys();
+    for len in (0..100).chain([343, 2400, 20_000]) {
+        let message = LinkMessage::Members {
+            updates: vec![member(); len],
+        };
+        let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
+        assert_eq!(keys.open(TO, &buf), Ok(opened(message)), "{len} members");
+    }
+}
+
+#[rstest]
+#[case::empty(|buf: &mut Vec<u8>| buf.clear(), EnvelopeError::Short)]
+#[case::no_mac(|buf: &mut Vec<u8>| buf.truncate(ENVELOPE_OVERHEAD - 1), EnvelopeError::Short)]
+#[case::version(|buf: &mut Vec<u8>| buf[0] ^= 0x20, EnvelopeError::Version)]
+#[case::slot(|buf: &mut Vec<u8>| buf[0] ^= 0x01, EnvelopeError::UnknownKey)]
+#[case::sender(|buf: &mut Vec<u8>| buf[4] ^= 1, EnvelopeError::WrongKey)]
+#[case::incarnation(|buf: &mut Vec<u8>| buf[8] ^= 1, EnvelopeError::WrongKey)]
+#[case::receiver(|buf: &mut Vec<u8>| buf[12] ^= 1, EnvelopeError::WrongKey)]
+#[case::body(|buf: &mut Vec<u8>| buf[13] ^= 1, EnvelopeError::WrongKey)]
+#[case::cut(|buf: &mut Vec<u8>| buf.truncate(ENVELOPE_OVERHEAD + 1), EnvelopeError::WrongKey)]
+#[case::longer(|buf: &mut Vec<u8>| buf.push(0), EnvelopeError::WrongKey)]
+fn refusal(#[case] garble: fn(&mut Vec<u8>), #[case] error: EnvelopeError) {
+    let keys = peer_keys();
+    let mut buf = keys.seal(FROM, FROM_INCARNATION, TO, &relay_messages()[0]);
+    garble(&mut buf);
+    assert_eq!(keys.open::<RelayMessage>(TO, &buf), Err(error));
+}
+
+#[rstest]
+#[case::other_receiver(TO + 1, "kalahari", vec![(0, SECRET)], Some(EnvelopeError::NotForMe))]
+#[case::other_fleet(TO, "southern-cross", vec![(0, SECRET)], Some(EnvelopeError::WrongKey))]
+#[case::other_secret(TO, "kalahari", vec![(0, OTHER_SECRET)], Some(EnvelopeError::WrongKey))]
+#[case::expired_key(TO, "kalahari", vec![(1, OTHER_SECRET)], Some(EnvelopeError::UnknownKey))]
+#[case::rotated_key(TO, "kalahari", vec![(1, OTHER_SECRET), (0, SECRET)], None)]
+fn keys_of_the_opener(
+    #[case] me: u32,
+    #[case] fleet: &str,
+    #[case] keys: Vec<(u8, [u8; 32])>,
+    #[case] error: Option<EnvelopeError>,
+) {
+    let buf = peer_keys().seal(FROM, FROM_INCARNATION, TO, &LinkMessage::Ok);
+    let opened = PeerKeys::new(fleet, keys).open::<LinkMessage>(me, &buf);
+    assert_eq!(opened.err(), error);
+}
+
+/// An authentic body that does not decode as the expected message, or has bytes left over.
+#[rstest]
+#[case::unknown_variant(&[250])]
+#[case::cut(&[1])]
+#[case::left_over(&[6, 0])]
+#[case::list_longer_than_the_body(&[3, 252, 0xff, 0xff, 0xff, 0xff])]
+#[case::list_longer_than_memory(&[3, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff])]
+fn garbled_body(#[case] body: &[u8]) {
+    let keys = peer_keys();
+    let buf = keys.seal(FROM, FROM_INCARNATION, TO, &Raw(body.to_vec()));
+    assert_eq!(
+        keys.open::<LinkMessage>(TO, &buf),
+        Err(EnvelopeError::Garbled)
+    );
+}
+
+/// A ticket's key is derived apart from the one of envelopes, and a ticket never opens as an
+/// envelope.
+#[test]
+fn a_ticket_is_no_envelope() {
+    let sealed = support::ticket_keys().seal(&support::ticket(), support::SERVICE);
+    let opened = peer_keys().open::<LinkMessage>(TO, &sealed);
+    assert_eq!(opened.err(), Some(EnvelopeError::WrongKey));
+}
+
+/// Bytes that are sealed as they are.
+struct Raw(Vec<u8>);
+
+impl bincode::Encode for Raw {
+    fn encode<E: bincode::enc::Encoder>(
+        &self,
+        encoder: &mut E,
+    ) -> Result<(), bincode::error::EncodeError> {
+        use bincode::enc::write::Writer;
+        encoder.writer().write(&self.0)
+    }
+}
