--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -21,31 +21,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum RelayMessage {
     /// A request without a ticket, to the owner of a candidate upstream.
-    Open {
-        /// Address of the caller.
-        caller: SocketAddr,
-        /// Hash of the service's name.
-        service: u32,
-        /// Hashes of the candidate upstreams in order, at most [`CANDIDATES_MAX`].
-        candidates: Vec<u32>,
-        /// Index of the candidate that is asked now.
-        next: u8,
-        /// Whether the caller's address is confirmed, so that the request is served at once.
-        confirmed: bool,
-        /// The caller's datagram as it arrived.
-        datagram: Vec<u8>,
-    },
+    Open(Open),
     /// A request with a ticket, to the owner of its upstream.
-    Forward {
-        /// Address of the caller.
-        caller: SocketAddr,
-        /// Hash of the service's name.
-        service: u32,
-        /// How often daemons with differing views have passed it on.
-        bounces: u8,
-        /// The caller's datagram as it arrived.
-        datagram: Vec<u8>,
-    },
+    Forward(Forward),
     /// Asks whether the receiver is alive.
     Ping {
         /// Number that the answer repeats.
@@ -71,6 +49,36 @@
     },
 }
 
+/// A request that begins a flow.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Open {
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Hashes of the candidate upstreams in order, at most [`CANDIDATES_MAX`].
+    pub candidates: Vec<u32>,
+    /// Index of the candidate that is asked now.
+    pub next: u8,
+    /// Whether the caller's address is confirmed, so that the request is served at once.
+    pub confirmed: bool,
+    /// The caller's datagram as it arrived.
+    pub datagram: Vec<u8>,
+}
+
+/// A request of a flow.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Forward {
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// Hash of the service's name.
+    pub service: u32,
+    /// How often daemons with differing views have passed it on.
+    pub bounces: u8,
+    /// The caller's datagram as it arrived.
+    pub datagram: Vec<u8>,
+}
+
 /// Liveness of a member as others see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
 pub enum MemberState {
@@ -103,60 +111,34 @@
     pub version: u32,
 }
 
-/// A message on a link between two daemons.
+/// A request about the ownership of one upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub enum LinkMessage {
-    /// The revisions that the sender holds; the receiver answers with newer documents.
-    Digest {
-        /// Held documents, the removed ones included.
-        documents: Vec<DocumentRevision>,
-    },
-    /// A summary of the held revisions, enough to see that nothing differs.
-    DigestHash {
-        /// Number of held documents, the removed ones included.
-        count: u32,
-        /// Hash over their names and revisions in name order.
-        hash: u64,
-    },
-    /// Documents that are newer than the receiver's.
-    Documents {
-        /// The documents.
-        records: Vec<DocumentRecord>,
-    },
-    /// News about members.
-    Members {
-        /// The news.
-        updates: Vec<MemberUpdate>,
-    },
+pub enum OwnerRequest {
     /// The sender owns the upstream by its view and asks the former owner for its state.
     Claim {
         /// Address of the upstream.
         upstream: SocketAddr,
     },
-    /// Answers a claim: the upstream's state, which the sender has given up.
-    HandOver(HandOver),
-    /// Answers a claim: the receiver of the claim does not hold the upstream.
-    NotHeld,
-    /// Answers a claim: the claimant does not own the upstream by this daemon's view.
-    NotYours,
-    /// The new owner has taken up the feeds of an upstream that was handed over.
+    /// The sender has taken up the feeds of an upstream that was handed over.
     Settled {
         /// Address of the upstream.
         upstream: SocketAddr,
     },
-    /// Requests that were in progress at the former owner have ended.
+    /// Requests that were in progress at the sender after it handed an upstream over have ended.
     Finished(Finished),
-    /// The request was taken in.
-    Ok,
 }
 
-/// Revision of one document.
+/// The answer to an [`OwnerRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct DocumentRevision {
-    /// Name of the service.
-    pub service: String,
-    /// Revision that the platform gave.
-    pub revision: u64,
+pub enum OwnerReply {
+    /// The upstream's state, which the answering daemon has given up.
+    HandOver(HandOver),
+    /// The answering daemon does not hold the upstream.
+    NotHeld,
+    /// By the answering daemon's view the claimant does not own the upstream.
+    NotYours,
+    /// The request was taken in.
+    Ok,
 }
 
 /// One document of the platform.
