--- a/crates/daemon/src/data/answer.rs
+++ b/crates/daemon/src/data/answer.rs
@@ -3,8 +3,8 @@
 use {
     foxtailhinge_wire::{
         coap::{
-            Code,
-            Datagram, //
+            Datagram,
+            Status, //
         },
         ticket::TICKET_LEN,
     },
@@ -48,12 +48,12 @@
 impl Notice {
     /// The answer to `req` that carries the notice.
     pub fn answer(&self, req: &Datagram, ids: &MessageIds) -> Datagram {
-        let code = match self {
-            Notice::Challenge(_) | Notice::GivenUp => Code::Unauthorized,
-            Notice::NotRun(_) => Code::ServiceUnavailable,
-            Notice::Unknown(_) => Code::GatewayTimeout,
+        let status = match self {
+            Notice::Challenge(_) | Notice::GivenUp => Status::Unauthorized,
+            Notice::NotRun(_) => Status::ServiceUnavailable,
+            Notice::Unknown(_) => Status::GatewayTimeout,
         };
-        let mut rsp = Datagram::response_to(req, code, ids.next());
+        let mut rsp = Datagram::response_to(req, status, ids.next());
         match self {
             Notice::Challenge(ticket) | Notice::Unknown(Some(ticket)) => rsp.set_echo(ticket),
             Notice::NotRun(after) => rsp.set_max_age(whole_seconds(*after)),
@@ -64,7 +64,7 @@
 }
 
 /// Rounds up to whole seconds, one at least, as Max-Age counts them.
-fn whole_seconds(time: Duration) -> u32 {
+fn whole_seconds(time: Duration) -> Duration {
     let secs = time.as_millis().div_ceil(1000).max(1);
-    u32::try_from(secs).unwrap_or(u32::MAX)
+    Duration::from_secs(u64::try_from(secs).unwrap_or(u64::MAX))
 }
--- /dev/null
+++ b/crates/daemon/src/data/ingress.rs
@@ -0,0 +1,205 @@
+//! Ingress: datagrams of callers, routed by their tickets alone.
+
+use {
+    crate::{
+        data::{
+            answer::Notice,
+            path::DataPath,
+            service::Service, //
+        },
+        metrics::{
+            DatagramResult,
+            RequestOutcome, //
+        },
+    },
+    foxtailhinge_wire::{
+        coap::{
+            Datagram,
+            Kind, //
+        },
+        message::{
+            Forward,
+            RelayMessage, //
+        },
+        ticket::{
+            Ticket,
+            TicketError, //
+        },
+    },
+    std::{
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time after which nothing is sent towards an availability zone that is out of service.
+const ZONE_OUT_GRACE: Duration = Duration::from_secs(1);
+
+/// A caller's datagram with what was read of it.
+pub struct Arrived<'a> {
+    /// The service that it was sent to.
+    pub service: &'a Rc<Service>,
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The request.
+    pub req: &'a Datagram,
+    /// The bytes as they arrived.
+    pub buf: &'a [u8],
+    /// How often daemons with differing views have passed it on.
+    pub bounces: u8,
+}
+
+impl DataPath {
+    /// Reads the socket of a service until it fails.
+    pub async fn read_service(self: Rc<Self>, hash: u32, socket: Rc<crate::data::socket::Socket>) -> io::Result<()> {
+        let handle = |buf: &[u8], caller| match self.service(hash) {
+            Some(service) => self.on_caller(&service, buf, caller),
+            None => self.metrics.datagrams.inc(DatagramResult::NoService),
+        };
+        socket.read_each(handle, || {}).await
+    }
+
+    fn on_caller(self: &Rc<Self>, service: &Rc<Service>, buf: &[u8], caller: SocketAddr) {
+        if !self.control.admits(Instant::now()) {
+            return;
+        }
+        let Ok(req) = Datagram::parse(buf) else {
+            self.metrics.datagrams.inc(DatagramResult::Malformed);
+            return;
+        };
+        if req.method().is_none() {
+            self.on_reply(&req, caller);
+            return;
+        }
+        let arrived = Arrived {
+            service,
+            caller,
+            req: &req,
+            buf,
+            bounces: 0,
+        };
+        let Some(value) = req.echo() else {
+            self.metrics.datagrams.inc(DatagramResult::Accepted);
+            self.open(&arrived, false);
+            return;
+        };
+        match self.tickets.open(value, &service.name) {
+            Ok(ticket) => {
+                self.metrics.datagrams.inc(DatagramResult::Accepted);
+                self.route(&arrived, &ticket);
+            }
+            Err(err) => self.refuse_ticket(&arrived, err),
+        }
+    }
+
+    /// An empty message or a response of a caller: only a reset means something, if its feed is held here.
+    fn on_reply(self: &Rc<Self>, msg: &Datagram, caller: SocketAddr) {
+        if msg.kind() == Kind::Rst {
+            self.on_caller_reset(caller, msg.message_id());
+        } else if msg.kind() != Kind::Ack {
+            self.metrics.datagrams.inc(DatagramResult::Malformed);
+        }
+    }
+
+    fn refuse_ticket(&self, arrived: &Arrived<'_>, err: TicketError) {
+        let result = match err {
+            TicketError::Length | TicketError::Version => DatagramResult::Garbled,
+            TicketError::UnknownKey => DatagramResult::ExpiredKey,
+            TicketError::ForeignService => DatagramResult::ForeignService,
+            TicketError::Forged => DatagramResult::Forged,
+        };
+        self.metrics.datagrams.inc(result);
+        match err {
+            TicketError::ForeignService => self.notify(arrived, Notice::GivenUp),
+            // A request sealed with a retired key may have run while the key was good.
+            TicketError::UnknownKey if !arrived.service.is_idempotent(arrived.req) => {
+                self.notify(arrived, Notice::Unknown(None));
+            }
+            TicketError::UnknownKey => self.notify(arrived, Notice::GivenUp),
+            TicketError::Length | TicketError::Version | TicketError::Forged => {}
+        }
+    }
+
+    /// Sends a request with a ticket to the daemon that may serve it.
+    pub fn route(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: &Ticket) {
+        let service = arrived.service;
+        let idempotent = service.is_idempotent(arrived.req);
+        let Some(named) = service.upstream(ticket.upstream) else {
+            self.leave_upstream(arrived, ticket, idempotent);
+            return;
+        };
+        let out = service.zone_out_for(&named.spec.zone, Instant::now());
+        if out.is_some_and(|time| time >= ZONE_OUT_GRACE) {
+            self.give_up(arrived, idempotent);
+            return;
+        }
+        let issuer = self.incarnation_of(ticket.owner, ticket.owner_incarnation);
+        let owner = || self.owner(named.key, &named.spec.zone);
+        let target = if idempotent {
+            owner()
+        } else {
+            issuer.or_else(owner)
+        };
+        match target {
+            Some(member) => self.forward(arrived, &member),
+            None => self.lack_owner(arrived, idempotent),
+        }
+    }
+
+    /// Passes a request on to `member`.
+    pub fn forward(self: &Rc<Self>, arrived: &Arrived<'_>, member: &foxtailhinge_policy::members::Member) {
+        let forward = Forward {
+            caller: arrived.caller,
+            service: arrived.service.hash,
+            bounces: arrived.bounces,
+            datagram: arrived.buf.to_vec(),
+        };
+        self.deliver(member, RelayMessage::Forward(forward));
+    }
+
+    /// The ticket's upstream is not in the document any more: the flow goes on at another one.
+    fn leave_upstream(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: &Ticket, idempotent: bool) {
+        if idempotent {
+            self.open(arrived, true);
+            return;
+        }
+        match self.incarnation_of(ticket.owner, ticket.owner_incarnation) {
+            Some(member) if arrived.bounces == 0 => self.forward(arrived, &member),
+            _ => self.give_up(arrived, false),
+        }
+    }
+
+    /// Tells a caller that its flow is over; a request that may have run before has an unknown outcome.
+    pub fn give_up(&self, arrived: &Arrived<'_>, idempotent: bool) {
+        if idempotent {
+            self.notify(arrived, Notice::GivenUp);
+        } else {
+            self.metrics.requests.inc(RequestOutcome::Unknown);
+            self.notify(arrived, Notice::Unknown(None));
+        }
+    }
+
+    /// No daemon of the upstream's availability zone can be reached.
+    fn lack_owner(&self, arrived: &Arrived<'_>, idempotent: bool) {
+        if !idempotent {
+            self.metrics.requests.inc(RequestOutcome::Unknown);
+            self.notify(arrived, Notice::Unknown(None));
+            return;
+        }
+        self.metrics.requests.inc(RequestOutcome::NotRun);
+        let after = arrived.service.come_back(Instant::now());
+        self.notify(arrived, Notice::NotRun(after));
+    }
+
+    /// Sends a notice to the caller of a request.
+    pub fn notify(&self, arrived: &Arrived<'_>, notice: Notice) {
+        let service = arrived.service;
+        let rsp = notice.answer(arrived.req, &service.ids);
+        service.socket.send_to(&rsp.to_bytes(), arrived.caller);
+    }
+}
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -1,1 +1,17 @@
 //! Data path: ingress, relay, owner, requests and feeds.
+
+pub mod answer;
+pub mod feed;
+pub mod flow;
+pub mod hand_over;
+pub mod ingress;
+pub mod load;
+pub mod notification;
+pub mod opening;
+pub mod owner;
+pub mod path;
+pub mod relay;
+pub mod request;
+pub mod service;
+pub mod socket;
+pub mod upstream;
--- /dev/null
+++ b/crates/daemon/src/data/notification.rs
@@ -0,0 +1,164 @@
+//! Datagrams of upstreams: answers, notifications of feeds, and the end of feeds.
+
+use {
+    crate::data::{
+        answer::Notice,
+        feed::Feed,
+        ingress::Arrived,
+        path::DataPath,
+        service::Service,
+        upstream::{
+            Arrival,
+            Upstream,
+            UpstreamToken, //
+        },
+    },
+    foxtailhinge_wire::coap::{
+        Datagram,
+        Kind,
+        Status, //
+    },
+    std::{
+        io,
+        net::SocketAddr,
+        rc::Rc, //
+    },
+};
+
+impl DataPath {
+    /// Reads the socket of an upstream until it fails.
+    pub async fn read_upstream(self: Rc<Self>, up: Rc<Upstream>) -> io::Result<()> {
+        let handle = |buf: &[u8], _| self.on_upstream(&up, buf);
+        let refused = || self.on_upstream_refused(&up);
+        up.socket().read_each(handle, refused).await
+    }
+
+    fn on_upstream(self: &Rc<Self>, up: &Rc<Upstream>, buf: &[u8]) {
+        let Ok(rsp) = Datagram::parse(buf) else {
+            return;
+        };
+        if rsp.kind() == Kind::Con {
+            let ack = Datagram::reset(rsp.message_id()).with_kind(Kind::Ack);
+            let _ = up.socket().send(&ack.to_bytes());
+        }
+        let restarted = up.note_incarnation(&rsp);
+        match up.on_datagram(rsp) {
+            Arrival::Notification(token, rsp) => self.on_notification(up, token, rsp),
+            Arrival::Late => self.metrics.late_answers.inc(),
+            Arrival::Handled => {}
+        }
+        if restarted {
+            up.restart();
+            self.register_again(up);
+        }
+    }
+
+    fn on_upstream_refused(self: &Rc<Self>, up: &Rc<Upstream>) {
+        up.on_refused();
+    }
+
+    /// Passes a notification on to the caller of its feed.
+    fn on_notification(&self, up: &Rc<Upstream>, token: UpstreamToken, mut rsp: Datagram) {
+        let ended = !is_success(&rsp);
+        let (caller, request, service, ticket) = {
+            let feeds = up.feeds.borrow();
+            let Some(feed) = feeds.get(token) else {
+                return;
+            };
+            let Some(service) = self.service(feed.service) else {
+                return;
+            };
+            let ticket = self.feed_ticket(up, feed, &service);
+            (feed.caller.clone(), feed.request.clone(), service, ticket)
+        };
+        rsp.clear_upstream_incarnation();
+        rsp.set_token(request.token());
+        rsp.set_kind(Kind::Non);
+        rsp.set_message_id(service.ids.next());
+        match ticket {
+            Some(ticket) => rsp.set_echo(&ticket),
+            None => rsp.remove_echo(),
+        }
+        service.socket.send_to(&rsp.to_bytes(), caller.caller);
+        if ended {
+            up.feeds.borrow_mut().remove(token);
+        }
+    }
+
+    fn feed_ticket(&self, up: &Upstream, feed: &Feed, service: &Service) -> Option<[u8; 40]> {
+        let mut flows = up.flows.borrow_mut();
+        let key = flows.name(feed.flow);
+        let flow = flows.get_mut(feed.flow)?;
+        let epoch = flow.ledger.epoch();
+        let caller = feed.caller.caller;
+        Some(self.ticket(service, feed.name, up.incarnation(), key, caller, epoch))
+    }
+
+    /// Tells the callers of a service's feeds that their flows are given up.
+    pub fn end_feeds(&self, up: &Rc<Upstream>, service: &Service) {
+        let tokens = up
+            .feeds
+            .borrow()
+            .tokens_of(|feed| feed.service == service.hash);
+        for token in tokens {
+            let Some(feed) = up.feeds.borrow_mut().remove(token) else {
+                continue;
+            };
+            let mut rsp = Notice::GivenUp.answer(&as_notified(&feed.request), &service.ids);
+            rsp.set_kind(Kind::Non);
+            let caller = feed.caller.caller;
+            service.socket.send_to(&rsp.to_bytes(), caller);
+        }
+    }
+
+    /// Moves feeds to other upstreams, at most `max` of them; their callers go on without a break.
+    pub fn move_feeds(self: &Rc<Self>, up: &Rc<Upstream>, service: &Rc<Service>, max: usize) {
+        let mut tokens = up
+            .feeds
+            .borrow()
+            .tokens_of(|feed| feed.service == service.hash);
+        tokens.truncate(max);
+        for token in tokens {
+            let Some(feed) = up.feeds.borrow_mut().remove(token) else {
+                continue;
+            };
+            let req = as_notified(&feed.request);
+            self.reopen_with(service, feed.caller.caller, &req);
+        }
+    }
+
+    /// Begins a new flow for `req` of a caller whose address is confirmed.
+    pub fn reopen_with(
+        self: &Rc<Self>,
+        service: &Rc<Service>,
+        caller: SocketAddr,
+        req: &Datagram,
+    ) {
+        let mut req = req.clone();
+        req.remove_echo();
+        let buf = req.to_bytes();
+        let arrived = Arrived {
+            service,
+            caller,
+            req: &req,
+            buf: &buf,
+            bounces: 0,
+        };
+        self.open(&arrived, true);
+    }
+
+    /// A caller's reset; which feed it means is known only where its message ids are.
+    pub fn on_caller_reset(&self, _caller: SocketAddr, _message_id: u16) {}
+}
+
+/// The registration as a request whose answer is sent like a notification.
+fn as_notified(request: &Datagram) -> Datagram {
+    request.clone().with_kind(Kind::Non)
+}
+
+fn is_success(rsp: &Datagram) -> bool {
+    matches!(
+        rsp.status(),
+        Some(Status::Content | Status::Valid | Status::Changed | Status::Created | Status::Deleted)
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/data/opening.rs
@@ -0,0 +1,179 @@
+//! Opening of flows: candidates are asked in turn until an owner admits.
+
+use {
+    crate::{
+        data::{
+            answer::Notice,
+            ingress::Arrived,
+            owner::Holding,
+            path::DataPath,
+            request::Job,
+            service::Service,
+            upstream::Upstream, //
+        },
+        metrics::RequestOutcome,
+    },
+    foxtailhinge_policy::{
+        ledger::EPOCH_FIRST,
+        members::Member, //
+    },
+    foxtailhinge_wire::{
+        coap::Datagram,
+        message::{
+            Open,
+            RelayMessage, //
+        },
+    },
+    std::{
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+impl DataPath {
+    /// Begins a flow for a request without a ticket, or moves one whose caller's address is confirmed.
+    pub fn open(self: &Rc<Self>, arrived: &Arrived<'_>, confirmed: bool) {
+        let reachable = |zone: &str| self.is_reachable(zone);
+        let candidates = arrived
+            .service
+            .draw(Instant::now(), reachable, &mut rand::rng());
+        let open = Open {
+            caller: arrived.caller,
+            service: arrived.service.hash,
+            candidates: candidates.to_vec(),
+            next: 0,
+            confirmed,
+            datagram: arrived.buf.to_vec(),
+        };
+        self.offer(arrived.service, open);
+    }
+
+    /// Asks the next candidate that has an owner; without one the caller is refused.
+    fn offer(self: &Rc<Self>, service: &Rc<Service>, mut open: Open) {
+        while let Some(name) = open.candidates.get(usize::from(open.next)) {
+            if let Some(owner) = self.candidate_owner(service, *name) {
+                self.deliver(&owner, RelayMessage::Open(open));
+                return;
+            }
+            open.next += 1;
+        }
+        self.refuse_open(service, &open, service.come_back(Instant::now()));
+    }
+
+    fn candidate_owner(&self, service: &Service, name: u32) -> Option<Member> {
+        let named = service.upstream(name)?;
+        self.owner(named.key, &named.spec.zone)
+    }
+
+    /// Decides as the owner of a candidate whether the flow is admitted.
+    pub fn on_open(self: &Rc<Self>, mut open: Open) {
+        let Some(service) = self.service(open.service) else {
+            return;
+        };
+        let Ok(req) = Datagram::parse(&open.datagram) else {
+            return;
+        };
+        let now = Instant::now();
+        let last = usize::from(open.next) + 1 >= open.candidates.len();
+        let refused_after = match self.candidate(&service, &open) {
+            Some((up, name)) => {
+                let deadline = service.deadline(&req, now);
+                let admitted = up.load_mut().open(now, deadline, last);
+                match admitted {
+                    Ok(()) => {
+                        self.admit(&service, &up, name, &open, req);
+                        return;
+                    }
+                    Err(_) if last => Some(up.load_mut().come_back(now)),
+                    Err(_) => None,
+                }
+            }
+            None => None,
+        };
+        if last {
+            let after = refused_after.unwrap_or_else(|| service.come_back(now));
+            self.refuse_open(&service, &open, after);
+            return;
+        }
+        self.metrics.bounces.inc();
+        open.next += 1;
+        self.offer(&service, open);
+    }
+
+    fn candidate(&self, service: &Service, open: &Open) -> Option<(Rc<Upstream>, u32)> {
+        let name = *open.candidates.get(usize::from(open.next))?;
+        let named = service.upstream(name)?;
+        if !service.zone_in_service(&named.spec.zone) || self.stopping.get() {
+            return None;
+        }
+        match self.upstreams.borrow().get(&named.spec.address)? {
+            Holding::Held(up) => Some((Rc::clone(up), name)),
+            Holding::Claiming(_) => None,
+        }
+    }
+
+    fn admit(
+        self: &Rc<Self>,
+        service: &Rc<Service>,
+        up: &Rc<Upstream>,
+        name: u32,
+        open: &Open,
+        req: Datagram,
+    ) {
+        let now = Instant::now();
+        self.metrics.flows_opened.inc();
+        let flow = up.flows.borrow_mut().open(now);
+        // A copy of this message may reach another candidate, so only idempotent requests are served at once.
+        if open.confirmed && service.is_idempotent(&req) {
+            self.serve_opened(service, up, name, flow, open, req);
+            return;
+        }
+        let key = up.flows.borrow().name(flow);
+        let incarnation = up.incarnation();
+        let ticket = self.ticket(service, name, incarnation, key, open.caller, EPOCH_FIRST);
+        let rsp = Notice::Challenge(ticket).answer(&req, &service.ids);
+        service.socket.send_to(&rsp.to_bytes(), open.caller);
+    }
+
+    /// Serves the request of a flow whose caller's address is confirmed already.
+    fn serve_opened(
+        self: &Rc<Self>,
+        service: &Rc<Service>,
+        up: &Rc<Upstream>,
+        name: u32,
+        flow: u32,
+        open: &Open,
+        req: Datagram,
+    ) {
+        let now = Instant::now();
+        if up.load_mut().confirm(now).is_err() {
+            self.refuse_open(service, open, up.load_mut().come_back(now));
+            return;
+        }
+        up.flows
+            .borrow_mut()
+            .confirm(flow, name, service.hash, open.caller, now);
+        let job = Job {
+            deadline: service.deadline(&req, now),
+            up: Rc::clone(up),
+            service: Rc::clone(service),
+            flow,
+            name,
+            caller: open.caller,
+            req,
+        };
+        self.begin(job, EPOCH_FIRST);
+    }
+
+    fn refuse_open(&self, service: &Service, open: &Open, after: Duration) {
+        let Ok(req) = Datagram::parse(&open.datagram) else {
+            return;
+        };
+        self.metrics.requests.inc(RequestOutcome::NotRun);
+        let rsp = Notice::NotRun(after).answer(&req, &service.ids);
+        service.socket.send_to(&rsp.to_bytes(), open.caller);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/data/path.rs
@@ -0,0 +1,211 @@
+//! State that the tasks of the data path share.
+
+use {
+    crate::{
+        audit::Audit,
+        data::{
+            flow::FlowNumbers,
+            owner::Holding,
+            relay::Relay,
+            service::Service,
+            upstream::Upstream, //
+        },
+        members::{
+            Control,
+            Prober, //
+        },
+        metrics::Metrics, //
+    },
+    foxtailhinge_policy::{
+        members::{
+            Member,
+            MemberState, //
+        },
+        rendezvous::OwnerCache,
+    },
+    foxtailhinge_wire::{
+        message::{
+            FlowKey,
+            RelayMessage, //
+        },
+        ticket::{
+            caller_tag,
+            name_hash,
+            zone_hash,
+            Ticket,
+            TicketKeys,
+            TICKET_LEN, //
+        },
+    },
+    std::{
+        cell::{
+            Cell,
+            OnceCell,
+            RefCell, //
+        },
+        collections::HashMap,
+        net::{
+            IpAddr,
+            SocketAddr, //
+        },
+        rc::Rc,
+    },
+};
+
+/// Everything that serves callers on this daemon.
+pub struct DataPath {
+    /// Members and documents.
+    pub control: Rc<Control>,
+    /// Metrics of the daemon.
+    pub metrics: Rc<Metrics>,
+    /// Audit trail of the daemon.
+    pub audit: Rc<Audit>,
+    /// Keys of the flow tickets.
+    pub tickets: TicketKeys,
+    /// Hash of this daemon's VM id.
+    pub me: u32,
+    /// Incarnation of this daemon.
+    pub incarnation: u32,
+    /// Address on which services are bound; without it each service's own address is bound.
+    pub listen: Option<IpAddr>,
+    /// The socket between daemons.
+    pub relay: Relay,
+    /// Numbers of the flows opened here.
+    pub numbers: Rc<FlowNumbers>,
+    /// Services in force, by the hash of their names.
+    pub services: RefCell<HashMap<u32, Rc<Service>>>,
+    /// Upstreams that this daemon owns, by their address.
+    pub upstreams: RefCell<HashMap<SocketAddr, Holding>>,
+    /// Upstreams that were handed over and still have requests in progress here.
+    pub parting: RefCell<HashMap<SocketAddr, Rc<Upstream>>>,
+    /// Set once the daemon stops.
+    pub stopping: Cell<bool>,
+    owners: RefCell<OwnerCache>,
+    prober: OnceCell<Rc<Prober<Rc<DataPath>>>>,
+}
+
+/// What the data path is built from.
+pub struct Parts {
+    /// Members and documents.
+    pub control: Rc<Control>,
+    /// Metrics of the daemon.
+    pub metrics: Rc<Metrics>,
+    /// Audit trail of the daemon.
+    pub audit: Rc<Audit>,
+    /// Keys of the flow tickets.
+    pub tickets: TicketKeys,
+    /// Address on which services are bound.
+    pub listen: Option<IpAddr>,
+    /// The socket between daemons.
+    pub relay: Relay,
+}
+
+impl DataPath {
+    /// A data path without services.
+    pub fn new(parts: Parts) -> Rc<DataPath> {
+        let settings = parts.control.settings();
+        let me = name_hash(&settings.vm);
+        let incarnation = settings.incarnation;
+        let path = Rc::new(DataPath {
+            me,
+            incarnation,
+            control: parts.control,
+            metrics: parts.metrics,
+            audit: parts.audit,
+            tickets: parts.tickets,
+            listen: parts.listen,
+            relay: parts.relay,
+            numbers: Rc::default(),
+            services: RefCell::default(),
+            upstreams: RefCell::default(),
+            parting: RefCell::default(),
+            stopping: Cell::new(false),
+            owners: RefCell::default(),
+            prober: OnceCell::new(),
+        });
+        let prober = Prober::new(Rc::clone(&path.control), Rc::clone(&path));
+        let _ = path.prober.set(prober);
+        path
+    }
+
+    /// The prober, which sends through this data path's relay.
+    pub fn prober(&self) -> &Rc<Prober<Rc<DataPath>>> {
+        self.prober.get().expect("the prober is set in new")
+    }
+
+    /// The service whose name has this hash.
+    pub fn service(&self, hash: u32) -> Option<Rc<Service>> {
+        self.services.borrow().get(&hash).cloned()
+    }
+
+    /// The daemon that owns the upstream with this key in `zone`, if one is live there.
+    pub fn owner(&self, key: &Rc<str>, zone: &str) -> Option<Member> {
+        let members = self.control.members();
+        let vm = self.owners.borrow_mut().owner(&members, key, zone)?;
+        members.get(&vm).cloned()
+    }
+
+    /// The daemon of this incarnation, unless it is gone.
+    pub fn incarnation_of(&self, vm: u32, incarnation: u32) -> Option<Member> {
+        let members = self.control.members();
+        let member = members.by_hash(vm)?;
+        let there = member.incarnation == incarnation && member.state != MemberState::Dead;
+        there.then(|| member.clone())
+    }
+
+    /// Whether any daemon of the zone is live.
+    pub fn is_reachable(&self, zone: &str) -> bool {
+        self.control.members().live_in_zone(zone).next().is_some()
+    }
+
+    /// Whether `member` is this daemon.
+    pub fn is_me(&self, member: &Member) -> bool {
+        member.vm == self.control.settings().vm
+    }
+
+    /// Gives a message to a daemon, which may be this one.
+    pub fn deliver(self: &Rc<Self>, to: &Member, msg: RelayMessage) {
+        if self.is_me(to) {
+            self.on_relay(self.me, to.relay, msg);
+            return;
+        }
+        self.metrics.relay_sent.inc();
+        self.send_to(name_hash(&to.vm), to.relay, &msg);
+    }
+
+    /// Takes in a message of a daemon.
+    pub fn on_relay(self: &Rc<Self>, from: u32, addr: SocketAddr, msg: RelayMessage) {
+        match msg {
+            RelayMessage::Open(open) => self.on_open(open),
+            RelayMessage::Forward(forward) => self.on_forward(forward),
+            msg => self.prober().on_message(from, addr, msg),
+        }
+    }
+
+    /// A ticket for a flow of an upstream named `name` by `service`.
+    pub fn ticket(
+        &self,
+        service: &Service,
+        name: u32,
+        upstream_incarnation: Option<u16>,
+        flow: FlowKey,
+        caller: SocketAddr,
+        epoch: u32,
+    ) -> [u8; TICKET_LEN] {
+        let zone = service
+            .upstream(name)
+            .map_or(0, |named| zone_hash(&named.spec.zone));
+        let ticket = Ticket {
+            service: service.hash,
+            upstream: name,
+            upstream_incarnation: upstream_incarnation.unwrap_or(0),
+            zone,
+            owner: flow.owner,
+            owner_incarnation: flow.owner_incarnation,
+            flow: flow.flow,
+            epoch,
+            caller_tag: caller_tag(caller),
+        };
+        self.tickets.seal(&ticket, &service.name)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/data/request.rs
@@ -0,0 +1,309 @@
+//! One request at the owner, from its slot to its answer.
+
+use {
+    crate::{
+        data::{
+            answer::Notice,
+            feed::Feed,
+            path::DataPath,
+            service::Service,
+            upstream::{
+                CallerToken,
+                ExchangeError,
+                Upstream,
+                UpstreamToken, //
+            },
+        },
+        metrics::RequestOutcome,
+    },
+    foxtailhinge_wire::{
+        coap::{
+            Datagram,
+            Kind,
+            Status, //
+        },
+        ticket::TICKET_LEN,
+    },
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Shortest time given to one attempt of an idempotent request.
+const ATTEMPT_MIN: Duration = Duration::from_millis(200);
+
+/// Wait before a request is tried again that the upstream shed.
+const SHED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Observe value with which a caller registers for a feed (RFC 7641).
+const REGISTER: u32 = 0;
+
+/// A request that the upstream should answer.
+pub struct Job {
+    /// The upstream.
+    pub up: Rc<Upstream>,
+    /// The service.
+    pub service: Rc<Service>,
+    /// Number of the flow.
+    pub flow: u32,
+    /// Hash of the upstream's name within the service.
+    pub name: u32,
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The request as the caller sent it.
+    pub req: Datagram,
+    /// When the caller no longer waits.
+    pub deadline: Instant,
+}
+
+/// How a request ended.
+enum Ending {
+    /// The upstream answered.
+    Answered(Datagram),
+    /// It was not run.
+    NotRun(Duration),
+    /// Whether it ran is unknown.
+    Unknown,
+    /// The upstream is gone and the request idempotent: another upstream should answer.
+    Move,
+}
+
+impl DataPath {
+    /// Starts a task that serves `job`; `epoch` is that of the caller's ticket.
+    pub fn begin(self: &Rc<Self>, job: Job, epoch: u32) {
+        let path = Rc::clone(self);
+        self.metrics.requests_in_progress.inc();
+        if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
+            flow.ledger.note(epoch);
+        }
+        monoio::spawn(async move {
+            path.serve(&job).await;
+            path.metrics.requests_in_progress.dec();
+        });
+    }
+
+    async fn serve(self: &Rc<Self>, job: &Job) {
+        let idempotent = job.service.is_idempotent(&job.req);
+        let token = self.upstream_token(job, idempotent);
+        let ending = self.attempt(job, token, idempotent).await;
+        self.settle_feed(job, token, &ending);
+        if idempotent {
+            let key = CallerToken::of(job.caller, &job.req);
+            job.up.in_progress.borrow_mut().remove(&key);
+            self.answer(job, ending);
+        } else {
+            self.answer_once(job, ending);
+        }
+    }
+
+    /// Tries the request until it is answered, refused, or its caller no longer waits.
+    async fn attempt(&self, job: &Job, token: UpstreamToken, idempotent: bool) -> Ending {
+        job.service.budget.borrow_mut().on_request(Instant::now());
+        loop {
+            let Ok(slot) = job.up.acquire(job.deadline).await else {
+                return self.not_run(job);
+            };
+            let left = job.deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return self.not_run(job);
+            }
+            let timeout = if idempotent {
+                (left / 2).max(ATTEMPT_MIN).min(left)
+            } else {
+                left
+            };
+            let req = self.outgoing(job, token, left);
+            match job.up.exchange(slot, token, &req, timeout).await {
+                Ok(rsp) if rsp.status() == Some(Status::ServiceUnavailable) => {
+                    if !self.may_retry(job, SHED_PAUSE) {
+                        return self.not_run(job);
+                    }
+                    monoio::time::sleep(SHED_PAUSE).await;
+                }
+                Ok(rsp) => return Ending::Answered(rsp),
+                Err(_) if !idempotent => return Ending::Unknown,
+                Err(ExchangeError::Refused) => return Ending::Move,
+                Err(ExchangeError::TimedOut) => {
+                    if !self.may_retry(job, Duration::ZERO) {
+                        return Ending::Unknown;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the service's budget and the request's deadline allow another attempt after `pause`.
+    fn may_retry(&self, job: &Job, pause: Duration) -> bool {
+        let now = Instant::now();
+        if now + pause + ATTEMPT_MIN > job.deadline {
+            return false;
+        }
+        let allowed = job.service.budget.borrow_mut().try_retry(now);
+        if allowed {
+            self.metrics.retries.inc();
+        }
+        allowed
+    }
+
+    fn not_run(&self, job: &Job) -> Ending {
+        Ending::NotRun(job.up.load_mut().come_back(Instant::now()))
+    }
+
+    /// The request as the upstream gets it.
+    fn outgoing(&self, job: &Job, token: UpstreamToken, left: Duration) -> Datagram {
+        let mut req = job.req.clone();
+        req.remove_echo();
+        req.set_token(&token.bytes());
+        req.set_kind(Kind::Non);
+        req.set_message_id(job.up.next_message_id());
+        req.set_deadline(left);
+        req
+    }
+
+    /// A token for the request; registrations keep that of their feed.
+    fn upstream_token(&self, job: &Job, idempotent: bool) -> UpstreamToken {
+        let observe = job.req.observe().filter(|_| idempotent);
+        let caller = CallerToken::of(job.caller, &job.req);
+        let Some(observe) = observe else {
+            return job.up.next_token();
+        };
+        let known = job.up.feeds.borrow().token(&caller);
+        let token = known.unwrap_or_else(|| job.up.next_token());
+        let mut feeds = job.up.feeds.borrow_mut();
+        if observe != REGISTER {
+            feeds.remove(token);
+        } else if known.is_none() {
+            let now = Instant::now();
+            let feed = Feed::new(
+                caller,
+                job.service.hash,
+                job.name,
+                job.flow,
+                job.req.clone(),
+                now,
+            );
+            feeds.insert(token, feed);
+        }
+        token
+    }
+
+    /// Keeps the feed when the upstream took the registration, else forgets it.
+    fn settle_feed(&self, job: &Job, token: UpstreamToken, ending: &Ending) {
+        if job.req.observe() != Some(REGISTER) {
+            return;
+        }
+        let mut feeds = job.up.feeds.borrow_mut();
+        match ending {
+            Ending::Answered(rsp) if rsp.observe().is_some() => {
+                if let Some(feed) = feeds.get_mut(token) {
+                    feed.renew(rsp.max_age(), Instant::now());
+                }
+            }
+            // An unanswered registration leaves an earlier one of the same feed in place.
+            Ending::Unknown | Ending::NotRun(_) => {}
+            Ending::Answered(_) | Ending::Move => {
+                feeds.remove(token);
+            }
+        }
+    }
+
+    /// Answers an idempotent request.
+    fn answer(self: &Rc<Self>, job: &Job, ending: Ending) {
+        let rsp = match ending {
+            Ending::Answered(rsp) => self.passed_on(job, rsp),
+            Ending::NotRun(after) => self.own_answer(job, Notice::NotRun(after)),
+            Ending::Unknown => {
+                let ticket = self.next_ticket(job, false);
+                self.own_answer(job, Notice::Unknown(ticket))
+            }
+            Ending::Move => {
+                self.reopen(job);
+                return;
+            }
+        };
+        job.service.socket.send_to(&rsp.to_bytes(), job.caller);
+    }
+
+    /// Answers a request that must not run twice, and remembers the answer for its copies.
+    fn answer_once(&self, job: &Job, ending: Ending) {
+        let token = job.req.token();
+        let (rsp, ran) = match ending {
+            Ending::Answered(rsp) => (self.passed_on(job, rsp), true),
+            Ending::NotRun(after) => (self.own_answer(job, Notice::NotRun(after)), false),
+            Ending::Unknown | Ending::Move => {
+                let ticket = self.next_ticket(job, true);
+                (self.own_answer(job, Notice::Unknown(ticket)), true)
+            }
+        };
+        let bytes = rsp.to_bytes();
+        if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
+            if ran {
+                flow.ledger
+                    .finish(token, Rc::from(&bytes[..]), Instant::now());
+            } else {
+                flow.ledger.not_run(token);
+            }
+        }
+        job.service.socket.send_to(&bytes, job.caller);
+    }
+
+    /// The upstream's answer as the caller gets it.
+    fn passed_on(&self, job: &Job, mut rsp: Datagram) -> Datagram {
+        self.metrics.requests.inc(RequestOutcome::Answered);
+        let once = !job.service.is_idempotent(&job.req);
+        rsp.clear_upstream_incarnation();
+        rsp.set_token(job.req.token());
+        rsp.address_to(&job.req, job.service.ids.next());
+        match self.next_ticket(job, once) {
+            Some(ticket) => rsp.set_echo(&ticket),
+            None => rsp.remove_echo(),
+        }
+        rsp
+    }
+
+    fn own_answer(&self, job: &Job, notice: Notice) -> Datagram {
+        let outcome = match notice {
+            Notice::NotRun(_) => RequestOutcome::NotRun,
+            _ => RequestOutcome::Unknown,
+        };
+        self.metrics.requests.inc(outcome);
+        notice.answer(&job.req, &job.service.ids)
+    }
+
+    /// The flow's next ticket; nothing when the flow is held here no more.
+    fn next_ticket(&self, job: &Job, once: bool) -> Option<[u8; TICKET_LEN]> {
+        let mut flows = job.up.flows.borrow_mut();
+        let key = flows.name(job.flow);
+        let flow = flows.get_mut(job.flow)?;
+        if flow.given_up.is_some() {
+            return None;
+        }
+        let epoch = if once {
+            flow.ledger.answer_epoch()
+        } else {
+            flow.ledger.epoch()
+        };
+        let incarnation = job.up.incarnation();
+        Some(self.ticket(
+            &job.service,
+            job.name,
+            incarnation,
+            key,
+            job.caller,
+            epoch,
+        ))
+    }
+
+    /// Begins a new flow for an idempotent request whose upstream is gone.
+    fn reopen(self: &Rc<Self>, job: &Job) {
+        let mut req = job.req.clone();
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        req.set_deadline(left);
+        self.reopen_with(&job.service, job.caller, &req);
+    }
+}
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -3,6 +3,7 @@
 use {
     crate::data::{
         answer::MessageIds,
+        load::LoadSpec,
         socket::Socket, //
     },
     foxtailhinge_config::document::{
@@ -10,10 +11,21 @@
         Upstream as UpstreamSpec, //
     },
     foxtailhinge_policy::{
+        allowance::{
+            AllowanceSpec,
+            Capacity, //
+        },
         budget::RetryBudget,
+        comeback::Comeback,
         placement::Placement, //
     },
-    foxtailhinge_wire::ticket::name_hash,
+    foxtailhinge_wire::{
+        coap::{
+            Datagram,
+            Method, //
+        },
+        ticket::name_hash, //
+    },
     rand::Rng,
     smallvec::SmallVec,
     std::{
@@ -30,6 +42,9 @@
 /// Candidates drawn for a new flow.
 pub const CANDIDATES: usize = 3;
 
+/// Longest time that a request may wait for its answer, whatever its caller says.
+const DEADLINE_MAX: Duration = Duration::from_secs(60);
+
 /// Retries of a service that are always allowed, per second.
 const RETRIES_MIN_PER_S: u32 = 1;
 
@@ -45,12 +60,29 @@
     /// Message ids of answers sent from the socket.
     pub ids: MessageIds,
     doc: Rc<ServiceDocument>,
-    index: HashMap<u32, usize>,
+    index: HashMap<u32, Entry>,
     zones: HashMap<Rc<str>, ZoneState>,
+    comeback: RefCell<Comeback>,
     /// Share of requests that may be sent again.
     pub budget: RefCell<RetryBudget>,
 }
 
+/// Where an upstream stands in the document.
+#[derive(Debug)]
+struct Entry {
+    at: usize,
+    key: Rc<str>,
+}
+
+/// An upstream of the service.
+#[derive(Debug, Clone, Copy)]
+pub struct Named<'a> {
+    /// What the document says of it.
+    pub spec: &'a UpstreamSpec,
+    /// The name by which its owner is drawn, the same in every service.
+    pub key: &'a Rc<str>,
+}
+
 /// Since when a zone serves, or does not.
 #[derive(Debug, Clone, Copy)]
 struct ZoneState {
@@ -72,7 +104,7 @@
             .upstreams
             .iter()
             .enumerate()
-            .map(|(i, spec)| (name_hash(&spec.name), i))
+            .map(|(at, spec)| (name_hash(&spec.name), Entry::new(at, spec)))
             .collect();
         let zones = doc
             .zones
@@ -90,6 +122,7 @@
             ids: MessageIds::new(rand::random()),
             index,
             zones,
+            comeback: RefCell::default(),
             budget: RefCell::new(budget),
             doc,
         }
@@ -101,8 +134,65 @@
     }
 
     /// The upstream whose name has this hash.
-    pub fn upstream(&self, hash: u32) -> Option<&UpstreamSpec> {
-        self.index.get(&hash).map(|i| &self.doc.upstreams[*i])
+    pub fn upstream(&self, hash: u32) -> Option<Named<'_>> {
+        self.index.get(&hash).map(|entry| self.named(entry))
+    }
+
+    /// All upstreams with the hashes of their names.
+    pub fn upstreams(&self) -> impl Iterator<Item = (u32, Named<'_>)> {
+        self.index
+            .iter()
+            .map(|(hash, entry)| (*hash, self.named(entry)))
+    }
+
+    fn named<'a>(&'a self, entry: &'a Entry) -> Named<'a> {
+        Named {
+            spec: &self.doc.upstreams[entry.at],
+            key: &entry.key,
+        }
+    }
+
+    /// Whether running the request twice has the effect of running it once: the document's route
+    /// says so, else the method.
+    pub fn is_idempotent(&self, req: &Datagram) -> bool {
+        let route = self.doc.route(&req.path());
+        let method = req.method();
+        route
+            .and_then(|route| route.idempotent)
+            .unwrap_or_else(|| method.is_none_or(Method::is_idempotent))
+    }
+
+    /// When the caller of a request that arrives `now` no longer waits for its answer.
+    pub fn deadline(&self, req: &Datagram, now: Instant) -> Instant {
+        let route = self.doc.route(&req.path());
+        let usual = route
+            .and_then(|route| route.deadline)
+            .unwrap_or(self.doc.defaults.deadline);
+        now + req.deadline().unwrap_or(usual).min(DEADLINE_MAX)
+    }
+
+    /// When a caller should come back that no upstream could take.
+    pub fn come_back(&self, now: Instant) -> Duration {
+        let mut comeback = self.comeback.borrow_mut();
+        comeback.after(now, 0.0, &mut rand::rng())
+    }
+
+    /// What the service's document declares of one of its upstreams.
+    pub fn load_spec(&self, spec: &UpstreamSpec) -> LoadSpec {
+        let cold = &self.doc.cold_start;
+        LoadSpec {
+            allowance: AllowanceSpec {
+                full: Capacity {
+                    slots: spec.slots,
+                    connections: spec.connections,
+                },
+                cold_slots: cold.slots,
+                cold_connections: cold.connections,
+                ramp: cold.ramp,
+            },
+            queue: self.doc.defaults.queue,
+            draining: spec.draining,
+        }
     }
 
     /// Whether the document has the zone in service.
@@ -168,6 +258,15 @@
     }
 }
 
+impl Entry {
+    fn new(at: usize, spec: &UpstreamSpec) -> Entry {
+        Entry {
+            at,
+            key: Rc::from(spec.address.to_string()),
+        }
+    }
+}
+
 fn zone_state(before: Option<&Service>, zone: &str, in_service: bool, now: Instant) -> ZoneState {
     match before.and_then(|service| service.zones.get(zone)) {
         Some(state) if state.in_service == in_service => *state,
