--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -9,7 +9,10 @@
 //! record of its earlier life from the first peer that answers it, and takes the next version.
 
 use {
-    crate::rendezvous::{mix, score_keys, NameKey},
+    crate::{
+        rendezvous::{mix, score_keys, NameKey},
+        revisions::{bucket_of, in_buckets, BUCKETS},
+    },
     rand::{
         seq::{index, SliceRandom},
         Rng,
@@ -196,7 +199,7 @@
     order: Option<ProbeOrder>,
     news: Vec<News>,
     view_version: u64,
-    sum: u64,
+    sums: [u64; BUCKETS],
     contests: u32,
 }
 
@@ -215,7 +218,7 @@
             order: None,
             news: Vec::new(),
             view_version: 0,
-            sum: 0,
+            sums: [0; BUCKETS],
             contests: 0,
         };
         let me = Member {
@@ -449,9 +452,15 @@
         self.zones.get(zone).map_or(0, |z| z.version)
     }
 
-    /// Returns a sum over all records heard; equal sums mean equal views.
-    pub fn sum(&self) -> u64 {
-        self.sum
+    /// Returns one sum of the records heard for each bucket of names; equal sums mean equal views.
+    pub fn sums(&self) -> &[u64; BUCKETS] {
+        &self.sums
+    }
+
+    /// Returns the records heard in the given buckets, one bit each.
+    pub fn heard_in(&self, buckets: u64) -> impl Iterator<Item = &Member> {
+        self.iter()
+            .filter(move |m| m.version > 0 && in_buckets(&m.vm, buckets))
     }
 
     /// Marks this daemon as leaving and makes it news.
@@ -529,7 +538,7 @@
         });
         self.by_name.insert(member.vm.clone(), slot);
         self.by_hash.insert((self.spec.name_hash)(&member.vm), slot);
-        self.sum ^= sum_of(&member);
+        self.sums[bucket_of(&member.vm)] ^= sum_of(&member);
         let key = NameKey::new(&member.vm);
         if member.is_live() {
             self.add_live(&member.zone, key, slot);
@@ -553,7 +562,7 @@
             known.since = now;
             known.misses = 0;
         }
-        self.sum ^= sum_of(&old) ^ sum_of(&member);
+        self.sums[bucket_of(&member.vm)] ^= sum_of(&old) ^ sum_of(&member);
         if old.state != member.state || old.zone != member.zone || old.version == 0 {
             self.order = None;
         }
@@ -576,7 +585,7 @@
         self.by_hash
             .remove(&(self.spec.name_hash)(&known.member.vm));
         self.free.push(slot);
-        self.sum ^= sum_of(&known.member);
+        self.sums[bucket_of(&known.member.vm)] ^= sum_of(&known.member);
         self.news.retain(|news| news.slot != slot);
         self.order = None;
     }
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -7,7 +7,7 @@
 use {
     crate::rendezvous::{mix, NameKey},
     serde::{Deserialize, Serialize},
-    std::{collections::HashMap, rc::Rc},
+    std::{cmp::Ordering, collections::HashMap, rc::Rc},
 };
 
 /// Number of groups into which services are divided to compare two sets cheaply.
@@ -30,13 +30,13 @@
 
 /// A document that was refused, with why.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Refusal<T> {
+pub struct Refusal {
     /// Revision of the refused document.
     pub revision: u64,
     /// Findings, each a whole sentence with its place.
     pub findings: Vec<String>,
-    /// The refused document, kept to be passed on.
-    pub source: T,
+    /// Text of the refused document, kept to be passed on.
+    pub text: Rc<str>,
 }
 
 /// Revisions that a daemon knows of one service.
@@ -65,7 +65,7 @@
     /// Document in force; `None` when the service is removed.
     pub document: Option<T>,
     /// Newest refused document, if it is newer than the one in force.
-    pub refusal: Option<Refusal<T>>,
+    pub refusal: Option<Refusal>,
 }
 
 impl<T> Default for Entry<T> {
@@ -133,20 +133,20 @@
         &mut self,
         service: &Rc<str>,
         revision: u64,
-        source: T,
+        text: Rc<str>,
         findings: Vec<String>,
     ) -> Offer {
         let seen = self.entries.get(service).map_or(0, Entry::seen);
         match revision.cmp(&seen) {
-            std::cmp::Ordering::Less => return Offer::Older,
-            std::cmp::Ordering::Equal => return Offer::Same,
-            std::cmp::Ordering::Greater => {}
+            Ordering::Less => return Offer::Older,
+            Ordering::Equal => return Offer::Same,
+            Ordering::Greater => {}
         }
         self.update(service, |e| {
             e.refusal = Some(Refusal {
                 revision,
                 findings,
-                source,
+                text,
             });
         });
         Offer::Refused
@@ -199,17 +199,30 @@
         &self.sums
     }
 
+    /// Returns the buckets, one bit each, whose sums differ from `sums`.
+    pub fn differing(&self, sums: &[u64; BUCKETS]) -> u64 {
+        differing(&self.sums, sums)
+    }
+
     /// Returns the revisions of all services.
     pub fn digest(&self) -> Digest {
-        self.digest_of(|_| true)
+        self.digest_in(u64::MAX)
     }
 
-    /// Returns the revisions of the services whose bucket differs from `sums`.
-    pub fn digest_unlike(&self, sums: &[u64; BUCKETS]) -> Digest {
-        self.digest_of(|service| {
-            let bucket = bucket_of(service);
-            self.sums[bucket] != sums[bucket]
-        })
+    /// Returns the revisions of the services in the given buckets.
+    pub fn digest_in(&self, buckets: u64) -> Digest {
+        let mut entries: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|(service, _)| in_buckets(service, buckets))
+            .map(|(service, e)| DigestEntry {
+                service: service.clone(),
+                in_force: e.revision,
+                seen: e.seen(),
+            })
+            .collect();
+        entries.sort_unstable_by(|a, b| a.service.cmp(&b.service));
+        Digest { entries }
     }
 
     /// Returns the services of which `digest` knows a higher revision.
@@ -228,21 +241,12 @@
     }
 
     /// Returns the services of which this set knows a higher revision than `digest`.
-    ///
-    /// With `sums` of the sender a digest may be partial: services of equal buckets are skipped.
     pub fn newer_than(&self, digest: &Digest) -> Vec<Rc<str>> {
-        self.newer_where(digest, |_| true)
-    }
-
-    /// Like [`newer_than`](Self::newer_than) for a digest of the buckets that differ from `sums`.
-    pub fn newer_unlike(&self, digest: &Digest, sums: &[u64; BUCKETS]) -> Vec<Rc<str>> {
-        self.newer_where(digest, |service| {
-            let bucket = bucket_of(service);
-            self.sums[bucket] != sums[bucket]
-        })
+        self.newer_in(u64::MAX, digest)
     }
 
-    fn newer_where(&self, digest: &Digest, wanted: impl Fn(&str) -> bool) -> Vec<Rc<str>> {
+    /// Like [`newer_than`](Self::newer_than) for a digest of the given buckets alone.
+    pub fn newer_in(&self, buckets: u64, digest: &Digest) -> Vec<Rc<str>> {
         let theirs: HashMap<&str, &DigestEntry> = digest
             .entries
             .iter()
@@ -251,7 +255,7 @@
         let mut newer: Vec<_> = self
             .entries
             .iter()
-            .filter(|(service, _)| wanted(service))
+            .filter(|(service, _)| in_buckets(service, buckets))
             .filter(|(service, ours)| {
                 let theirs = theirs.get(service.as_ref());
                 let in_force = theirs.map_or(0, |e| e.in_force);
@@ -264,27 +268,21 @@
         newer
     }
 
-    fn digest_of(&self, wanted: impl Fn(&str) -> bool) -> Digest {
-        let mut entries: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(service, _)| wanted(service))
-            .map(|(service, e)| DigestEntry {
-                service: service.clone(),
-                in_force: e.revision,
-                seen: e.seen(),
-            })
-            .collect();
-        entries.sort_unstable_by(|a, b| a.service.cmp(&b.service));
-        Digest { entries }
+    /// Returns whether a document of this revision would change anything.
+    pub fn is_news(&self, service: &str, revision: u64) -> bool {
+        let Some(entry) = self.entries.get(service) else {
+            return true;
+        };
+        let refused = entry.refusal.as_ref().map(|r| r.revision);
+        revision > entry.revision && refused != Some(revision)
     }
 
     fn compare(&self, service: &str, revision: u64) -> Option<Offer> {
         let entry = self.entries.get(service)?;
         match revision.cmp(&entry.revision) {
-            std::cmp::Ordering::Less => Some(Offer::Older),
-            std::cmp::Ordering::Equal => Some(Offer::Same),
-            std::cmp::Ordering::Greater => None,
+            Ordering::Less => Some(Offer::Older),
+            Ordering::Equal => Some(Offer::Same),
+            Ordering::Greater => None,
         }
     }
 
@@ -297,9 +295,20 @@
     }
 }
 
-/// Returns the bucket of a service.
-pub fn bucket_of(service: &str) -> usize {
-    (NameKey::new(service).get() >> 32) as usize % BUCKETS
+/// Returns the bucket of a name.
+pub fn bucket_of(name: &str) -> usize {
+    (NameKey::new(name).get() >> 32) as usize % BUCKETS
+}
+
+/// Returns whether a name lies in one of the given buckets.
+pub fn in_buckets(name: &str, buckets: u64) -> bool {
+    buckets >> bucket_of(name) & 1 == 1
+}
+
+/// Returns the buckets, one bit each, whose sums differ.
+pub fn differing(a: &[u64; BUCKETS], b: &[u64; BUCKETS]) -> u64 {
+    let unlike = (0..BUCKETS).filter(|&i| a[i] != b[i]);
+    unlike.fold(0, |buckets, i| buckets | 1 << i)
 }
 
 fn sum_of(service: &str, in_force: u64, seen: u64) -> u64 {
