--- /dev/null
+++ b/crates/daemon/src/links/budget.rs
@@ -0,0 +1,50 @@
+//! Bytes that may be spent on copies of documents and members.
+
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// A token bucket over bytes that may be overdrawn by one message.
+#[derive(Debug)]
+pub struct ByteBudget {
+    rate: u64,
+    burst: i64,
+    left: i64,
+    at: Instant,
+}
+
+impl ByteBudget {
+    /// Creates a full budget of `burst` bytes that refills by `rate` bytes a second.
+    pub fn new(rate: u64, burst: u64, now: Instant) -> Self {
+        Self {
+            rate: rate.max(1),
+            burst: burst as i64,
+            left: burst as i64,
+            at: now,
+        }
+    }
+
+    /// Returns how long to wait until something may be sent; zero for now.
+    pub fn wait(&mut self, now: Instant) -> Duration {
+        self.refill(now);
+        if self.left > 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64((1 - self.left) as f64 / self.rate as f64)
+    }
+
+    /// Records that `bytes` were sent.
+    pub fn spend(&mut self, bytes: usize) {
+        self.left -= bytes as i64;
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.at);
+        let gained = (elapsed.as_secs_f64() * self.rate as f64) as i64;
+        if gained > 0 {
+            self.left = (self.left + gained).min(self.burst);
+            self.at = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/links/client.rs
@@ -0,0 +1,244 @@
+//! The asking end of the links.
+
+use {
+    super::message::{
+        LinkReply,
+        LinkRequest,
+        BODY_MAX, //
+    },
+    crate::members::{
+        control::count,
+        settings::ControlLimits,
+        Control, //
+    },
+    bytes::{
+        Bytes,
+        BytesMut, //
+    },
+    foxtailhinge_policy::members::Member,
+    foxtailhinge_wire::{
+        envelope::EnvelopeError,
+        ticket::name_hash, //
+    },
+    h2::{
+        client::SendRequest,
+        RecvStream, //
+    },
+    http::{
+        Request,
+        StatusCode, //
+    },
+    monoio::net::TcpStream,
+    monoio_compat::StreamWrapper,
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Instant, //
+    },
+};
+
+/// Read and write buffer of one end of a link, in bytes.
+pub(crate) const BUFFER: usize = 2 << 10;
+
+/// Window of one stream and of a whole link, in bytes.
+pub(crate) const WINDOW: u32 = 64 << 10;
+
+/// Why a request on a link failed.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// A test has cut the peer off.
+    #[error("The peer is cut off by the faults setting; remove it from the list.")]
+    Denied,
+    /// The peer did not answer in time.
+    #[error("The peer did not answer in time; check that it runs and can be reached.")]
+    Timeout,
+    /// The connection failed.
+    #[error("The connection failed ({0}); check that the peer's control address is right.")]
+    Io(#[from] io::Error),
+    /// HTTP/2 failed.
+    #[error("The link failed ({0}); check that both daemons run compatible versions.")]
+    Http(#[from] h2::Error),
+    /// The peer refused the message.
+    #[error("The peer refused the message with status {0}; give both daemons the same keys.")]
+    Status(StatusCode),
+    /// The answer could not be opened.
+    #[error("The answer could not be opened. {0}")]
+    Envelope(#[from] EnvelopeError),
+    /// The body is too long.
+    #[error("The message is longer than {BODY_MAX} bytes; split it.")]
+    TooLong,
+}
+
+#[derive(Clone)]
+struct Link {
+    tx: SendRequest<Bytes>,
+    addr: SocketAddr,
+    used: Instant,
+}
+
+/// Open links to peers, by VM id.
+pub struct Links {
+    limits: ControlLimits,
+    open: RefCell<HashMap<Rc<str>, Link>>,
+}
+
+impl Links {
+    /// Creates an empty set of links.
+    pub fn new(limits: ControlLimits) -> Self {
+        Self {
+            limits,
+            open: RefCell::default(),
+        }
+    }
+
+    /// Sends a request to `peer` and waits for its answer, at most the time of the limits.
+    pub async fn request(
+        &self,
+        control: &Control,
+        peer: &Member,
+        request: &LinkRequest,
+    ) -> Result<LinkReply, LinkError> {
+        if control.is_denied(&peer.vm) {
+            return Err(LinkError::Denied);
+        }
+        let answer = self.request_untimed(control, peer, request);
+        let result = monoio::time::timeout(self.limits.link_timeout, answer).await;
+        let result = result.unwrap_or(Err(LinkError::Timeout));
+        if result.is_err() {
+            self.open.borrow_mut().remove(&peer.vm);
+        }
+        result
+    }
+
+    /// Returns the number of open links.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Returns whether no link is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Closes links that were not used for a while.
+    pub fn close_idle(&self, now: Instant) {
+        let idle = self.limits.link_idle;
+        let mut open = self.open.borrow_mut();
+        open.retain(|_, link| now.saturating_duration_since(link.used) < idle);
+    }
+
+    /// Closes all links.
+    pub fn close_all(&self) {
+        self.open.borrow_mut().clear();
+    }
+
+    async fn request_untimed(
+        &self,
+        control: &Control,
+        peer: &Member,
+        request: &LinkRequest,
+    ) -> Result<LinkReply, LinkError> {
+        let tx = match self.reuse(peer) {
+            Some(tx) => tx,
+            None => self.connect(control, peer).await?,
+        };
+        send(control, tx, peer, request).await
+    }
+
+    fn reuse(&self, peer: &Member) -> Option<SendRequest<Bytes>> {
+        let mut open = self.open.borrow_mut();
+        let link = open.get_mut(&peer.vm)?;
+        if link.addr != peer.control {
+            return None;
+        }
+        link.used = Instant::now();
+        Some(link.tx.clone())
+    }
+
+    async fn connect(
+        &self,
+        control: &Control,
+        peer: &Member,
+    ) -> Result<SendRequest<Bytes>, LinkError> {
+        let stream = TcpStream::connect(peer.control).await?;
+        stream.set_nodelay(true)?;
+        let io = StreamWrapper::new_with_buffer_size(stream, BUFFER, BUFFER);
+        let mut builder = h2::client::Builder::new();
+        builder
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW);
+        let (tx, connection) = builder.handshake(io).await?;
+        monoio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("event=link_closed cause=\"{err}\"");
+            }
+        });
+        let hello = LinkRequest::Hello(control.my_record());
+        send(control, tx.clone(), peer, &hello).await?;
+        self.keep(peer, tx.clone());
+        Ok(tx)
+    }
+
+    fn keep(&self, peer: &Member, tx: SendRequest<Bytes>) {
+        let mut open = self.open.borrow_mut();
+        if open.len() >= self.limits.links {
+            let oldest = open.iter().min_by_key(|(_, link)| link.used);
+            if let Some(vm) = oldest.map(|(vm, _)| vm.clone()) {
+                open.remove(&vm);
+            }
+        }
+        let link = Link {
+            tx,
+            addr: peer.control,
+            used: Instant::now(),
+        };
+        open.insert(peer.vm.clone(), link);
+    }
+}
+
+async fn send(
+    control: &Control,
+    tx: SendRequest<Bytes>,
+    peer: &Member,
+    request: &LinkRequest,
+) -> Result<LinkReply, LinkError> {
+    let settings = control.settings();
+    let me = name_hash(&settings.vm);
+    let to = name_hash(&peer.vm);
+    let body = settings.keys.seal(me, settings.incarnation, to, request);
+    if body.len() > BODY_MAX {
+        return Err(LinkError::TooLong);
+    }
+    count(&control.counters().link_bytes_sent, body.len() as u64);
+    let mut tx = tx.ready().await?;
+    let head = Request::post("http://peer/")
+        .body(())
+        .expect("The request head is constant.");
+    let (answer, mut stream) = tx.send_request(head, false)?;
+    stream.send_data(body.into(), true)?;
+    let answer = answer.await?;
+    if answer.status() != StatusCode::OK {
+        return Err(LinkError::Status(answer.status()));
+    }
+    let body = read_body(answer.into_body(), BODY_MAX).await?;
+    count(&control.counters().link_bytes_received, body.len() as u64);
+    let opened = settings.keys.open::<LinkReply>(me, &body)?;
+    Ok(opened.message)
+}
+
+/// Reads a whole body of at most `max` bytes.
+pub(crate) async fn read_body(mut body: RecvStream, max: usize) -> Result<Bytes, LinkError> {
+    let mut buf = BytesMut::new();
+    while let Some(data) = body.data().await {
+        let data = data?;
+        if buf.len() + data.len() > max {
+            return Err(LinkError::TooLong);
+        }
+        body.flow_control().release_capacity(data.len())?;
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
--- /dev/null
+++ b/crates/daemon/src/links/exchange.rs
@@ -0,0 +1,327 @@
+//! Periodic comparison with a random peer, after which both hold the newer of both views.
+
+use {
+    super::{
+        budget::ByteBudget,
+        client::LinkError,
+        message::{
+            to_digest,
+            to_revisions,
+            Difference,
+            LinkReply,
+            LinkRequest,
+            Revision,
+            Sums,
+            DOCUMENTS_BYTES,
+            PAGE, //
+        },
+    },
+    crate::members::{
+        control::count,
+        record,
+        Control,
+        Source, //
+    },
+    foxtailhinge_policy::{
+        members::{
+            Member,
+            MemberState, //
+        },
+        revisions::differing,
+    },
+    foxtailhinge_wire::message::{
+        DocumentRecord,
+        MemberUpdate, //
+    },
+    rand::{
+        seq::IteratorRandom,
+        Rng, //
+    },
+    std::{
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// One exchange in this many goes to another zone.
+const FAR_SHARE: u32 = 5;
+
+/// Longest run of pages with one peer before another one is drawn.
+const PAGES: usize = 1_000;
+
+/// Exchanges with a random peer in each interval, without end.
+pub async fn run(control: Rc<Control>) {
+    let limits = control.settings().limits;
+    let mut budget = ByteBudget::new(limits.copy_rate, limits.copy_burst, Instant::now());
+    loop {
+        if let Some(peer) = pick_peer(&control) {
+            match exchange(&control, &peer, &mut budget).await {
+                Ok(()) => count(&control.counters().exchanges, 1),
+                Err(err) => {
+                    let vm = &peer.vm;
+                    log::debug!("event=exchange_failed peer={vm} cause=\"{err}\"");
+                }
+            }
+        }
+        control.links().close_idle(Instant::now());
+        let pause = match control.is_synced() {
+            true => limits.exchange_interval,
+            false => limits.retry_interval,
+        };
+        let pause = pause.mul_f64(control.rng().random_range(0.75..1.25));
+        let _ = monoio::time::timeout(pause, control.exchange_wake.wait()).await;
+    }
+}
+
+/// Compares views with `peer` and copies what differs both ways.
+pub async fn exchange(
+    control: &Rc<Control>,
+    peer: &Member,
+    budget: &mut ByteBudget,
+) -> Result<(), LinkError> {
+    let began = Instant::now();
+    for _ in 0..PAGES {
+        let request = LinkRequest::Compare(Box::new(sums(control)));
+        let asked = Instant::now();
+        let reply = control.links().request(control, peer, &request).await?;
+        let LinkReply::Difference(difference) = reply else {
+            return Ok(());
+        };
+        let more = difference.more;
+        adopt(control, peer, *difference, asked, budget).await?;
+        if !more {
+            control.synced(began);
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+async fn adopt(
+    control: &Rc<Control>,
+    peer: &Member,
+    difference: Difference,
+    asked: Instant,
+    budget: &mut ByteBudget,
+) -> Result<(), LinkError> {
+    let sums = difference.sums;
+    let newer = newer_members(control, difference.member_buckets, &difference.members);
+    control.merge_members(difference.members);
+    if !newer.is_empty() {
+        let request = LinkRequest::Members(newer);
+        control.links().request(control, peer, &request).await?;
+    }
+    let digest = to_digest(difference.revisions);
+    let missing = control.documents().missing(&digest);
+    fetch(control, peer, missing, budget).await?;
+    let buckets = difference.document_buckets;
+    let newer = control.documents().newer_in(buckets, &digest);
+    announce(control, peer, &newer).await?;
+    if control.documents().sums() == &sums.documents {
+        control.documents_mut().set_synced(sums.synced);
+        let age = sums.age_ms.map(Duration::from_millis);
+        if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
+            control.confirm(at);
+        }
+    }
+    Ok(())
+}
+
+async fn fetch(
+    control: &Rc<Control>,
+    peer: &Member,
+    mut missing: Vec<Rc<str>>,
+    budget: &mut ByteBudget,
+) -> Result<(), LinkError> {
+    let source = Source::Peer(peer.vm.clone());
+    while !missing.is_empty() {
+        let wait = budget.wait(Instant::now());
+        if !wait.is_zero() {
+            monoio::time::sleep(wait).await;
+        }
+        let services = missing.iter().take(PAGE).map(ToString::to_string).collect();
+        let request = LinkRequest::Fetch(services);
+        let reply = control.links().request(control, peer, &request).await?;
+        let records = match reply {
+            LinkReply::Documents(records) if !records.is_empty() => records,
+            LinkReply::Busy(wait_ms) => {
+                monoio::time::sleep(Duration::from_millis(wait_ms)).await;
+                continue;
+            }
+            _ => return Ok(()),
+        };
+        budget.spend(records.iter().map(length).sum());
+        missing.retain(|s| !records.iter().any(|r| r.service == s.as_ref()));
+        for record in records {
+            control.apply_document(record, &source);
+        }
+    }
+    Ok(())
+}
+
+/// Tells `peer` of the documents of `services` and sends those that it wants.
+pub(crate) async fn announce(
+    control: &Rc<Control>,
+    peer: &Member,
+    services: &[Rc<str>],
+) -> Result<(), LinkError> {
+    for page in services.chunks(PAGE) {
+        let request = LinkRequest::Announce(revisions(control, page));
+        let reply = control.links().request(control, peer, &request).await?;
+        let LinkReply::Wanted(mut wanted) = reply else {
+            continue;
+        };
+        while !wanted.is_empty() {
+            let records = documents(control, &wanted);
+            if records.is_empty() {
+                break;
+            }
+            wanted.retain(|s| !records.iter().any(|r| r.service == *s));
+            let request = LinkRequest::Push(records);
+            control.links().request(control, peer, &request).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Answers a comparison.
+pub(crate) fn difference(control: &Control, theirs: &Sums) -> LinkReply {
+    let ours = sums(control);
+    let documents = control.documents();
+    let mut more = false;
+    let unlike = documents.differing(&theirs.documents);
+    let (document_buckets, revisions) = first_buckets(unlike, &mut more, |buckets| {
+        to_revisions(documents.digest_in(buckets))
+    });
+    let members = control.members();
+    let unlike = differing(members.sums(), &theirs.members);
+    let (member_buckets, members) = first_buckets(unlike, &mut more, |buckets| {
+        let heard = members.heard_in(buckets);
+        heard.map(record::to_wire).collect()
+    });
+    LinkReply::Difference(Box::new(Difference {
+        sums: ours,
+        document_buckets,
+        revisions,
+        member_buckets,
+        members,
+        more,
+    }))
+}
+
+/// Answers an announcement.
+pub(crate) fn wanted(control: &Control, revisions: Vec<Revision>) -> LinkReply {
+    let missing = control.documents().missing(&to_digest(revisions));
+    LinkReply::Wanted(missing.iter().map(ToString::to_string).collect())
+}
+
+/// Takes documents that a peer brought.
+pub(crate) fn take_documents(control: &Control, records: Vec<DocumentRecord>, from: &Rc<str>) {
+    let source = Source::from(from);
+    for record in records {
+        control.apply_document(record, &source);
+    }
+}
+
+/// Returns the documents of the services, as many as fit into one message.
+pub(crate) fn documents(control: &Control, services: &[String]) -> Vec<DocumentRecord> {
+    let documents = control.documents();
+    let mut records = Vec::new();
+    let mut bytes = 0;
+    for service in services {
+        let Some(entry) = documents.entry(service) else {
+            continue;
+        };
+        if bytes >= DOCUMENTS_BYTES {
+            break;
+        }
+        let before = records.len();
+        if entry.revision > 0 {
+            records.push(DocumentRecord {
+                service: service.clone(),
+                revision: entry.revision,
+                text: entry.document.as_ref().map(|d| d.text.to_string()),
+            });
+        }
+        if let Some(refusal) = &entry.refusal {
+            records.push(DocumentRecord {
+                service: service.clone(),
+                revision: refusal.revision,
+                text: Some(refusal.text.to_string()),
+            });
+        }
+        bytes += records[before..].iter().map(length).sum::<usize>();
+    }
+    records
+}
+
+fn length(record: &DocumentRecord) -> usize {
+    record.service.len() + record.text.as_ref().map_or(0, String::len)
+}
+
+fn revisions(control: &Control, services: &[Rc<str>]) -> Vec<Revision> {
+    let documents = control.documents();
+    let known = services.iter().filter_map(|service| {
+        let entry = documents.entry(service)?;
+        Some(Revision {
+            service: service.to_string(),
+            in_force: entry.revision,
+            seen: entry.seen(),
+        })
+    });
+    known.collect()
+}
+
+fn sums(control: &Control) -> Sums {
+    let documents = control.documents();
+    let age = control.confirmed().map(|at| at.elapsed());
+    Sums {
+        documents: *documents.sums(),
+        members: *control.members().sums(),
+        synced: documents.synced(),
+        age_ms: age.map(|age| age.as_millis() as u64),
+    }
+}
+
+/// Returns the first of the given buckets whose items fill a page, and these items.
+fn first_buckets<T>(buckets: u64, more: &mut bool, items: impl Fn(u64) -> Vec<T>) -> (u64, Vec<T>) {
+    let mut covered = 0;
+    let mut page = Vec::new();
+    for bit in (0..u64::BITS)
+        .map(|i| 1 << i)
+        .filter(|bit| buckets & bit != 0)
+    {
+        if page.len() >= PAGE {
+            *more = true;
+            break;
+        }
+        covered |= bit;
+        page.extend(items(bit));
+    }
+    (covered, page)
+}
+
+/// Returns the members of the given buckets of which the peer does not hold this record.
+fn newer_members(control: &Control, buckets: u64, theirs: &[MemberUpdate]) -> Vec<MemberUpdate> {
+    let members = control.members();
+    let heard = members.heard_in(buckets).map(record::to_wire);
+    heard.filter(|ours| !theirs.contains(ours)).collect()
+}
+
+/// Draws a peer: a live one, mostly of the own zone, else any that is known by name.
+pub(crate) fn pick_peer(control: &Control) -> Option<Member> {
+    let members = control.members();
+    let mut rng = control.rng();
+    let me = members.me();
+    let far = rng.random_ratio(1, FAR_SHARE);
+    let others = || members.iter().skip(1).filter(|m| !control.is_denied(&m.vm));
+    let alive = |m: &&Member| m.state == MemberState::Alive;
+    let same = |m: &&Member| (m.zone == me.zone) != far;
+    let picked = others().filter(alive).filter(same).choose(&mut rng);
+    let picked = picked.or_else(|| others().filter(alive).choose(&mut rng));
+    let picked = picked.or_else(|| others().choose(&mut rng));
+    picked.cloned()
+}
--- /dev/null
+++ b/crates/daemon/src/links/message.rs
@@ -0,0 +1,133 @@
+//! Messages on the links.
+
+use {
+    bincode::{
+        Decode,
+        Encode, //
+    },
+    foxtailhinge_policy::revisions::{
+        Digest,
+        DigestEntry,
+        BUCKETS, //
+    },
+    foxtailhinge_wire::message::{
+        DocumentRecord,
+        HandOver,
+        MemberUpdate, //
+    },
+};
+
+/// Longest body of a message from a peer that has shown the fleet's key, in bytes.
+pub const BODY_MAX: usize = 8 << 20;
+
+/// Longest body of the first message on a link, in bytes.
+pub const FIRST_BODY_MAX: usize = 4 << 10;
+
+/// Revisions or members in one answer.
+pub const PAGE: usize = 256;
+
+/// Bytes of documents in one answer, unless a single document is longer.
+pub const DOCUMENTS_BYTES: usize = 32 << 10;
+
+/// Revisions known of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Revision {
+    /// Name of the service.
+    pub service: String,
+    /// Revision in force, or of the removal; 0 for none.
+    pub in_force: u64,
+    /// Highest revision seen, that of a refused document included.
+    pub seen: u64,
+}
+
+/// Sums of the sender, to compare two views cheaply.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Sums {
+    /// One sum of the documents for each bucket.
+    pub documents: [u64; BUCKETS],
+    /// One sum of the members for each bucket.
+    pub members: [u64; BUCKETS],
+    /// Platform's revision up to which all documents are known.
+    pub synced: u64,
+    /// Milliseconds since the platform last confirmed the documents, if it ever did.
+    pub age_ms: Option<u64>,
+}
+
+/// What differs between the views of two daemons.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Difference {
+    /// Sums of the answering daemon.
+    pub sums: Sums,
+    /// Buckets, one bit each, that `revisions` covers.
+    pub document_buckets: u64,
+    /// Revisions of the covered buckets.
+    pub revisions: Vec<Revision>,
+    /// Buckets, one bit each, that `members` covers.
+    pub member_buckets: u64,
+    /// Members of the covered buckets.
+    pub members: Vec<MemberUpdate>,
+    /// Whether further buckets differ.
+    pub more: bool,
+}
+
+/// A request on a link.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum LinkRequest {
+    /// Opens a link with the sender's own record.
+    Hello(MemberUpdate),
+    /// Compares the views of both daemons.
+    Compare(Box<Sums>),
+    /// Tells of changed documents; the answer names those that are wanted.
+    Announce(Vec<Revision>),
+    /// Brings documents.
+    Push(Vec<DocumentRecord>),
+    /// Asks for documents by service.
+    Fetch(Vec<String>),
+    /// Brings records of members.
+    Members(Vec<MemberUpdate>),
+    /// Brings the state of one upstream from its leaving owner to its next one.
+    HandOver(HandOver),
+    /// Says that all upstreams were handed over.
+    HandOverDone,
+}
+
+/// The answer to a request on a link.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum LinkReply {
+    /// The request was taken in.
+    Ok,
+    /// The request was refused.
+    Refused,
+    /// The answering daemon has spent its bytes for copies; ask again after this many milliseconds.
+    Busy(u64),
+    /// What differs.
+    Difference(Box<Difference>),
+    /// Services whose announced documents are wanted.
+    Wanted(Vec<String>),
+    /// Documents; fewer than asked for when the answer would be too long.
+    Documents(Vec<DocumentRecord>),
+}
+
+/// Returns revisions as they are sent.
+pub fn to_revisions(digest: Digest) -> Vec<Revision> {
+    let entries = digest.entries.into_iter();
+    entries
+        .map(|e| Revision {
+            service: e.service.to_string(),
+            in_force: e.in_force,
+            seen: e.seen,
+        })
+        .collect()
+}
+
+/// Returns revisions that were received.
+pub fn to_digest(revisions: Vec<Revision>) -> Digest {
+    let entries = revisions.into_iter().map(|r| DigestEntry {
+        service: r.service.into(),
+        in_force: r.in_force,
+        seen: r.seen,
+    });
+    Digest {
+        entries: entries.collect(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/links/push.rs
@@ -0,0 +1,65 @@
+//! Announcement of changed documents to a few random peers.
+//!
+//! Each daemon announces a change once, when it learns of it. A peer asks for the documents that
+//! it lacks, so that a document crosses to each daemon about once.
+
+use {
+    super::exchange,
+    crate::members::{
+        control::count,
+        Control, //
+    },
+    foxtailhinge_policy::members::{
+        Member,
+        MemberState, //
+    },
+    rand::seq::IteratorRandom,
+    std::{
+        rc::Rc,
+        time::Duration, //
+    },
+};
+
+/// Time during which changes are gathered into one announcement.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Announces changes as they come, without end.
+pub async fn run(control: Rc<Control>) {
+    loop {
+        control.fresh_wake.wait().await;
+        monoio::time::sleep(GATHER).await;
+        let mut services = control.take_fresh();
+        services.sort_unstable();
+        services.dedup();
+        let services = Rc::new(services);
+        for peer in pick_peers(&control) {
+            let control = control.clone();
+            let services = services.clone();
+            monoio::spawn(async move { announce(control, peer, &services).await });
+        }
+    }
+}
+
+async fn announce(control: Rc<Control>, peer: Member, services: &[Rc<str>]) {
+    count(&control.counters().announcements, 1);
+    if let Err(err) = exchange::announce(&control, &peer, services).await {
+        let vm = &peer.vm;
+        log::debug!("event=announce_failed peer={vm} cause=\"{err}\"");
+    }
+}
+
+fn pick_peers(control: &Control) -> Vec<Member> {
+    let limits = control.settings().limits;
+    let members = control.members();
+    let me = members.me();
+    let alive = || {
+        let others = members.iter().skip(1);
+        others.filter(|m| m.state == MemberState::Alive && !control.is_denied(&m.vm))
+    };
+    let mut rng = control.rng();
+    let near = alive().filter(|m| m.zone == me.zone);
+    let mut peers = near.choose_multiple(&mut *rng, limits.push_near);
+    let far = alive().filter(|m| m.zone != me.zone);
+    peers.extend(far.choose_multiple(&mut *rng, limits.push_far));
+    peers.into_iter().cloned().collect()
+}
--- /dev/null
+++ b/crates/daemon/src/links/server.rs
@@ -0,0 +1,262 @@
+//! The answering end of the links.
+
+use {
+    super::{
+        budget::ByteBudget,
+        client::{
+            read_body,
+            LinkError,
+            BUFFER,
+            WINDOW, //
+        },
+        exchange,
+        message::{
+            LinkReply,
+            LinkRequest,
+            BODY_MAX,
+            FIRST_BODY_MAX, //
+        },
+    },
+    crate::members::{
+        control::count,
+        Control,
+        Source, //
+    },
+    bytes::Bytes,
+    foxtailhinge_wire::{
+        envelope::Opened,
+        message::HandOver,
+        ticket::name_hash, //
+    },
+    h2::{
+        server::SendResponse,
+        RecvStream, //
+    },
+    http::{
+        Request,
+        Response,
+        StatusCode, //
+    },
+    monoio::net::{
+        ListenerOpts,
+        TcpListener,
+        TcpStream, //
+    },
+    monoio_compat::StreamWrapper,
+    std::{
+        cell::{
+            Cell,
+            RefCell, //
+        },
+        io,
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Streams that one link may have open at a time.
+const STREAMS: u32 = 8;
+
+/// Wait after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes in what other parts of the daemon send to each other over links.
+pub trait LinkHandler {
+    /// Takes over an upstream from its leaving owner; `false` refuses it.
+    fn on_hand_over(&self, from: &Rc<str>, hand_over: HandOver) -> bool;
+
+    /// Notes that `from` has handed over all of its upstreams.
+    fn on_hand_over_done(&self, from: &Rc<str>);
+}
+
+/// Answers links.
+pub struct Server<H> {
+    control: Rc<Control>,
+    handler: Rc<H>,
+    listener: TcpListener,
+    inbound: Rc<Cell<usize>>,
+    budget: RefCell<ByteBudget>,
+}
+
+impl<H: LinkHandler + 'static> Server<H> {
+    /// Binds the control address.
+    pub fn bind(control: Rc<Control>, handler: Rc<H>) -> Result<Rc<Self>, io::Error> {
+        let opts = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+        let listener = TcpListener::bind_with_config(control.settings().control, &opts)?;
+        let limits = control.settings().limits;
+        let budget = ByteBudget::new(limits.copy_rate, limits.copy_burst, Instant::now());
+        Ok(Rc::new(Self {
+            control,
+            handler,
+            listener,
+            inbound: Rc::default(),
+            budget: RefCell::new(budget),
+        }))
+    }
+
+    /// Accepts links without end.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => self.clone().admit(stream),
+                Err(err) => {
+                    log::warn!("event=link_accept_failed cause=\"{err}\"");
+                    monoio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn admit(self: Rc<Self>, stream: TcpStream) {
+        if self.inbound.get() >= self.control.settings().limits.inbound_links {
+            return;
+        }
+        self.inbound.set(self.inbound.get() + 1);
+        monoio::spawn(async move {
+            if let Err(err) = self.clone().serve(stream).await {
+                log::debug!("event=link_failed cause=\"{err}\"");
+            }
+            self.inbound.set(self.inbound.get() - 1);
+        });
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) -> Result<(), LinkError> {
+        stream.set_nodelay(true)?;
+        let limits = self.control.settings().limits;
+        let io = StreamWrapper::new_with_buffer_size(stream, BUFFER, BUFFER);
+        let mut builder = h2::server::Builder::new();
+        builder
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW)
+            .max_concurrent_streams(STREAMS);
+        let handshake = monoio::time::timeout(limits.link_timeout, builder.handshake(io));
+        let mut connection = handshake.await.map_err(|_| LinkError::Timeout)??;
+        let trusted = Rc::new(Cell::new(false));
+        loop {
+            let idle = match trusted.get() {
+                true => 2 * limits.link_idle,
+                false => limits.link_timeout,
+            };
+            let Ok(next) = monoio::time::timeout(idle, connection.accept()).await else {
+                return Ok(());
+            };
+            let Some(accepted) = next else {
+                return Ok(());
+            };
+            let (request, respond) = accepted?;
+            let server = self.clone();
+            let trusted = trusted.clone();
+            monoio::spawn(async move {
+                if let Err(err) = server.answer(request, respond, &trusted).await {
+                    log::debug!("event=link_request_failed cause=\"{err}\"");
+                }
+            });
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+        trusted: &Cell<bool>,
+    ) -> Result<(), LinkError> {
+        let settings = self.control.settings();
+        let max = match trusted.get() {
+            true => BODY_MAX,
+            false => FIRST_BODY_MAX,
+        };
+        let body = read_body(request.into_body(), max);
+        let body = monoio::time::timeout(settings.limits.link_timeout, body).await;
+        let body = body.map_err(|_| LinkError::Timeout)??;
+        let me = name_hash(&settings.vm);
+        let opened = match settings.keys.open::<LinkRequest>(me, &body) {
+            Ok(opened) => opened,
+            Err(err) => {
+                count(&self.control.counters().links_refused, 1);
+                refuse(&mut respond)?;
+                return Err(err.into());
+            }
+        };
+        if self.control.is_denied_hash(opened.from) {
+            respond.send_reset(h2::Reason::REFUSED_STREAM);
+            return Err(LinkError::Denied);
+        }
+        trusted.set(true);
+        count(
+            &self.control.counters().link_bytes_received,
+            body.len() as u64,
+        );
+        let from = opened.from;
+        let reply = self.reply(opened);
+        let body = settings.keys.seal(me, settings.incarnation, from, &reply);
+        if matches!(reply, LinkReply::Documents(_) | LinkReply::Difference(_)) {
+            self.budget.borrow_mut().spend(body.len());
+        }
+        count(&self.control.counters().link_bytes_sent, body.len() as u64);
+        let mut stream = respond.send_response(Response::new(()), false)?;
+        stream.send_data(body.into(), true)?;
+        Ok(())
+    }
+
+    fn reply(&self, opened: Opened<LinkRequest>) -> LinkReply {
+        let control = &self.control;
+        let from = self.sender(opened.from);
+        match opened.message {
+            LinkRequest::Hello(record) => {
+                control.merge_members([record]);
+                LinkReply::Ok
+            }
+            LinkRequest::Compare(sums) => exchange::difference(control, &sums),
+            LinkRequest::Announce(revisions) => exchange::wanted(control, revisions),
+            LinkRequest::Push(records) => {
+                exchange::take_documents(control, records, &from);
+                LinkReply::Ok
+            }
+            LinkRequest::Fetch(services) => self.documents(&services),
+            LinkRequest::Members(updates) => {
+                control.merge_members(updates);
+                LinkReply::Ok
+            }
+            LinkRequest::HandOver(hand_over) => match self.handler.on_hand_over(&from, hand_over) {
+                true => LinkReply::Ok,
+                false => LinkReply::Refused,
+            },
+            LinkRequest::HandOverDone => {
+                self.handler.on_hand_over_done(&from);
+                LinkReply::Ok
+            }
+        }
+    }
+
+    fn documents(&self, services: &[String]) -> LinkReply {
+        let wait = self.budget.borrow_mut().wait(Instant::now());
+        if !wait.is_zero() {
+            return LinkReply::Busy(wait.as_millis() as u64 + 1);
+        }
+        LinkReply::Documents(exchange::documents(&self.control, services))
+    }
+
+    fn sender(&self, hash: u32) -> Rc<str> {
+        let members = self.control.members();
+        match members.by_hash(hash) {
+            Some(member) => member.vm.clone(),
+            None => format!("vm-hash-{hash:08x}").into(),
+        }
+    }
+}
+
+fn refuse(respond: &mut SendResponse<Bytes>) -> Result<(), LinkError> {
+    let mut head = Response::new(());
+    *head.status_mut() = StatusCode::FORBIDDEN;
+    respond.send_response(head, true)?;
+    Ok(())
+}
+
+impl From<&Rc<str>> for Source {
+    fn from(vm: &Rc<str>) -> Self {
+        Self::Peer(vm.clone())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/members/event.rs
@@ -0,0 +1,66 @@
+//! Changes of the control state that other parts react to.
+
+use {
+    foxtailhinge_config::document::ServiceDocument,
+    foxtailhinge_policy::{
+        members::Change,
+        pause::Pause, //
+    },
+    std::{
+        fmt,
+        rc::Rc, //
+    },
+};
+
+/// Where a document came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's configuration service.
+    Platform,
+    /// A peer, by its VM id.
+    Peer(Rc<str>),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Peer(vm) => f.write_str(vm),
+        }
+    }
+}
+
+/// A change of the control state.
+#[derive(Clone, Debug)]
+pub enum ControlEvent {
+    /// A document came into force, or with `new` empty its service was removed.
+    Document {
+        /// Name of the service.
+        service: Rc<str>,
+        /// Revision now in force.
+        revision: u64,
+        /// Document in force before.
+        old: Option<Rc<ServiceDocument>>,
+        /// Document in force now.
+        new: Option<Rc<ServiceDocument>>,
+        /// Where it came from.
+        source: Source,
+    },
+    /// A document with findings was refused; the last good one stays in force.
+    Refused {
+        /// Name of the service.
+        service: Rc<str>,
+        /// Revision of the refused document.
+        revision: u64,
+        /// Findings, each a whole sentence with its place.
+        findings: Vec<String>,
+        /// Where it came from.
+        source: Source,
+    },
+    /// A member changed.
+    Member(Change),
+    /// The process did not run for a while; what it held may have moved on.
+    Paused(Pause),
+    /// This daemon has synced and takes new work again.
+    Synced,
+}
--- /dev/null
+++ b/crates/daemon/src/members/prober.rs
@@ -0,0 +1,294 @@
+//! Liveness probes over the relay.
+
+use {
+    super::{
+        control::{
+            count,
+            Control, //
+        },
+        record,
+    },
+    foxtailhinge_policy::members::{
+        Member,
+        MemberState, //
+    },
+    foxtailhinge_wire::{
+        message::{
+            MemberUpdate,
+            RelayMessage, //
+        },
+        ticket::name_hash,
+    },
+    rand::seq::IteratorRandom,
+    std::{
+        cell::{
+            Cell,
+            RefCell, //
+        },
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::Instant, //
+    },
+};
+
+/// Members asked to probe a member that missed a probe.
+const HELPERS: usize = 2;
+
+/// Probes for others that are remembered at a time.
+const ON_BEHALF_MAX: usize = 256;
+
+/// Sends datagrams on the relay socket.
+pub trait RelaySender {
+    /// Seals and sends `message` to the daemon whose VM id has the hash `to`.
+    fn send(&self, to: u32, addr: SocketAddr, message: &RelayMessage);
+}
+
+#[derive(Debug)]
+struct Pending {
+    vm: Rc<str>,
+    sent: Instant,
+    direct: bool,
+}
+
+#[derive(Debug)]
+struct OnBehalf {
+    origin: u32,
+    addr: SocketAddr,
+    seq: u32,
+    sent: Instant,
+}
+
+/// Probes members and answers their probes.
+pub struct Prober<S> {
+    control: Rc<Control>,
+    sender: S,
+    next_seq: Cell<u32>,
+    last_expiry: Cell<Instant>,
+    pending: RefCell<HashMap<u32, Pending>>,
+    on_behalf: RefCell<HashMap<u32, OnBehalf>>,
+}
+
+impl<S: RelaySender> Prober<S> {
+    /// Creates a prober that sends through `sender`.
+    pub fn new(control: Rc<Control>, sender: S) -> Rc<Self> {
+        Rc::new(Self {
+            next_seq: Cell::new(control.settings().incarnation),
+            last_expiry: Cell::new(Instant::now()),
+            control,
+            sender,
+            pending: RefCell::default(),
+            on_behalf: RefCell::default(),
+        })
+    }
+
+    /// Probes a few random members in each interval, without end.
+    pub async fn run(&self) {
+        let limits = self.control.settings().limits;
+        loop {
+            self.round();
+            let _ =
+                monoio::time::timeout(limits.probe_timeout, self.control.probe_wake.wait()).await;
+            self.expire(Instant::now());
+            let rest = limits.probe_interval - limits.probe_timeout;
+            let _ = monoio::time::timeout(rest, self.control.probe_wake.wait()).await;
+            self.expire(Instant::now());
+            let changes = self.control.members_mut().tick(Instant::now());
+            self.control.notify_member(changes);
+        }
+    }
+
+    /// Sends one round of probes.
+    pub fn round(&self) {
+        let mut members = self.control.members_mut();
+        let targets = members.probe_targets(&mut *self.control.rng());
+        drop(members);
+        for target in targets {
+            self.ping(&target);
+        }
+    }
+
+    /// Counts probes that were not answered in time; each is tried once more, also by others.
+    ///
+    /// Nothing is counted when this process itself did not run: the answers may still be unread.
+    pub fn expire(&self, now: Instant) {
+        let timeout = self.control.settings().limits.probe_timeout;
+        let late = |sent: Instant| now.saturating_duration_since(sent) >= timeout;
+        let missed: Vec<_> = self
+            .pending
+            .borrow_mut()
+            .extract_if(|_, pending| late(pending.sent))
+            .filter(|(_, pending)| pending.direct)
+            .map(|(_, pending)| pending.vm)
+            .collect();
+        self.on_behalf.borrow_mut().retain(|_, p| !late(p.sent));
+        let limits = self.control.settings().limits;
+        let asleep = now.saturating_duration_since(self.last_expiry.replace(now));
+        if asleep > 2 * limits.probe_interval {
+            return;
+        }
+        for vm in missed {
+            self.miss(&vm, now);
+        }
+    }
+
+    /// Takes a message of the relay that is about probes; others are ignored.
+    pub fn on_message(&self, from: u32, addr: SocketAddr, message: RelayMessage) {
+        if self.control.is_denied_hash(from) {
+            return;
+        }
+        match message {
+            RelayMessage::Ping { seq, updates } => {
+                self.control.merge_members(updates);
+                self.ack(from, addr, seq);
+            }
+            RelayMessage::Ack { seq, updates } => {
+                self.control.merge_members(updates);
+                self.on_ack(from, seq);
+            }
+            RelayMessage::PingRequest {
+                seq,
+                target,
+                updates,
+            } => {
+                self.control.merge_members(updates);
+                self.ping_on_behalf(from, addr, seq, target);
+            }
+            RelayMessage::Open { .. } | RelayMessage::Forward { .. } => {}
+        }
+    }
+
+    fn ping(&self, target: &Member) {
+        let seq = self.take_seq();
+        self.await_answer(seq, target, true);
+        count(&self.control.counters().probes_sent, 1);
+        let updates = self.updates_for(target);
+        self.send(target, &RelayMessage::Ping { seq, updates });
+    }
+
+    fn miss(&self, vm: &str, now: Instant) {
+        count(&self.control.counters().probes_missed, 1);
+        let change = self.control.members_mut().on_missed(vm, now);
+        self.control.notify_member(change);
+        if !self.control.members().is_doubted(vm) {
+            return;
+        }
+        let Some(target) = self.control.members().get(vm).cloned() else {
+            return;
+        };
+        self.ping(&target);
+        self.ask_helpers(&target);
+    }
+
+    fn ask_helpers(&self, target: &Member) {
+        let helpers = {
+            let members = self.control.members();
+            let me = members.me().vm.clone();
+            let others = members
+                .live_in_zone(&members.me().zone)
+                .filter(|m| m.vm != me && m.vm != target.vm && m.state == MemberState::Alive)
+                .cloned();
+            others.choose_multiple(&mut *self.control.rng(), HELPERS)
+        };
+        for helper in helpers {
+            let seq = self.take_seq();
+            self.await_answer(seq, target, false);
+            let target = name_hash(&target.vm);
+            let updates = self.updates_for(&helper);
+            let message = RelayMessage::PingRequest {
+                seq,
+                target,
+                updates,
+            };
+            self.send(&helper, &message);
+        }
+    }
+
+    /// Only a direct probe that is not answered counts as missed.
+    fn await_answer(&self, seq: u32, target: &Member, direct: bool) {
+        let pending = Pending {
+            vm: target.vm.clone(),
+            sent: Instant::now(),
+            direct,
+        };
+        self.pending.borrow_mut().insert(seq, pending);
+    }
+
+    fn ping_on_behalf(&self, origin: u32, addr: SocketAddr, seq: u32, target: u32) {
+        if self.on_behalf.borrow().len() >= ON_BEHALF_MAX {
+            return;
+        }
+        let Some(target) = self.control.members().by_hash(target).cloned() else {
+            return;
+        };
+        let own = self.take_seq();
+        let request = OnBehalf {
+            origin,
+            addr,
+            seq,
+            sent: Instant::now(),
+        };
+        self.on_behalf.borrow_mut().insert(own, request);
+        let updates = self.updates_for(&target);
+        self.send(&target, &RelayMessage::Ping { seq: own, updates });
+    }
+
+    fn on_ack(&self, from: u32, seq: u32) {
+        if let Some(request) = self.on_behalf.borrow_mut().remove(&seq) {
+            self.ack(request.origin, request.addr, request.seq);
+            return;
+        }
+        let Some(pending) = self.pending.borrow_mut().remove(&seq) else {
+            return;
+        };
+        if !pending.direct || name_hash(&pending.vm) == from {
+            self.control.members_mut().on_ack(&pending.vm);
+        }
+    }
+
+    fn ack(&self, to: u32, addr: SocketAddr, seq: u32) {
+        let about = self.control.members().by_hash(to).cloned();
+        let updates = match about {
+            Some(member) => self.updates_for(&member),
+            None => self.updates(),
+        };
+        let message = RelayMessage::Ack { seq, updates };
+        if !self.control.is_denied_hash(to) {
+            self.sender.send(to, addr, &message);
+        }
+    }
+
+    fn send(&self, to: &Member, message: &RelayMessage) {
+        if !self.control.is_denied(&to.vm) {
+            self.sender.send(name_hash(&to.vm), to.relay, message);
+        }
+    }
+
+    /// Returns this daemon's record and news; and what is held of `peer`, for it to refute.
+    fn updates_for(&self, peer: &Member) -> Vec<MemberUpdate> {
+        let mut updates = self.updates();
+        if peer.version > 0 {
+            updates.push(record::to_wire(peer));
+        }
+        updates
+    }
+
+    fn updates(&self) -> Vec<MemberUpdate> {
+        let gossip = self.control.settings().limits.gossip;
+        let mut members = self.control.members_mut();
+        let mut updates = vec![record::to_wire(members.me())];
+        let news = members.gossip(gossip);
+        updates.extend(
+            news.iter()
+                .skip_while(|m| m.vm == members.me().vm)
+                .map(record::to_wire),
+        );
+        updates
+    }
+
+    fn take_seq(&self) -> u32 {
+        let seq = self.next_seq.get();
+        self.next_seq.set(seq.wrapping_add(1));
+        seq
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/members/record.rs
@@ -0,0 +1,50 @@
+//! Conversion of member records between decisions and wire.
+
+use {
+    foxtailhinge_policy::members::{
+        Member,
+        MemberState, //
+    },
+    foxtailhinge_wire::message::{
+        MemberState as WireState,
+        MemberUpdate, //
+    },
+};
+
+/// Returns the record as it is sent.
+pub fn to_wire(member: &Member) -> MemberUpdate {
+    let state = match member.state {
+        MemberState::Alive => WireState::Alive,
+        MemberState::Suspect => WireState::Suspect,
+        MemberState::Leaving => WireState::Leaving,
+        MemberState::Dead => WireState::Dead,
+    };
+    MemberUpdate {
+        vm: member.vm.to_string(),
+        zone: member.zone.to_string(),
+        relay: member.relay,
+        control: member.control,
+        incarnation: member.incarnation,
+        state,
+        version: member.version,
+    }
+}
+
+/// Returns the record that was received.
+pub fn from_wire(update: MemberUpdate) -> Member {
+    let state = match update.state {
+        WireState::Alive => MemberState::Alive,
+        WireState::Suspect => MemberState::Suspect,
+        WireState::Leaving => MemberState::Leaving,
+        WireState::Dead => MemberState::Dead,
+    };
+    Member {
+        vm: update.vm.into(),
+        zone: update.zone.into(),
+        relay: update.relay,
+        control: update.control,
+        incarnation: update.incarnation,
+        state,
+        version: update.version,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/members/wake.rs
@@ -0,0 +1,42 @@
+//! A flag that one task sets and another one waits for.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    future::poll_fn,
+    task::{
+        Poll,
+        Waker, //
+    },
+};
+
+/// A flag with at most one waiting task; setting it twice counts once.
+#[derive(Debug, Default)]
+pub struct Wake {
+    set: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Wake {
+    /// Sets the flag and wakes the waiting task.
+    pub fn set(&self) {
+        self.set.set(true);
+        if let Some(waker) = self.waker.borrow_mut().take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits for the flag and clears it.
+    pub async fn wait(&self) {
+        poll_fn(|cx| {
+            if self.set.take() {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -268,13 +268,14 @@
         newer
     }
 
-    /// Returns whether a document of this revision would change anything.
-    pub fn is_news(&self, service: &str, revision: u64) -> bool {
-        let Some(entry) = self.entries.get(service) else {
-            return true;
-        };
+    /// Returns the outcome of offering this revision if it is known already; `None` if it is news.
+    pub fn known(&self, service: &str, revision: u64) -> Option<Offer> {
+        let entry = self.entries.get(service)?;
         let refused = entry.refusal.as_ref().map(|r| r.revision);
-        revision > entry.revision && refused != Some(revision)
+        if refused == Some(revision) {
+            return Some(Offer::Same);
+        }
+        self.compare(service, revision)
     }
 
     fn compare(&self, service: &str, revision: u64) -> Option<Offer> {
