--- a/crates/daemon/src/links/message.rs
+++ b/crates/daemon/src/links/message.rs
@@ -12,8 +12,9 @@
     },
     foxtailhinge_wire::message::{
         DocumentRecord,
-        HandOver,
-        MemberUpdate, //
+        MemberUpdate,
+        OwnerReply,
+        OwnerRequest, //
     },
 };
 
@@ -85,10 +86,8 @@
     Fetch(Vec<String>),
     /// Brings records of members.
     Members(Vec<MemberUpdate>),
-    /// Brings the state of one upstream from its leaving owner to its next one.
-    HandOver(HandOver),
-    /// Says that all upstreams were handed over.
-    HandOverDone,
+    /// Asks about the ownership of one upstream.
+    Owner(OwnerRequest),
 }
 
 /// The answer to a request on a link.
@@ -96,14 +95,14 @@
 pub enum LinkReply {
     /// The request was taken in.
     Ok,
-    /// The request was refused.
-    Refused,
     /// The answering daemon has spent its bytes for copies; ask again after this many milliseconds.
     Busy(u64),
     /// What differs.
     Difference(Box<Difference>),
     /// Services whose announced documents are wanted.
     Wanted(Vec<String>),
+    /// Answers a request about ownership.
+    Owner(OwnerReply),
     /// Documents; fewer than asked for when the answer would be too long.
     Documents(Vec<DocumentRecord>),
 }
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -25,7 +25,10 @@
     bytes::Bytes,
     foxtailhinge_wire::{
         envelope::Opened,
-        message::HandOver,
+        message::{
+            OwnerReply,
+            OwnerRequest, //
+        },
         ticket::name_hash, //
     },
     h2::{
@@ -63,13 +66,15 @@
 /// Wait after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Takes in what other parts of the daemon send to each other over links.
+/// Answers requests about the ownership of upstreams.
 pub trait LinkHandler {
-    /// Takes over an upstream from its leaving owner; `false` refuses it.
-    fn on_hand_over(&self, from: &Rc<str>, hand_over: HandOver) -> bool;
-
-    /// Notes that `from` has handed over all of its upstreams.
-    fn on_hand_over_done(&self, from: &Rc<str>);
+    /// Answers a request of the daemon `from` in its given incarnation.
+    fn on_owner_request(
+        &self,
+        from: &Rc<str>,
+        incarnation: u32,
+        request: OwnerRequest,
+    ) -> OwnerReply;
 }
 
 /// Answers links.
@@ -220,13 +225,9 @@
                 control.merge_members(updates);
                 LinkReply::Ok
             }
-            LinkRequest::HandOver(hand_over) => match self.handler.on_hand_over(&from, hand_over) {
-                true => LinkReply::Ok,
-                false => LinkReply::Refused,
-            },
-            LinkRequest::HandOverDone => {
-                self.handler.on_hand_over_done(&from);
-                LinkReply::Ok
+            LinkRequest::Owner(request) => {
+                let incarnation = opened.from_incarnation;
+                LinkReply::Owner(self.handler.on_owner_request(&from, incarnation, request))
             }
         }
     }
