Prove the flow ledger over any interleaving

Cause: a run at the previous owner could be marked as not run at the next one, and a handed over record was taken in without bounds. Seen: an_oversized_record_stays_bounded failed first (epoch); the property any_interleaving_is_sound fails when not_run reaches runs elsewhere. Change: not_run touches runs in progress here only; import clamps epochs and forgets the oldest runs over the bound.

--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -114,9 +114,13 @@
 }
 
 impl Run {
-    fn in_progress(&self) -> bool {
+    fn is_in_progress(&self) -> bool {
         matches!(self.state, RunState::InProgress)
     }
+
+    fn is_pending(&self) -> bool {
+        matches!(self.state, RunState::InProgress | RunState::Elsewhere)
+    }
 }
 
 impl FlowLedger {
@@ -158,12 +162,12 @@
 
     /// Number of runs in progress here.
     pub fn in_progress(&self) -> usize {
-        self.runs.iter().filter(|run| run.in_progress()).count()
+        self.runs.iter().filter(|run| run.is_in_progress()).count()
     }
 
     /// Decides about a request by its token and the epoch of its ticket.
     pub fn begin(&mut self, token: &[u8], ticket_epoch: u32, now: Instant) -> Begin {
-        if let Some(run) = self.runs.iter_mut().find(|run| run.token[..] == *token) {
+        if let Some(run) = self.find(token) {
             run.epoch = run.epoch.max(ticket_epoch);
             return match &run.state {
                 RunState::InProgress => Begin::Join,
@@ -198,7 +202,7 @@
     /// first outcome.
     pub fn finish(&mut self, token: &[u8], answer: Rc<[u8]>, now: Instant) -> u32 {
         let at = self.seconds(now);
-        if let Some(run) = self.pending(token) {
+        if let Some(run) = self.find(token).filter(|run| run.is_pending()) {
             run.state = RunState::Answered(answer);
             run.at = at;
         }
@@ -208,22 +212,25 @@
 
     /// Remembers that the upstream said "not run" and that the caller is told so.
     ///
-    /// Copies that come later are [`Begin::Refused`], since the caller may ask again with another
-    /// token. To try another upstream first, do so before this call.
+    /// Has no effect on a run of the previous owner, which alone hears its outcome. Copies that
+    /// come later are [`Begin::Refused`], since the caller may ask again with another token. To try
+    /// another upstream first, do so before this call.
     pub fn not_run(&mut self, token: &[u8]) {
-        if let Some(run) = self.pending(token) {
+        if let Some(run) = self.find(token).filter(|run| run.is_in_progress()) {
             run.state = RunState::Refused;
         }
     }
 
-    /// Remembers that another owner runs the request; copies that come here are [`Begin::Elsewhere`].
+    /// Remembers that another owner runs the request; copies that come here are
+    /// [`Begin::Elsewhere`].
     pub fn moved(&mut self, token: &[u8]) {
-        if let Some(run) = self.pending(token) {
+        if let Some(run) = self.find(token).filter(|run| run.is_pending()) {
             run.state = RunState::Elsewhere;
         }
     }
 
-    /// Takes over a flow of which nothing is known but a ticket with this epoch; no run of that ticket is let through.
+    /// Takes over a flow of which nothing is known but a ticket with this epoch; no run of that
+    /// ticket is let through.
     pub fn resume(ticket_epoch: u32, now: Instant) -> Self {
         let mut ledger = Self::new(now);
         ledger.forget_epoch(ticket_epoch.min(EPOCH_LAST));
@@ -236,7 +243,7 @@
         let right = RIGHT.as_secs() as u32;
         let mut forgotten = 0;
         self.runs.retain(|run| {
-            let keep = run.in_progress() || now.saturating_sub(run.at) <= right;
+            let keep = run.is_in_progress() || now.saturating_sub(run.at) <= right;
             if !keep {
                 forgotten = forgotten.max(run.epoch);
             }
@@ -261,19 +268,18 @@
 
     /// Takes over a ledger; the age of its runs counts from now.
     pub fn import(record: LedgerRecord, now: Instant) -> Self {
-        let runs = record.runs.into_iter().map(Run::from).collect();
-        Self {
-            epoch: record.epoch,
-            forgotten: record.forgotten,
-            runs,
+        let mut ledger = Self {
+            epoch: record.epoch.clamp(EPOCH_FIRST, EPOCH_LAST),
+            forgotten: record.forgotten.min(EPOCH_LAST),
+            runs: record.runs.into_iter().map(Run::from).collect(),
             ..Self::new(now)
-        }
+        };
+        while ledger.runs.len() > MAX_RUNS && ledger.forget_oldest() {}
+        ledger
     }
 
-    fn pending(&mut self, token: &[u8]) -> Option<&mut Run> {
-        let run = self.runs.iter_mut().find(|run| run.token[..] == *token)?;
-        let pending = matches!(run.state, RunState::InProgress | RunState::Elsewhere);
-        pending.then_some(run)
+    fn find(&mut self, token: &[u8]) -> Option<&mut Run> {
+        self.runs.iter_mut().find(|run| run.token[..] == *token)
     }
 
     fn forget_oldest(&mut self) -> bool {
@@ -281,7 +287,7 @@
             .runs
             .iter()
             .enumerate()
-            .filter(|(_, run)| !run.in_progress());
+            .filter(|(_, run)| !run.is_in_progress());
         let Some((oldest, _)) = ended.min_by_key(|(_, run)| run.at) else {
             return false;
         };
--- /dev/null
+++ b/crates/policy/tests/ledger.rs
@@ -0,0 +1,440 @@
+//! At-most-once execution over copies, lost answers, forgetting and hand-over.
+
+use {
+    foxtailhinge_policy::ledger::{
+        Begin,
+        FlowLedger,
+        LedgerRecord,
+        RunOutcome,
+        RunRecord,
+        EPOCH_FIRST,
+        EPOCH_LAST,
+        MAX_RUNS,
+        RIGHT, //
+    },
+    quickcheck::{
+        Arbitrary,
+        Gen,
+        QuickCheck, //
+    },
+    rstest::rstest,
+    std::{
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const TOKEN: &[u8] = b"a";
+
+fn answer(byte: u8) -> Rc<[u8]> {
+    Rc::from([byte])
+}
+
+/// A flow with one run, and the time of its beginning.
+fn running() -> (FlowLedger, Instant) {
+    let now = Instant::now();
+    let mut ledger = FlowLedger::new(now);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Run);
+    (ledger, now)
+}
+
+#[test]
+fn a_copy_joins_then_gets_the_first_answer() {
+    let (mut ledger, now) = running();
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Join);
+    assert_eq!(ledger.answer_epoch(), EPOCH_FIRST + 1);
+    assert_eq!(ledger.finish(TOKEN, answer(1), now), EPOCH_FIRST + 1);
+    assert_eq!(ledger.epoch(), EPOCH_FIRST + 1);
+    assert_eq!(
+        ledger.begin(TOKEN, EPOCH_FIRST, now),
+        Begin::Answered(answer(1))
+    );
+}
+
+#[test]
+fn the_first_outcome_stays() {
+    let (mut ledger, now) = running();
+    ledger.finish(TOKEN, answer(1), now);
+    ledger.finish(TOKEN, answer(2), now);
+    ledger.not_run(TOKEN);
+    assert_eq!(
+        ledger.begin(TOKEN, EPOCH_FIRST, now),
+        Begin::Answered(answer(1))
+    );
+}
+
+/// The caller was told "not run" and may ask again with another token, so a late copy must not run.
+#[test]
+fn a_copy_of_a_refused_request_is_refused_too() {
+    let (mut ledger, now) = running();
+    ledger.not_run(TOKEN);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Refused);
+    assert_eq!(ledger.begin(b"b", EPOCH_FIRST, now), Begin::Run);
+    ledger.collect(now + RIGHT + 2 * SECOND);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Expired);
+}
+
+#[rstest]
+#[case::within_its_right(RIGHT, Begin::Answered(answer(1)))]
+#[case::past_its_right(RIGHT + 2 * SECOND, Begin::Expired)]
+#[case::much_later(RIGHT * 1000, Begin::Expired)]
+fn a_copy_after_a_collection(#[case] age: Duration, #[case] begin: Begin) {
+    let (mut ledger, now) = running();
+    ledger.finish(TOKEN, answer(1), now);
+    ledger.collect(now + age);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now + age), begin);
+    assert_eq!(ledger.begin(b"b", ledger.epoch(), now + age), Begin::Run);
+}
+
+#[test]
+fn a_run_in_progress_is_never_forgotten() {
+    let (mut ledger, now) = running();
+    ledger.collect(now + RIGHT * 1000);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Join);
+    assert_eq!(ledger.in_progress(), 1);
+}
+
+/// A copy that came with a newer ticket must not run either once the run is forgotten.
+#[test]
+fn forgetting_covers_the_newest_ticket_seen_with_a_token() {
+    let (mut ledger, now) = running();
+    ledger.finish(TOKEN, answer(1), now);
+    ledger.begin(TOKEN, EPOCH_FIRST + 1, now);
+    ledger.collect(now + RIGHT + 2 * SECOND);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST + 1, now), Begin::Expired);
+    assert!(ledger.epoch() > ledger.forgotten());
+}
+
+#[test]
+fn when_full_the_oldest_finished_run_is_forgotten() {
+    let now = Instant::now();
+    let mut ledger = FlowLedger::new(now);
+    for token in 0..MAX_RUNS as u8 {
+        let epoch = ledger.epoch();
+        assert_eq!(ledger.begin(&[token], epoch, now), Begin::Run);
+        ledger.finish(&[token], answer(token), now + u32::from(token) * SECOND);
+    }
+    let epoch = ledger.epoch();
+    assert_eq!(ledger.begin(b"new", epoch, now), Begin::Run);
+    assert_eq!(ledger.begin(&[0], EPOCH_FIRST, now), Begin::Expired);
+    assert_eq!(
+        ledger.begin(&[1], EPOCH_FIRST + 1, now),
+        Begin::Answered(answer(1))
+    );
+}
+
+#[test]
+fn when_all_are_in_progress_a_request_is_refused_and_never_runs() {
+    let now = Instant::now();
+    let mut ledger = FlowLedger::new(now);
+    for token in 0..MAX_RUNS as u8 {
+        assert_eq!(ledger.begin(&[token], EPOCH_FIRST, now), Begin::Run);
+    }
+    assert_eq!(ledger.begin(b"new", EPOCH_FIRST, now), Begin::Full);
+    ledger.finish(&[0], answer(0), now);
+    assert_eq!(ledger.begin(b"new", EPOCH_FIRST, now), Begin::Expired);
+    assert_eq!(ledger.begin(&[1], EPOCH_FIRST, now), Begin::Join);
+    assert_eq!(ledger.begin(b"again", ledger.epoch(), now), Begin::Run);
+}
+
+/// The old owner answers what it runs; nothing new runs there, and its runs do not run at the new
+/// owner.
+#[test]
+fn hand_over() {
+    let (mut old, now) = running();
+    old.begin(b"done", EPOCH_FIRST, now);
+    old.finish(b"done", answer(1), now);
+    old.begin(b"refused", EPOCH_FIRST, now);
+    old.not_run(b"refused");
+    let record = old.export();
+    insta::assert_debug_snapshot!(record);
+
+    let mut new = FlowLedger::import(record, now);
+    assert_eq!(new.epoch(), old.epoch());
+    assert_eq!(new.begin(TOKEN, EPOCH_FIRST, now), Begin::Elsewhere);
+    assert_eq!(
+        new.begin(b"done", EPOCH_FIRST, now),
+        Begin::Answered(answer(1))
+    );
+    assert_eq!(new.begin(b"refused", EPOCH_FIRST, now), Begin::Refused);
+    assert_eq!(new.begin(b"new", EPOCH_FIRST, now), Begin::Run);
+
+    assert_eq!(old.begin(b"new", EPOCH_FIRST, now), Begin::Elsewhere);
+    assert_eq!(old.begin(TOKEN, EPOCH_FIRST, now), Begin::Join);
+    old.finish(TOKEN, answer(2), now);
+    assert_eq!(
+        old.begin(TOKEN, EPOCH_FIRST, now),
+        Begin::Answered(answer(2))
+    );
+}
+
+#[test]
+fn a_run_elsewhere_is_forgotten_like_a_finished_one() {
+    let (mut old, now) = running();
+    let mut new = FlowLedger::import(old.export(), now);
+    new.collect(now + RIGHT + 2 * SECOND);
+    assert_eq!(new.begin(TOKEN, EPOCH_FIRST, now), Begin::Expired);
+}
+
+/// A run that another owner took up is not refused here, and its outcome may still be heard.
+#[test]
+fn a_run_that_moved() {
+    let (mut ledger, now) = running();
+    ledger.moved(TOKEN);
+    ledger.not_run(TOKEN);
+    assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Elsewhere);
+    assert_eq!(ledger.in_progress(), 0);
+    ledger.finish(TOKEN, answer(1), now);
+    ledger.moved(TOKEN);
+    let begin = ledger.begin(TOKEN, EPOCH_FIRST, now);
+    assert_eq!(begin, Begin::Answered(answer(1)));
+}
+
+#[rstest]
+#[case::first(EPOCH_FIRST)]
+#[case::later(70)]
+#[case::past_the_end(u32::MAX)]
+fn a_flow_resumed_from_a_ticket_runs_nothing_of_it(#[case] epoch: u32) {
+    let now = Instant::now();
+    let mut ledger = FlowLedger::resume(epoch, now);
+    assert_eq!(
+        ledger.begin(TOKEN, epoch.min(EPOCH_LAST), now),
+        Begin::Expired
+    );
+    assert_eq!(ledger.epoch(), epoch.min(EPOCH_LAST - 1) + 1);
+}
+
+/// A peer of the fleet may hand over more runs than fit here, or epochs past the end.
+#[test]
+fn an_oversized_record_stays_bounded() {
+    let now = Instant::now();
+    let run = |token: u16| RunRecord {
+        token: token.to_be_bytes().to_vec(),
+        epoch: u32::from(token) + 1,
+        outcome: RunOutcome::Refused,
+    };
+    let record = LedgerRecord {
+        epoch: u32::MAX,
+        forgotten: 0,
+        runs: (0..1000).map(run).collect(),
+    };
+    let mut ledger = FlowLedger::import(record, now);
+    assert_eq!(ledger.epoch(), EPOCH_LAST);
+    assert_eq!(ledger.export().runs.len(), MAX_RUNS);
+    let mut copy = FlowLedger::import(ledger.export(), now);
+    assert_eq!(copy.begin(&[0, 0], 1, now), Begin::Expired);
+    assert_eq!(copy.begin(&[3, 231], 1000, now), Begin::Refused);
+}
+
+/// At the end of the epochs runs go on until the last one is forgotten; then nothing runs on this
+/// flow.
+#[test]
+fn the_last_epoch() {
+    let now = Instant::now();
+    let record = LedgerRecord {
+        epoch: EPOCH_LAST - 1,
+        forgotten: 0,
+        runs: Vec::new(),
+    };
+    let mut ledger = FlowLedger::import(record, now);
+    assert!(!ledger.exhausted());
+    assert_eq!(ledger.begin(TOKEN, ledger.epoch(), now), Begin::Run);
+    assert_eq!(ledger.finish(TOKEN, answer(1), now), EPOCH_LAST);
+    assert!(ledger.exhausted());
+    assert_eq!(ledger.answer_epoch(), EPOCH_LAST);
+    assert_eq!(ledger.begin(b"b", EPOCH_LAST, now), Begin::Run);
+    ledger.finish(b"b", answer(2), now);
+    ledger.collect(now + RIGHT + 2 * SECOND);
+    assert_eq!(ledger.begin(b"b", EPOCH_LAST, now), Begin::Expired);
+    assert_eq!(ledger.begin(b"c", EPOCH_LAST, now), Begin::Expired);
+}
+
+/// One thing that happens to a flow.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The caller sends a request with its newest ticket, or with an older one.
+    Send { age: u8 },
+    /// A copy of an earlier request arrives at an owner, the present one or one before.
+    Copy { request: u8, owner: u8 },
+    /// The owner that runs a request answers it.
+    Finish { request: u8 },
+    /// An upstream refuses a request.
+    NotRun { request: u8, owner: u8 },
+    /// Time passes and every owner collects.
+    Collect { seconds: u8 },
+    /// The present owner hands over.
+    HandOver,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let request = u8::arbitrary(g);
+        let owner = u8::arbitrary(g) % 3;
+        match u8::arbitrary(g) % 16 {
+            0..=5 => Self::Send { age: request % 4 },
+            6..=8 => Self::Copy { request, owner },
+            9..=11 => Self::Finish { request },
+            12 => Self::NotRun { request, owner },
+            13..=14 => Self::Collect { seconds: request },
+            _ => Self::HandOver,
+        }
+    }
+}
+
+/// What is true of a request, whatever the ledgers remember.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Truth {
+    NeverRan,
+    RunsAt(usize),
+    Ran,
+    RefusedByUpstream,
+}
+
+struct Request {
+    token: Vec<u8>,
+    epoch: u32,
+    truth: Truth,
+    told_not_run: bool,
+}
+
+/// A flow with its owners, the present one last, and what the network may still carry.
+struct Flow {
+    owners: Vec<FlowLedger>,
+    now: Instant,
+    requests: Vec<Request>,
+    violations: Vec<String>,
+}
+
+impl Flow {
+    fn new(epoch: u32) -> Self {
+        let now = Instant::now();
+        let record = LedgerRecord {
+            epoch,
+            forgotten: 0,
+            runs: Vec::new(),
+        };
+        Self {
+            owners: vec![FlowLedger::import(record, now)],
+            now,
+            requests: Vec::new(),
+            violations: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Send { age } => self.send(age),
+            Step::Copy { request, owner } => {
+                if let Some(request) = self.pick(request) {
+                    let owner = (self.owners.len() - 1).saturating_sub(owner.into());
+                    self.arrive(request, owner);
+                }
+            }
+            Step::Finish { request } => self.finish(request),
+            Step::NotRun { request, owner } => {
+                if let Some(request) = self.pick(request) {
+                    let owner = (self.owners.len() - 1).saturating_sub(owner.into());
+                    self.refuse(request, owner);
+                }
+            }
+            Step::Collect { seconds } => {
+                self.now += u32::from(seconds) * SECOND;
+                self.owners.iter_mut().for_each(|l| l.collect(self.now));
+            }
+            Step::HandOver => {
+                let record = self.owners.last_mut().unwrap().export();
+                self.owners.push(FlowLedger::import(record, self.now));
+            }
+        }
+    }
+
+    fn pick(&self, request: u8) -> Option<usize> {
+        usize::from(request).checked_rem(self.requests.len())
+    }
+
+    fn send(&mut self, age: u8) {
+        let owner = self.owners.len() - 1;
+        self.requests.push(Request {
+            token: (self.requests.len() as u32).to_be_bytes().to_vec(),
+            epoch: self.owners[owner].epoch().saturating_sub(age.into()),
+            truth: Truth::NeverRan,
+            told_not_run: false,
+        });
+        self.arrive(self.requests.len() - 1, owner);
+    }
+
+    fn arrive(&mut self, index: usize, owner: usize) {
+        let request = &mut self.requests[index];
+        let begin = self.owners[owner].begin(&request.token, request.epoch, self.now);
+        let sound = match begin {
+            Begin::Run => request.truth == Truth::NeverRan && !request.told_not_run,
+            Begin::Join => request.truth == Truth::RunsAt(owner),
+            Begin::Answered(_) => request.truth == Truth::Ran,
+            Begin::Refused => request.truth == Truth::RefusedByUpstream,
+            Begin::Full => request.truth == Truth::NeverRan,
+            Begin::Expired | Begin::Elsewhere => true,
+        };
+        if !sound {
+            let truth = request.truth;
+            self.violations
+                .push(format!("request {index}: {begin:?} when {truth:?}"));
+        }
+        match begin {
+            Begin::Run => request.truth = Truth::RunsAt(owner),
+            Begin::Full | Begin::Refused => request.told_not_run = true,
+            _ => (),
+        }
+    }
+
+    fn finish(&mut self, request: u8) {
+        let Some(request) = self.pick(request) else {
+            return;
+        };
+        let request = &mut self.requests[request];
+        if let Truth::RunsAt(owner) = request.truth {
+            self.owners[owner].finish(&request.token, answer(0), self.now);
+            request.truth = Truth::Ran;
+        }
+    }
+
+    fn refuse(&mut self, request: usize, owner: usize) {
+        let request = &mut self.requests[request];
+        self.owners[owner].not_run(&request.token);
+        if request.truth == Truth::RunsAt(owner) {
+            request.truth = Truth::RefusedByUpstream;
+            request.told_not_run = true;
+        }
+    }
+}
+
+/// Whatever the order of copies, answers, refusals, collections and hand-overs: a request runs at
+/// most once, and "not run" is true.
+#[rstest]
+#[case::from_the_first_epoch(EPOCH_FIRST)]
+#[case::through_the_last_epoch(EPOCH_LAST - 20)]
+fn any_interleaving_is_sound(#[case] epoch: u32) {
+    let property = move |steps: Vec<Step>| {
+        let mut flow = Flow::new(epoch);
+        steps.iter().for_each(|step| flow.step(step));
+        assert_eq!(flow.violations, Vec::<String>::new());
+    };
+    let gen = Gen::from_size_and_seed(600, 1);
+    QuickCheck::new()
+        .rng(gen)
+        .tests(1500)
+        .quickcheck(Property(property));
+}
+
+/// A property that captures the epoch to begin with.
+struct Property<F>(F);
+
+impl<F: Fn(Vec<Step>) + 'static> quickcheck::Testable for Property<F> {
+    fn result(&self, g: &mut Gen) -> quickcheck::TestResult {
+        (self.0)(Vec::arbitrary(g));
+        quickcheck::TestResult::passed()
+    }
+}
--- a/crates/wire/tests/envelope.rs
+++ b/crates/wire/tests/envelope.rs
@@ -3,6 +3,10 @@
 mod support;
 
 use {
+    bincode::{
+        Decode,
+        Encode, //
+    },
     foxtailhinge_wire::{
         envelope::{
             EnvelopeError,
@@ -11,15 +15,18 @@
             ENVELOPE_OVERHEAD, //
         },
         message::{
-            LinkMessage,
+            Forward,
+            OwnerReply,
             RelayMessage, //
         },
     },
     rstest::rstest,
+    std::fmt::Debug,
     support::{
         check,
-        link_messages,
         member,
+        owner_replies,
+        owner_requests,
         peer_keys,
         relay_messages,
         OTHER_SECRET,
@@ -43,43 +50,47 @@
     }
 }
 
+fn seal<T: Encode>(message: &T) -> Vec<u8> {
+    peer_keys().seal(FROM, FROM_INCARNATION, TO, message)
+}
+
+fn check_round_trip<T>(messages: Vec<T>)
+where
+    T: Encode + Decode<()> + Debug + PartialEq,
+{
+    for message in messages {
+        let buf = seal(&message);
+        assert_eq!(peer_keys().open(TO, &buf), Ok(opened(message)));
+    }
+}
+
 #[test]
 fn round_trip() {
-    let keys = peer_keys();
-    for message in relay_messages() {
-        let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
-        assert_eq!(keys.open(TO, &buf), Ok(opened(message)));
-    }
-    for message in link_messages() {
-        let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
-        assert_eq!(keys.open(TO, &buf), Ok(opened(message)));
-    }
+    check_round_trip(relay_messages());
+    check_round_trip(owner_requests());
+    check_round_trip(owner_replies());
 }
 
 /// Daemons of different versions run side by side, so the bytes of a message must not change.
 #[test]
 fn sealed_bytes() {
-    let keys = peer_keys();
-    let relay = relay_messages();
-    let link = link_messages();
-    let relay = relay
-        .iter()
-        .map(|m| hex(&keys.seal(FROM, FROM_INCARNATION, TO, m)));
-    let link = link
-        .iter()
-        .map(|m| hex(&keys.seal(FROM, FROM_INCARNATION, TO, m)));
-    insta::assert_snapshot!(relay.chain(link).collect::<Vec<_>>().join("\n"));
+    let relay = relay_messages().iter().map(seal).collect::<Vec<_>>();
+    let requests = owner_requests().iter().map(seal).collect::<Vec<_>>();
+    let replies = owner_replies().iter().map(seal).collect::<Vec<_>>();
+    let lines = [relay, requests, replies].concat();
+    let lines = lines.iter().map(|buf| hex(buf)).collect::<Vec<_>>();
+    insta::assert_snapshot!(lines.join("\n"));
 }
 
 #[test]
 fn forwarded_datagrams_of_any_length() {
     fn property(datagram: Vec<u8>, times: u8) -> bool {
-        let message = RelayMessage::Forward {
+        let message = RelayMessage::Forward(Forward {
             caller: "192.0.2.1:5683".parse().unwrap(),
             service: 1,
             bounces: 0,
             datagram: datagram.repeat(times.into()),
-        };
+        });
         let keys = peer_keys();
         let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
         keys.open(TO, &buf) == Ok(opened(message))
@@ -92,7 +103,8 @@
 fn lists_of_any_length() {
     let keys = peer_keys();
     for len in (0..100).chain([343, 2400, 20_000]) {
-        let message = LinkMessage::Members {
+        let message = RelayMessage::Ack {
+            seq: 1,
             updates: vec![member(); len],
         };
         let buf = keys.seal(FROM, FROM_INCARNATION, TO, &message);
@@ -130,23 +142,23 @@
     #[case] keys: Vec<(u8, [u8; 32])>,
     #[case] error: Option<EnvelopeError>,
 ) {
-    let buf = peer_keys().seal(FROM, FROM_INCARNATION, TO, &LinkMessage::Ok);
-    let opened = PeerKeys::new(fleet, keys).open::<LinkMessage>(me, &buf);
+    let buf = peer_keys().seal(FROM, FROM_INCARNATION, TO, &OwnerReply::Ok);
+    let opened = PeerKeys::new(fleet, keys).open::<OwnerReply>(me, &buf);
     assert_eq!(opened.err(), error);
 }
 
 /// An authentic body that does not decode as the expected message, or has bytes left over.
 #[rstest]
 #[case::unknown_variant(&[250])]
-#[case::cut(&[1])]
-#[case::left_over(&[6, 0])]
-#[case::list_longer_than_the_body(&[3, 252, 0xff, 0xff, 0xff, 0xff])]
-#[case::list_longer_than_memory(&[3, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff])]
+#[case::cut(&[3])]
+#[case::left_over(&[3, 5, 0, 0])]
+#[case::list_longer_than_the_body(&[3, 5, 252, 0xff, 0xff, 0xff, 0xff])]
+#[case::list_longer_than_memory(&[3, 5, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff])]
 fn garbled_body(#[case] body: &[u8]) {
     let keys = peer_keys();
     let buf = keys.seal(FROM, FROM_INCARNATION, TO, &Raw(body.to_vec()));
     assert_eq!(
-        keys.open::<LinkMessage>(TO, &buf),
+        keys.open::<RelayMessage>(TO, &buf),
         Err(EnvelopeError::Garbled)
     );
 }
@@ -156,7 +168,7 @@
 #[test]
 fn a_ticket_is_no_envelope() {
     let sealed = support::ticket_keys().seal(&support::ticket(), support::SERVICE);
-    let opened = peer_keys().open::<LinkMessage>(TO, &sealed);
+    let opened = peer_keys().open::<OwnerReply>(TO, &sealed);
     assert_eq!(opened.err(), Some(EnvelopeError::WrongKey));
 }
 
--- a/crates/wire/tests/hostile.rs
+++ b/crates/wire/tests/hostile.rs
@@ -6,7 +6,7 @@
     foxtailhinge_wire::{
         coap::Datagram,
         message::{
-            LinkMessage,
+            OwnerReply,
             RelayMessage, //
         },
     },
@@ -40,7 +40,7 @@
 fn any_bytes_as_an_envelope() {
     fn property(buf: Vec<u8>) -> bool {
         let keys = peer_keys();
-        keys.open::<RelayMessage>(1, &buf).is_err() && keys.open::<LinkMessage>(1, &buf).is_err()
+        keys.open::<RelayMessage>(1, &buf).is_err() && keys.open::<OwnerReply>(1, &buf).is_err()
     }
     check(1000, property as fn(_) -> _);
 }
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -13,15 +13,19 @@
         envelope::PeerKeys,
         message::{
             AllowanceRecord,
-            DocumentRecord,
-            DocumentRevision,
             FeedRecord,
+            Finished,
+            FinishedRun,
             FlowKey,
             FlowRecord,
+            Forward,
             HandOver,
-            LinkMessage,
+            LedgerRecord,
             MemberState,
             MemberUpdate,
+            Open,
+            OwnerReply,
+            OwnerRequest,
             RelayMessage,
             RunOutcome,
             RunRecord, //
@@ -46,6 +50,14 @@
 pub(crate) const OTHER_SECRET: [u8; 32] = [8; 32];
 pub(crate) const SERVICE: &str = "syncdesk-api";
 
+const UPSTREAM: &str = "192.0.2.100:5683";
+
+const FLOW: FlowKey = FlowKey {
+    owner: 5,
+    owner_incarnation: 6,
+    flow: 7,
+};
+
 /// Checks a property on the same inputs in every run.
 pub(crate) fn check<T: Testable>(tests: u64, property: T) {
     let gen = Gen::from_size_and_seed(200, 1);
@@ -90,19 +102,20 @@
     let caller = "192.0.2.1:5683".parse().unwrap();
     let datagram = post().to_bytes();
     vec![
-        RelayMessage::Open {
+        RelayMessage::Open(Open {
             caller,
             service: 1,
             candidates: vec![2, 3, 4],
             next: 1,
+            confirmed: false,
             datagram: datagram.clone(),
-        },
-        RelayMessage::Forward {
+        }),
+        RelayMessage::Forward(Forward {
             caller,
             service: 1,
             bounces: 1,
             datagram,
-        },
+        }),
         RelayMessage::Ping {
             seq: 5,
             updates: vec![member()],
@@ -119,35 +132,29 @@
     ]
 }
 
-pub(crate) fn link_messages() -> Vec<LinkMessage> {
+pub(crate) fn owner_requests() -> Vec<OwnerRequest> {
+    let upstream = UPSTREAM.parse().unwrap();
     vec![
-        LinkMessage::Digest {
-            documents: vec![DocumentRevision {
-                service: SERVICE.into(),
-                revision: 4,
+        OwnerRequest::Claim { upstream },
+        OwnerRequest::Settled { upstream },
+        OwnerRequest::Finished(Finished {
+            upstream,
+            slots: 1,
+            runs: vec![FinishedRun {
+                flow: FLOW,
+                token: vec![1],
+                answer: vec![2],
             }],
-        },
-        LinkMessage::DigestHash { count: 1, hash: 2 },
-        LinkMessage::Documents {
-            records: vec![
-                DocumentRecord {
-                    service: SERVICE.into(),
-                    revision: 4,
-                    text: Some("{}".into()),
-                },
-                DocumentRecord {
-                    service: "certvault".into(),
-                    revision: 5,
-                    text: None,
-                },
-            ],
-        },
-        LinkMessage::Members {
-            updates: vec![member()],
-        },
-        LinkMessage::HandOver(hand_over()),
-        LinkMessage::HandOverDone,
-        LinkMessage::Ok,
+        }),
+    ]
+}
+
+pub(crate) fn owner_replies() -> Vec<OwnerReply> {
+    vec![
+        OwnerReply::HandOver(hand_over()),
+        OwnerReply::NotHeld,
+        OwnerReply::NotYours,
+        OwnerReply::Ok,
     ]
 }
 
@@ -159,34 +166,32 @@
         outcome,
     };
     HandOver {
-        service: 1,
-        upstream: 2,
-        upstream_incarnation: 3,
+        upstream: UPSTREAM.parse().unwrap(),
+        upstream_incarnation: Some(3),
         allowance: AllowanceRecord {
             slots: 4,
             connections: 2000,
         },
+        in_use: 1,
         flows: vec![FlowRecord {
-            owner: 5,
-            owner_incarnation: 6,
-            flow: 7,
+            keys: vec![FLOW],
+            service: 1,
+            name: 2,
             caller,
-            epoch: 3,
-            forgotten: 1,
-            runs: vec![
-                run(1, RunOutcome::Elsewhere),
-                run(2, RunOutcome::Answered(vec![1, 2])),
-                run(3, RunOutcome::Refused),
-            ],
+            ledger: LedgerRecord {
+                epoch: 3,
+                forgotten: 1,
+                runs: vec![
+                    run(1, RunOutcome::Elsewhere),
+                    run(2, RunOutcome::Answered(vec![1, 2])),
+                    run(3, RunOutcome::Refused),
+                ],
+            },
         }],
         feeds: vec![FeedRecord {
-            flow: FlowKey {
-                owner: 5,
-                owner_incarnation: 6,
-                flow: 7,
-            },
+            flow: FLOW,
             caller,
-            token: vec![9],
+            observe: 9,
             request: feed().to_bytes(),
         }],
     }
