--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -8,8 +8,14 @@
         read_text,
         start,
         Fields,
+        Quoted,
         Reader, //
-    }, //
+    },
+    seen::SeenNames, //
+};
+use foxtailhinge_wire::ticket::{
+    name_hash,
+    zone_hash, //
 };
 use jsonc_parser::ast::{
     Object,
@@ -217,13 +223,19 @@
 fn read_zones(reader: &Reader<'_>, fields: &Fields<'_, '_, '_>) -> Option<Vec<Zone>> {
     let value = fields.required("zones")?;
     let entries = reader.entries(reader.object(value)?);
+    let mut seen = SeenNames::new("zone", zone_hash);
     let mut zones = Vec::new();
     for (at, name, state) in entries.iter() {
         let name = reader.check_name(at, name);
         let in_service = reader.word(state, &[("in", true), ("out", false)]);
-        if let (Some(name), Some(in_service)) = (name, in_service) {
-            zones.push(Zone { name, in_service });
-        }
+        let Some(name) = name else {
+            continue;
+        };
+        seen.check(reader, at, &name);
+        zones.push(Zone {
+            name,
+            in_service: in_service.unwrap_or(false),
+        });
     }
     if !(1..=bounds::ZONES).contains(&entries.iter().count()) {
         reader.report(
@@ -289,7 +301,7 @@
 ) -> Option<Arc<str>> {
     let value = fields.required("zone")?;
     let zone = reader.name(value)?;
-    let Some(zones) = zones else {
+    let Some(zones) = zones.filter(|zones| !zones.is_empty()) else {
         return Some(zone);
     };
     if !zones.iter().any(|z| z.name == zone) {
@@ -297,7 +309,8 @@
         reader.report(
             start(value),
             format!(
-                "Add the zone \"{zone}\" to \"zones\" or write one of those listed: {}.",
+                "Add the zone {} to \"zones\" or write one of those listed: {}.",
+                Quoted(&zone),
                 listed.join(", ")
             ),
         );
@@ -308,7 +321,7 @@
 /// Names and addresses of the upstreams read so far.
 struct SeenUpstreams {
     service: Option<SocketAddr>,
-    names: HashMap<Arc<str>, ()>,
+    names: SeenNames<u32>,
     addresses: HashMap<SocketAddr, Arc<str>>,
 }
 
@@ -316,26 +329,28 @@
     fn new(service: Option<SocketAddr>) -> Self {
         Self {
             service,
-            names: HashMap::new(),
+            names: SeenNames::new("upstream", name_hash),
             addresses: HashMap::new(),
         }
     }
 
     fn check(&mut self, reader: &Reader<'_>, at: usize, upstream: &Upstream) {
         let Upstream { name, address, .. } = upstream;
+        self.names.check(reader, at, name);
+        let name = Quoted(name);
         if self.service == Some(*address) {
             reader.report(
                 at,
-                format!("Give \"{name}\" an address of its own; {address} is the service's."),
+                format!("Give {name} an address of its own; {address} is the service's."),
             );
         }
-        if self.names.insert(name.clone(), ()).is_some() {
-            reader.report(at, format!("Rename the second upstream \"{name}\"."));
-        }
-        if let Some(other) = self.addresses.insert(*address, name.clone()) {
+        if let Some(other) = self.addresses.insert(*address, upstream.name.clone()) {
             reader.report(
                 at,
-                format!("Give \"{name}\" an address of its own; \"{other}\" has {address}."),
+                format!(
+                    "Give {name} an address of its own; {} has {address}.",
+                    Quoted(&other)
+                ),
             );
         }
     }
@@ -392,7 +407,7 @@
         if routes.iter().any(|r| r.path == route.path) {
             reader.report(
                 start(value),
-                format!("Remove the second route \"{}\".", route.path),
+                format!("Remove the second route {}.", Quoted(&route.path)),
             );
         }
         routes.push(route);
--- a/crates/config/src/finding.rs
+++ b/crates/config/src/finding.rs
@@ -48,6 +48,20 @@
         Self(findings)
     }
 
+    /// Adds a note at the last finding that `left_out` further ones are not listed.
+    pub(crate) fn with_left_out(mut self, left_out: usize) -> Self {
+        let Some(last) = self.0.last().filter(|_| left_out > 0) else {
+            return self;
+        };
+        let message = format!("Correct these first; {left_out} more findings are not listed.");
+        let note = Finding {
+            message,
+            ..last.clone()
+        };
+        self.0.push(note);
+        self
+    }
+
     /// Iterates over the findings by place.
     pub fn iter(&self) -> slice::Iter<'_, Finding> {
         self.0.iter()
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod finding;
 pub mod reader;
 pub mod report;
+mod seen;
 pub mod settings;
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -25,6 +25,7 @@
         Cell,
         RefCell, //
     },
+    fmt,
     net::{
         IpAddr,
         SocketAddr, //
@@ -65,7 +66,10 @@
         Err(e) => {
             reader.report(
                 e.range().start,
-                format!("Write JSON with comments; the reader met: {}.", e.kind()),
+                format!(
+                    "Correct the JSON here: {}.",
+                    lower_first(&e.kind().to_string())
+                ),
             );
             None
         }
@@ -175,17 +179,8 @@
     }
 
     fn into_findings(self) -> Findings {
-        let mut findings = self.findings.into_inner();
         let left_out = self.left_out.get();
-        if left_out > 0 {
-            findings.push(Finding {
-                file: self.file,
-                line: u32::MAX,
-                column: 1,
-                message: format!("Mend these first; {left_out} more findings are not shown."),
-            });
-        }
-        Findings::new(findings)
+        Findings::new(self.findings.into_inner()).with_left_out(left_out)
     }
 
     fn finish<T>(self, found: Option<T>) -> Result<T, Findings> {
@@ -205,14 +200,14 @@
     /// Reads the fields of an object; fields not in `known` and duplicates are findings.
     pub fn fields<'r, 'a>(&'r self, object: &'a Object<'a>, known: &[&str]) -> Fields<'r, 't, 'a> {
         let fields = self.entries(object);
-        for (name, prop) in &fields.entries {
-            if !known.contains(name) {
-                let known = known.join(", ");
-                self.report(
-                    prop.range.start,
-                    format!("Remove the unknown field \"{name}\"; the fields here are {known}."),
-                );
-            }
+        let unknown = fields.entries.iter().filter(|(n, _)| !known.contains(n));
+        for (name, prop) in unknown {
+            let name = Quoted(name);
+            let known = known.join(", ");
+            self.report(
+                prop.range.start,
+                format!("Remove the unknown field {name}; the fields here are {known}."),
+            );
         }
         fields
     }
@@ -227,9 +222,10 @@
                 entries.push((name, prop));
                 continue;
             }
+            let name = Quoted(name);
             self.report(
                 prop.range.start,
-                format!("Remove the second \"{name}\"; a field is written once."),
+                format!("Remove the second {name}; a field is written once."),
             );
         }
         Fields {
@@ -455,6 +451,28 @@
     value.range().start
 }
 
+/// Longest run of hexadecimal digits that is shown; a longer one may be a key.
+const SHOWN_HEX_DIGITS: usize = 15;
+
+/// A text from a file, in quotes unless it may hold a key.
+pub(crate) struct Quoted<'a>(pub(crate) &'a str);
+
+impl fmt::Display for Quoted<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut runs = self.0.split(|c: char| !c.is_ascii_hexdigit());
+        if runs.any(|run| run.len() > SHOWN_HEX_DIGITS) {
+            return f.write_str("(hidden, as it may be a key)");
+        }
+        write!(f, "{:?}", self.0)
+    }
+}
+
+fn lower_first(text: &str) -> String {
+    let mut chars = text.chars();
+    let first = chars.next().map(|c| c.to_ascii_lowercase());
+    first.into_iter().chain(chars).collect()
+}
+
 fn describe(value: &Value<'_>) -> &'static str {
     match value {
         Value::StringLit(_) => "a string",
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -9,8 +9,10 @@
         start,
         Fields,
         Reader, //
-    }, //
+    },
+    seen::SeenNames, //
 };
+use foxtailhinge_wire::ticket::name_hash;
 use jsonc_parser::ast::{
     Object,
     Value, //
@@ -334,20 +336,16 @@
         return Some(Vec::new());
     };
     let list = reader.array(value, bounds::PEERS)?;
+    let mut seen = SeenNames::new("VM", name_hash);
+    if let Some(own) = own {
+        seen.check(reader, fields.start(), own);
+    }
     let mut peers: Vec<Peer> = Vec::new();
     for value in &list.elements {
         let Some(peer) = read_peer(reader, value) else {
             continue;
         };
-        if own == Some(&peer.vm) {
-            reader.report(start(value), "Remove this peer; it is the VM itself.");
-        }
-        if peers.iter().any(|p| p.vm == peer.vm) {
-            reader.report(
-                start(value),
-                format!("Remove the second peer \"{}\".", peer.vm),
-            );
-        }
+        seen.check(reader, start(value), &peer.vm);
         peers.push(peer);
     }
     Some(peers)
