--- /dev/null
+++ b/crates/policy/benches/placement/main.rs
@@ -0,0 +1,25 @@
+//! Placement and load decisions under load: a discrete-event simulation of each policy.
+//!
+//! `cargo bench -p foxtailhinge-policy --bench placement [-- NAME...]` prints plain tables. Every
+//! policy of a table meets the same arrivals.
+
+mod report;
+mod scenarios;
+mod sim;
+mod trace;
+mod truth;
+
+use scenarios::SCENARIOS;
+
+fn main() {
+    let names: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|arg| !arg.starts_with('-'))
+        .collect();
+    for scenario in SCENARIOS {
+        let wanted = names.is_empty() || names.iter().any(|name| name == scenario.name);
+        if wanted {
+            (scenario.run)();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/placement/report.rs
@@ -0,0 +1,156 @@
+//! What a run is measured by, and its tables.
+
+use {
+    hdrhistogram::Histogram,
+    std::{fmt, time::Duration},
+};
+
+const US_MAX: u64 = 3_600_000_000;
+
+/// Measures over the requests that first arrived in one span of the run.
+pub(crate) struct Span {
+    wait: Histogram<u64>,
+    total: Histogram<u64>,
+    /// Requests that were answered within the deadline.
+    pub(crate) in_time: u64,
+    /// Requests answered after it.
+    pub(crate) late: u64,
+    /// Requests never served: refused for good, or timed out.
+    pub(crate) failed: u64,
+    /// Refusals, each one of a caller that comes back counted.
+    pub(crate) refusals: u64,
+    /// Requests sent to upstreams, retries included.
+    pub(crate) sent: u64,
+    /// Requests that upstreams shed.
+    pub(crate) shed: u64,
+    /// Bounces of new flows.
+    pub(crate) bounces: u64,
+    /// New flows that were admitted.
+    pub(crate) admitted: u64,
+    /// Requests for each upstream.
+    pub(crate) by_upstream: Vec<u64>,
+}
+
+impl Span {
+    pub(crate) fn new(upstreams: usize) -> Self {
+        let histogram = || Histogram::new_with_max(US_MAX, 3).expect("bounds are valid");
+        Self {
+            wait: histogram(),
+            total: histogram(),
+            in_time: 0,
+            late: 0,
+            failed: 0,
+            refusals: 0,
+            sent: 0,
+            shed: 0,
+            bounces: 0,
+            admitted: 0,
+            by_upstream: vec![0; upstreams],
+        }
+    }
+
+    /// Counts a wait from arrival to the first start.
+    pub(crate) fn wait(&mut self, wait: Duration) {
+        self.wait.saturating_record(wait.as_micros() as u64);
+    }
+
+    /// Counts a whole answer time.
+    pub(crate) fn answer(&mut self, total: Duration, in_time: bool) {
+        self.total.saturating_record(total.as_micros() as u64);
+        if in_time {
+            self.in_time += 1;
+        } else {
+            self.late += 1;
+        }
+    }
+
+    /// Mean wait in milliseconds.
+    pub(crate) fn mean_wait_ms(&self) -> f64 {
+        self.wait.mean() / 1e3
+    }
+
+    /// 99th percentile of the wait in milliseconds.
+    pub(crate) fn p99_wait_ms(&self) -> f64 {
+        self.wait.value_at_quantile(0.99) as f64 / 1e3
+    }
+
+    /// 99th percentile of the answer time in milliseconds.
+    pub(crate) fn p99_total_ms(&self) -> f64 {
+        self.total.value_at_quantile(0.99) as f64 / 1e3
+    }
+
+    /// Requests that ended one way or another.
+    pub(crate) fn requests(&self) -> u64 {
+        self.in_time + self.late + self.failed
+    }
+
+    /// Share of requests answered in time, in percent.
+    pub(crate) fn in_time_percent(&self) -> f64 {
+        percent(self.in_time, self.requests())
+    }
+
+    /// Refusals for each hundred requests and refusals.
+    pub(crate) fn refused_percent(&self) -> f64 {
+        percent(self.refusals, self.refusals + self.in_time + self.late)
+    }
+
+    /// Share of the requests sent that upstreams shed, in percent.
+    pub(crate) fn shed_percent(&self) -> f64 {
+        percent(self.shed, self.sent)
+    }
+
+    /// Bounces for each admitted flow.
+    pub(crate) fn bounces_per_flow(&self) -> f64 {
+        self.bounces as f64 / self.admitted.max(1) as f64
+    }
+
+    /// Most requests of an upstream over the mean.
+    pub(crate) fn imbalance(&self) -> f64 {
+        let max = self.by_upstream.iter().copied().max().unwrap_or(0) as f64;
+        let sum: u64 = self.by_upstream.iter().sum();
+        max * self.by_upstream.len() as f64 / sum.max(1) as f64
+    }
+}
+
+/// `part` of `whole` in percent.
+pub(crate) fn percent(part: u64, whole: u64) -> f64 {
+    100.0 * part as f64 / whole.max(1) as f64
+}
+
+/// A plain table in Markdown.
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    pub(crate) fn new(head: &[&str]) -> Self {
+        Self {
+            rows: vec![head.iter().map(ToString::to_string).collect()],
+        }
+    }
+
+    pub(crate) fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let columns = self.rows[0].len();
+        let width = |c: usize| self.rows.iter().map(|row| row[c].len()).max().unwrap_or(0);
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        for (i, row) in self.rows.iter().enumerate() {
+            for (cell, width) in row.iter().zip(&widths) {
+                write!(f, "| {cell:width$} ")?;
+            }
+            writeln!(f, "|")?;
+            if i == 0 {
+                for width in &widths {
+                    write!(f, "|{:-<1$}", "", width + 2)?;
+                }
+                writeln!(f, "|")?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/policy/benches/placement/sim.rs
@@ -0,0 +1,863 @@
+//! Discrete-event simulation that drives the decisions of this package.
+
+use {
+    crate::{
+        report::Span,
+        trace::{Flow, Load},
+        truth::{Outcome, Truth},
+    },
+    foxtailhinge_policy::{
+        admission::{Admission, Limits, Start, WaitingList},
+        allowance::{Allowance, AllowanceSpec, Capacity},
+        budget::RetryBudget,
+        comeback::Comeback,
+        placement::{Placement, Ramp, Sequence},
+    },
+    rand::{rngs::SmallRng, Rng, SeedableRng},
+    smallvec::SmallVec,
+    std::{
+        cmp::Reverse,
+        collections::BinaryHeap,
+        time::{Duration, Instant},
+    },
+};
+
+/// How an upstream is chosen for a new flow.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Policy {
+    Random,
+    RoundRobin,
+    /// Two random ones, by the ingress daemon's own unfinished requests.
+    OwnCounts,
+    /// Least loaded, by a view refreshed every 250 ms.
+    StaleLeast,
+    /// Two random ones, by a view refreshed every 250 ms.
+    StaleTwo,
+    /// Candidates, whose owners admit or bounce.
+    Owner,
+}
+
+/// What the owners of the candidates decide by.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Pick {
+    /// The first with a free slot; the last one queues.
+    FirstFree,
+    /// The first with a free slot; when none has one, the least loaded queues.
+    FirstFreeElseLeast,
+    /// All are asked, the least loaded takes it.
+    LeastLoad,
+    /// As before, but an owner with a busier upstream than the candidates before passes it on.
+    LeastRecent,
+}
+
+/// What is on in a run.
+#[derive(Clone, Copy)]
+pub(crate) struct Options {
+    pub(crate) policy: Policy,
+    pub(crate) candidates: usize,
+    pub(crate) pick: Pick,
+    /// First candidates from a low-discrepancy sequence.
+    pub(crate) sequence: bool,
+    pub(crate) queue: u32,
+    pub(crate) allowance: bool,
+    /// Weights of a returning zone ramp.
+    pub(crate) zone_ramp: bool,
+    /// Refused callers come back, after a time that `Comeback` spreads, or after 1 s.
+    pub(crate) comeback: Option<bool>,
+    /// Retries of shed requests: none, without bound, or with a budget in percent.
+    pub(crate) retry: Retry,
+    /// Slots of each upstream kept free of new flows.
+    pub(crate) headroom: u32,
+}
+
+/// Retries of requests that an upstream shed.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Retry {
+    None,
+    Unbounded,
+    Budget(u32),
+}
+
+impl Options {
+    pub(crate) const OURS: Self = Self {
+        policy: Policy::Owner,
+        candidates: 3,
+        pick: Pick::FirstFree,
+        sequence: true,
+        queue: 4,
+        allowance: true,
+        zone_ramp: true,
+        comeback: None,
+        retry: Retry::None,
+        headroom: 0,
+    };
+
+    pub(crate) const fn baseline(policy: Policy) -> Self {
+        Self {
+            policy,
+            allowance: false,
+            zone_ramp: false,
+            ..Self::OURS
+        }
+    }
+}
+
+/// Something that happens to the fleet.
+#[derive(Clone, Copy)]
+pub(crate) enum Change {
+    /// Every upstream `i` with `i % zones == zone` goes out of service.
+    ZoneOut(usize),
+    /// The zone comes back, its upstreams cold.
+    ZoneIn(usize),
+    /// One upstream falls into a cold start without a word.
+    Chill(usize),
+}
+
+/// Sizes and events of a scenario.
+#[derive(Clone)]
+pub(crate) struct Scenario {
+    pub(crate) upstreams: usize,
+    pub(crate) slots: u32,
+    pub(crate) daemons: usize,
+    pub(crate) zones: usize,
+    pub(crate) load: Load,
+    /// One way between caller and daemon.
+    pub(crate) caller: Duration,
+    /// One way between daemons.
+    pub(crate) hop: Duration,
+    pub(crate) deadline: Duration,
+    /// Time after which a caller gives up coming back.
+    pub(crate) patience: Duration,
+    pub(crate) ramp: Duration,
+    pub(crate) changes: Vec<(Duration, Change)>,
+    /// Starts of the spans that are measured; what arrives before the first is not.
+    pub(crate) spans: Vec<Duration>,
+    pub(crate) connections: u32,
+}
+
+const VIEW_AGE: Duration = Duration::from_millis(250);
+const COLD_SLOTS: u32 = 1;
+const COLD_CONNECTIONS: u32 = 100;
+const RECENT_S: f64 = 5.0;
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+enum Event {
+    Arrive(u32),
+    Open(u32, usize, SmallVec<[usize; 4]>),
+    Request(Job),
+    Finish(Job, bool, Instant),
+    Expire(usize),
+    Refresh(usize),
+    Ramp,
+    Change(Change),
+}
+
+/// A request at its owner.
+#[derive(Clone, Copy)]
+struct Job {
+    flow: u32,
+    index: u32,
+    upstream: usize,
+    /// Arrival of the first try at the fleet.
+    since: Instant,
+    deadline: Instant,
+    confirms: bool,
+    generation: u32,
+}
+
+struct Upstream {
+    zone: usize,
+    in_service: bool,
+    admission: Admission,
+    waiting: WaitingList<Job>,
+    allowance: Allowance,
+    truth: Truth,
+    /// Requests started, decayed over [`RECENT_S`].
+    recent: f64,
+    recent_since: Instant,
+}
+
+impl Upstream {
+    fn recent_at(&self, now: Instant) -> f64 {
+        let elapsed = now - self.recent_since;
+        self.recent * (-elapsed.as_secs_f64() / RECENT_S).exp()
+    }
+}
+
+struct FlowState {
+    ingress: usize,
+    upstream: Option<usize>,
+    generation: u32,
+    since: Instant,
+}
+
+pub(crate) struct Sim<'a> {
+    scenario: &'a Scenario,
+    options: Options,
+    flows: &'a [Flow],
+    states: Vec<FlowState>,
+    events: BinaryHeap<Reverse<Entry>>,
+    order: u64,
+    origin: Instant,
+    now: Instant,
+    rng: SmallRng,
+    upstreams: Vec<Upstream>,
+    placement: Placement,
+    sequences: Vec<Sequence>,
+    turns: Vec<usize>,
+    own: Vec<Vec<u32>>,
+    views: Vec<Vec<u32>>,
+    ramps: Vec<Option<Ramp>>,
+    comeback: Vec<Comeback>,
+    budget: RetryBudget,
+    spans: Vec<Span>,
+}
+
+struct Entry {
+    at: Instant,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// Runs one policy over a trace.
+pub(crate) fn run(scenario: &Scenario, options: Options, flows: &[Flow]) -> Vec<Span> {
+    let mut sim = Sim::new(scenario, options, flows);
+    while let Some(Reverse(entry)) = sim.events.pop() {
+        sim.now = entry.at;
+        sim.handle(entry.event);
+    }
+    sim.spans
+}
+
+impl<'a> Sim<'a> {
+    fn new(scenario: &'a Scenario, options: Options, flows: &'a [Flow]) -> Self {
+        let origin = Instant::now();
+        let mut rng = SmallRng::seed_from_u64(scenario.load.seed + 1);
+        let n = scenario.upstreams;
+        let (own, views) = match options.policy {
+            Policy::OwnCounts => (vec![vec![0; n]; scenario.daemons], Vec::new()),
+            Policy::StaleLeast | Policy::StaleTwo => {
+                (Vec::new(), vec![vec![0; n]; scenario.daemons])
+            }
+            _ => (Vec::new(), Vec::new()),
+        };
+        let mut ingress = SmallRng::seed_from_u64(scenario.load.seed + 2);
+        let mut sim = Self {
+            scenario,
+            options,
+            flows,
+            states: Vec::with_capacity(flows.len()),
+            events: BinaryHeap::new(),
+            order: 0,
+            origin,
+            now: origin,
+            upstreams: Vec::new(),
+            placement: Placement::new(vec![f64::from(scenario.slots); n]),
+            sequences: (0..scenario.daemons)
+                .map(|_| Sequence::new(&mut rng))
+                .collect(),
+            turns: (0..scenario.daemons)
+                .map(|_| rng.random_range(0..n))
+                .collect(),
+            own,
+            views,
+            ramps: vec![None; n],
+            comeback: vec![Comeback::new(); n],
+            budget: RetryBudget::new(budget_percent(options.retry), 0),
+            spans: scenario.spans.iter().map(|_| Span::new(n)).collect(),
+            rng,
+        };
+        sim.upstreams = (0..n).map(|i| sim.upstream(i)).collect();
+        for flow in flows {
+            sim.states.push(FlowState {
+                ingress: ingress.random_range(0..scenario.daemons),
+                upstream: None,
+                generation: 0,
+                since: origin + flow.at,
+            });
+        }
+        for i in 0..flows.len() {
+            sim.push(origin + flows[i].at, Event::Arrive(i as u32));
+        }
+        for (at, change) in &scenario.changes {
+            sim.push(origin + *at, Event::Change(*change));
+        }
+        for daemon in 0..sim.views.len() {
+            let phase = VIEW_AGE.mul_f64(daemon as f64 / scenario.daemons as f64);
+            sim.push(origin + phase, Event::Refresh(daemon));
+        }
+        sim
+    }
+
+    fn upstream(&self, index: usize) -> Upstream {
+        let slots = self.scenario.slots;
+        let spec = AllowanceSpec {
+            full: Capacity {
+                slots,
+                connections: self.scenario.connections,
+            },
+            cold_slots: COLD_SLOTS,
+            cold_connections: COLD_CONNECTIONS,
+            ramp: self.scenario.ramp,
+        };
+        Upstream {
+            zone: index % self.scenario.zones,
+            in_service: true,
+            admission: Admission::new(Limits {
+                slots,
+                connections: self.scenario.connections,
+                queue: self.options.queue,
+            }),
+            waiting: WaitingList::default(),
+            allowance: Allowance::warm(spec, self.origin),
+            truth: Truth::warm(slots, COLD_SLOTS),
+            recent: 0.0,
+            recent_since: self.origin,
+        }
+    }
+
+    fn push(&mut self, at: Instant, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse(Entry {
+            at,
+            order: self.order,
+            event,
+        }));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(flow) => self.arrive(flow),
+            Event::Open(flow, at, candidates) => self.open(flow, at, candidates),
+            Event::Request(job) => self.request(job),
+            Event::Finish(job, answered, started) => self.finish(job, answered, started),
+            Event::Expire(upstream) => self.expire(upstream),
+            Event::Refresh(daemon) => self.refresh(daemon),
+            Event::Ramp => self.ramp(),
+            Event::Change(change) => self.change(change),
+        }
+    }
+
+    fn span(&mut self, since: Instant) -> Option<&mut Span> {
+        let at = since - self.origin;
+        let index = self.scenario.spans.partition_point(|start| *start <= at);
+        self.spans.get_mut(index.checked_sub(1)?)
+    }
+
+    fn arrive(&mut self, flow: u32) {
+        if self.options.policy == Policy::Owner {
+            let candidates = self.candidates(self.states[flow as usize].ingress);
+            if candidates.is_empty() {
+                let since = self.states[flow as usize].since;
+                self.refuse_flow(flow, since, 0);
+                return;
+            }
+            let delay = self.scenario.caller + self.scenario.hop;
+            self.push(self.now + delay, Event::Open(flow, 0, candidates));
+            return;
+        }
+        let upstream = self.choose(self.states[flow as usize].ingress);
+        self.states[flow as usize].upstream = Some(upstream);
+        let delay = self.scenario.caller + self.scenario.hop;
+        let job = self.job(flow, 0, upstream, self.states[flow as usize].since, false);
+        self.push(self.now + delay, Event::Request(job));
+    }
+
+    fn candidates(&mut self, ingress: usize) -> SmallVec<[usize; 4]> {
+        let n = self.options.candidates;
+        if self.options.sequence {
+            let point = self.sequences[ingress].next_point();
+            return self.placement.draw_at(point, n, &mut self.rng);
+        }
+        self.placement.draw(n, &mut self.rng)
+    }
+
+    fn choose(&mut self, ingress: usize) -> usize {
+        let n = self.upstreams.len();
+        match self.options.policy {
+            Policy::Random | Policy::Owner => self.placement.draw(1, &mut self.rng)[0],
+            Policy::RoundRobin => loop {
+                self.turns[ingress] = (self.turns[ingress] + 1) % n;
+                let turn = self.turns[ingress];
+                if self.upstreams[turn].in_service {
+                    return turn;
+                }
+            },
+            Policy::OwnCounts => {
+                let two = self.placement.draw(2, &mut self.rng);
+                least(&two, &self.own[ingress])
+            }
+            Policy::StaleTwo => {
+                let two = self.placement.draw(2, &mut self.rng);
+                least(&two, &self.views[ingress])
+            }
+            Policy::StaleLeast => {
+                let all = self.placement.draw(n, &mut self.rng);
+                least(&all, &self.views[ingress])
+            }
+        }
+    }
+
+    fn open(&mut self, flow: u32, at: usize, candidates: SmallVec<[usize; 4]>) {
+        let deadline = self.now + self.scenario.deadline;
+        let last = candidates.len() - 1;
+        let here = candidates[at.min(last)];
+        if at > last {
+            // The chosen one is told to take it.
+            return self.open_last(flow, here, at, deadline);
+        }
+        let free = match self.options.pick {
+            Pick::LeastLoad => false,
+            Pick::LeastRecent => false,
+            Pick::FirstFree | Pick::FirstFreeElseLeast => self.try_open(here),
+        };
+        if free {
+            return self.admit(flow, here, at);
+        }
+        if at < last {
+            self.push(
+                self.now + self.scenario.hop,
+                Event::Open(flow, at + 1, candidates),
+            );
+            return;
+        }
+        let best = match self.options.pick {
+            Pick::FirstFree => here,
+            _ => self.least_loaded(&candidates),
+        };
+        if best == here {
+            return self.open_last(flow, here, at, deadline);
+        }
+        let mut candidates = candidates;
+        candidates[last] = best;
+        self.push(
+            self.now + self.scenario.hop,
+            Event::Open(flow, at + 1, candidates),
+        );
+    }
+
+    fn try_open(&mut self, upstream: usize) -> bool {
+        let now = self.now;
+        let headroom = self.options.headroom;
+        let u = &mut self.upstreams[upstream];
+        if !u.in_service {
+            return false;
+        }
+        let spare = u
+            .admission
+            .limits()
+            .slots
+            .saturating_sub(u.admission.load());
+        spare > headroom && u.admission.open(now).is_ok()
+    }
+
+    fn open_last(&mut self, flow: u32, upstream: usize, hops: usize, deadline: Instant) {
+        let now = self.now;
+        let u = &mut self.upstreams[upstream];
+        let admitted = u.in_service && u.admission.open_last(now, deadline).is_ok();
+        if admitted {
+            return self.admit(flow, upstream, hops);
+        }
+        let since = self.states[flow as usize].since;
+        self.refuse_flow(flow, since, upstream);
+    }
+
+    fn least_loaded(&self, candidates: &[usize]) -> usize {
+        let load = |u: &usize| {
+            let a = &self.upstreams[*u].admission;
+            let slots = a.limits().slots.max(1);
+            let load = a.load() * 1_000 / slots;
+            match self.options.pick {
+                Pick::LeastRecent => ((self.upstreams[*u].recent_at(self.now) * 1e3) as u32, load),
+                _ => (load, a.connections()),
+            }
+        };
+        *candidates
+            .iter()
+            .min_by_key(|u| load(u))
+            .expect("not empty")
+    }
+
+    fn admit(&mut self, flow: u32, upstream: usize, hops: usize) {
+        let since = self.states[flow as usize].since;
+        if let Some(span) = self.span(since) {
+            span.bounces += hops as u64;
+            span.admitted += 1;
+        }
+        self.states[flow as usize].upstream = Some(upstream);
+        // 4.01 to the caller, its repetition to an ingress, relay to the owner.
+        let delay = self.scenario.caller * 2 + self.scenario.hop;
+        let job = self.job(flow, 0, upstream, since, true);
+        self.push(self.now + delay, Event::Request(job));
+    }
+
+    fn job(&self, flow: u32, index: u32, upstream: usize, since: Instant, confirms: bool) -> Job {
+        Job {
+            flow,
+            index,
+            upstream,
+            since,
+            deadline: self.now + self.scenario.deadline,
+            confirms,
+            generation: self.states[flow as usize].generation,
+        }
+    }
+
+    fn refuse_flow(&mut self, flow: u32, since: Instant, upstream: usize) {
+        if let Some(span) = self.span(since) {
+            span.refusals += 1;
+        }
+        match self.come_back(since, upstream) {
+            Some(at) => self.push(at, Event::Arrive(flow)),
+            None => self.fail(since),
+        }
+    }
+
+    fn refuse(&mut self, job: Job) {
+        if let Some(span) = self.span(job.since) {
+            span.refusals += 1;
+        }
+        match self.come_back(job.since, job.upstream) {
+            Some(at) => self.push(at, Event::Request(job)),
+            None => {
+                self.fail(job.since);
+                self.next(job);
+            }
+        }
+    }
+
+    fn come_back(&mut self, since: Instant, upstream: usize) -> Option<Instant> {
+        let spread = self.options.comeback?;
+        let after = if spread {
+            self.comeback[upstream].after(self.now, 0.0, &mut self.rng)
+        } else {
+            Duration::from_secs(1)
+        };
+        let at = self.now + after + self.scenario.caller * 2;
+        (at < since + self.scenario.patience).then_some(at)
+    }
+
+    fn fail(&mut self, since: Instant) {
+        if let Some(span) = self.span(since) {
+            span.failed += 1;
+        }
+    }
+
+    fn request(&mut self, job: Job) {
+        let mut job = job;
+        let state = &self.states[job.flow as usize];
+        if state.generation != job.generation {
+            return;
+        }
+        if !self.upstreams[job.upstream].in_service {
+            return self.give_up(job.flow);
+        }
+        if job.confirms || (job.index == 0 && self.options.policy != Policy::Owner) {
+            let confirmed = self.upstreams[job.upstream].admission.confirm(self.now);
+            if confirmed.is_err() {
+                return self.refuse_flow(job.flow, job.since, job.upstream);
+            }
+            job.confirms = false;
+            self.own_add(job);
+        }
+        job.deadline = self.now + self.scenario.deadline;
+        let start = self.upstreams[job.upstream]
+            .admission
+            .start(self.now, job.deadline);
+        match start {
+            Start::Run => self.send(job),
+            Start::Wait => {
+                self.upstreams[job.upstream].waiting.push(job.deadline, job);
+                self.push(job.deadline, Event::Expire(job.upstream));
+            }
+            Start::Refuse(_) => self.refuse(job),
+        }
+    }
+
+    fn send(&mut self, job: Job) {
+        let now = self.now;
+        let by = job.upstream;
+        let wait = now - job.since;
+        if let Some(span) = self.span(job.since) {
+            span.wait(wait);
+            span.sent += 1;
+            span.by_upstream[by] += 1;
+        }
+        let u = &mut self.upstreams[by];
+        u.recent = u.recent_at(now) + 1.0;
+        u.recent_since = now;
+        self.budget.on_request(now);
+        self.comeback[by].on_admitted(now);
+        self.attempt(job);
+    }
+
+    fn attempt(&mut self, job: Job) {
+        let service = self.flows[job.flow as usize].requests[job.index as usize].service;
+        let u = &mut self.upstreams[job.upstream];
+        let outcome = u.truth.run(u.admission.in_use(), service, &mut self.rng);
+        let (after, answered) = match outcome {
+            Outcome::Answer(time) => (time, true),
+            Outcome::Shed => (Duration::from_millis(1), false),
+        };
+        let left = job.deadline.saturating_duration_since(self.now);
+        let answered = answered && after <= left;
+        let at = self.now + after.min(left);
+        self.push(at, Event::Finish(job, answered, self.now));
+    }
+
+    fn finish(&mut self, job: Job, answered: bool, started: Instant) {
+        let now = self.now;
+        let time = now - started;
+        let timed_out = !answered && now >= job.deadline;
+        let u = &mut self.upstreams[job.upstream];
+        u.truth.finish(u.admission.in_use());
+        if answered {
+            u.allowance.on_latency(now, time);
+            u.allowance.on_success(now);
+        } else if timed_out {
+            u.allowance.on_timeout(now);
+        } else {
+            u.allowance.on_shed(now);
+        }
+        if answered || timed_out {
+            u.admission.finish(now, time);
+        } else {
+            u.admission.release();
+        }
+        self.follow_allowance(job.upstream);
+        let since = job.since;
+        if answered {
+            let caller = self.scenario.caller;
+            let deadline = self.scenario.deadline;
+            if let Some(span) = self.span(since) {
+                let total = now + caller - since;
+                span.answer(total, total <= deadline);
+            }
+            self.next(job);
+        } else if timed_out {
+            self.fail(since);
+            self.next(job);
+        } else {
+            if let Some(span) = self.span(since) {
+                span.shed += 1;
+            }
+            self.shed(job);
+        }
+        self.promote(job.upstream);
+    }
+
+    fn shed(&mut self, job: Job) {
+        let retry = match self.options.retry {
+            Retry::None => false,
+            Retry::Unbounded => true,
+            Retry::Budget(_) => self.budget.try_retry(self.now),
+        };
+        let at = self.now + RETRY_PAUSE;
+        if retry && at < job.deadline {
+            let mut job = job;
+            job.confirms = false;
+            self.push(at, Event::Request(job));
+            return;
+        }
+        self.refuse(job);
+    }
+
+    fn follow_allowance(&mut self, upstream: usize) {
+        if !self.options.allowance {
+            return;
+        }
+        let u = &mut self.upstreams[upstream];
+        let (slots, connections) = u.allowance.limits(self.now);
+        let limits = Limits {
+            slots,
+            connections,
+            ..u.admission.limits()
+        };
+        u.admission.set_limits(limits);
+        u.admission.set_cold(!u.allowance.is_full());
+    }
+
+    fn promote(&mut self, upstream: usize) {
+        self.expire(upstream);
+        loop {
+            let u = &mut self.upstreams[upstream];
+            let Some(job) = u.waiting.promote(&mut u.admission, self.now) else {
+                return;
+            };
+            self.send(job);
+        }
+    }
+
+    fn expire(&mut self, upstream: usize) {
+        let u = &mut self.upstreams[upstream];
+        for job in u.waiting.expire(self.now) {
+            self.upstreams[upstream].admission.leave_queue();
+            self.fail(job.since);
+            self.next(job);
+        }
+    }
+
+    /// Begins the flow's next request, or ends the flow.
+    fn next(&mut self, job: Job) {
+        let requests = &self.flows[job.flow as usize].requests;
+        let Some(next) = requests.get(job.index as usize + 1) else {
+            self.upstreams[job.upstream].admission.disconnect();
+            self.own_remove(job);
+            self.states[job.flow as usize].upstream = None;
+            return;
+        };
+        if self.states[job.flow as usize].generation != job.generation {
+            return;
+        }
+        let planned = self.origin + self.flows[job.flow as usize].at + next.offset;
+        let since = planned.max(self.now + self.scenario.caller);
+        let delay = self.scenario.caller + self.scenario.hop;
+        let mut job = job;
+        job.index += 1;
+        job.since = since;
+        self.push(since + delay, Event::Request(job));
+    }
+
+    /// Ends the flow with its zone; its caller begins a new one at once.
+    fn give_up(&mut self, flow: u32) {
+        let upstream = self.states[flow as usize].upstream.take();
+        if let Some(upstream) = upstream {
+            self.upstreams[upstream].admission.disconnect();
+        }
+        self.states[flow as usize].generation += 1;
+        self.states[flow as usize].since = self.now;
+        self.push(self.now + self.scenario.caller * 2, Event::Arrive(flow));
+    }
+
+    fn own_add(&mut self, job: Job) {
+        if !self.own.is_empty() {
+            self.own[self.states[job.flow as usize].ingress][job.upstream] += 1;
+        }
+    }
+
+    fn own_remove(&mut self, job: Job) {
+        if !self.own.is_empty() {
+            let own = &mut self.own[self.states[job.flow as usize].ingress][job.upstream];
+            *own = own.saturating_sub(1);
+        }
+    }
+
+    fn refresh(&mut self, daemon: usize) {
+        let loads = self.upstreams.iter().map(|u| {
+            if u.in_service {
+                u.admission.load()
+            } else {
+                u32::MAX
+            }
+        });
+        self.views[daemon] = loads.collect();
+        let at = self.now + VIEW_AGE;
+        if at - self.origin < self.scenario.load.length {
+            self.push(at, Event::Refresh(daemon));
+        }
+    }
+
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::ZoneOut(zone) => self.set_zone(zone, false),
+            Change::ZoneIn(zone) => self.set_zone(zone, true),
+            Change::Chill(upstream) => self.upstreams[upstream].truth.chill(),
+        }
+    }
+
+    fn set_zone(&mut self, zone: usize, in_service: bool) {
+        for i in 0..self.upstreams.len() {
+            if self.upstreams[i].zone != zone {
+                continue;
+            }
+            let now = self.now;
+            let u = &mut self.upstreams[i];
+            u.in_service = in_service;
+            let mut weight = 0.0;
+            if in_service {
+                u.truth.chill();
+                u.allowance.restart(now);
+                let ramp = Ramp::new(u.allowance.spec(), now);
+                weight = f64::from(self.scenario.slots);
+                if self.options.zone_ramp {
+                    weight = ramp.weight(now);
+                    self.ramps[i] = Some(ramp);
+                }
+                self.follow_allowance(i);
+            }
+            self.placement.set_weight(i, weight);
+        }
+        if in_service && self.options.zone_ramp {
+            self.push(self.now, Event::Ramp);
+        }
+        if !in_service {
+            self.give_up_zone(zone);
+        }
+    }
+
+    fn give_up_zone(&mut self, zone: usize) {
+        for flow in 0..self.states.len() {
+            let Some(upstream) = self.states[flow].upstream else {
+                continue;
+            };
+            let single = self.flows[flow].requests.len() == 1;
+            if self.upstreams[upstream].zone == zone && !single {
+                self.resume_elsewhere(flow as u32);
+            }
+        }
+    }
+
+    /// Gives the flow up now; what it has left to ask goes to a new flow.
+    fn resume_elsewhere(&mut self, flow: u32) {
+        self.give_up(flow);
+    }
+
+    fn ramp(&mut self) {
+        let mut busy = false;
+        for i in 0..self.upstreams.len() {
+            let Some(ramp) = &self.ramps[i] else {
+                continue;
+            };
+            self.placement.set_weight(i, ramp.weight(self.now));
+            if ramp.is_over(self.now) {
+                self.ramps[i] = None;
+            } else {
+                busy = true;
+            }
+        }
+        if busy {
+            self.push(self.now + Duration::from_millis(500), Event::Ramp);
+        }
+    }
+}
+
+fn budget_percent(retry: Retry) -> u32 {
+    match retry {
+        Retry::Budget(percent) => percent,
+        Retry::None | Retry::Unbounded => 0,
+    }
+}
+
+fn least(candidates: &[usize], loads: &[u32]) -> usize {
+    *candidates
+        .iter()
+        .min_by_key(|u| loads[**u])
+        .expect("not empty")
+}
--- /dev/null
+++ b/crates/policy/benches/placement/trace.rs
@@ -0,0 +1,142 @@
+//! Arrivals that every policy of a scenario meets alike.
+
+use {
+    rand::{rngs::SmallRng, Rng, SeedableRng},
+    smallvec::{smallvec, SmallVec},
+    std::time::Duration,
+};
+
+/// One request of a flow.
+#[derive(Clone)]
+pub(crate) struct Request {
+    /// Earliest start, from the flow's arrival.
+    pub(crate) offset: Duration,
+    /// Time at a warm upstream.
+    pub(crate) service: Duration,
+}
+
+/// One flow of a caller.
+#[derive(Clone)]
+pub(crate) struct Flow {
+    /// Arrival, from the start of the run.
+    pub(crate) at: Duration,
+    /// Requests in order.
+    pub(crate) requests: SmallVec<[Request; 1]>,
+}
+
+/// Requests of a flow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Shape {
+    /// One request each.
+    Single,
+    /// 2 to 200 requests (Pareto, exponent 1.3), a fixed mean gap of 20 to 500 ms in each flow.
+    Unequal,
+}
+
+/// What the arrivals are made from.
+#[derive(Clone, Copy)]
+pub(crate) struct Load {
+    pub(crate) seed: u64,
+    pub(crate) shape: Shape,
+    /// Mean time at a warm upstream, exponential.
+    pub(crate) service: Duration,
+    /// Requests a second.
+    pub(crate) rate: f64,
+    /// Length of the arrivals.
+    pub(crate) length: Duration,
+    /// A span with more arrivals.
+    pub(crate) burst: Option<Burst>,
+}
+
+/// A span in which arrivals come faster.
+#[derive(Clone, Copy)]
+pub(crate) struct Burst {
+    pub(crate) from: Duration,
+    pub(crate) to: Duration,
+    pub(crate) factor: f64,
+}
+
+impl Burst {
+    fn factor(&self, at_s: f64) -> f64 {
+        let inside = at_s >= self.from.as_secs_f64() && at_s < self.to.as_secs_f64();
+        if inside {
+            self.factor
+        } else {
+            1.0
+        }
+    }
+}
+
+const LEAST_REQUESTS: f64 = 2.0;
+const MOST_REQUESTS: f64 = 200.0;
+const PARETO: f64 = 1.3;
+const LEAST_GAP_S: f64 = 0.02;
+const GAP_RATIO: f64 = 25.0;
+
+impl Load {
+    /// Draws the flows.
+    pub(crate) fn flows(&self) -> Vec<Flow> {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let flow_rate = self.rate / self.mean_requests();
+        let mut flows = Vec::new();
+        let mut at = 0.0;
+        loop {
+            let factor = self.burst.map_or(1.0, |burst| burst.factor(at));
+            at += exponential(1.0 / (flow_rate * factor), &mut rng);
+            if at > self.length.as_secs_f64() {
+                return flows;
+            }
+            flows.push(Flow {
+                at: Duration::from_secs_f64(at),
+                requests: self.requests(&mut rng),
+            });
+        }
+    }
+
+    fn requests(&self, rng: &mut SmallRng) -> SmallVec<[Request; 1]> {
+        let service_s = self.service.as_secs_f64();
+        let service =
+            |rng: &mut SmallRng| Duration::from_secs_f64(exponential(service_s, rng).max(1e-6));
+        if matches!(self.shape, Shape::Single) {
+            return smallvec![Request {
+                offset: Duration::ZERO,
+                service: service(rng),
+            }];
+        }
+        let count = pareto(rng.random());
+        let gap_s = LEAST_GAP_S * GAP_RATIO.powf(rng.random());
+        let mut offset = 0.0;
+        (0..count)
+            .map(|_| {
+                let request = Request {
+                    offset: Duration::from_secs_f64(offset),
+                    service: service(rng),
+                };
+                offset += exponential(gap_s, rng);
+                request
+            })
+            .collect()
+    }
+
+    fn mean_requests(&self) -> f64 {
+        const POINTS: u32 = 100_000;
+        match self.shape {
+            Shape::Single => 1.0,
+            Shape::Unequal => {
+                let sum: u64 = (0..POINTS)
+                    .map(|i| pareto((f64::from(i) + 0.5) / f64::from(POINTS)))
+                    .sum();
+                sum as f64 / f64::from(POINTS)
+            }
+        }
+    }
+}
+
+fn pareto(u: f64) -> u64 {
+    let requests = LEAST_REQUESTS * (1.0 - u).powf(-1.0 / PARETO);
+    requests.min(MOST_REQUESTS) as u64
+}
+
+fn exponential(mean: f64, rng: &mut SmallRng) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -121,6 +121,31 @@
         Ok(())
     }
 
+    /// Reserves a connection and a place in the queue: for the last candidate of a new flow.
+    ///
+    /// # Errors
+    ///
+    /// The reason when a connection or a place is missing, or the deadline would pass.
+    pub fn open_last(&mut self, now: Instant, deadline: Instant) -> Result<(), Refusal> {
+        let first = self.open(now);
+        if !matches!(first, Err(Refusal::Slots | Refusal::ColdStart)) {
+            return first;
+        }
+        let reserved = self.reserved();
+        if self.connections + reserved >= self.limits.connections {
+            return Err(self.refusal(Refusal::Connections));
+        }
+        let places = self.limits.slots + self.limits.queue;
+        if self.load() >= places {
+            return first;
+        }
+        if now + self.expected_answer() > deadline {
+            return Err(Refusal::Deadline);
+        }
+        self.tentative.push_back(now + TENTATIVE);
+        Ok(())
+    }
+
     /// Turns a reservation into a held connection; without one, takes a free connection.
     ///
     /// # Errors
@@ -222,6 +247,11 @@
         self.connections
     }
 
+    /// Requests running, waiting and reserved for.
+    pub fn load(&self) -> u32 {
+        self.in_use + self.queued + self.reserved()
+    }
+
     /// Limits in force.
     pub fn limits(&self) -> Limits {
         self.limits
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -99,6 +99,11 @@
         self.spec = spec;
     }
 
+    /// The document's figures.
+    pub fn spec(&self) -> AllowanceSpec {
+        self.spec
+    }
+
     /// Counts an answered request.
     pub fn on_success(&mut self, now: Instant) {
         self.failure_share -= FAST_GAIN * self.failure_share;
