--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -1,1 +1,230 @@
-//! The fabric, which hands any packet to any daemon.
+//! Stand-in for the fabric that hands any packet of a caller to any daemon.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr, UdpSocket},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    thread,
+    time::Duration,
+};
+
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+
+use crate::{delay::DelayLine, socket};
+
+/// Time between looks at whether the fabric was ended.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the fabric does to the packets of callers.
+#[derive(Clone, Debug)]
+pub struct Behaviour {
+    /// One-way latency between a caller and the daemons.
+    pub latency: Duration,
+    /// Upper bound of the extra delay drawn for each packet, which reorders packets.
+    pub jitter: Duration,
+    /// How many copies of each packet from a caller are delivered.
+    pub copies: u32,
+    /// Share of packets in each direction that is lost, from 0 to 1.
+    pub loss: f64,
+    /// The only daemons that get packets, when set.
+    pub only: Option<Vec<IpAddr>>,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Behaviour {
+            latency: Duration::from_millis(1),
+            jitter: Duration::ZERO,
+            copies: 1,
+            loss: 0.0,
+            only: None,
+        }
+    }
+}
+
+/// Counters of a fabric.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Packets delivered to daemons, copies included.
+    pub to_daemons: u64,
+    /// Packets delivered to callers.
+    pub to_callers: u64,
+    /// Packets dropped on purpose, in both directions.
+    pub lost: u64,
+    /// Packets that found no daemon.
+    pub undeliverable: u64,
+}
+
+struct State {
+    daemons: Vec<SocketAddr>,
+    sites: HashMap<IpAddr, Vec<IpAddr>>,
+    behaviour: Behaviour,
+    counts: Counts,
+    rng: SmallRng,
+}
+
+impl State {
+    /// Draws the daemon for one packet of a caller.
+    fn draw(&mut self, caller: SocketAddr) -> Option<SocketAddr> {
+        let only = self.behaviour.only.as_ref();
+        let site = self.sites.get(&caller.ip());
+        let allowed = |daemon: &&SocketAddr| {
+            let listed = |list: &Vec<IpAddr>| list.contains(&daemon.ip());
+            only.is_none_or(listed) && site.is_none_or(listed)
+        };
+        let daemons: Vec<_> = self.daemons.iter().filter(allowed).collect();
+        let pick = self.rng.random_range(0..daemons.len().max(1));
+        daemons.get(pick).map(|daemon| **daemon)
+    }
+
+    /// Draws the delay of one packet, or nothing when the packet is lost.
+    fn delay(&mut self) -> Option<Duration> {
+        if self.rng.random_bool(self.behaviour.loss) {
+            self.counts.lost += 1;
+            return None;
+        }
+        let extra = self.behaviour.jitter.mul_f64(self.rng.random());
+        Some(self.behaviour.latency + extra)
+    }
+}
+
+struct Shared {
+    service: Arc<UdpSocket>,
+    line: DelayLine,
+    state: Mutex<State>,
+    ended: AtomicBool,
+}
+
+impl Shared {
+    fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+}
+
+/// The fabric before one service address.
+pub struct Fabric {
+    shared: Arc<Shared>,
+}
+
+impl Fabric {
+    /// Listens on a service's address and sprays what arrives over the daemons' addresses.
+    pub fn start(service: SocketAddr, daemons: &[SocketAddr], seed: u64) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            service: Arc::new(UdpSocket::bind(service)?),
+            line: DelayLine::start(),
+            state: Mutex::new(State {
+                daemons: daemons.to_vec(),
+                sites: HashMap::new(),
+                behaviour: Behaviour::default(),
+                counts: Counts::default(),
+                rng: SmallRng::seed_from_u64(seed),
+            }),
+            ended: AtomicBool::new(false),
+        });
+        let listener = shared.clone();
+        thread::spawn(move || listen(&listener));
+        Ok(Fabric { shared })
+    }
+
+    /// Changes what the fabric does to packets from now on.
+    pub fn set(&self, change: impl FnOnce(&mut Behaviour)) {
+        change(&mut self.shared.state.lock().unwrap().behaviour);
+    }
+
+    /// Adds a daemon to those that get packets.
+    pub fn add(&self, daemon: SocketAddr) {
+        let mut state = self.shared.state.lock().unwrap();
+        if !state.daemons.contains(&daemon) {
+            state.daemons.push(daemon);
+        }
+    }
+
+    /// Removes a daemon from those that get packets.
+    pub fn remove(&self, daemon: SocketAddr) {
+        let mut state = self.shared.state.lock().unwrap();
+        state.daemons.retain(|one| *one != daemon);
+    }
+
+    /// Hands packets of the callers at one IP number only to the given daemons, as a cut-off zone does.
+    pub fn confine(&self, caller: IpAddr, daemons: &[IpAddr]) {
+        let mut state = self.shared.state.lock().unwrap();
+        state.sites.insert(caller, daemons.to_vec());
+    }
+
+    /// Hands packets of the callers at one IP number to any daemon again.
+    pub fn release(&self, caller: IpAddr) {
+        self.shared.state.lock().unwrap().sites.remove(&caller);
+    }
+
+    /// Returns the counters.
+    pub fn counts(&self) -> Counts {
+        self.shared.state.lock().unwrap().counts
+    }
+}
+
+impl Drop for Fabric {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Takes packets from callers, one socket towards the daemons for each caller.
+fn listen(shared: &Arc<Shared>) {
+    let mut sockets = HashMap::new();
+    let mut buf = vec![0; socket::DATAGRAM];
+    while !shared.is_ended() {
+        let Ok(Some((len, caller))) = socket::read(&shared.service, &mut buf, TICK) else {
+            continue;
+        };
+        let socket = sockets
+            .entry(caller)
+            .or_insert_with(|| open(shared, caller));
+        spray(shared, socket, caller, &buf[..len]);
+    }
+}
+
+/// Opens the socket that stands for one caller, and the thread that returns its answers.
+fn open(shared: &Arc<Shared>, caller: SocketAddr) -> Arc<UdpSocket> {
+    let socket = UdpSocket::bind((caller.ip(), 0)).expect("no free UDP port for a caller");
+    let socket = Arc::new(socket);
+    let (shared, inner) = (shared.clone(), socket.clone());
+    thread::spawn(move || give_back(&shared, &inner, caller));
+    socket
+}
+
+/// Sends a caller's packet to daemons drawn at random.
+fn spray(shared: &Shared, socket: &Arc<UdpSocket>, caller: SocketAddr, payload: &[u8]) {
+    let mut state = shared.state.lock().unwrap();
+    for _ in 0..state.behaviour.copies {
+        let Some(delay) = state.delay() else {
+            continue;
+        };
+        let Some(daemon) = state.draw(caller) else {
+            state.counts.undeliverable += 1;
+            continue;
+        };
+        state.counts.to_daemons += 1;
+        shared.line.send(socket, daemon, payload, delay);
+    }
+}
+
+/// Hands answers from any daemon back to one caller.
+fn give_back(shared: &Shared, socket: &UdpSocket, caller: SocketAddr) {
+    let mut buf = vec![0; socket::DATAGRAM];
+    while !shared.is_ended() {
+        let Ok(Some((len, _))) = socket::read(socket, &mut buf, TICK) else {
+            continue;
+        };
+        let mut state = shared.state.lock().unwrap();
+        if let Some(delay) = state.delay() {
+            state.counts.to_callers += 1;
+            shared
+                .line
+                .send(&shared.service, caller, &buf[..len], delay);
+        }
+    }
+}
--- a/crates/standins/src/fleet.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! A fleet of real daemon processes with its stand-ins.
--- /dev/null
+++ b/crates/standins/src/fleet/block.rs
@@ -0,0 +1,108 @@
+//! The block of loopback addresses of one fleet.
+
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// Port that marks a block as taken, on its last address.
+const CLAIM_PORT: u16 = 7999;
+/// Port for datagrams between daemons.
+const RELAY_PORT: u16 = 7000;
+/// Port for links between daemons.
+const CONTROL_PORT: u16 = 7001;
+/// Port of a daemon's interface for operators.
+const ADMIN_PORT: u16 = 7002;
+/// Port of the first service; the next ones follow.
+const SERVICE_PORT: u16 = 5601;
+/// Port of upstreams.
+const UPSTREAM_PORT: u16 = 5683;
+/// Port of the platform.
+const PLATFORM_PORT: u16 = 8080;
+/// Host number of the first upstream.
+const FIRST_UPSTREAM: u8 = 100;
+/// Host number of the services.
+const SERVICES: u8 = 200;
+/// Host number of the first zone's callers.
+const FIRST_CALLERS: u8 = 210;
+/// Host number of the platform.
+const PLATFORM: u8 = 250;
+/// Host number that is claimed.
+const CLAIM: u8 = 254;
+/// Number of blocks: 127.1.0.* to 127.254.255.*.
+const BLOCKS: u32 = 254 * 256;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A block 127.X.Y.* that no other fleet on this machine uses.
+pub(crate) struct Block {
+    second: u8,
+    third: u8,
+    _claim: TcpListener,
+}
+
+impl Block {
+    /// Claims a free block, beginning at one given by the process id.
+    pub(crate) fn claim() -> io::Result<Self> {
+        let first = std::process::id().wrapping_mul(31);
+        for _ in 0..BLOCKS {
+            let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % BLOCKS;
+            let (second, third) = ((number / 256) as u8 + 1, (number % 256) as u8);
+            let host = Ipv4Addr::new(127, second, third, CLAIM);
+            if let Ok(claim) = TcpListener::bind((host, CLAIM_PORT)) {
+                return Ok(Block {
+                    second,
+                    third,
+                    _claim: claim,
+                });
+            }
+        }
+        Err(io::Error::other("no block of loopback addresses is free"))
+    }
+
+    fn ip(&self, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.second, self.third, host))
+    }
+
+    /// Returns the IP number of a daemon, counted from zero.
+    pub(crate) fn daemon(&self, index: usize) -> IpAddr {
+        self.ip(index as u8 + 1)
+    }
+
+    pub(crate) fn relay(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.daemon(index), RELAY_PORT)
+    }
+
+    pub(crate) fn control(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.daemon(index), CONTROL_PORT)
+    }
+
+    pub(crate) fn admin(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.daemon(index), ADMIN_PORT)
+    }
+
+    /// Returns the address of an upstream, counted from zero over all services.
+    pub(crate) fn upstream(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(FIRST_UPSTREAM + index as u8), UPSTREAM_PORT)
+    }
+
+    /// Returns the address of a service, counted from zero.
+    pub(crate) fn service(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(SERVICES), SERVICE_PORT + index as u16)
+    }
+
+    /// Returns the address at which a daemon takes the packets of a service.
+    pub(crate) fn ingress(&self, daemon: usize, service: usize) -> SocketAddr {
+        SocketAddr::new(self.daemon(daemon), SERVICE_PORT + service as u16)
+    }
+
+    /// Returns the IP number that the callers of an availability zone send from.
+    pub(crate) fn callers(&self, zone: usize) -> IpAddr {
+        self.ip(FIRST_CALLERS + zone as u8)
+    }
+
+    pub(crate) fn platform(&self) -> SocketAddr {
+        SocketAddr::new(self.ip(PLATFORM), PLATFORM_PORT)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/daemon.rs
@@ -0,0 +1,154 @@
+//! A daemon that runs as a process of its own.
+
+use std::{
+    fs::{self, File},
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus},
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+
+/// Longest wait for an answer of a daemon's interface for operators.
+const HTTP_WAIT: Duration = Duration::from_secs(2);
+/// Time between looks at whether a process has ended.
+const TICK: Duration = Duration::from_millis(10);
+
+/// How the daemons' program is started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// Path of the executable file.
+    pub path: PathBuf,
+    /// Arguments before `--settings FILE`.
+    pub args: Vec<String>,
+}
+
+/// A signal that a fleet sends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Signal {
+    Terminate,
+    Stop,
+    Continue,
+}
+
+impl Signal {
+    fn number(self) -> libc::c_int {
+        match self {
+            Signal::Terminate => libc::SIGTERM,
+            Signal::Stop => libc::SIGSTOP,
+            Signal::Continue => libc::SIGCONT,
+        }
+    }
+}
+
+/// A daemon's place in the fleet, and its process while it runs.
+pub(crate) struct Daemon {
+    pub(crate) vm: String,
+    pub(crate) zone: String,
+    pub(crate) admin: SocketAddr,
+    pub(crate) settings: PathBuf,
+    pub(crate) log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Daemon {
+    pub(crate) fn new(vm: &str, zone: &str, admin: SocketAddr, dir: &std::path::Path) -> Self {
+        Daemon {
+            vm: vm.into(),
+            zone: zone.into(),
+            admin,
+            settings: dir.join(format!("{vm}.json")),
+            log: dir.join(format!("{vm}.log")),
+            child: None,
+        }
+    }
+
+    /// Starts the process; its output is added to the log file.
+    pub(crate) fn start(&mut self, program: &Program) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&program.path)
+            .args(&program.args)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(std::process::Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    pub(crate) fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let Some(pid) = self.pid() else {
+            return;
+        };
+        // SAFETY: the process is a child that was not waited for, so the id is still its own.
+        unsafe { libc::kill(pid as libc::pid_t, signal.number()) };
+    }
+
+    /// Returns the exit status when the process has ended.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Waits until the process has ended.
+    pub(crate) fn wait(&mut self, within: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + within;
+        while Instant::now() < end {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            std::thread::sleep(TICK);
+        }
+        None
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Both fail only for a process that has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Reads a page of the interface for operators.
+    pub(crate) fn read(&self, path: &str) -> anyhow::Result<String> {
+        let url = format!("http://{}{path}", self.admin);
+        let answer = ureq::get(&url).timeout(HTTP_WAIT).call()?;
+        Ok(answer.into_string()?)
+    }
+
+    pub(crate) fn read_json(&self, path: &str) -> anyhow::Result<Value> {
+        Ok(serde_json::from_str(&self.read(path)?)?)
+    }
+
+    /// Drops all traffic to and from these peers.
+    pub(crate) fn deny(&self, peers: &[&str]) -> anyhow::Result<()> {
+        let url = format!("http://{}/faults", self.admin);
+        let body = serde_json::json!({ "deny": peers });
+        ureq::put(&url).timeout(HTTP_WAIT).send_json(body)?;
+        Ok(())
+    }
+
+    /// Returns the last lines of the log.
+    pub(crate) fn log_end(&self, lines: usize) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let all: Vec<&str> = text.lines().collect();
+        all[all.len().saturating_sub(lines)..].join("\n")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet/mod.rs
@@ -0,0 +1,567 @@
+//! Launcher of small fleets: the stand-ins in this process, the daemons as processes of their own.
+
+mod block;
+mod builder;
+mod daemon;
+mod deployment;
+pub mod document;
+mod settings;
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::IpAddr,
+    path::PathBuf,
+    process::ExitStatus,
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{bail, Context};
+use serde_json::Value;
+
+use crate::{
+    caller::{Caller, CallerSpec},
+    fabric::Fabric,
+    fleet::{
+        block::Block,
+        daemon::{Daemon, Signal},
+        document::{Allowance, Defaults, Route, ServiceDocument, UpstreamEntry},
+        settings::{Key, Limits, Peer, Settings, Testing},
+    },
+    platform::{Platform, Vm, VmState},
+    upstream::{Spec, Upstream},
+};
+
+pub use builder::Builder;
+pub use daemon::Program;
+pub use deployment::Deployment;
+
+/// Longest wait until all daemons are in sync after their start.
+const START_WITHIN: Duration = Duration::from_secs(15);
+/// Time between looks at the daemons.
+const TICK: Duration = Duration::from_millis(50);
+/// Lines of a daemon's log that an error shows.
+const LOG_LINES: usize = 15;
+/// Seconds within which a daemon that is stopped hands over.
+const DRAIN_S: u64 = 5;
+/// Milliseconds by which a late tick shows that a daemon was paused.
+const PAUSE_MS: u64 = 1000;
+
+/// A running fleet with its stand-ins.
+pub struct Fleet {
+    deployment: Deployment,
+    zones: Vec<String>,
+    seed: u64,
+    callers: u64,
+    program: Program,
+    dir: PathBuf,
+    block: Block,
+    platform: Platform,
+    fabrics: Vec<Fabric>,
+    upstreams: Vec<Upstream>,
+    documents: Vec<ServiceDocument>,
+    revisions: BTreeMap<String, u64>,
+    daemons: Vec<Daemon>,
+    listed: bool,
+}
+
+impl Fleet {
+    /// Begins the description of a fleet.
+    pub fn builder() -> Builder {
+        Builder::new()
+    }
+
+    pub(crate) fn launch(plan: Builder) -> anyhow::Result<Self> {
+        let block = Block::claim()?;
+        let names = plan.deployment.zones().iter().take(plan.zones);
+        let zones: Vec<String> = names.map(|&name| name.to_owned()).collect();
+        let dir = std::env::temp_dir().join(format!(
+            "foxtailhinge-{}-{}",
+            std::process::id(),
+            block.daemon(0)
+        ));
+        fs::create_dir_all(&dir)?;
+        let mut fleet = Fleet {
+            deployment: plan.deployment,
+            platform: Platform::start(block.platform())?,
+            zones,
+            seed: plan.seed,
+            callers: 0,
+            program: plan.program.clone(),
+            dir,
+            block,
+            fabrics: Vec::new(),
+            upstreams: Vec::new(),
+            documents: Vec::new(),
+            revisions: BTreeMap::new(),
+            daemons: Vec::new(),
+            listed: plan.listed,
+        };
+        fleet.start_upstreams(&plan)?;
+        fleet.start_fabrics(&plan)?;
+        fleet.place_daemons(plan.daemons)?;
+        fleet.list_vms();
+        for index in 0..fleet.daemons.len() {
+            fleet.daemons[index].start(&fleet.program)?;
+        }
+        fleet.wait_synced(START_WITHIN)?;
+        Ok(fleet)
+    }
+
+    fn start_upstreams(&mut self, plan: &Builder) -> anyhow::Result<()> {
+        let mut index = 0;
+        for (number, service) in plan.deployment.services().into_iter().enumerate() {
+            let mut entries = Vec::new();
+            for place in 0..plan.upstreams[number] {
+                let name = format!("{}-{}", plan.deployment.prefix(number), place + 1);
+                let zone = &self.zones[place % self.zones.len()];
+                let mut spec = Spec::new(service, &name, zone);
+                spec.seed = plan.seed.wrapping_add(index as u64);
+                (plan.tune)(&mut spec);
+                entries.push(entry(&spec, self.block.upstream(index)));
+                let upstream = Upstream::start(self.block.upstream(index), spec)?;
+                self.upstreams.push(upstream);
+                index += 1;
+            }
+            let mut document = self.document(number, service, entries);
+            (plan.edit)(&mut document);
+            self.documents.push(document);
+            self.publish(service);
+        }
+        Ok(())
+    }
+
+    fn document(
+        &self,
+        number: usize,
+        service: &str,
+        upstreams: Vec<UpstreamEntry>,
+    ) -> ServiceDocument {
+        let zones = self.zones.iter().map(|zone| (zone.clone(), "in")).collect();
+        ServiceDocument {
+            service: service.into(),
+            address: self.block.service(number),
+            zones,
+            upstreams,
+            cold_start: Allowance {
+                slots: 1,
+                connections: 100,
+                ramp_s: 10,
+            },
+            defaults: Defaults {
+                deadline_ms: 2000,
+                queue: 4,
+                retry_budget_percent: 10,
+                idle_s: 3600,
+            },
+            routes: vec![Route {
+                path: self.deployment.post_path().into(),
+                idempotent: false,
+                deadline_ms: 5000,
+            }],
+        }
+    }
+
+    fn start_fabrics(&mut self, plan: &Builder) -> anyhow::Result<()> {
+        for service in 0..self.documents.len() {
+            let ingress = |daemon| self.block.ingress(daemon, service);
+            let daemons: Vec<_> = (0..plan.daemons).map(ingress).collect();
+            let seed = plan.seed.wrapping_add(service as u64);
+            let fabric = Fabric::start(self.block.service(service), &daemons, seed)?;
+            self.fabrics.push(fabric);
+        }
+        Ok(())
+    }
+
+    fn place_daemons(&mut self, count: usize) -> anyhow::Result<()> {
+        for index in 0..count {
+            let zone = &self.zones[index % self.zones.len()];
+            let vm = format!("vm-{}", index + 1);
+            let daemon = Daemon::new(&vm, zone, self.block.admin(index), &self.dir);
+            self.daemons.push(daemon);
+        }
+        for index in 0..count {
+            let settings = self.settings(index);
+            let text = serde_json::to_string_pretty(&settings)?;
+            fs::write(&self.daemons[index].settings, text)?;
+        }
+        Ok(())
+    }
+
+    fn settings(&self, index: usize) -> Settings {
+        let others = (0..self.daemons.len()).filter(|&other| other != index);
+        let peer = |other: usize| Peer {
+            vm: self.daemons[other].vm.clone(),
+            zone: self.daemons[other].zone.clone(),
+            relay: self.block.relay(other),
+            control: self.block.control(other),
+        };
+        Settings {
+            vm: self.daemons[index].vm.clone(),
+            zone: self.daemons[index].zone.clone(),
+            listen: self.block.daemon(index),
+            relay: self.block.relay(index),
+            control: self.block.control(index),
+            admin: self.block.admin(index),
+            platform: self.block.platform(),
+            fleet: self.deployment.name().into(),
+            keys: vec![Key::draw(0, self.seed)],
+            peers: others.map(peer).collect(),
+            limits: Limits {
+                drain_s: DRAIN_S,
+                pause_ms: PAUSE_MS,
+            },
+            log: "info".into(),
+            testing: Testing { faults: true },
+        }
+    }
+
+    /// Publishes the list of VMs with all daemons of the fleet as live.
+    fn list_vms(&self) {
+        if !self.listed {
+            return;
+        }
+        let vms = self.daemons.iter().enumerate().map(|(index, daemon)| Vm {
+            id: daemon.vm.clone(),
+            zone: daemon.zone.clone(),
+            state: VmState::Live,
+            relay: self.block.relay(index),
+            control: self.block.control(index),
+        });
+        self.platform.set_vms(vms.collect());
+    }
+
+    /// Returns the deployment.
+    pub fn deployment(&self) -> Deployment {
+        self.deployment
+    }
+
+    /// Returns the availability zones.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
+    /// Returns the platform.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// Returns the upstreams of all services.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    /// Finds an upstream by its name.
+    pub fn upstream(&self, name: &str) -> Option<&Upstream> {
+        self.upstreams.iter().find(|one| one.name() == name)
+    }
+
+    /// Returns the fabric before a service.
+    pub fn fabric(&self, service: &str) -> &Fabric {
+        &self.fabrics[self.number(service)]
+    }
+
+    /// Returns the ids of all VMs of the fleet, those that do not run included.
+    pub fn vms(&self) -> Vec<String> {
+        self.daemons.iter().map(|one| one.vm.clone()).collect()
+    }
+
+    /// Returns the ids of the VMs whose daemon runs.
+    pub fn running(&self) -> Vec<String> {
+        let running = self.daemons.iter().filter(|one| one.pid().is_some());
+        running.map(|one| one.vm.clone()).collect()
+    }
+
+    /// Returns the availability zone of a VM.
+    pub fn zone_of(&self, vm: &str) -> &str {
+        &self.daemon(vm).zone
+    }
+
+    /// Opens a caller of a service in the first availability zone.
+    pub fn caller(&mut self, service: &str) -> anyhow::Result<Caller> {
+        self.caller_in(service, 0)
+    }
+
+    /// Opens a caller of a service in an availability zone, counted from zero.
+    pub fn caller_in(&mut self, service: &str, zone: usize) -> anyhow::Result<Caller> {
+        self.callers += 1;
+        let address = self.block.service(self.number(service));
+        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(self.callers);
+        let mut spec = CallerSpec::new(service, address, seed);
+        spec.from = self.block.callers(zone);
+        Ok(Caller::open(spec)?)
+    }
+
+    /// Returns a service's document as published last.
+    pub fn document_of(&self, service: &str) -> &ServiceDocument {
+        &self.documents[self.number(service)]
+    }
+
+    /// Edits a service's document, publishes it and returns its revision.
+    pub fn edit(&mut self, service: &str, edit: impl FnOnce(&mut ServiceDocument)) -> u64 {
+        let number = self.number(service);
+        edit(&mut self.documents[number]);
+        self.publish(service)
+    }
+
+    fn publish(&mut self, service: &str) -> u64 {
+        let text = self.documents[self.number(service)].text();
+        let revision = self.platform.publish(service, &text);
+        self.revisions.insert(service.to_owned(), revision);
+        revision
+    }
+
+    /// Takes an availability zone out of service for one service.
+    pub fn zone_out(&mut self, service: &str, zone: &str) -> u64 {
+        self.edit(service, |document| document.set_zone(zone, false))
+    }
+
+    /// Takes an availability zone into service again.
+    pub fn zone_in(&mut self, service: &str, zone: &str) -> u64 {
+        self.edit(service, |document| document.set_zone(zone, true))
+    }
+
+    /// Kills a daemon.
+    pub fn kill(&mut self, vm: &str) {
+        self.daemon_mut(vm).kill();
+    }
+
+    /// Asks a daemon to stop; `ended` tells when it has.
+    pub fn stop(&self, vm: &str) {
+        self.daemon(vm).signal(Signal::Terminate);
+    }
+
+    /// Waits until a daemon has ended.
+    pub fn ended(&mut self, vm: &str, within: Duration) -> Option<ExitStatus> {
+        self.daemon_mut(vm).wait(within)
+    }
+
+    /// Pauses a daemon.
+    pub fn freeze(&self, vm: &str) {
+        self.daemon(vm).signal(Signal::Stop);
+    }
+
+    /// Ends a daemon's pause.
+    pub fn wake(&self, vm: &str) {
+        self.daemon(vm).signal(Signal::Continue);
+    }
+
+    /// Starts a daemon that was killed or stopped.
+    pub fn start(&mut self, vm: &str) -> anyhow::Result<()> {
+        let program = self.program.clone();
+        let daemon = self.daemon_mut(vm);
+        // One that ended by itself is still known as running.
+        daemon.kill();
+        daemon.start(&program)?;
+        Ok(())
+    }
+
+    /// Lets a daemon drop all traffic to and from these peers.
+    pub fn deny(&self, vm: &str, peers: &[&str]) -> anyhow::Result<()> {
+        self.daemon(vm).deny(peers)
+    }
+
+    /// Cuts an availability zone off from the other zones and from the platform.
+    pub fn cut_zone(&self, zone: &str) -> anyhow::Result<()> {
+        self.confine(zone);
+        let (inside, outside) = self.sides(zone);
+        let mut peers = outside.clone();
+        peers.push("platform");
+        for vm in self.alive(&inside) {
+            self.deny(vm, &peers)?;
+        }
+        for vm in self.alive(&outside) {
+            self.deny(vm, &inside)?;
+        }
+        Ok(())
+    }
+
+    /// Ends all cuts between zones.
+    pub fn heal(&self) -> anyhow::Result<()> {
+        for zone in 0..self.zones.len() {
+            for fabric in &self.fabrics {
+                fabric.release(self.block.callers(zone));
+            }
+        }
+        let vms = self.vms();
+        let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
+        for vm in self.alive(&vms) {
+            self.deny(vm, &[])?;
+        }
+        Ok(())
+    }
+
+    /// Hands the packets of callers inside a zone to daemons inside, those of others to daemons outside.
+    fn confine(&self, zone: &str) {
+        let (inside, outside) = self.sides(zone);
+        for (index, name) in self.zones.iter().enumerate() {
+            let side = if name == zone { &inside } else { &outside };
+            let daemons: Vec<IpAddr> = side.iter().map(|vm| self.ip_of(vm)).collect();
+            for fabric in &self.fabrics {
+                fabric.confine(self.block.callers(index), &daemons);
+            }
+        }
+    }
+
+    fn sides(&self, zone: &str) -> (Vec<&str>, Vec<&str>) {
+        let vms = self.daemons.iter();
+        let (inside, outside): (Vec<&Daemon>, Vec<_>) = vms.partition(|one| one.zone == zone);
+        (
+            inside.into_iter().map(|one| one.vm.as_str()).collect(),
+            outside.into_iter().map(|one| one.vm.as_str()).collect(),
+        )
+    }
+
+    fn alive<'a>(&self, vms: &[&'a str]) -> Vec<&'a str> {
+        let runs = |vm: &&&str| self.daemon(vm).pid().is_some();
+        vms.iter().filter(runs).copied().collect()
+    }
+
+    /// Returns a VM's IP number.
+    pub fn ip_of(&self, vm: &str) -> IpAddr {
+        self.block.daemon(self.index(vm))
+    }
+
+    /// Takes a VM out of the fabric, so that no packet of a caller reaches it any more.
+    pub fn unspray(&self, vm: &str) {
+        for (service, fabric) in self.fabrics.iter().enumerate() {
+            fabric.remove(self.block.ingress(self.index(vm), service));
+        }
+    }
+
+    /// Lets the fabric hand packets to a VM again.
+    pub fn spray(&self, vm: &str) {
+        for (service, fabric) in self.fabrics.iter().enumerate() {
+            fabric.add(self.block.ingress(self.index(vm), service));
+        }
+    }
+
+    /// Reads a daemon's status.
+    pub fn status(&self, vm: &str) -> anyhow::Result<Value> {
+        self.daemon(vm).read_json("/status")
+    }
+
+    /// Reads a daemon's audit trail.
+    pub fn audit(&self, vm: &str) -> anyhow::Result<Value> {
+        self.daemon(vm).read_json("/audit?since=0")
+    }
+
+    /// Reads a daemon's metrics.
+    pub fn metrics(&self, vm: &str) -> anyhow::Result<String> {
+        self.daemon(vm).read("/metrics")
+    }
+
+    /// Returns the process id of a daemon that runs.
+    pub fn pid(&self, vm: &str) -> Option<u32> {
+        self.daemon(vm).pid()
+    }
+
+    /// Returns the last lines of a daemon's log.
+    pub fn log(&self, vm: &str) -> String {
+        self.daemon(vm).log_end(LOG_LINES)
+    }
+
+    /// Waits until each running daemon has the documents as published last in force.
+    pub fn wait_applied(&mut self, within: Duration) -> anyhow::Result<()> {
+        let end = Instant::now() + within;
+        loop {
+            let behind = self.behind();
+            let Some((vm, cause)) = behind.first() else {
+                return Ok(());
+            };
+            if Instant::now() >= end {
+                bail!(
+                    "{vm} is not in sync: {cause}; its log ends with\n{}",
+                    self.log(vm)
+                );
+            }
+            thread::sleep(TICK);
+        }
+    }
+
+    fn wait_synced(&mut self, within: Duration) -> anyhow::Result<()> {
+        self.wait_applied(within).context("the fleet did not start")
+    }
+
+    /// Names the running daemons that lack a document as published last, and what each lacks.
+    fn behind(&mut self) -> Vec<(String, String)> {
+        let mut behind = Vec::new();
+        for index in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[index];
+            if daemon.pid().is_none() {
+                continue;
+            }
+            let vm = daemon.vm.clone();
+            if let Some(status) = daemon.ended() {
+                behind.push((vm, format!("it ended with {status}")));
+            } else if let Some(cause) = self.lacks(&vm) {
+                behind.push((vm, cause));
+            }
+        }
+        behind
+    }
+
+    fn lacks(&self, vm: &str) -> Option<String> {
+        let status = match self.status(vm) {
+            Ok(status) => status,
+            Err(e) => return Some(format!("{e:#}")),
+        };
+        let held = |service: &str| {
+            let documents = status["documents"].as_array()?;
+            let found = documents.iter().find(|one| one["service"] == service)?;
+            found["revision"].as_u64()
+        };
+        let old = |(service, revision): &(&String, &u64)| held(service) != Some(**revision);
+        let (service, revision) = self.revisions.iter().find(old)?;
+        Some(format!(
+            "it has revision {:?} of {service}, not {revision}",
+            held(service)
+        ))
+    }
+
+    fn number(&self, service: &str) -> usize {
+        let services = self.deployment.services();
+        let found = services.iter().position(|one| *one == service);
+        found.unwrap_or_else(|| panic!("the deployment has no service {service}"))
+    }
+
+    fn index(&self, vm: &str) -> usize {
+        let found = self.daemons.iter().position(|one| one.vm == vm);
+        found.unwrap_or_else(|| panic!("the fleet has no {vm}"))
+    }
+
+    fn daemon(&self, vm: &str) -> &Daemon {
+        &self.daemons[self.index(vm)]
+    }
+
+    fn daemon_mut(&mut self, vm: &str) -> &mut Daemon {
+        let index = self.index(vm);
+        &mut self.daemons[index]
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill();
+        }
+        if thread::panicking() {
+            eprintln!("the daemons' logs are in {}", self.dir.display());
+            return;
+        }
+        // A directory that stays behind in the temporary directory does no harm.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn entry(spec: &Spec, address: std::net::SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        name: spec.name.clone(),
+        address,
+        zone: spec.zone.clone(),
+        slots: spec.slots,
+        connections: spec.connections,
+        state: "serving",
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,8 +1,13 @@
-//! Stand-ins for tests: the platform, the fabric, upstreams, callers and a fleet of daemons. Never shipped.
+//! Test stand-ins for the platform, the fabric, upstreams and callers, and a launcher of small fleets.
 
 pub mod caller;
 pub mod fabric;
+pub mod feed;
 pub mod fleet;
+pub mod message;
 pub mod platform;
 pub mod scenario;
 pub mod upstream;
+
+mod delay;
+mod socket;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,1 +1,411 @@
-//! The platform's configuration service and VM list.
+//! Stand-in for the platform's configuration service and VM list: HTTP/2 with JSON, read only.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    future::Future,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        mpsc, Arc, Mutex, MutexGuard,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use h2::{server::SendResponse, RecvStream};
+use http::{Method, Request, Response, StatusCode};
+use monoio::{
+    net::{TcpListener, TcpStream},
+    LegacyDriver, RuntimeBuilder,
+};
+use serde::{Deserialize, Serialize};
+
+/// Time between looks at what a test changed.
+const TICK: Duration = Duration::from_millis(5);
+/// Longest wait of a watch that names none.
+const DEFAULT_WAIT: Duration = Duration::from_secs(30);
+
+/// A document as the platform hands it out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Service that it belongs to.
+    pub service: String,
+    /// Revision of the whole store at its last change.
+    pub revision: u64,
+    /// Whether it was removed.
+    pub removed: bool,
+    /// Its text, unless it was removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
+}
+
+/// Answer to a list or watch of documents.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Documents {
+    /// Newest revision of the store.
+    pub revision: u64,
+    /// Documents that changed after the revision that was asked for.
+    pub documents: Vec<Document>,
+}
+
+/// State of an entry VM in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum VmState {
+    /// It is listed as running.
+    Live,
+    /// It is being taken out.
+    Leaving,
+}
+
+/// An entry VM in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its id.
+    pub id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its state.
+    pub state: VmState,
+    /// Address for datagrams between daemons.
+    pub relay: SocketAddr,
+    /// Address for links between daemons.
+    pub control: SocketAddr,
+}
+
+/// Answer to a list or watch of VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vms {
+    /// Newest revision of the list.
+    pub revision: u64,
+    /// All VMs of the list, or none when nothing changed.
+    pub vms: Vec<Vm>,
+}
+
+/// What the platform holds.
+#[derive(Clone, Default)]
+struct Store {
+    revision: u64,
+    documents: BTreeMap<String, Document>,
+    vms_revision: u64,
+    vms: Vec<Vm>,
+}
+
+impl Store {
+    fn documents_since(&self, since: u64) -> Documents {
+        let newer = self.documents.values().filter(|one| one.revision > since);
+        Documents {
+            revision: self.revision,
+            documents: newer.cloned().collect(),
+        }
+    }
+
+    fn vms_since(&self, since: u64) -> Vms {
+        let newer = self.vms_revision > since;
+        Vms {
+            revision: self.vms_revision,
+            vms: if newer { self.vms.clone() } else { Vec::new() },
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    store: Store,
+    frozen: Option<Store>,
+    lag: Duration,
+    cut: Vec<IpAddr>,
+}
+
+impl State {
+    /// Returns what readers see.
+    fn view(&self) -> &Store {
+        self.frozen.as_ref().unwrap_or(&self.store)
+    }
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    calls: AtomicU64,
+    refused: AtomicU64,
+    down: AtomicBool,
+    ended: AtomicBool,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    fn is_down(&self) -> bool {
+        self.down.load(Ordering::Relaxed) || self.is_ended()
+    }
+
+    fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    fn is_cut(&self, peer: IpAddr) -> bool {
+        self.is_down() || self.state().cut.contains(&peer)
+    }
+}
+
+/// The platform under the control of a test.
+pub struct Platform {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Platform {
+    /// Starts a platform without documents or VMs that listens on `addr`.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let inner = shared.clone();
+        let (tx, rx) = mpsc::channel();
+        thread::spawn(move || run(&inner, addr, &tx));
+        rx.recv().map_err(io::Error::other)??;
+        Ok(Platform { addr, shared })
+    }
+
+    /// Returns the address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Publishes a service's document and returns its revision.
+    pub fn publish(&self, service: &str, text: &str) -> u64 {
+        self.change(service, Some(text.to_owned()))
+    }
+
+    /// Removes a service's document and returns the revision of the removal.
+    pub fn remove(&self, service: &str) -> u64 {
+        self.change(service, None)
+    }
+
+    /// Returns the text of a service's document, as published last.
+    pub fn text(&self, service: &str) -> Option<String> {
+        let state = self.shared.state();
+        state.store.documents.get(service)?.text.clone()
+    }
+
+    /// Replaces the list of VMs and returns its revision.
+    pub fn set_vms(&self, vms: Vec<Vm>) -> u64 {
+        let store = &mut self.shared.state().store;
+        store.vms = vms;
+        store.vms_revision += 1;
+        store.vms_revision
+    }
+
+    /// Closes all connections and refuses new ones.
+    pub fn stop(&self) {
+        self.shared.down.store(true, Ordering::Relaxed);
+    }
+
+    /// Listens again after a stop.
+    pub fn resume(&self) {
+        self.shared.down.store(false, Ordering::Relaxed);
+    }
+
+    /// Delays every answer.
+    pub fn lag(&self, lag: Duration) {
+        self.shared.state().lag = lag;
+    }
+
+    /// Keeps answering with what is held now, whatever is published, or stops doing so.
+    pub fn stale(&self, stale: bool) {
+        let mut state = self.shared.state();
+        state.frozen = stale.then(|| state.store.clone());
+    }
+
+    /// Closes the connections from these IP numbers and accepts no more from them; others are let in again.
+    pub fn cut(&self, peers: &[IpAddr]) {
+        self.shared.state().cut = peers.to_vec();
+    }
+
+    /// Returns how many calls came, a waiting watch as one.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many calls were not reads of a known path.
+    pub fn refused(&self) -> u64 {
+        self.shared.refused.load(Ordering::Relaxed)
+    }
+
+    fn change(&self, service: &str, text: Option<String>) -> u64 {
+        let store = &mut self.shared.state().store;
+        store.revision += 1;
+        let document = Document {
+            service: service.to_owned(),
+            revision: store.revision,
+            removed: text.is_none(),
+            text,
+        };
+        store.documents.insert(service.to_owned(), document);
+        store.revision
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Runs the platform's runtime, and tells whether it could listen.
+fn run(shared: &Arc<Shared>, addr: SocketAddr, tx: &mpsc::Sender<io::Result<()>>) {
+    let builder = RuntimeBuilder::<LegacyDriver>::new();
+    let mut runtime = match builder.enable_timer().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            let _ = tx.send(Err(e));
+            return;
+        }
+    };
+    runtime.block_on(async {
+        let mut first = Some(tx);
+        while !shared.is_ended() {
+            if shared.is_down() {
+                monoio::time::sleep(TICK).await;
+                continue;
+            }
+            let listener = TcpListener::bind(addr);
+            let listens = listener
+                .as_ref()
+                .map(|_| ())
+                .map_err(|e| io::Error::from(e.kind()));
+            if let Some(tx) = first.take() {
+                let _ = tx.send(listens);
+            }
+            match listener {
+                Ok(listener) => listen(shared, &listener).await,
+                Err(_) => monoio::time::sleep(TICK).await,
+            }
+        }
+    });
+}
+
+/// Accepts connections until the platform is stopped.
+async fn listen(shared: &Arc<Shared>, listener: &TcpListener) {
+    while let Some(accepted) = unless(listener.accept(), || shared.is_down()).await {
+        if let Ok((stream, peer)) = accepted {
+            monoio::spawn(serve(shared.clone(), stream, peer.ip()));
+        }
+    }
+}
+
+/// Serves one connection until it ends or its peer is cut off.
+async fn serve(shared: Arc<Shared>, stream: TcpStream, peer: IpAddr) {
+    let inner = shared.clone();
+    let work = async move {
+        let stream = monoio_compat::StreamWrapper::new(stream);
+        let Ok(mut connection) = h2::server::handshake(stream).await else {
+            return;
+        };
+        while let Some(Ok((req, respond))) = connection.accept().await {
+            monoio::spawn(answer(inner.clone(), req, respond));
+        }
+    };
+    unless(work, || shared.is_cut(peer)).await;
+}
+
+async fn answer(shared: Arc<Shared>, req: Request<RecvStream>, respond: SendResponse<Bytes>) {
+    shared.calls.fetch_add(1, Ordering::Relaxed);
+    let lag = shared.state().lag;
+    if !lag.is_zero() {
+        monoio::time::sleep(lag).await;
+    }
+    let body = match req.method() {
+        &Method::GET => read(&shared, &req).await,
+        _ => Err(StatusCode::METHOD_NOT_ALLOWED),
+    };
+    if body.is_err() {
+        shared.refused.fetch_add(1, Ordering::Relaxed);
+    }
+    // A reader that is gone needs no answer.
+    let _ = reply(respond, body);
+}
+
+async fn read(shared: &Shared, req: &Request<RecvStream>) -> Result<Vec<u8>, StatusCode> {
+    let query = Query::parse(req.uri().query().unwrap_or(""))?;
+    match req.uri().path() {
+        "/v1/documents" => {
+            query.wait(shared, |store| store.revision).await;
+            encode(&shared.state().view().documents_since(query.since))
+        }
+        "/v1/vms" => {
+            query.wait(shared, |store| store.vms_revision).await;
+            encode(&shared.state().view().vms_since(query.since))
+        }
+        path => {
+            let name = path.strip_prefix("/v1/documents/");
+            let name = name.ok_or(StatusCode::NOT_FOUND)?;
+            let state = shared.state();
+            let document = state.view().documents.get(name);
+            encode(document.ok_or(StatusCode::NOT_FOUND)?)
+        }
+    }
+}
+
+fn encode(body: &impl Serialize) -> Result<Vec<u8>, StatusCode> {
+    serde_json::to_vec(body).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn reply(
+    mut respond: SendResponse<Bytes>,
+    body: Result<Vec<u8>, StatusCode>,
+) -> Result<(), h2::Error> {
+    let status = body.as_ref().err().copied().unwrap_or(StatusCode::OK);
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    let mut stream = respond.send_response(response, false)?;
+    stream.send_data(Bytes::from(body.unwrap_or_default()), true)
+}
+
+/// What a read asks for.
+struct Query {
+    since: u64,
+    wait: Option<Duration>,
+}
+
+impl Query {
+    fn parse(text: &str) -> Result<Self, StatusCode> {
+        let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+        let mut values: HashMap<&str, u64> = HashMap::new();
+        for (name, value) in pairs {
+            let value = value.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
+            values.insert(name, value);
+        }
+        let since = values.get("since").copied();
+        let wait = values.get("wait_ms").copied().map(Duration::from_millis);
+        Ok(Query {
+            since: since.unwrap_or(0),
+            wait: since.map(|_| wait.unwrap_or(DEFAULT_WAIT)),
+        })
+    }
+
+    /// Waits until a revision is newer than the one that was asked for, or until the wait is over.
+    async fn wait(&self, shared: &Shared, revision: impl Fn(&Store) -> u64) {
+        let Some(wait) = self.wait else {
+            return;
+        };
+        let end = Instant::now() + wait;
+        while revision(shared.state().view()) <= self.since && Instant::now() < end {
+            monoio::time::sleep(TICK).await;
+        }
+    }
+}
+
+/// Runs a future to its end, or drops it as soon as `stop` holds.
+async fn unless<T>(work: impl Future<Output = T>, stop: impl Fn() -> bool) -> Option<T> {
+    let mut work = std::pin::pin!(work);
+    loop {
+        monoio::select! {
+            done = &mut work => return Some(done),
+            () = monoio::time::sleep(TICK) => if stop() { return None },
+        }
+    }
+}
--- a/crates/standins/src/scenario.rs
+++ b/crates/standins/src/scenario.rs
@@ -1,1 +1,1 @@
-//! Scenario language of the golden scripts.
+//! Scenario language of the fleet's tests.
--- /dev/null
+++ b/crates/standins/src/socket.rs
@@ -0,0 +1,54 @@
+//! UDP sockets with a wait that is finer than a socket's own timeout.
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    os::fd::AsRawFd,
+    time::Duration,
+};
+
+/// Largest datagram that the stand-ins read, in bytes.
+pub(crate) const DATAGRAM: usize = 65_536;
+
+/// Reads one datagram, or returns nothing when none arrives within `wait`.
+///
+/// A refusal reported for an earlier datagram counts as nothing.
+pub(crate) fn read(
+    socket: &UdpSocket,
+    buf: &mut [u8],
+    wait: Duration,
+) -> io::Result<Option<(usize, SocketAddr)>> {
+    if !readable(socket, wait)? {
+        return Ok(None);
+    }
+    match socket.recv_from(buf) {
+        Ok(found) => Ok(Some(found)),
+        Err(e) if is_transient(&e) => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+fn is_transient(e: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionRefused, Interrupted, WouldBlock};
+    matches!(e.kind(), ConnectionRefused | Interrupted | WouldBlock)
+}
+
+/// Waits until a socket has something to read; returns whether it has.
+fn readable(socket: &UdpSocket, wait: Duration) -> io::Result<bool> {
+    let mut poll = libc::pollfd {
+        fd: socket.as_raw_fd(),
+        events: libc::POLLIN,
+        revents: 0,
+    };
+    let limit = libc::timespec {
+        tv_sec: wait.as_secs() as libc::time_t,
+        tv_nsec: libc::c_long::from(wait.subsec_nanos() as i32),
+    };
+    // SAFETY: `poll` and `limit` live through the call, and the count is that of the one entry.
+    let ready = unsafe { libc::ppoll(&mut poll, 1, &limit, std::ptr::null()) };
+    if ready < 0 {
+        let e = io::Error::last_os_error();
+        return if is_transient(&e) { Ok(false) } else { Err(e) };
+    }
+    Ok(ready > 0)
+}
--- a/crates/standins/src/upstream.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! An upstream with slots, cold start, drain and feeds.
--- /dev/null
+++ b/crates/standins/src/upstream/body.rs
@@ -0,0 +1,87 @@
+//! Contents of the answers of an upstream stand-in.
+
+use std::fmt::Write;
+
+/// First line of an answer, which names who answered what.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Headline {
+    /// Service that answered.
+    pub service: String,
+    /// Upstream that answered.
+    pub upstream: String,
+    /// Method of the request.
+    pub method: String,
+    /// Path of the request.
+    pub path: String,
+    /// Number of the run at that upstream, from one; the version of a long answer.
+    pub run: u64,
+    /// Id that the caller gave its request, `-` in a long answer.
+    pub id: String,
+}
+
+impl Headline {
+    /// Reads the first line of an answer.
+    pub fn parse(payload: &[u8]) -> Option<Self> {
+        let text = std::str::from_utf8(payload).ok()?;
+        let mut words = text.lines().next()?.split(' ');
+        let mut word = || words.next().map(str::to_owned);
+        Some(Headline {
+            service: word()?,
+            upstream: word()?,
+            method: word()?,
+            path: word()?,
+            run: word()?.strip_prefix("run=")?.parse().ok()?,
+            id: word()?.strip_prefix("id=")?.to_owned(),
+        })
+    }
+}
+
+impl std::fmt::Display for Headline {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Headline {
+            service,
+            upstream,
+            method,
+            path,
+            run,
+            id,
+        } = self;
+        write!(f, "{service} {upstream} {method} {path} run={run} id={id}")
+    }
+}
+
+/// Returns the answer on a path with long answers, `len` bytes that differ with each version.
+pub fn long(service: &str, upstream: &str, path: &str, version: u64, len: usize) -> Vec<u8> {
+    let headline = Headline {
+        service: service.into(),
+        upstream: upstream.into(),
+        method: "GET".into(),
+        path: path.into(),
+        run: version,
+        id: "-".into(),
+    };
+    let mut text = format!("{headline}\n");
+    let mut line = 0;
+    while text.len() < len {
+        line += 1;
+        // Writing to a string never fails.
+        let _ = writeln!(text, "{upstream} version {version} line {line}");
+    }
+    text.truncate(len);
+    text.into_bytes()
+}
+
+/// Returns whether a long answer is whole and of one version.
+pub fn is_whole(payload: &[u8]) -> bool {
+    let Some(line) = Headline::parse(payload) else {
+        return false;
+    };
+    let expected = long(
+        &line.service,
+        &line.upstream,
+        &line.path,
+        line.run,
+        payload.len(),
+    );
+    payload == expected
+}
--- /dev/null
+++ b/crates/standins/src/upstream/mod.rs
@@ -0,0 +1,234 @@
+//! Stand-in for an upstream: a CoAP server that drains, sheds, starts cold and dies on demand.
+//!
+//! `GET /health` answers `{"healthy":true,"draining":false}` and `GET /load` answers
+//! `{"slots":4,"busy":1}`; both can lag or lie. Every answer names the incarnation.
+
+pub mod body;
+pub mod records;
+mod server;
+pub mod spec;
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    socket,
+    upstream::{
+        records::Records,
+        server::{Sending, Server},
+    },
+};
+
+pub use server::Endpoints;
+pub use spec::{ColdStart, ServiceTime, Spec};
+
+/// Longest time between looks at the orders of a test.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What the upstream's process is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Serving,
+    Frozen,
+    Dead,
+    Ended,
+}
+
+struct Shared {
+    addr: SocketAddr,
+    server: Mutex<Server>,
+    mode: Mutex<Mode>,
+}
+
+impl Shared {
+    fn mode(&self) -> Mode {
+        *self.mode.lock().unwrap()
+    }
+}
+
+/// An upstream under the control of a test.
+pub struct Upstream {
+    shared: Arc<Shared>,
+}
+
+impl Upstream {
+    /// Starts an upstream that listens on `addr`.
+    pub fn start(addr: SocketAddr, spec: Spec) -> io::Result<Self> {
+        let socket = UdpSocket::bind(addr)?;
+        let shared = Arc::new(Shared {
+            addr,
+            server: Mutex::new(Server::new(spec, Instant::now())),
+            mode: Mutex::new(Mode::Serving),
+        });
+        let inner = shared.clone();
+        thread::spawn(move || serve(&inner, socket));
+        Ok(Upstream { shared })
+    }
+
+    /// Returns the address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
+    /// Returns its name.
+    pub fn name(&self) -> String {
+        self.server().spec.name.clone()
+    }
+
+    /// Returns its service.
+    pub fn service(&self) -> String {
+        self.server().spec.service.clone()
+    }
+
+    /// Returns its availability zone.
+    pub fn zone(&self) -> String {
+        self.server().spec.zone.clone()
+    }
+
+    /// Restarts it: a new incarnation, cold, with its requests and feeds lost.
+    pub fn restart(&self) {
+        self.server().restart(Instant::now());
+    }
+
+    /// Lets it fall back into a cold start without a restart.
+    pub fn cool(&self) {
+        self.server().cool(Instant::now());
+    }
+
+    /// Sheds every request, or stops doing so.
+    pub fn shed(&self, sheds: bool) {
+        self.server().sheds = sheds;
+    }
+
+    /// Reports that it drains, or that it no longer does.
+    pub fn drain(&self, draining: bool) {
+        self.server().draining = draining;
+    }
+
+    /// Stops it from reading and answering; what arrives waits in its socket.
+    pub fn freeze(&self) {
+        self.set(Mode::Frozen);
+    }
+
+    /// Ends a freeze.
+    pub fn wake(&self) {
+        self.set(Mode::Serving);
+    }
+
+    /// Ends its process: packets to it are refused.
+    pub fn kill(&self) {
+        self.set(Mode::Dead);
+    }
+
+    /// Starts it again after it was killed, as a new incarnation.
+    pub fn revive(&self) {
+        self.restart();
+        self.set(Mode::Serving);
+    }
+
+    /// Sets how its health and load endpoints answer.
+    pub fn set_endpoints(&self, endpoints: Endpoints) {
+        self.server().endpoints = endpoints;
+    }
+
+    /// Sets the version of its long answers, which changes their ETag.
+    pub fn set_version(&self, version: u64) {
+        self.server().version = version;
+    }
+
+    /// Sets how long requests take from now on.
+    pub fn set_service_time(&self, time: ServiceTime) {
+        self.server().spec.service_time = time;
+    }
+
+    /// Returns whether it is in a cold start.
+    pub fn is_cold(&self) -> bool {
+        self.server().is_cold(Instant::now())
+    }
+
+    /// Returns how many feeds it holds.
+    pub fn feeds(&self) -> usize {
+        self.server().feeds()
+    }
+
+    /// Returns how often the POST with this payload ran.
+    pub fn runs(&self, id: &str) -> u32 {
+        let server = self.server();
+        server
+            .records
+            .posts
+            .get(id.as_bytes())
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Returns what it saw so far.
+    pub fn records(&self) -> Records {
+        self.server().records.clone()
+    }
+
+    fn server(&self) -> MutexGuard<'_, Server> {
+        self.shared.server.lock().unwrap()
+    }
+
+    fn set(&self, mode: Mode) {
+        *self.shared.mode.lock().unwrap() = mode;
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.set(Mode::Ended);
+    }
+}
+
+/// Serves until the handle is dropped, with the socket closed while the upstream is dead.
+fn serve(shared: &Shared, socket: UdpSocket) {
+    let mut socket = Some(socket);
+    let mut buf = vec![0; socket::DATAGRAM];
+    loop {
+        match shared.mode() {
+            Mode::Ended => return,
+            Mode::Frozen => thread::sleep(TICK),
+            Mode::Dead => {
+                socket = None;
+                thread::sleep(TICK);
+            }
+            Mode::Serving => match &socket {
+                Some(socket) => serve_once(shared, socket, &mut buf),
+                None => socket = Some(rebind(shared.addr)),
+            },
+        }
+    }
+}
+
+fn rebind(addr: SocketAddr) -> UdpSocket {
+    UdpSocket::bind(addr).expect("the address of a revived upstream is in use")
+}
+
+fn serve_once(shared: &Shared, socket: &UdpSocket, buf: &mut [u8]) {
+    let due = shared.server.lock().unwrap().next_due();
+    let left = due.map(|due| due.saturating_duration_since(Instant::now()));
+    let wait = left.unwrap_or(TICK).min(TICK);
+    let found = socket::read(socket, buf, wait);
+    let now = Instant::now();
+    let mut server = shared.server.lock().unwrap();
+    let mut out = server.tick(now);
+    if let Ok(Some((len, from))) = found {
+        out.extend(server.receive(now, from, &buf[..len]));
+    }
+    drop(server);
+    send(socket, &out);
+}
+
+fn send(socket: &UdpSocket, out: &[Sending]) {
+    for (to, buf) in out {
+        // A daemon that is gone is a case under test, as on a real network.
+        let _ = socket.send_to(buf, to);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream/server.rs
@@ -0,0 +1,495 @@
+//! The requests and feeds of an upstream stand-in.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType};
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+
+use crate::{
+    message::{self, Block},
+    upstream::{
+        body::{self, Headline},
+        records::{Arrival, Kind, Records},
+        spec::Spec,
+    },
+};
+
+/// How long a datagram is known, so that its copy does not run again.
+const COPY_LIFETIME: Duration = Duration::from_secs(30);
+/// Known datagrams between two looks for old ones.
+const COPIES_KEPT: usize = 4096;
+/// Max-Age of a refusal.
+const COME_BACK_S: u64 = 1;
+
+/// A datagram and where it goes.
+pub(crate) type Sending = (SocketAddr, Vec<u8>);
+
+/// A request in a slot or waiting for one.
+struct Job {
+    from: SocketAddr,
+    req: Packet,
+    due: Instant,
+    expires: Option<Instant>,
+}
+
+/// Who holds a feed: the address and the token.
+type FeedKey = (SocketAddr, Vec<u8>);
+
+struct FeedEntry {
+    path: String,
+    id: String,
+    next: Instant,
+    message_id: u16,
+}
+
+/// Copy of a datagram: when it came, and the answer when there is one.
+struct Known {
+    at: Instant,
+    answer: Option<Vec<u8>>,
+}
+
+/// How the health and load endpoints answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Endpoints {
+    /// The health they claim, whatever is true.
+    pub claimed: Option<bool>,
+    /// How old their answers are.
+    pub lag: Duration,
+}
+
+/// What the endpoints tell.
+#[derive(Clone, Copy)]
+struct Report {
+    taken: Instant,
+    healthy: bool,
+    busy: usize,
+}
+
+pub(crate) struct Server {
+    pub(crate) spec: Spec,
+    pub(crate) records: Records,
+    pub(crate) sheds: bool,
+    pub(crate) draining: bool,
+    pub(crate) endpoints: Endpoints,
+    pub(crate) version: u64,
+    incarnation: u16,
+    born: Instant,
+    warm_at: Instant,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    feeds: HashMap<FeedKey, FeedEntry>,
+    known: HashMap<(SocketAddr, u16), Known>,
+    report: Report,
+    next_id: u16,
+    observe: u32,
+    rng: SmallRng,
+}
+
+impl Server {
+    pub(crate) fn new(spec: Spec, now: Instant) -> Self {
+        let mut rng = SmallRng::seed_from_u64(spec.seed);
+        let warm_at = match spec.starts_warm {
+            true => now,
+            false => now + spec.cold_start.lasts,
+        };
+        Server {
+            spec,
+            records: Records::default(),
+            sheds: false,
+            draining: false,
+            endpoints: Endpoints::default(),
+            version: 1,
+            incarnation: rng.random(),
+            born: now,
+            warm_at,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            feeds: HashMap::new(),
+            known: HashMap::new(),
+            report: Report {
+                taken: now,
+                healthy: true,
+                busy: 0,
+            },
+            next_id: rng.random(),
+            observe: 0,
+            rng,
+        }
+    }
+
+    /// Begins a new incarnation, cold and without requests or feeds.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        self.incarnation = self.incarnation.wrapping_add(1);
+        self.cool(now);
+        self.running.clear();
+        self.waiting.clear();
+        self.feeds.clear();
+        self.known.clear();
+    }
+
+    /// Falls back into a cold start without a new incarnation.
+    pub(crate) fn cool(&mut self, now: Instant) {
+        self.warm_at = now + self.spec.cold_start.lasts;
+    }
+
+    pub(crate) fn feeds(&self) -> usize {
+        self.feeds.len()
+    }
+
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        now < self.warm_at
+    }
+
+    fn slots(&self, now: Instant) -> usize {
+        match self.is_cold(now) {
+            true => self.spec.cold_start.slots,
+            false => self.spec.slots,
+        }
+    }
+
+    /// Returns when something is next due, if anything is.
+    pub(crate) fn next_due(&self) -> Option<Instant> {
+        let jobs = self.running.iter().map(|job| job.due);
+        let feeds = self.feeds.values().map(|feed| feed.next);
+        jobs.chain(feeds).min()
+    }
+
+    /// Takes a datagram and returns what is sent at once.
+    pub(crate) fn receive(&mut self, now: Instant, from: SocketAddr, buf: &[u8]) -> Vec<Sending> {
+        let Ok(req) = Packet::from_bytes(buf) else {
+            self.records.garbled += 1;
+            self.note(now, Kind::Other);
+            return Vec::new();
+        };
+        let Some(method) = message::method(&req) else {
+            self.note(now, Kind::Other);
+            self.take_reset(from, &req);
+            return Vec::new();
+        };
+        let path = message::path(&req);
+        let probe = path == "/health" || path == "/load";
+        self.note(now, if probe { Kind::Probe } else { Kind::Request });
+        let key = (from, req.header.message_id);
+        if let Some(known) = self.known.get(&key) {
+            self.records.copies += 1;
+            let answer = known.answer.clone();
+            return answer.into_iter().map(|buf| (from, buf)).collect();
+        }
+        self.forget(now);
+        self.known.insert(
+            key,
+            Known {
+                at: now,
+                answer: None,
+            },
+        );
+        if probe {
+            let answer = self.probe(now, &req, &path);
+            return vec![self.send(from, &req, answer)];
+        }
+        self.count_foreign(&req);
+        if method == RequestType::Get && message::uint(&req, CoapOption::Observe) == Some(1) {
+            self.cancel(&(from, req.get_token().to_vec()));
+        }
+        self.admit(now, from, req)
+    }
+
+    /// Finishes what is due and returns what is sent.
+    pub(crate) fn tick(&mut self, now: Instant) -> Vec<Sending> {
+        let mut out = Vec::new();
+        while let Some(index) = self.running.iter().position(|job| job.due <= now) {
+            let job = self.running.swap_remove(index);
+            out.push(self.finish(now, job));
+            self.start_waiting(now, &mut out);
+        }
+        self.notify(now, &mut out);
+        out
+    }
+
+    fn note(&mut self, at: Instant, kind: Kind) {
+        self.records.arrivals.push(Arrival { at, kind });
+    }
+
+    fn count_foreign(&mut self, req: &Packet) {
+        let own = message::service(req).is_none_or(|name| name == self.spec.service);
+        if !own {
+            self.records.foreign += 1;
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        if self.known.len() >= COPIES_KEPT {
+            self.known.retain(|_, known| now - known.at < COPY_LIFETIME);
+        }
+    }
+
+    fn take_reset(&mut self, from: SocketAddr, packet: &Packet) {
+        if packet.header.get_type() != MessageType::Reset {
+            return;
+        }
+        let id = packet.header.message_id;
+        let held = self.feeds.iter();
+        let found = held
+            .filter(|(key, feed)| key.0 == from && feed.message_id == id)
+            .map(|(key, _)| key.clone())
+            .next();
+        if let Some(key) = found {
+            self.cancel(&key);
+        }
+    }
+
+    fn cancel(&mut self, key: &FeedKey) {
+        if self.feeds.remove(key).is_some() {
+            self.records.cancelled += 1;
+        }
+    }
+
+    /// Starts a request, lets it wait or sheds it.
+    fn admit(&mut self, now: Instant, from: SocketAddr, req: Packet) -> Vec<Sending> {
+        let cold = self.is_cold(now);
+        let busy = self.running.len() >= self.slots(now);
+        let queue = if cold { 0 } else { self.spec.queue };
+        if busy && cold {
+            self.records.cold_overload += 1;
+        }
+        if self.sheds || (busy && self.waiting.len() >= queue) {
+            return vec![self.refuse(from, &req)];
+        }
+        let job = Job {
+            from,
+            expires: message::deadline(&req).map(|left| now + left),
+            due: now,
+            req,
+        };
+        match busy {
+            true => self.waiting.push_back(job),
+            false => self.run(now, job),
+        }
+        Vec::new()
+    }
+
+    fn run(&mut self, now: Instant, mut job: Job) {
+        let cold = self.is_cold(now);
+        let time = self.spec.service_time.draw(&mut self.rng);
+        let factor = if cold {
+            self.spec.cold_start.slowdown
+        } else {
+            1.0
+        };
+        job.due = now + time.mul_f64(factor);
+        self.records.run += 1;
+        let place = format!("{} {}", method_name(&job.req), message::path(&job.req));
+        *self.records.runs.entry(place).or_default() += 1;
+        if message::method(&job.req) == Some(RequestType::Post) {
+            *self
+                .records
+                .posts
+                .entry(job.req.payload.clone())
+                .or_default() += 1;
+        }
+        self.running.push(job);
+        let running = self.running.len();
+        self.records.max_running = self.records.max_running.max(running);
+        if cold {
+            self.records.max_running_cold = self.records.max_running_cold.max(running);
+        }
+    }
+
+    fn start_waiting(&mut self, now: Instant, out: &mut Vec<Sending>) {
+        while self.running.len() < self.slots(now) {
+            let Some(job) = self.waiting.pop_front() else {
+                return;
+            };
+            if job.expires.is_some_and(|expires| expires <= now) {
+                self.records.expired += 1;
+                out.push(self.refuse(job.from, &job.req));
+            } else {
+                self.run(now, job);
+            }
+        }
+    }
+
+    fn refuse(&mut self, to: SocketAddr, req: &Packet) -> Sending {
+        self.records.shed += 1;
+        let mut answer = message::answer(req, ResponseType::ServiceUnavailable);
+        message::put_uint(&mut answer, CoapOption::MaxAge, COME_BACK_S);
+        self.send(to, req, answer)
+    }
+
+    fn finish(&mut self, now: Instant, job: Job) -> Sending {
+        let Job { from, req, .. } = job;
+        let code = match message::method(&req) {
+            Some(RequestType::Post | RequestType::Put) => ResponseType::Changed,
+            Some(RequestType::Delete) => ResponseType::Deleted,
+            _ => ResponseType::Content,
+        };
+        let mut answer = message::answer(&req, code);
+        self.fill(&req, &mut answer);
+        let observes = message::uint(&req, CoapOption::Observe) == Some(0);
+        if observes && code == ResponseType::Content {
+            if !self.register(now, from, &req) {
+                return self.refuse(from, &req);
+            }
+            self.put_feed_options(now, &mut answer);
+        }
+        self.send(from, &req, answer)
+    }
+
+    /// Sets the payload of an answer, or the block that was asked for.
+    fn fill(&self, req: &Packet, answer: &mut Packet) {
+        let path = message::path(req);
+        let get = message::method(req) == Some(RequestType::Get);
+        let long = self.spec.long.iter().find(|(long, _)| get && *long == path);
+        let Some((_, len)) = long else {
+            answer.payload = self.headline(&method_name(req), &path, message::id(req));
+            return;
+        };
+        let (service, name) = (&self.spec.service, &self.spec.name);
+        let whole = body::long(service, name, &path, self.version, *len);
+        self.put_block(req, answer, &whole);
+    }
+
+    fn put_block(&self, req: &Packet, answer: &mut Packet, whole: &[u8]) {
+        let asked = Block::of(req).unwrap_or(Block {
+            number: 0,
+            more: false,
+            exponent: message::BLOCK_EXPONENT,
+        });
+        let start = asked.number as usize * asked.size();
+        if start >= whole.len() {
+            answer.header.code = MessageClass::Response(ResponseType::BadRequest);
+            return;
+        }
+        let end = whole.len().min(start + asked.size());
+        answer.payload = whole[start..end].to_vec();
+        let more = end < whole.len();
+        Block { more, ..asked }.put(answer);
+        let tag = [
+            self.incarnation.to_be_bytes(),
+            (self.version as u16).to_be_bytes(),
+        ];
+        message::put_bytes(answer, CoapOption::ETag, &tag.concat());
+    }
+
+    fn headline(&self, method: &str, path: &str, id: String) -> Vec<u8> {
+        let headline = Headline {
+            service: self.spec.service.clone(),
+            upstream: self.spec.name.clone(),
+            method: method.into(),
+            path: path.into(),
+            run: self.records.run,
+            id,
+        };
+        headline.to_string().into_bytes()
+    }
+
+    /// Begins or renews a feed; returns false when no more are held.
+    fn register(&mut self, now: Instant, from: SocketAddr, req: &Packet) -> bool {
+        let key = (from, req.get_token().to_vec());
+        if self.feeds.contains_key(&key) {
+            return true;
+        }
+        if self.feeds.len() >= self.spec.connections {
+            return false;
+        }
+        let feed = FeedEntry {
+            path: message::path(req),
+            id: message::id(req),
+            next: now + self.spec.notify_every,
+            message_id: 0,
+        };
+        self.feeds.insert(key, feed);
+        self.records.feeds += 1;
+        self.records.max_feeds = self.records.max_feeds.max(self.feeds.len());
+        true
+    }
+
+    fn notify(&mut self, now: Instant, out: &mut Vec<Sending>) {
+        let due = self.feeds.iter().filter(|(_, feed)| feed.next <= now);
+        let due: Vec<FeedKey> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            out.push(self.notification(now, key));
+        }
+    }
+
+    fn notification(&mut self, now: Instant, key: FeedKey) -> Sending {
+        self.next_id = self.next_id.wrapping_add(1);
+        let feed = self.feeds.get_mut(&key).expect("a due feed is held");
+        feed.next = now + self.spec.notify_every;
+        feed.message_id = self.next_id;
+        let (path, id) = (feed.path.clone(), feed.id.clone());
+        let mut packet = Packet::new();
+        packet.header.set_type(MessageType::NonConfirmable);
+        packet.header.message_id = self.next_id;
+        packet.header.code = MessageClass::Response(ResponseType::Content);
+        packet.set_token(key.1);
+        self.put_feed_options(now, &mut packet);
+        self.put_incarnation(&mut packet);
+        packet.payload = self.headline("GET", &path, id);
+        (key.0, encode(&packet))
+    }
+
+    fn put_feed_options(&mut self, now: Instant, packet: &mut Packet) {
+        let elapsed = (now - self.born).as_millis() as u32;
+        self.observe = elapsed.max(self.observe + 1);
+        let age = self.spec.max_age.as_secs();
+        message::put_uint(
+            packet,
+            CoapOption::Observe,
+            u64::from(self.observe & 0xff_ffff),
+        );
+        message::put_uint(packet, CoapOption::MaxAge, age);
+    }
+
+    fn put_incarnation(&self, packet: &mut Packet) {
+        let option = CoapOption::Unknown(message::INCARNATION);
+        message::put_uint(packet, option, u64::from(self.incarnation));
+    }
+
+    /// Answers a request for health or load, as claimed and as late as set.
+    fn probe(&mut self, now: Instant, req: &Packet, path: &str) -> Packet {
+        if now - self.report.taken >= self.endpoints.lag {
+            self.report = Report {
+                taken: now,
+                healthy: !self.sheds,
+                busy: self.running.len() + self.waiting.len(),
+            };
+        }
+        let healthy = self.endpoints.claimed.unwrap_or(self.report.healthy);
+        let text = match path {
+            "/health" => format!(r#"{{"healthy":{healthy},"draining":{}}}"#, self.draining),
+            _ => format!(
+                r#"{{"slots":{},"busy":{}}}"#,
+                self.spec.slots, self.report.busy
+            ),
+        };
+        let mut answer = message::answer(req, ResponseType::Content);
+        answer.payload = text.into_bytes();
+        answer
+    }
+
+    /// Completes an answer and keeps it for copies of the request.
+    fn send(&mut self, to: SocketAddr, req: &Packet, mut answer: Packet) -> Sending {
+        self.put_incarnation(&mut answer);
+        let buf = encode(&answer);
+        if let Some(known) = self.known.get_mut(&(to, req.header.message_id)) {
+            known.answer = Some(buf.clone());
+        }
+        (to, buf)
+    }
+}
+
+fn method_name(req: &Packet) -> String {
+    let method = message::method(req).unwrap_or(RequestType::Get);
+    format!("{method:?}").to_uppercase()
+}
+
+fn encode(packet: &Packet) -> Vec<u8> {
+    packet
+        .to_bytes()
+        .expect("an answer of the stand-in is too long")
+}
--- /dev/null
+++ b/crates/standins/tests/direct.rs
@@ -0,0 +1,92 @@
+//! A caller straight before an upstream, with and without the fabric between.
+
+use std::{net::SocketAddr, time::Duration};
+
+use foxtailhinge_standins::{
+    caller::{Caller, CallerSpec, Outcome},
+    fabric::Fabric,
+    upstream::{body, ServiceTime, Spec, Upstream},
+};
+
+const WITHIN: Duration = Duration::from_secs(5);
+
+fn addr(text: &str) -> SocketAddr {
+    text.parse().unwrap()
+}
+
+fn spec() -> Spec {
+    let mut spec = Spec::new("syncdesk-api", "syncdesk-1", "windhoek-1");
+    spec.service_time = ServiceTime::Fixed(Duration::from_millis(2));
+    spec.notify_every = Duration::from_millis(20);
+    spec
+}
+
+fn caller(address: SocketAddr) -> Caller {
+    Caller::open(CallerSpec::new("syncdesk-api", address, 7)).unwrap()
+}
+
+#[test]
+fn a_request_is_answered_with_its_own_content() {
+    let upstream = Upstream::start(addr("127.0.8.1:5683"), spec()).unwrap();
+    let caller = caller(upstream.addr());
+    let answer = caller.get("/cues", WITHIN).answer().unwrap();
+    let line = answer.headline().unwrap();
+    assert_eq!((line.path.as_str(), line.run), ("/cues", 1));
+    assert_eq!(caller.counts().wrong_answer, 0);
+}
+
+#[test]
+fn a_post_runs_once_though_the_fabric_copies_each_packet() {
+    let upstream = Upstream::start(addr("127.0.8.2:5683"), spec()).unwrap();
+    let fabric = Fabric::start(addr("127.0.8.3:5601"), &[upstream.addr()], 1).unwrap();
+    fabric.set(|behaviour| behaviour.copies = 3);
+    let caller = caller(addr("127.0.8.3:5601"));
+    let posted = caller.post("/clearances", b"one", WITHIN);
+    assert!(matches!(posted, Outcome::Answered(_)), "{posted:?}");
+    assert_eq!(upstream.runs("one"), 1);
+    assert_eq!(upstream.records().copies, 2);
+}
+
+#[test]
+fn a_long_answer_comes_whole_over_a_lossy_fabric() {
+    let upstream = Upstream::start(addr("127.0.8.4:5683"), spec()).unwrap();
+    let fabric = Fabric::start(addr("127.0.8.5:5601"), &[upstream.addr()], 3).unwrap();
+    fabric.set(|behaviour| behaviour.loss = 0.1);
+    let caller = caller(addr("127.0.8.5:5601"));
+    let answer = caller.get("/long", WITHIN).answer().unwrap();
+    assert_eq!((answer.payload.len(), answer.blocks), (5000, 5));
+    assert!(body::is_whole(&answer.payload));
+}
+
+#[test]
+fn a_feed_has_notifications_until_it_is_dropped() {
+    let upstream = Upstream::start(addr("127.0.8.6:5683"), spec()).unwrap();
+    let caller = caller(upstream.addr());
+    let feed = caller.feed("/cues");
+    assert!(feed.wait(20, WITHIN));
+    assert_eq!(feed.stats().breaks, []);
+    assert_eq!(upstream.feeds(), 1);
+    drop(feed);
+    let ended = std::iter::repeat_with(|| upstream.feeds())
+        .inspect(|_| std::thread::sleep(Duration::from_millis(10)))
+        .take(200)
+        .any(|feeds| feeds == 0);
+    assert!(ended);
+}
+
+#[test]
+fn a_cold_upstream_sheds_what_it_cannot_carry() {
+    let mut spec = spec();
+    spec.starts_warm = false;
+    spec.service_time = ServiceTime::Fixed(Duration::from_millis(200));
+    let upstream = Upstream::start(addr("127.0.8.7:5683"), spec).unwrap();
+    let (first, second) = (caller(upstream.addr()), caller(upstream.addr()));
+    let slow = std::thread::spawn(move || first.get("/cues", WITHIN));
+    while upstream.records().run == 0 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let refused = second.get("/cues", WITHIN);
+    assert!(matches!(refused, Outcome::NotRun { .. }), "{refused:?}");
+    assert!(matches!(slow.join().unwrap(), Outcome::Answered(_)));
+    assert_eq!(upstream.records().cold_overload, 1);
+}
