--- /dev/null
+++ b/crates/daemon/src/command.rs
@@ -0,0 +1,59 @@
+//! The daemon's command: parses, runs and turns errors into exit codes.
+
+use {
+    crate::{
+        daemon,
+        error::Error,
+        options::{
+            options,
+            Options, //
+        },
+    },
+    bpaf::Args,
+    foxtailhinge_config::settings::Settings,
+    std::{
+        fs,
+        path::Path,
+        process::ExitCode, //
+    },
+};
+
+/// Exit code for a command line that cannot be used.
+const EXIT_USAGE: u8 = 2;
+
+/// Runs the daemon with the arguments after the program's name.
+pub fn run(args: impl Iterator<Item = String>) -> ExitCode {
+    let args: Vec<String> = args.collect();
+    match options().run_inner(Args::from(&args[..])) {
+        Ok(options) => match start(&options) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(err) => {
+                eprintln!("{err}");
+                ExitCode::from(err.exit_code())
+            }
+        },
+        Err(failure) => {
+            failure.print_message(100);
+            match failure.exit_code() {
+                0 => ExitCode::SUCCESS,
+                _ => ExitCode::from(EXIT_USAGE),
+            }
+        }
+    }
+}
+
+fn start(options: &Options) -> Result<(), Error> {
+    let settings = read_settings(&options.settings)?;
+    if options.check {
+        return Ok(());
+    }
+    daemon::run(settings)
+}
+
+fn read_settings(path: &Path) -> Result<Settings, Error> {
+    let bytes = fs::read(path).map_err(|source| Error::SettingsUnreadable {
+        path: path.to_owned(),
+        source,
+    })?;
+    Ok(Settings::parse_bytes(&path.display().to_string(), &bytes)?)
+}
--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -42,6 +42,8 @@
 pub struct Flow {
     /// Hash of the service's name.
     pub service: u32,
+    /// Hash of the upstream's name within the service.
+    pub name: u32,
     /// Address from which the caller was last heard.
     pub caller: SocketAddr,
     /// When the caller was last heard.
@@ -52,6 +54,17 @@
     pub ledger: FlowLedger,
 }
 
+/// What a flow begins with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FlowStart {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Hash of the upstream's name within the service.
+    pub name: u32,
+    /// Address of the caller.
+    pub caller: SocketAddr,
+}
+
 /// What an earlier key of a flow still stands for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Alias {
@@ -145,24 +158,34 @@
         }
     }
 
+    /// The number of the flow with this key, and what it began with.
+    pub fn resolve(&self, key: FlowKey) -> Option<(u32, FlowStart)> {
+        let flow = if self.is_mine(key) {
+            key.flow
+        } else {
+            self.aliases.get(&key)?.flow
+        };
+        let entry = self.held.get(&flow)?;
+        let start = FlowStart {
+            service: entry.service,
+            name: entry.name,
+            caller: entry.caller,
+        };
+        Some((flow, start))
+    }
+
     /// Holds a flow that was opened here and whose caller came back.
-    pub fn confirm(&mut self, flow: u32, service: u32, caller: SocketAddr, now: Instant) {
+    pub fn confirm(&mut self, flow: u32, start: FlowStart, now: Instant) {
         self.opened.remove(&flow);
-        self.insert(flow, service, caller, FlowLedger::new(now), now);
+        self.insert(flow, start, FlowLedger::new(now), now);
     }
 
     /// Holds a flow that an owner which is gone had opened; its ledger covers nothing sent before.
-    pub fn take_over(
-        &mut self,
-        ticket: &Ticket,
-        service: u32,
-        caller: SocketAddr,
-        now: Instant,
-    ) -> u32 {
+    pub fn take_over(&mut self, ticket: &Ticket, start: FlowStart, now: Instant) -> u32 {
         let key = ticket_key(ticket);
         let flow = self.numbers.next();
         let ledger = FlowLedger::resume(ticket.epoch, now);
-        self.insert(flow, service, caller, ledger, now);
+        self.insert(flow, start, ledger, now);
         self.aliases.insert(
             key,
             Alias {
@@ -177,30 +200,23 @@
     pub fn import(
         &mut self,
         keys: &[FlowKey],
-        service: u32,
-        caller: SocketAddr,
+        start: FlowStart,
         ledger: FlowLedger,
         now: Instant,
     ) -> u32 {
         let flow = self.numbers.next();
-        self.insert(flow, service, caller, ledger, now);
+        self.insert(flow, start, ledger, now);
         for key in keys {
             self.aliases.insert(*key, Alias { flow, ledger: true });
         }
         flow
     }
 
-    fn insert(
-        &mut self,
-        flow: u32,
-        service: u32,
-        caller: SocketAddr,
-        ledger: FlowLedger,
-        now: Instant,
-    ) {
+    fn insert(&mut self, flow: u32, start: FlowStart, ledger: FlowLedger, now: Instant) {
         let entry = Flow {
-            service,
-            caller,
+            service: start.service,
+            name: start.name,
+            caller: start.caller,
             last_seen: now,
             given_up: None,
             ledger,
@@ -218,19 +234,26 @@
         self.held.iter().map(|(flow, entry)| (*flow, entry))
     }
 
-    /// Every key under which callers may still know `flow`.
-    pub fn keys(&self, flow: u32) -> Vec<FlowKey> {
-        let own = FlowKey {
-            owner: self.owner,
-            incarnation: self.incarnation,
-            flow,
-        };
-        let covered = self
-            .aliases
-            .iter()
-            .filter(|(_, alias)| alias.flow == flow && alias.ledger)
-            .map(|(key, _)| *key);
-        std::iter::once(own).chain(covered).collect()
+    /// Every key under which callers may still know a flow, for each flow.
+    pub fn keys(&self) -> HashMap<u32, Vec<FlowKey>> {
+        let mut keys: HashMap<u32, Vec<FlowKey>> = self
+            .held
+            .keys()
+            .map(|flow| (*flow, vec![self.name(*flow)]))
+            .collect();
+        for (key, alias) in &self.aliases {
+            if let Some(known) = keys.get_mut(&alias.flow) {
+                if alias.ledger {
+                    known.push(*key);
+                }
+            }
+        }
+        keys
+    }
+
+    /// All flows with their numbers, to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (u32, &mut Flow)> {
+        self.held.iter_mut().map(|(flow, entry)| (*flow, entry))
     }
 
     /// Marks the flows of `service` as given up; gives their number.
@@ -285,13 +308,13 @@
     pub fn name(&self, flow: u32) -> FlowKey {
         FlowKey {
             owner: self.owner,
-            incarnation: self.incarnation,
+            owner_incarnation: self.incarnation,
             flow,
         }
     }
 
     fn is_mine(&self, key: FlowKey) -> bool {
-        key.owner == self.owner && key.incarnation == self.incarnation
+        key.owner == self.owner && key.owner_incarnation == self.incarnation
     }
 }
 
@@ -299,7 +322,7 @@
 pub fn ticket_key(ticket: &Ticket) -> FlowKey {
     FlowKey {
         owner: ticket.owner,
-        incarnation: ticket.owner_incarnation,
+        owner_incarnation: ticket.owner_incarnation,
         flow: ticket.flow,
     }
 }
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -5,13 +5,15 @@
         data::{
             answer::Notice,
             path::DataPath,
-            service::Service, //
+            service::Service,
+            socket::Socket, //
         },
         metrics::{
             DatagramResult,
             RequestOutcome, //
         },
     },
+    foxtailhinge_policy::members::Member,
     foxtailhinge_wire::{
         coap::{
             Datagram,
@@ -56,7 +58,7 @@
 
 impl DataPath {
     /// Reads the socket of a service until it fails.
-    pub async fn read_service(self: Rc<Self>, hash: u32, socket: Rc<crate::data::socket::Socket>) -> io::Result<()> {
+    pub async fn read_service(self: Rc<Self>, hash: u32, socket: Rc<Socket>) -> io::Result<()> {
         let handle = |buf: &[u8], caller| match self.service(hash) {
             Some(service) => self.on_caller(&service, buf, caller),
             None => self.metrics.datagrams.inc(DatagramResult::NoService),
@@ -152,7 +154,7 @@
     }
 
     /// Passes a request on to `member`.
-    pub fn forward(self: &Rc<Self>, arrived: &Arrived<'_>, member: &foxtailhinge_policy::members::Member) {
+    pub fn forward(self: &Rc<Self>, arrived: &Arrived<'_>, member: &Member) {
         let forward = Forward {
             caller: arrived.caller,
             service: arrived.service.hash,
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -14,4 +14,6 @@
 pub mod request;
 pub mod service;
 pub mod socket;
+pub mod table;
+pub mod upkeep;
 pub mod upstream;
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -6,6 +6,7 @@
         feed::Feed,
         ingress::Arrived,
         path::DataPath,
+        request::Job,
         service::Service,
         upstream::{
             Arrival,
@@ -21,10 +22,17 @@
     std::{
         io,
         net::SocketAddr,
-        rc::Rc, //
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
+/// Time within which a feed should be taken up again.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(5);
+
 impl DataPath {
     /// Reads the socket of an upstream until it fails.
     pub async fn read_upstream(self: Rc<Self>, up: Rc<Upstream>) -> io::Result<()> {
@@ -57,6 +65,36 @@
         up.on_refused();
     }
 
+    /// Registers all feeds of a restarted upstream again, one after the other.
+    fn register_again(self: &Rc<Self>, up: &Rc<Upstream>) {
+        let tokens = up.feeds.borrow().tokens_of(|_| true);
+        let path = Rc::clone(self);
+        let up = Rc::clone(up);
+        monoio::spawn(async move {
+            for token in tokens {
+                if let Some(job) = path.registration(&up, token) {
+                    path.serve(&job).await;
+                }
+            }
+        });
+    }
+
+    /// The registration of a feed as a request to its upstream.
+    pub fn registration(&self, up: &Rc<Upstream>, token: UpstreamToken) -> Option<Job> {
+        let mut feeds = up.feeds.borrow_mut();
+        let feed = feeds.get_mut(token)?;
+        feed.reset();
+        Some(Job {
+            up: Rc::clone(up),
+            service: self.service(feed.service)?,
+            flow: feed.flow,
+            name: feed.name,
+            caller: feed.caller.caller,
+            req: as_notified(&feed.request),
+            deadline: Instant::now() + REGISTER_TIMEOUT,
+        })
+    }
+
     /// Passes a notification on to the caller of its feed.
     fn on_notification(&self, up: &Rc<Upstream>, token: UpstreamToken, mut rsp: Datagram) {
         let ended = !is_success(&rsp);
@@ -128,12 +166,7 @@
     }
 
     /// Begins a new flow for `req` of a caller whose address is confirmed.
-    pub fn reopen_with(
-        self: &Rc<Self>,
-        service: &Rc<Service>,
-        caller: SocketAddr,
-        req: &Datagram,
-    ) {
+    pub fn reopen_with(self: &Rc<Self>, service: &Rc<Service>, caller: SocketAddr, req: &Datagram) {
         let mut req = req.clone();
         req.remove_echo();
         let buf = req.to_bytes();
@@ -152,7 +185,7 @@
 }
 
 /// The registration as a request whose answer is sent like a notification.
-fn as_notified(request: &Datagram) -> Datagram {
+pub fn as_notified(request: &Datagram) -> Datagram {
     request.clone().with_kind(Kind::Non)
 }
 
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -4,6 +4,7 @@
     crate::{
         data::{
             answer::Notice,
+            flow::FlowStart,
             ingress::Arrived,
             owner::Holding,
             path::DataPath,
@@ -153,9 +154,12 @@
             self.refuse_open(service, open, up.load_mut().come_back(now));
             return;
         }
-        up.flows
-            .borrow_mut()
-            .confirm(flow, name, service.hash, open.caller, now);
+        let start = FlowStart {
+            service: service.hash,
+            name,
+            caller: open.caller,
+        };
+        up.flows.borrow_mut().confirm(flow, start, now);
         let job = Job {
             deadline: service.deadline(&req, now),
             up: Rc::clone(up),
@@ -165,7 +169,7 @@
             caller: open.caller,
             req,
         };
-        self.begin(job, EPOCH_FIRST);
+        self.begin(job);
     }
 
     fn refuse_open(&self, service: &Service, open: &Open, after: Duration) {
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -3,7 +3,10 @@
 use {
     crate::data::{
         answer::Notice,
-        flow::Found,
+        flow::{
+            FlowStart,
+            Found, //
+        },
         ingress::Arrived,
         path::DataPath,
         request::Job,
@@ -13,7 +16,10 @@
             Upstream, //
         },
     },
-    foxtailhinge_policy::ledger::Begin,
+    foxtailhinge_policy::ledger::{
+        Begin,
+        FlowLedger, //
+    },
     foxtailhinge_wire::{
         coap::Datagram,
         message::Forward,
@@ -55,6 +61,16 @@
     now: Instant,
 }
 
+impl Visit<'_> {
+    fn start(&self) -> FlowStart {
+        FlowStart {
+            service: self.arrived.service.hash,
+            name: self.ticket.upstream,
+            caller: self.arrived.caller,
+        }
+    }
+}
+
 impl DataPath {
     /// Takes in a request that was passed on to this daemon.
     pub fn on_forward(self: &Rc<Self>, forward: Forward) {
@@ -119,7 +135,12 @@
     }
 
     /// A request that is not idempotent, for an upstream that is not in the document any more.
-    fn on_removed_upstream(self: &Rc<Self>, service: &Rc<Service>, forward: Forward, req: &Datagram) {
+    fn on_removed_upstream(
+        self: &Rc<Self>,
+        service: &Rc<Service>,
+        forward: Forward,
+        req: &Datagram,
+    ) {
         let arrived = Arrived {
             service,
             caller: forward.caller,
@@ -166,27 +187,16 @@
             self.open(arrived, visit.idempotent);
             return false;
         }
-        let service = arrived.service.hash;
-        visit.up.flows.borrow_mut().confirm(
-            flow,
-            visit.ticket.upstream,
-            service,
-            arrived.caller,
-            visit.now,
-        );
+        let mut flows = visit.up.flows.borrow_mut();
+        flows.confirm(flow, visit.start(), visit.now);
         true
     }
 
     /// Takes over a flow whose owner is gone, or that ended here for want of packets.
     fn take_over(&self, visit: &Visit<'_>) -> u32 {
         visit.up.load_mut().adopt();
-        let arrived = visit.arrived;
-        visit.up.flows.borrow_mut().take_over(
-            &visit.ticket,
-            arrived.service.hash,
-            arrived.caller,
-            visit.now,
-        )
+        let mut flows = visit.up.flows.borrow_mut();
+        flows.take_over(&visit.ticket, visit.start(), visit.now)
     }
 
     fn greet(&self, visit: &Visit<'_>, flow: u32) {
@@ -268,7 +278,7 @@
         &self,
         visit: &Visit<'_>,
         flow: u32,
-        change: impl FnOnce(&mut foxtailhinge_policy::ledger::FlowLedger, &[u8]),
+        change: impl FnOnce(&mut FlowLedger, &[u8]),
     ) {
         if let Some(entry) = visit.up.flows.borrow_mut().get_mut(flow) {
             change(&mut entry.ledger, visit.arrived.req.token());
@@ -293,7 +303,7 @@
             caller: arrived.caller,
             req: arrived.req.clone(),
         };
-        self.begin(job, visit.ticket.epoch);
+        self.begin(job);
     }
 
     /// Sends the answer of the first copy to a later one.
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -11,8 +11,8 @@
             upstream::Upstream, //
         },
         members::{
-            Control,
-            Prober, //
+            prober::Prober,
+            Control, //
         },
         metrics::Metrics, //
     },
@@ -182,6 +182,13 @@
         }
     }
 
+    /// Whether upstreams are held that another daemon can take, or requests are in progress.
+    pub fn is_busy(&self) -> bool {
+        let zone = &self.control.settings().zone;
+        let held = self.is_reachable(zone) && !self.upstreams.borrow().is_empty();
+        held || !self.parting.borrow().is_empty() || self.metrics.requests_in_progress.get() > 0
+    }
+
     /// A ticket for a flow of an upstream named `name` by `service`.
     pub fn ticket(
         &self,
--- a/crates/daemon/src/data/relay.rs
+++ b/crates/daemon/src/data/relay.rs
@@ -6,7 +6,7 @@
             path::DataPath,
             socket::Socket, //
         },
-        members::RelaySender, //
+        members::prober::RelaySender, //
     },
     foxtailhinge_wire::{
         envelope::PeerKeys,
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -74,20 +74,18 @@
 }
 
 impl DataPath {
-    /// Starts a task that serves `job`; `epoch` is that of the caller's ticket.
-    pub fn begin(self: &Rc<Self>, job: Job, epoch: u32) {
+    /// Starts a task that serves `job`.
+    pub fn begin(self: &Rc<Self>, job: Job) {
         let path = Rc::clone(self);
         self.metrics.requests_in_progress.inc();
-        if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
-            flow.ledger.note(epoch);
-        }
         monoio::spawn(async move {
             path.serve(&job).await;
             path.metrics.requests_in_progress.dec();
         });
     }
 
-    async fn serve(self: &Rc<Self>, job: &Job) {
+    /// Serves `job` to its end.
+    pub async fn serve(self: &Rc<Self>, job: &Job) {
         let idempotent = job.service.is_idempotent(&job.req);
         let token = self.upstream_token(job, idempotent);
         let ending = self.attempt(job, token, idempotent).await;
@@ -241,6 +239,9 @@
             }
         };
         let bytes = rsp.to_bytes();
+        if job.up.is_parted() && ran {
+            job.up.note_finished(job.flow, token, &bytes);
+        }
         if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
             if ran {
                 flow.ledger
@@ -289,14 +290,7 @@
             flow.ledger.epoch()
         };
         let incarnation = job.up.incarnation();
-        Some(self.ticket(
-            &job.service,
-            job.name,
-            incarnation,
-            key,
-            job.caller,
-            epoch,
-        ))
+        Some(self.ticket(&job.service, job.name, incarnation, key, job.caller, epoch))
     }
 
     /// Begins a new flow for an idempotent request whose upstream is gone.
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -72,6 +72,7 @@
 struct Entry {
     at: usize,
     key: Rc<str>,
+    draining_since: Option<Instant>,
 }
 
 /// An upstream of the service.
@@ -104,7 +105,11 @@
             .upstreams
             .iter()
             .enumerate()
-            .map(|(at, spec)| (name_hash(&spec.name), Entry::new(at, spec)))
+            .map(|(at, spec)| {
+                let hash = name_hash(&spec.name);
+                let known = before.and_then(|service| service.index.get(&hash));
+                (hash, Entry::new(at, spec, known, now))
+            })
             .collect();
         let zones = doc
             .zones
@@ -152,6 +157,12 @@
         }
     }
 
+    /// For how long the upstream has been draining; nothing when it serves.
+    pub fn draining_for(&self, hash: u32, now: Instant) -> Option<Duration> {
+        let since = self.index.get(&hash)?.draining_since?;
+        Some(now.saturating_duration_since(since))
+    }
+
     /// Whether running the request twice has the effect of running it once: the document's route
     /// says so, else the method.
     pub fn is_idempotent(&self, req: &Datagram) -> bool {
@@ -259,10 +270,12 @@
 }
 
 impl Entry {
-    fn new(at: usize, spec: &UpstreamSpec) -> Entry {
+    fn new(at: usize, spec: &UpstreamSpec, known: Option<&Entry>, now: Instant) -> Entry {
+        let since = known.and_then(|entry| entry.draining_since);
         Entry {
             at,
             key: Rc::from(spec.address.to_string()),
+            draining_since: spec.draining.then(|| since.unwrap_or(now)),
         }
     }
 }
--- a/crates/daemon/src/data/socket.rs
+++ b/crates/daemon/src/data/socket.rs
@@ -1,9 +1,17 @@
 //! UDP sockets of the data path.
 
 use {
+    futures::future::{
+        AbortHandle,
+        AbortRegistration,
+        Abortable, //
+    },
     monoio::net::udp::UdpSocket,
     std::{
-        cell::Cell,
+        cell::{
+            Cell,
+            RefCell, //
+        },
         io,
         net::{
             SocketAddr,
@@ -28,6 +36,8 @@
     tx: StdSocket,
     addr: SocketAddr,
     dropped: Cell<u64>,
+    closer: AbortHandle,
+    closed: RefCell<Option<AbortRegistration>>,
 }
 
 impl Socket {
@@ -52,11 +62,14 @@
         tx.set_nonblocking(true)?;
         let addr = tx.local_addr()?;
         let rx = UdpSocket::from_std(tx.try_clone()?)?;
+        let (closer, closed) = AbortHandle::new_pair();
         Ok(Socket {
             rx,
             tx,
             addr,
             dropped: Cell::new(0),
+            closer,
+            closed: RefCell::new(Some(closed)),
         })
     }
 
@@ -87,10 +100,27 @@
         res.map(|_| ())
     }
 
-    /// Reads datagrams until the socket fails, and gives each to `handle`.
+    /// Ends the task that reads the socket.
+    pub fn close(&self) {
+        self.closer.abort();
+    }
+
+    /// Reads datagrams until the socket is closed or fails, and gives each to `handle`.
     ///
     /// A refusal reported by the peer's host is given to `refused`; it does not end the loop.
     pub async fn read_each(
+        &self,
+        handle: impl FnMut(&[u8], SocketAddr),
+        refused: impl FnMut(),
+    ) -> io::Result<()> {
+        let Some(closed) = self.closed.borrow_mut().take() else {
+            return Err(io::Error::other("the socket is read by another task"));
+        };
+        let reading = Abortable::new(self.read_on(handle, refused), closed);
+        reading.await.unwrap_or(Ok(()))
+    }
+
+    async fn read_on(
         &self,
         mut handle: impl FnMut(&[u8], SocketAddr),
         mut refused: impl FnMut(),
--- /dev/null
+++ b/crates/daemon/src/data/table.rs
@@ -0,0 +1,154 @@
+//! The services in force on this daemon, as the documents declare them.
+
+use {
+    crate::{
+        audit::AuditEvent,
+        data::{
+            owner::Holding,
+            path::DataPath,
+            service::Service,
+            socket::Socket,
+            upstream::Upstream, //
+        },
+        metrics::FlowEnd,
+    },
+    foxtailhinge_config::document::ServiceDocument,
+    foxtailhinge_wire::ticket::name_hash,
+    std::{
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Instant, //
+    },
+};
+
+impl DataPath {
+    /// Puts a document in force, or takes the service out when there is none.
+    pub fn apply(self: &Rc<Self>, name: &str, doc: Option<Rc<ServiceDocument>>) {
+        match doc {
+            Some(doc) => self.put(name, doc),
+            None => self.remove(name),
+        }
+        self.reconcile();
+    }
+
+    fn put(self: &Rc<Self>, name: &str, doc: Rc<ServiceDocument>) {
+        let hash = name_hash(name);
+        let before = self.service(hash);
+        let addr = self.bind_address(&doc);
+        let socket = match &before {
+            Some(service) if service.socket.addr() == addr => Rc::clone(&service.socket),
+            _ => {
+                match self.listen_on(hash, addr) {
+                    Ok(socket) => socket,
+                    Err(err) => {
+                        log::error!("event=service_bind_failed service={name} address={addr} cause=\"{err}\"");
+                        return;
+                    }
+                }
+            }
+        };
+        if let Some(service) = &before {
+            if !Rc::ptr_eq(&service.socket, &socket) {
+                service.socket.close();
+            }
+        }
+        let now = Instant::now();
+        let service = Rc::new(Service::new(doc, socket, before.as_deref(), now));
+        self.services.borrow_mut().insert(hash, Rc::clone(&service));
+        self.note_zones(&service, before.as_deref());
+    }
+
+    fn bind_address(&self, doc: &ServiceDocument) -> SocketAddr {
+        match self.listen {
+            Some(ip) => SocketAddr::new(ip, doc.address.port()),
+            None => doc.address,
+        }
+    }
+
+    fn listen_on(self: &Rc<Self>, hash: u32, addr: SocketAddr) -> io::Result<Rc<Socket>> {
+        let socket = Rc::new(Socket::bind(addr)?);
+        let path = Rc::clone(self);
+        let reader = Rc::clone(&socket);
+        monoio::spawn(async move {
+            if let Err(err) = path.read_service(hash, reader).await {
+                log::error!("event=service_socket_failed address={addr} cause=\"{err}\"");
+            }
+        });
+        Ok(socket)
+    }
+
+    /// Tells the flows of zones that went out of service, and records what changed.
+    fn note_zones(self: &Rc<Self>, service: &Rc<Service>, before: Option<&Service>) {
+        for zone in &service.doc().zones {
+            let was = before.is_none_or(|before| before.zone_in_service(&zone.name));
+            if was == zone.in_service {
+                continue;
+            }
+            let name = Arc::from(&*service.name);
+            let event = if zone.in_service {
+                AuditEvent::ZoneIn {
+                    service: name,
+                    zone: Arc::clone(&zone.name),
+                }
+            } else {
+                AuditEvent::ZoneOut {
+                    service: name,
+                    zone: Arc::clone(&zone.name),
+                }
+            };
+            self.audit.record(event);
+            if !zone.in_service {
+                self.give_up_zone(service, &zone.name);
+            }
+        }
+    }
+
+    fn give_up_zone(&self, service: &Rc<Service>, zone: &str) {
+        for up in self.held_in(zone) {
+            self.give_up_flows(&up, service, FlowEnd::ZoneOut);
+        }
+    }
+
+    /// Ends the flows of a service at one upstream and tells the callers of its feeds.
+    fn give_up_flows(&self, up: &Rc<Upstream>, service: &Service, reason: FlowEnd) {
+        self.end_feeds(up, service);
+        let ended = up.flows.borrow_mut().give_up(service.hash, Instant::now());
+        for _ in 0..ended {
+            up.load_mut().disconnect();
+            self.metrics.flows_ended.inc(reason);
+        }
+    }
+
+    /// The upstreams of an availability zone that this daemon holds.
+    pub fn held_in(&self, zone: &str) -> Vec<Rc<Upstream>> {
+        self.all_held()
+            .into_iter()
+            .filter(|up| **up.zone() == *zone)
+            .collect()
+    }
+
+    /// All upstreams that this daemon holds.
+    pub fn all_held(&self) -> Vec<Rc<Upstream>> {
+        self.upstreams
+            .borrow()
+            .values()
+            .filter_map(|holding| match holding {
+                Holding::Held(up) => Some(Rc::clone(up)),
+                Holding::Claiming(_) => None,
+            })
+            .collect()
+    }
+
+    fn remove(self: &Rc<Self>, name: &str) {
+        let removed = self.services.borrow_mut().remove(&name_hash(name));
+        let Some(service) = removed else {
+            return;
+        };
+        service.socket.close();
+        for up in self.all_held() {
+            self.give_up_flows(&up, &service, FlowEnd::ServiceRemoved);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/data/upkeep.rs
@@ -0,0 +1,146 @@
+//! Upkeep of the upstreams that this daemon owns: idle flows, feeds without a caller, moves and states.
+
+use {
+    crate::{
+        data::{
+            load::LoadState,
+            path::DataPath,
+            service::Service,
+            upstream::Upstream, //
+        },
+        metrics::FlowEnd,
+    },
+    foxtailhinge_config::report::UpstreamState,
+    foxtailhinge_policy::health::HealthState,
+    std::{
+        collections::HashSet,
+        net::SocketAddr,
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time between two rounds of upkeep.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Feeds that one upstream moves in a round.
+const MOVES_PER_ROUND: usize = 32;
+
+/// Idle time of flows whose service is gone.
+const IDLE_WITHOUT_SERVICE: Duration = Duration::from_secs(60);
+
+impl DataPath {
+    /// Keeps the upstreams in order, without end.
+    pub async fn run_upkeep(self: Rc<Self>) {
+        loop {
+            monoio::time::sleep(PERIOD).await;
+            self.upkeep(Instant::now());
+        }
+    }
+
+    fn upkeep(self: &Rc<Self>, now: Instant) {
+        self.reconcile();
+        let held = self.all_held();
+        for up in &held {
+            self.collect_flows(up, now);
+            self.end_silent_feeds(up, now);
+            self.move_on(up, now);
+            up.collect(now);
+        }
+        self.drop_undeclared(&held);
+        let flows: usize = held.iter().map(|up| up.flows.borrow().len()).sum();
+        self.metrics
+            .flows_held
+            .set(i64::try_from(flows).unwrap_or(i64::MAX));
+        let states = held.iter().map(|up| report_state(up, now));
+        self.metrics.upstreams.count(states);
+    }
+
+    fn collect_flows(&self, up: &Upstream, now: Instant) {
+        let idle = |service: u32| {
+            self.service(service)
+                .map_or(IDLE_WITHOUT_SERVICE, |service| service.doc().defaults.idle)
+        };
+        let ended = up.flows.borrow_mut().collect(now, idle);
+        for _ in ended {
+            up.load_mut().disconnect();
+            self.metrics.flows_ended.inc(FlowEnd::Idle);
+        }
+    }
+
+    fn end_silent_feeds(&self, up: &Upstream, now: Instant) {
+        let mut feeds = up.feeds.borrow_mut();
+        // The upstream learns of it from the reset that its next notification gets.
+        for token in feeds.tokens_of(|feed| feed.is_over(now)) {
+            feeds.remove(token);
+        }
+    }
+
+    /// Moves feeds away from an upstream that drains, is down, or is in its document no more.
+    fn move_on(self: &Rc<Self>, up: &Rc<Upstream>, now: Instant) {
+        let places: HashSet<(u32, u32)> = up
+            .feeds
+            .borrow()
+            .iter()
+            .map(|(_, feed)| (feed.service, feed.name))
+            .collect();
+        for (hash, name) in places {
+            let Some(service) = self.service(hash) else {
+                continue;
+            };
+            if self.is_named(&service, name, up.addr()) && !self.must_move(up, &service, name, now)
+            {
+                continue;
+            }
+            self.move_feeds(up, &service, MOVES_PER_ROUND);
+        }
+    }
+
+    fn is_named(&self, service: &Service, name: u32, addr: SocketAddr) -> bool {
+        service
+            .upstream(name)
+            .is_some_and(|named| named.spec.address == addr)
+    }
+
+    /// Lets go of upstreams that no document names, once their feeds have moved.
+    fn drop_undeclared(&self, held: &[Rc<Upstream>]) {
+        let declared: HashSet<SocketAddr> = self
+            .services
+            .borrow()
+            .values()
+            .flat_map(|service| {
+                let addresses: Vec<_> = service.upstreams().map(|(_, n)| n.spec.address).collect();
+                addresses
+            })
+            .collect();
+        for up in held {
+            let busy = up.running() > 0 || !up.feeds.borrow().is_empty();
+            if declared.contains(&up.addr()) || busy {
+                continue;
+            }
+            up.socket().close();
+            self.upstreams.borrow_mut().remove(&up.addr());
+            let flows = up.flows.borrow().len() as u64;
+            self.metrics
+                .flows_ended
+                .inc_by(FlowEnd::UpstreamRemoved, flows);
+        }
+    }
+}
+
+/// The upstream's state for reports.
+pub fn report_state(up: &Upstream, now: Instant) -> UpstreamState {
+    let load = up.load();
+    match load.state(now) {
+        LoadState::Warm if load.health(now).state == HealthState::Suspect => {
+            UpstreamState::Shedding
+        }
+        LoadState::Warm => UpstreamState::Warm,
+        LoadState::Cold => UpstreamState::Cold,
+        LoadState::Draining => UpstreamState::Draining,
+        LoadState::Down => UpstreamState::Gone,
+    }
+}
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -15,9 +15,12 @@
         Start,
         WaitingList, //
     },
-    foxtailhinge_wire::coap::{
-        Datagram,
-        Status, //
+    foxtailhinge_wire::{
+        coap::{
+            Datagram,
+            Status, //
+        },
+        message::FinishedRun,
     },
     local_sync::oneshot,
     smallvec::SmallVec,
@@ -138,6 +141,8 @@
     tokens: Cell<u64>,
     message_ids: Cell<u16>,
     incarnation: Cell<Option<u16>>,
+    parted: Cell<bool>,
+    finished: RefCell<Vec<FinishedRun>>,
     /// Flows that are held.
     pub flows: RefCell<Flows>,
     /// Feeds that are held.
@@ -165,6 +170,8 @@
             tokens: Cell::new(rand::random()),
             message_ids: Cell::new(rand::random()),
             incarnation: Cell::new(None),
+            parted: Cell::new(false),
+            finished: RefCell::default(),
             flows: RefCell::new(flows),
             feeds: RefCell::default(),
             in_progress: RefCell::default(),
@@ -386,6 +393,31 @@
         drop(failed);
     }
 
+    /// Marks the upstream as handed over: what runs still ends here, for the next owner to hear of.
+    pub fn part(&self) {
+        self.parted.set(true);
+    }
+
+    /// Whether the upstream was handed over.
+    pub fn is_parted(&self) -> bool {
+        self.parted.get()
+    }
+
+    /// Keeps the answer of a run that ended after the hand-over.
+    pub fn note_finished(&self, flow: u32, token: &[u8], answer: &[u8]) {
+        let run = FinishedRun {
+            flow: self.flows.borrow().name(flow),
+            token: token.to_vec(),
+            answer: answer.to_vec(),
+        };
+        self.finished.borrow_mut().push(run);
+    }
+
+    /// Takes the answers kept since the last call.
+    pub fn take_finished(&self) -> Vec<FinishedRun> {
+        self.finished.take()
+    }
+
     /// Frees the slots of requests that were given up long ago.
     pub fn collect(self: &Rc<Self>, now: Instant) {
         let abandoned: SmallVec<[UpstreamToken; 4]> = self
--- /dev/null
+++ b/crates/daemon/src/operations.rs
@@ -0,0 +1,298 @@
+//! What operators get to see of the daemon.
+
+use {
+    crate::{
+        admin::{
+            ExplainError,
+            ExplainQuery,
+            FaultsError,
+            Operations, //
+        },
+        audit::AuditQuery,
+        data::{
+            path::DataPath,
+            service::{
+                Named,
+                Service, //
+            },
+            upkeep::report_state,
+            upstream::Upstream, //
+        },
+    },
+    foxtailhinge_config::{
+        report::{
+            AuditPage,
+            Candidate,
+            DaemonState,
+            DocumentStatus,
+            Explanation,
+            Faults,
+            MemberState,
+            MemberStatus,
+            OwnedUpstream,
+            PlatformStatus,
+            Status,
+            TicketReport,
+            UpstreamStatus,
+            Usage,
+            Verdict,
+            ZoneStatus, //
+        },
+        settings::Settings, //
+    },
+    foxtailhinge_policy::members,
+    foxtailhinge_wire::ticket::{
+        name_hash,
+        Ticket, //
+    },
+    std::{
+        rc::Rc,
+        sync::Arc,
+        time::Instant, //
+    },
+};
+
+/// Answers operators.
+pub struct Desk {
+    path: Rc<DataPath>,
+    fleet: Arc<str>,
+    faults: bool,
+}
+
+impl Desk {
+    /// Answers for the daemon with these settings.
+    pub fn new(path: Rc<DataPath>, settings: &Settings) -> Desk {
+        Desk {
+            path,
+            fleet: Arc::clone(&settings.fleet),
+            faults: settings.testing.faults,
+        }
+    }
+
+    fn state(&self) -> DaemonState {
+        if self.path.stopping.get() {
+            DaemonState::Stopping
+        } else if !self.path.control.is_synced() {
+            DaemonState::Fenced
+        } else if self.path.services.borrow().is_empty() {
+            DaemonState::Starting
+        } else {
+            DaemonState::Serving
+        }
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let members = self.path.control.members();
+        let mut list: Vec<MemberStatus> = members.iter().map(member_status).collect();
+        list.sort_by(|a, b| a.vm.cmp(&b.vm));
+        list
+    }
+
+    fn services(&self) -> Vec<Rc<Service>> {
+        let mut services: Vec<_> = self.path.services.borrow().values().cloned().collect();
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        services
+    }
+
+    fn owner_of(&self, named: Named<'_>) -> Option<Arc<str>> {
+        let owner = self.path.owner(named.key, &named.spec.zone)?;
+        Some(Arc::from(&*owner.vm))
+    }
+
+    fn upstream_status(&self, service: &Service, named: Named<'_>) -> UpstreamStatus {
+        let held = self.path.held(named.spec.address);
+        UpstreamStatus {
+            service: Arc::from(&*service.name),
+            upstream: Arc::clone(&named.spec.name),
+            zone: Arc::clone(&named.spec.zone),
+            address: named.spec.address,
+            owner: self.owner_of(named),
+            owned: held.map(|up| owned_status(&up, named)),
+        }
+    }
+
+    fn ticket(
+        &self,
+        service: &Service,
+        bytes: Option<&[u8]>,
+    ) -> Result<Option<Ticket>, ExplainError> {
+        let Some(bytes) = bytes else {
+            return Ok(None);
+        };
+        match self.path.tickets.open(bytes, &service.name) {
+            Ok(ticket) => Ok(Some(ticket)),
+            Err(err) => Err(ExplainError::RefusedTicket(err.to_string())),
+        }
+    }
+
+    fn ticket_report(&self, ticket: &Ticket) -> TicketReport {
+        let members = self.path.control.members();
+        let issuer = members.by_hash(ticket.owner);
+        TicketReport {
+            upstream_incarnation: ticket.upstream_incarnation,
+            issuer: issuer.map(|member| Arc::from(&*member.vm)),
+            issuer_incarnation: ticket.owner_incarnation,
+            flow: ticket.flow,
+            epoch: ticket.epoch,
+        }
+    }
+
+    fn verdict(&self, service: &Service, hash: u32, named: Named<'_>, drawn: &[u32]) -> Verdict {
+        let place = drawn.iter().position(|other| *other == hash);
+        if !service.zone_in_service(&named.spec.zone) {
+            Verdict::ZoneOut
+        } else if self.owner_of(named).is_none() {
+            Verdict::NoOwner
+        } else if named.spec.draining {
+            Verdict::Draining
+        } else {
+            match place.and_then(|place| u8::try_from(place + 1).ok()) {
+                Some(place) => Verdict::Drawn(place),
+                None => Verdict::NotDrawn,
+            }
+        }
+    }
+}
+
+impl Operations for Desk {
+    fn metrics(&self) -> String {
+        self.path.metrics.render()
+    }
+
+    fn status(&self) -> Status {
+        let settings = self.path.control.settings();
+        let services = self.services();
+        let documents = self.path.control.documents();
+        let revisions = documents.in_force();
+        let mut upstreams = Vec::new();
+        let mut zones = Vec::new();
+        for service in &services {
+            for zone in &service.doc().zones {
+                zones.push(ZoneStatus {
+                    service: Arc::from(&*service.name),
+                    zone: Arc::clone(&zone.name),
+                    in_service: zone.in_service,
+                });
+            }
+            for (_, named) in service.upstreams() {
+                upstreams.push(self.upstream_status(service, named));
+            }
+        }
+        upstreams.sort_by(|a, b| (&a.service, &a.upstream).cmp(&(&b.service, &b.upstream)));
+        let mut in_force: Vec<DocumentStatus> = revisions
+            .map(|(service, revision, _)| DocumentStatus {
+                service: Arc::from(&**service),
+                revision,
+            })
+            .collect();
+        in_force.sort_by(|a, b| a.service.cmp(&b.service));
+        Status {
+            vm: Arc::from(&*settings.vm),
+            zone: Arc::from(&*settings.zone),
+            fleet: Arc::clone(&self.fleet),
+            incarnation: settings.incarnation,
+            state: self.state(),
+            platform: PlatformStatus {
+                reader: false,
+                reachable: None,
+                revision: documents.synced(),
+            },
+            members: self.members(),
+            zones,
+            upstreams,
+            documents: in_force,
+            refused: Vec::new(),
+        }
+    }
+
+    fn audit(&self, query: &AuditQuery) -> AuditPage {
+        self.path.audit.page(query)
+    }
+
+    fn explain(&self, query: &ExplainQuery) -> Result<Explanation, ExplainError> {
+        let service = self.path.service(name_hash(&query.service));
+        let Some(service) = service.filter(|service| *service.name == *query.service) else {
+            return Err(ExplainError::UnknownService(query.service.clone()));
+        };
+        let ticket = self.ticket(&service, query.ticket.as_deref())?;
+        let reachable = |zone: &str| self.path.is_reachable(zone);
+        let drawn = service.draw(Instant::now(), reachable, &mut rand::rng());
+        let mut candidates = Vec::new();
+        for (hash, named) in service.upstreams() {
+            let verdict = match &ticket {
+                Some(ticket) if ticket.upstream == hash => Verdict::Ticket,
+                Some(_) => Verdict::OtherTicket,
+                None => self.verdict(&service, hash, named, &drawn),
+            };
+            candidates.push(Candidate {
+                upstream: Arc::clone(&named.spec.name),
+                zone: Arc::clone(&named.spec.zone),
+                owner: self.owner_of(named),
+                verdict,
+            });
+        }
+        candidates
+            .sort_by_key(|candidate| (rank(candidate.verdict), Arc::clone(&candidate.upstream)));
+        let first = candidates.first().filter(|first| rank(first.verdict) <= 1);
+        Ok(Explanation {
+            service: Arc::from(&*service.name),
+            upstream: first.map(|first| Arc::clone(&first.upstream)),
+            owner: first.and_then(|first| first.owner.clone()),
+            ticket: ticket.map(|ticket| self.ticket_report(&ticket)),
+            candidates,
+        })
+    }
+
+    fn set_faults(&self, faults: Faults) -> Result<(), FaultsError> {
+        if !self.faults {
+            return Err(FaultsError::NotEnabled);
+        }
+        let names = faults.deny.iter().map(|name| Rc::from(&**name));
+        self.path.control.set_deny(names);
+        Ok(())
+    }
+}
+
+/// Order of the candidates in an explanation: the chosen one first.
+fn rank(verdict: Verdict) -> u8 {
+    match verdict {
+        Verdict::Ticket => 0,
+        Verdict::Drawn(place) => place,
+        _ => u8::MAX,
+    }
+}
+
+fn member_status(member: &members::Member) -> MemberStatus {
+    MemberStatus {
+        vm: Arc::from(&*member.vm),
+        zone: Arc::from(&*member.zone),
+        state: match member.state {
+            members::MemberState::Alive => MemberState::Live,
+            members::MemberState::Suspect => MemberState::Suspect,
+            members::MemberState::Leaving => MemberState::Leaving,
+            members::MemberState::Dead => MemberState::Dead,
+        },
+        incarnation: (member.version > 0).then_some(member.incarnation),
+    }
+}
+
+fn owned_status(up: &Upstream, named: Named<'_>) -> OwnedUpstream {
+    let now = Instant::now();
+    let load = up.load();
+    let admission = load.admission();
+    let (slots, connections) = load.allowance(now);
+    OwnedUpstream {
+        state: report_state(up, now),
+        slots: Usage {
+            used: admission.in_use(),
+            allowed: slots,
+            limit: named.spec.slots,
+        },
+        connections: Usage {
+            used: admission.connections(),
+            allowed: connections,
+            limit: named.spec.connections,
+        },
+        queued: admission.queued(),
+    }
+}
