--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -282,7 +282,7 @@
             return OwnerReply::NotHeld;
         };
         let owner = self.owner(up.key(), up.zone());
-        if !owner.is_some_and(|member| member.vm == *from) {
+        if owner.is_none_or(|member| member.vm != *from) {
             return OwnerReply::NotYours;
         }
         self.upstreams.borrow_mut().remove(&addr);
