--- /dev/null
+++ b/crates/daemon/tests/logging.rs
@@ -0,0 +1,93 @@
+//! Log lines and their rate limit.
+
+use {
+    foxtailhinge::logging::{
+        self,
+        Admitted,
+        Event,
+        RateLimit,
+        RATE_LINES,
+        RATE_WINDOW, //
+    },
+    std::{
+        env,
+        panic,
+        process::Command,
+        time::Instant, //
+    },
+};
+
+const ROLE: &str = "FOXTAILHINGE_TEST_ROLE";
+
+#[test]
+fn values_are_quoted_when_needed() {
+    let values = [
+        "windhoek-1",
+        "[2001:db8::1]:5683",
+        "",
+        "a b",
+        "a=b",
+        "say \"no\"",
+        "a\\b",
+        "a\nevent=forged",
+        "a\rb",
+        "a\tb",
+        "\u{1b}[2J",
+        "Straße",
+    ];
+    let line = |value: &&str| {
+        let event = Event::new("value").field("value", value).field("n", 1);
+        event.as_str().to_owned()
+    };
+    insta::assert_snapshot!(values.iter().map(line).collect::<Vec<_>>().join("\n"));
+}
+
+#[test]
+fn repeated_lines_are_left_out_and_counted() {
+    let now = Instant::now();
+    let mut rates = RateLimit::default();
+    for _ in 0..RATE_LINES {
+        assert_eq!(rates.admit("a", now), Admitted::Yes { left_out: 0 });
+    }
+    for _ in 0..7 {
+        assert_eq!(rates.admit("a", now), Admitted::No);
+    }
+    assert_eq!(rates.admit("b", now), Admitted::Yes { left_out: 0 });
+    let later = now + RATE_WINDOW;
+    assert_eq!(rates.admit("a", later), Admitted::Yes { left_out: 7 });
+    assert_eq!(rates.admit("a", later), Admitted::Yes { left_out: 0 });
+}
+
+/// Runs as the process under test when started by the test below, else does nothing.
+#[test]
+fn process_under_test() {
+    if env::var(ROLE).is_err() {
+        return;
+    }
+    let handle = logging::start(log::LevelFilter::Info).unwrap();
+    Event::new("zone_out").field("zone", "windhoek-2").info();
+    Event::new("detail").debug();
+    log::info!("a library's detail");
+    log::warn!("a library's warning");
+    panic::catch_unwind(|| panic!("out of\nbounds")).unwrap_err();
+    handle.flush();
+}
+
+#[test]
+fn lines_on_standard_error() {
+    let output = Command::new(env::current_exe().unwrap())
+        .args(["--exact", "process_under_test", "--nocapture"])
+        .env(ROLE, "logs")
+        .output()
+        .unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    let lines: Vec<_> = text.lines().map(without_time).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// The line without its time and without the place of a panic.
+fn without_time(line: &str) -> &str {
+    let (time, rest) = line.split_once(' ').unwrap();
+    assert!(time.starts_with("time=20") && time.ends_with('Z'), "{time}");
+    rest.split(" location=").next().unwrap()
+}
