--- /dev/null
+++ b/crates/policy/tests/pause.rs
@@ -0,0 +1,91 @@
+//! Pauses and the fence that follows them.
+
+use {
+    foxtailhinge_policy::pause::{
+        Fence,
+        PauseDetector,
+        PauseSpec, //
+    },
+    rstest::rstest,
+    std::time::{
+        Duration,
+        Instant, //
+    },
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn synced(now: Instant) -> PauseDetector {
+    let mut detector = PauseDetector::new(PauseSpec::default(), now);
+    detector.synced();
+    detector
+}
+
+#[test]
+fn a_fresh_daemon_waits_for_its_first_sync() {
+    let now = Instant::now();
+    let mut detector = PauseDetector::new(PauseSpec::default(), now);
+    assert!(!detector.admits(now));
+    detector.synced();
+    assert!(detector.admits(now));
+}
+
+#[rstest]
+#[case::on_time(1_000, true)]
+#[case::late(1_001, false)]
+#[case::frozen(10_000, false)]
+fn a_late_tick_closes_the_fence(#[case] after_ms: u32, #[case] admits: bool) {
+    let now = Instant::now();
+    let mut detector = synced(now);
+    let later = now + after_ms * MS;
+    assert_eq!(detector.tick(later).is_none(), admits);
+    assert_eq!(detector.admits(later), admits);
+}
+
+#[test]
+fn work_that_comes_before_the_tick_finds_the_fence_closed() {
+    let now = Instant::now();
+    let mut detector = synced(now);
+    assert!(!detector.admits(now + 10_000 * MS));
+    assert_eq!(detector.pauses(), 1);
+}
+
+#[test]
+fn the_fence_opens_by_itself_when_nobody_can_be_reached() {
+    let now = Instant::now();
+    let spec = PauseSpec::default();
+    let mut detector = PauseDetector::new(spec, now);
+    let mut at = now;
+    while at + 100 * MS < now + spec.bound {
+        at += 100 * MS;
+        assert!(!detector.admits(at));
+    }
+    assert!(detector.admits(now + spec.bound));
+}
+
+#[test]
+fn a_pause_while_fenced_starts_the_bound_anew() {
+    let now = Instant::now();
+    let spec = PauseSpec::default();
+    let mut detector = PauseDetector::new(spec, now);
+    let woken = now + 2 * spec.bound;
+    assert!(!detector.admits(woken));
+    assert_eq!(detector.fence(), Fence::Closed(woken));
+}
+
+#[rstest]
+#[case::in_step(100, 100, false)]
+#[case::suspended(100, 60_000, true)]
+#[case::clock_set_back(100, 0, false)]
+fn a_suspended_vm_shows_on_the_wall_clock(
+    #[case] monotonic_ms: u32,
+    #[case] wall_ms: u32,
+    #[case] paused: bool,
+) {
+    let now = Instant::now();
+    let wall = Duration::from_secs(1_800_000_000);
+    let mut detector = synced(now);
+    detector.tick_with_wall(now, wall);
+    let pause = detector.tick_with_wall(now + monotonic_ms * MS, wall + wall_ms * MS);
+    assert_eq!(pause.is_some(), paused);
+}
