--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -17,5 +17,12 @@
         ControlEvent,
         Source, //
     },
-    settings::ControlSettings,
+    prober::{
+        Prober,
+        RelaySender, //
+    },
+    settings::{
+        ControlLimits,
+        ControlSettings, //
+    },
 };
