--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -1,26 +1,59 @@
 //! Stand-in for a caller: a CoAP client that holds one flow.
 
+use crate::{
+    feed::Feed,
+    message::{
+        self,
+        Block, //
+    },
+    socket,
+    upstream::body::{
+        self,
+        Headline, //
+    }, //
+};
+use coap_lite::{
+    CoapOption,
+    MessageClass,
+    MessageType,
+    Packet,
+    RequestType,
+    ResponseType, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
 use std::{
     collections::HashMap,
     io,
-    net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket},
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        UdpSocket, //
+    },
+    ops::AddAssign,
     sync::{
-        atomic::{AtomicBool, Ordering},
-        mpsc::{self, Receiver, Sender},
-        Arc, Mutex, MutexGuard,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        mpsc::{
+            self,
+            Receiver,
+            Sender, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard, //
     },
     thread,
-    time::{Duration, Instant},
-};
-
-use coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType};
-use rand::{rngs::SmallRng, Rng, SeedableRng};
-
-use crate::{
-    feed::Feed,
-    message::{self, Block},
-    socket,
-    upstream::body::{self, Headline},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 /// Time between looks at whether the caller was dropped.
@@ -148,6 +181,20 @@
     pub changed: u64,
 }
 
+impl AddAssign for Counts {
+    fn add_assign(&mut self, other: Self) {
+        self.flows += other.flows;
+        self.given_up += other.given_up;
+        self.late += other.late;
+        self.foreign += other.foreign;
+        self.wrong_service += other.wrong_service;
+        self.wrong_answer += other.wrong_answer;
+        self.moved += other.moved;
+        self.retransmissions += other.retransmissions;
+        self.changed += other.changed;
+    }
+}
+
 /// The flow that a caller holds.
 struct Flow {
     ticket: Option<Vec<u8>>,
@@ -264,6 +311,14 @@
         self.shared.flow().ticket = ticket;
     }
 
+    /// Forgets the flow, so that the next request begins a new one.
+    pub fn release(&self) {
+        let mut flow = self.shared.flow();
+        flow.generation += 1;
+        flow.ticket = None;
+        flow.upstream = None;
+    }
+
     /// Returns the upstream that the flow reaches.
     pub fn upstream(&self) -> Option<String> {
         self.shared.flow().upstream.clone()
--- a/crates/standins/src/delay.rs
+++ b/crates/standins/src/delay.rs
@@ -3,10 +3,20 @@
 use std::{
     cmp::Reverse,
     collections::BinaryHeap,
-    net::{SocketAddr, UdpSocket},
-    sync::{Arc, Condvar, Mutex},
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::{
+        Arc,
+        Condvar,
+        Mutex, //
+    },
     thread,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 /// A datagram that is due to be sent.
--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -1,21 +1,34 @@
 //! Stand-in for the fabric that hands any packet of a caller to any daemon.
 
+use crate::{
+    delay::DelayLine,
+    socket, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
 use std::{
     collections::HashMap,
     io,
-    net::{IpAddr, SocketAddr, UdpSocket},
+    net::{
+        IpAddr,
+        SocketAddr,
+        UdpSocket, //
+    },
     sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc, Mutex,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
     },
     thread,
-    time::Duration,
+    time::Duration, //
 };
 
-use rand::{rngs::SmallRng, Rng, SeedableRng};
-
-use crate::{delay::DelayLine, socket};
-
 /// Time between looks at whether the fabric was ended.
 const TICK: Duration = Duration::from_millis(50);
 
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -1,21 +1,39 @@
 //! A feed that a caller holds open (RFC 7641).
 
+use crate::{
+    caller::{
+        self,
+        Prepared,
+        Shared, //
+    },
+    message,
+    upstream::body::Headline, //
+};
+use coap_lite::{
+    CoapOption,
+    Packet,
+    RequestType,
+    ResponseType, //
+};
 use std::{
     sync::{
-        atomic::{AtomicBool, Ordering},
-        mpsc::{Receiver, RecvTimeoutError},
-        Arc, Mutex, MutexGuard,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        mpsc::{
+            Receiver,
+            RecvTimeoutError, //
+        },
+        Arc,
+        Mutex,
+        MutexGuard, //
     },
     thread,
-    time::{Duration, Instant},
-};
-
-use coap_lite::{CoapOption, Packet, RequestType, ResponseType};
-
-use crate::{
-    caller::{self, Prepared, Shared},
-    message,
-    upstream::body::Headline,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 /// Longest time between looks at whether the feed was dropped.
--- a/crates/standins/src/fleet/block.rs
+++ b/crates/standins/src/fleet/block.rs
@@ -2,8 +2,16 @@
 
 use std::{
     io,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
-    sync::atomic::{AtomicU32, Ordering},
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
+    }, //
 };
 
 /// Port that marks a block as taken, on its last address.
--- a/crates/standins/src/fleet/builder.rs
+++ b/crates/standins/src/fleet/builder.rs
@@ -1,11 +1,15 @@
 //! Fluent description of a fleet.
 
-use std::path::PathBuf;
-
 use crate::{
-    fleet::{daemon::Program, document::ServiceDocument, Deployment, Fleet},
-    upstream::Spec,
+    fleet::{
+        daemon::Program,
+        document::ServiceDocument,
+        Deployment,
+        Fleet, //
+    },
+    upstream::Spec, //
 };
+use std::path::PathBuf;
 
 /// Change that a test makes to each upstream before it starts.
 type Tune = Box<dyn Fn(&mut Spec)>;
--- a/crates/standins/src/fleet/daemon.rs
+++ b/crates/standins/src/fleet/daemon.rs
@@ -1,16 +1,25 @@
 //! A daemon that runs as a process of its own.
 
+use serde::de::DeserializeOwned;
 use std::{
-    fs::{self, File},
+    fs::{
+        self,
+        File, //
+    },
     io,
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, ExitStatus},
-    time::{Duration, Instant},
+    process::{
+        Child,
+        Command,
+        ExitStatus, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
-use serde_json::Value;
-
 /// Longest wait for an answer of a daemon's interface for operators.
 const HTTP_WAIT: Duration = Duration::from_secs(2);
 /// Time between looks at whether a process has ended.
@@ -51,6 +60,7 @@
     pub(crate) settings: PathBuf,
     pub(crate) log: PathBuf,
     child: Option<Child>,
+    frozen: bool,
 }
 
 impl Daemon {
@@ -62,6 +72,7 @@
             settings: dir.join(format!("{vm}.json")),
             log: dir.join(format!("{vm}.log")),
             child: None,
+            frozen: false,
         }
     }
 
@@ -77,6 +88,7 @@
             .stderr(log)
             .spawn()?;
         self.child = Some(child);
+        self.frozen = false;
         Ok(())
     }
 
@@ -92,6 +104,22 @@
         unsafe { libc::kill(pid as libc::pid_t, signal.number()) };
     }
 
+    /// Pauses the process.
+    pub(crate) fn freeze(&mut self) {
+        self.signal(Signal::Stop);
+        self.frozen = true;
+    }
+
+    /// Ends the pause of the process.
+    pub(crate) fn wake(&mut self) {
+        self.signal(Signal::Continue);
+        self.frozen = false;
+    }
+
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.frozen
+    }
+
     /// Returns the exit status when the process has ended.
     pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok()??;
@@ -127,7 +155,7 @@
         Ok(answer.into_string()?)
     }
 
-    pub(crate) fn read_json(&self, path: &str) -> anyhow::Result<Value> {
+    pub(crate) fn read_json<T: DeserializeOwned>(&self, path: &str) -> anyhow::Result<T> {
         Ok(serde_json::from_str(&self.read(path)?)?)
     }
 
--- a/crates/standins/src/fleet/document.rs
+++ b/crates/standins/src/fleet/document.rs
@@ -1,8 +1,10 @@
 //! A service's document, as an operator edits it.
 
-use std::{collections::BTreeMap, net::SocketAddr};
-
 use serde::Serialize;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
 
 /// A service's document.
 #[derive(Clone, Debug, Serialize)]
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -7,6 +7,52 @@
 pub mod document;
 mod settings;
 
+use crate::{
+    caller::{
+        Caller,
+        CallerSpec, //
+    },
+    fabric::Fabric,
+    fleet::{
+        block::Block,
+        daemon::{
+            Daemon,
+            Signal, //
+        },
+        document::{
+            Allowance,
+            Defaults,
+            Route,
+            ServiceDocument,
+            UpstreamEntry, //
+        },
+        settings::{
+            Key,
+            Limits,
+            Peer,
+            Settings,
+            Testing, //
+        }, //
+    },
+    platform::{
+        Platform,
+        Vm,
+        VmState, //
+    },
+    upstream::{
+        Spec,
+        Upstream, //
+    }, //
+};
+use anyhow::{
+    bail,
+    Context, //
+};
+use foxtailhinge_config::report::{
+    AuditPage,
+    MemberState,
+    Status, //
+};
 use std::{
     collections::BTreeMap,
     fs,
@@ -14,23 +60,10 @@
     path::PathBuf,
     process::ExitStatus,
     thread,
-    time::{Duration, Instant},
-};
-
-use anyhow::{bail, Context};
-use serde_json::Value;
-
-use crate::{
-    caller::{Caller, CallerSpec},
-    fabric::Fabric,
-    fleet::{
-        block::Block,
-        daemon::{Daemon, Signal},
-        document::{Allowance, Defaults, Route, ServiceDocument, UpstreamEntry},
-        settings::{Key, Limits, Peer, Settings, Testing},
-    },
-    platform::{Platform, Vm, VmState},
-    upstream::{Spec, Upstream},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 pub use builder::Builder;
@@ -48,6 +81,9 @@
 /// Milliseconds by which a late tick shows that a daemon was paused.
 const PAUSE_MS: u64 = 1000;
 
+/// Check of a daemon's status, which names what is amiss.
+type Check = fn(&Fleet, &Status) -> Option<String>;
+
 /// A running fleet with its stand-ins.
 pub struct Fleet {
     deployment: Deployment,
@@ -105,7 +141,8 @@
         for index in 0..fleet.daemons.len() {
             fleet.daemons[index].start(&fleet.program)?;
         }
-        fleet.wait_synced(START_WITHIN)?;
+        let synced = fleet.wait_synced(START_WITHIN);
+        synced.context("the fleet did not start")?;
         Ok(fleet)
     }
 
@@ -338,13 +375,13 @@
     }
 
     /// Pauses a daemon.
-    pub fn freeze(&self, vm: &str) {
-        self.daemon(vm).signal(Signal::Stop);
+    pub fn freeze(&mut self, vm: &str) {
+        self.daemon_mut(vm).freeze();
     }
 
     /// Ends a daemon's pause.
-    pub fn wake(&self, vm: &str) {
-        self.daemon(vm).signal(Signal::Continue);
+    pub fn wake(&mut self, vm: &str) {
+        self.daemon_mut(vm).wake();
     }
 
     /// Starts a daemon that was killed or stopped.
@@ -438,12 +475,12 @@
     }
 
     /// Reads a daemon's status.
-    pub fn status(&self, vm: &str) -> anyhow::Result<Value> {
+    pub fn status(&self, vm: &str) -> anyhow::Result<Status> {
         self.daemon(vm).read_json("/status")
     }
 
     /// Reads a daemon's audit trail.
-    pub fn audit(&self, vm: &str) -> anyhow::Result<Value> {
+    pub fn audit(&self, vm: &str) -> anyhow::Result<AuditPage> {
         self.daemon(vm).read_json("/audit?since=0")
     }
 
@@ -464,62 +501,76 @@
 
     /// Waits until each running daemon has the documents as published last in force.
     pub fn wait_applied(&mut self, within: Duration) -> anyhow::Result<()> {
+        self.wait_for(within, Self::lacks_document)
+    }
+
+    /// Waits until, besides, each running daemon sees those that run, and no others, as live.
+    pub fn wait_synced(&mut self, within: Duration) -> anyhow::Result<()> {
+        self.wait_applied(within)?;
+        self.wait_for(within, Self::misjudges_member)
+    }
+
+    /// Waits until a check finds nothing amiss with any running daemon's status.
+    fn wait_for(&mut self, within: Duration, check: Check) -> anyhow::Result<()> {
         let end = Instant::now() + within;
         loop {
-            let behind = self.behind();
-            let Some((vm, cause)) = behind.first() else {
+            let Some((vm, cause)) = self.first_amiss(check) else {
                 return Ok(());
             };
             if Instant::now() >= end {
-                bail!(
-                    "{vm} is not in sync: {cause}; its log ends with\n{}",
-                    self.log(vm)
-                );
+                let log = self.log(&vm);
+                bail!("{vm} is not in sync: {cause}; its log ends with\n{log}");
             }
             thread::sleep(TICK);
         }
     }
 
-    fn wait_synced(&mut self, within: Duration) -> anyhow::Result<()> {
-        self.wait_applied(within).context("the fleet did not start")
-    }
-
-    /// Names the running daemons that lack a document as published last, and what each lacks.
-    fn behind(&mut self) -> Vec<(String, String)> {
-        let mut behind = Vec::new();
+    fn first_amiss(&mut self, check: Check) -> Option<(String, String)> {
         for index in 0..self.daemons.len() {
             let daemon = &mut self.daemons[index];
-            if daemon.pid().is_none() {
+            if daemon.pid().is_none() || daemon.is_frozen() {
                 continue;
             }
             let vm = daemon.vm.clone();
             if let Some(status) = daemon.ended() {
-                behind.push((vm, format!("it ended with {status}")));
-            } else if let Some(cause) = self.lacks(&vm) {
-                behind.push((vm, cause));
+                return Some((vm, format!("it ended with {status}")));
+            }
+            let cause = match self.status(&vm) {
+                Ok(status) => check(self, &status),
+                Err(e) => Some(format!("{e:#}")),
+            };
+            if let Some(cause) = cause {
+                return Some((vm, cause));
             }
         }
-        behind
+        None
     }
 
-    fn lacks(&self, vm: &str) -> Option<String> {
-        let status = match self.status(vm) {
-            Ok(status) => status,
-            Err(e) => return Some(format!("{e:#}")),
-        };
+    fn lacks_document(&self, status: &Status) -> Option<String> {
         let held = |service: &str| {
-            let documents = status["documents"].as_array()?;
-            let found = documents.iter().find(|one| one["service"] == service)?;
-            found["revision"].as_u64()
+            let mut documents = status.documents.iter();
+            let found = documents.find(|one| &*one.service == service)?;
+            Some(found.revision)
         };
         let old = |(service, revision): &(&String, &u64)| held(service) != Some(**revision);
         let (service, revision) = self.revisions.iter().find(old)?;
+        let held = held(service);
         Some(format!(
-            "it has revision {:?} of {service}, not {revision}",
-            held(service)
+            "it has revision {held:?} of {service}, not {revision}"
         ))
     }
 
+    fn misjudges_member(&self, status: &Status) -> Option<String> {
+        let live = |vm: &str| {
+            let mut members = status.members.iter();
+            members.any(|one| &*one.vm == vm && one.state == MemberState::Live)
+        };
+        let runs = |daemon: &&Daemon| daemon.pid().is_some() && !daemon.is_frozen();
+        let wrong = self.daemons.iter().find(|one| live(&one.vm) != runs(one))?;
+        let (vm, seen) = (&wrong.vm, live(&wrong.vm));
+        Some(format!("it sees {vm} as live: {seen}"))
+    }
+
     fn number(&self, service: &str) -> usize {
         let services = self.deployment.services();
         let found = services.iter().position(|one| *one == service);
--- a/crates/standins/src/fleet/settings.rs
+++ b/crates/standins/src/fleet/settings.rs
@@ -1,9 +1,15 @@
 //! Settings files of the daemons.
 
-use std::net::{IpAddr, SocketAddr};
-
-use rand::{rngs::SmallRng, Rng, SeedableRng};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
 use serde::Serialize;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 
 /// Length of a key, in bytes.
 const KEY_LEN: usize = 32;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fabric;
 pub mod feed;
 pub mod fleet;
+pub mod load;
 pub mod message;
 pub mod platform;
 pub mod scenario;
--- a/crates/standins/src/message.rs
+++ b/crates/standins/src/message.rs
@@ -1,8 +1,17 @@
 //! CoAP messages as callers and upstreams exchange them.
 
-use std::{collections::LinkedList, time::Duration};
-
-use coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType};
+use coap_lite::{
+    CoapOption,
+    MessageClass,
+    MessageType,
+    Packet,
+    RequestType,
+    ResponseType, //
+};
+use std::{
+    collections::LinkedList,
+    time::Duration, //
+};
 
 /// Option that carries the flow ticket (RFC 9175).
 pub const ECHO: u16 = 252;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,26 +1,56 @@
 //! Stand-in for the platform's configuration service and VM list: HTTP/2 with JSON, read only.
 
+use bytes::Bytes;
+use h2::{
+    server::SendResponse,
+    RecvStream, //
+};
+use http::{
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use monoio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     future::Future,
     io,
-    net::{IpAddr, SocketAddr},
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
-        mpsc, Arc, Mutex, MutexGuard,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        },
+        mpsc,
+        Arc,
+        Mutex,
+        MutexGuard, //
     },
     thread,
-    time::{Duration, Instant},
-};
-
-use bytes::Bytes;
-use h2::{server::SendResponse, RecvStream};
-use http::{Method, Request, Response, StatusCode};
-use monoio::{
-    net::{TcpListener, TcpStream},
-    LegacyDriver, RuntimeBuilder,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
-use serde::{Deserialize, Serialize};
 
 /// Time between looks at what a test changed.
 const TICK: Duration = Duration::from_millis(5);
--- a/crates/standins/src/socket.rs
+++ b/crates/standins/src/socket.rs
@@ -2,9 +2,12 @@
 
 use std::{
     io,
-    net::{SocketAddr, UdpSocket},
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
     os::fd::AsRawFd,
-    time::Duration,
+    time::Duration, //
 };
 
 /// Largest datagram that the stand-ins read, in bytes.
--- a/crates/standins/src/upstream/mod.rs
+++ b/crates/standins/src/upstream/mod.rs
@@ -8,24 +8,40 @@
 mod server;
 pub mod spec;
 
-use std::{
-    io,
-    net::{SocketAddr, UdpSocket},
-    sync::{Arc, Mutex, MutexGuard},
-    thread,
-    time::{Duration, Instant},
-};
-
 use crate::{
     socket,
     upstream::{
         records::Records,
-        server::{Sending, Server},
+        server::{
+            Sending,
+            Server, //
+        }, //
+    }, //
+};
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
     },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 pub use server::Endpoints;
-pub use spec::{ColdStart, ServiceTime, Spec};
+pub use spec::{
+    ColdStart,
+    ServiceTime,
+    Spec, //
+};
 
 /// Longest time between looks at the orders of a test.
 const TICK: Duration = Duration::from_millis(10);
--- a/crates/standins/src/upstream/records.rs
+++ b/crates/standins/src/upstream/records.rs
@@ -1,6 +1,9 @@
 //! What an upstream stand-in saw.
 
-use std::{collections::HashMap, time::Instant};
+use std::{
+    collections::HashMap,
+    time::Instant, //
+};
 
 /// Kinds of packets that an upstream receives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -1,21 +1,46 @@
 //! The requests and feeds of an upstream stand-in.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
-
-use coap_lite::{CoapOption, MessageClass, MessageType, Packet, RequestType, ResponseType};
-use rand::{rngs::SmallRng, Rng, SeedableRng};
-
 use crate::{
-    message::{self, Block},
+    message::{
+        self,
+        Block, //
+    },
     upstream::{
-        body::{self, Headline},
-        records::{Arrival, Kind, Records},
-        spec::Spec,
+        body::{
+            self,
+            Headline, //
+        },
+        records::{
+            Arrival,
+            Kind,
+            Records, //
+        },
+        spec::Spec, //
+    }, //
+};
+use coap_lite::{
+    CoapOption,
+    MessageClass,
+    MessageType,
+    Packet,
+    RequestType,
+    ResponseType, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use std::{
+    collections::{
+        HashMap,
+        VecDeque, //
     },
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 /// How long a datagram is known, so that its copy does not run again.
@@ -145,10 +170,14 @@
     }
 
     fn slots(&self, now: Instant) -> usize {
-        match self.is_cold(now) {
-            true => self.spec.cold_start.slots,
-            false => self.spec.slots,
+        let cold = self.spec.cold_start;
+        let left = self.warm_at.saturating_duration_since(now);
+        if left.is_zero() {
+            return self.spec.slots;
         }
+        let passed = 1.0 - left.as_secs_f64() / cold.lasts.as_secs_f64();
+        let gained = (self.spec.slots - cold.slots) as f64 * passed;
+        cold.slots + gained as usize
     }
 
     /// Returns when something is next due, if anything is.
--- a/crates/standins/src/upstream/spec.rs
+++ b/crates/standins/src/upstream/spec.rs
@@ -1,8 +1,7 @@
 //! What an upstream stand-in is like.
 
-use std::time::Duration;
-
 use rand::Rng;
+use std::time::Duration;
 
 /// How long requests take.
 #[derive(Clone, Copy, Debug)]
@@ -29,7 +28,7 @@
 /// What an upstream can do in the time after its start.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdStart {
-    /// Requests it can carry at a time.
+    /// Requests it can carry at a time at first; the number grows evenly until the cold start ends.
     pub slots: usize,
     /// Factor by which its requests take longer.
     pub slowdown: f64,
--- a/crates/standins/tests/direct.rs
+++ b/crates/standins/tests/direct.rs
@@ -1,11 +1,22 @@
 //! A caller straight before an upstream, with and without the fabric between.
 
-use std::{net::SocketAddr, time::Duration};
-
 use foxtailhinge_standins::{
-    caller::{Caller, CallerSpec, Outcome},
+    caller::{
+        Caller,
+        CallerSpec,
+        Outcome, //
+    },
     fabric::Fabric,
-    upstream::{body, ServiceTime, Spec, Upstream},
+    upstream::{
+        body,
+        ServiceTime,
+        Spec,
+        Upstream, //
+    }, //
+};
+use std::{
+    net::SocketAddr,
+    time::Duration, //
 };
 
 const WITHIN: Duration = Duration::from_secs(5);
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -1,14 +1,22 @@
 //! The platform's read-only interface.
 
+use foxtailhinge_standins::platform::{
+    Documents,
+    Platform, //
+};
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
 use std::{
     net::SocketAddr,
     thread,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
-use foxtailhinge_standins::platform::{Documents, Platform};
-use monoio::{LegacyDriver, RuntimeBuilder};
-
 /// Reads a path over HTTP/2; returns the status and the body.
 fn read(addr: SocketAddr, method: &'static str, path: &str) -> (u16, String) {
     let uri = format!("http://{addr}{path}");
