--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,5 +1,7 @@
 //! The two first users' deployments.
 
+use std::str::FromStr;
+
 /// A deployment of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deployment {
@@ -18,12 +20,6 @@
         }
     }
 
-    /// Finds a deployment by its name.
-    pub fn named(name: &str) -> Option<Self> {
-        let all = [Deployment::Kalahari, Deployment::SouthernCross];
-        all.into_iter().find(|one| one.name() == name)
-    }
-
     /// Returns the availability zones.
     pub fn zones(self) -> &'static [&'static str] {
         match self {
@@ -74,3 +70,13 @@
         }
     }
 }
+
+impl FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let all = [Deployment::Kalahari, Deployment::SouthernCross];
+        let found = all.into_iter().find(|one| one.name() == name);
+        found.ok_or_else(|| format!("write kalahari or southern-cross, not {name}"))
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Test stand-ins for the platform, the fabric, upstreams and callers, and a launcher of small fleets.
 
+pub mod breaks;
 pub mod caller;
 pub mod fabric;
 pub mod feed;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -144,6 +144,7 @@
 #[derive(Default)]
 struct State {
     store: Store,
+    earlier: Vec<Store>,
     frozen: Option<Store>,
     lag: Duration,
     cut: Vec<IpAddr>,
@@ -250,6 +251,18 @@
         state.frozen = stale.then(|| state.store.clone());
     }
 
+    /// Answers as before the last changes of documents, until `stale(false)`.
+    pub fn rewind(&self, changes: usize) {
+        let mut state = self.shared.state();
+        let place = state.earlier.len().saturating_sub(changes);
+        let store = state.earlier.get(place).cloned();
+        state.frozen = store.map(|earlier| Store {
+            vms_revision: state.store.vms_revision,
+            vms: state.store.vms.clone(),
+            ..earlier
+        });
+    }
+
     /// Closes the connections from these IP numbers and accepts no more from them; others are let in again.
     pub fn cut(&self, peers: &[IpAddr]) {
         self.shared.state().cut = peers.to_vec();
@@ -266,7 +279,10 @@
     }
 
     fn change(&self, service: &str, text: Option<String>) -> u64 {
-        let store = &mut self.shared.state().store;
+        let mut state = self.shared.state();
+        let earlier = state.store.clone();
+        state.earlier.push(earlier);
+        let store = &mut state.store;
         store.revision += 1;
         let document = Document {
             service: service.to_owned(),
--- a/crates/standins/src/scenario.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Scenario language of the fleet's tests.
--- /dev/null
+++ b/crates/standins/src/scenario/act.rs
@@ -0,0 +1,380 @@
+//! Commands that do something to the fleet.
+
+use crate::{
+    caller::Caller,
+    fleet::{
+        Deployment,
+        Fleet, //
+    },
+    load::{
+        Load,
+        Plan, //
+    },
+    scenario::{
+        errand::{
+            summary,
+            Errand, //
+        },
+        order::Order,
+        Scenario, //
+    },
+    upstream::Upstream, //
+};
+use anyhow::{
+    bail,
+    Context, //
+};
+use coap_lite::RequestType;
+use std::{
+    sync::Arc,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+/// Callers that send a script's requests to one service.
+const CALLERS: usize = 8;
+/// Longest wait for what a script waits for.
+const WITHIN: Duration = Duration::from_secs(15);
+/// Changes of documents that a rewound platform does not know.
+const REWOUND: usize = 2;
+/// Time between looks at what a script waits for.
+const TICK: Duration = Duration::from_millis(20);
+/// Time after which a zone that is out receives no more packets.
+pub(super) const ZONE_QUIET_AFTER: Duration = Duration::from_secs(5);
+/// Time in which packets into a quiet zone are counted.
+const ZONE_WATCHED: Duration = Duration::from_secs(2);
+
+impl Scenario {
+    /// Runs one command and returns its output.
+    pub(super) fn act(&mut self, order: &Order) -> anyhow::Result<String> {
+        match order {
+            Order::Fleet { .. } => self.start_fleet(order),
+            Order::Feed { count } => self.open_feeds(*count),
+            Order::Get { count, path } => self.send(RequestType::Get, *count, path),
+            Order::Put { count, path } => self.send(RequestType::Put, *count, path),
+            Order::Delete { count, path } => self.send(RequestType::Delete, *count, path),
+            Order::Post { count, path } => self.send(RequestType::Post, *count, path),
+            Order::Load { .. } => self.change_load(order),
+            Order::Kill(vms) => self.each_vm(vms, |fleet, vm| fleet.kill(vm)),
+            Order::Stop(vms) => self.each_vm(vms, |fleet, vm| fleet.stop(vm)),
+            Order::Start(vms) => self.start_daemons(vms),
+            Order::Freeze(vms) => self.each_vm(vms, |fleet, vm| fleet.freeze(vm)),
+            Order::Wake(vms) => self.each_vm(vms, |fleet, vm| fleet.wake(vm)),
+            Order::Ended(vm) => self.await_end(vm),
+            Order::Deny { vm, peers } => self.deny(vm, peers),
+            Order::Cut(zone) => quiet(self.fleet()?.cut_zone(zone)),
+            Order::Heal => quiet(self.fleet()?.heal()),
+            Order::Zone {
+                change,
+                zone,
+                service,
+            } => self.change_zone(change, zone, service.as_deref()),
+            Order::Drain(names) => self.drain(names, true),
+            Order::Undrain(names) => self.drain(names, false),
+            Order::Upstream { change, names } => self.change_upstreams(change, names),
+            Order::Platform { change } => self.change_platform(change),
+            Order::Publish { service, text } => {
+                self.fleet()?.platform().publish(service, text);
+                done()
+            }
+            Order::Fabric { .. } => self.change_fabric(order),
+            Order::Wait(what) => self.wait(what),
+            Order::Sleep(ms) => {
+                thread::sleep(Duration::from_millis(*ms));
+                done()
+            }
+            Order::Report { what, subject } => self.report(what, subject.as_deref()),
+        }
+    }
+
+    fn start_fleet(&mut self, order: &Order) -> anyhow::Result<String> {
+        let Order::Fleet {
+            deployment,
+            daemons,
+            zones,
+            first,
+            second,
+            seed,
+        } = order
+        else {
+            bail!("this starts no fleet");
+        };
+        let fleet = Fleet::builder()
+            .deployment(deployment.unwrap_or(Deployment::Kalahari))
+            .daemons(daemons.unwrap_or(8))
+            .zones(zones.unwrap_or(usize::MAX))
+            .upstreams(first.unwrap_or(14), second.unwrap_or(4))
+            .seed(seed.unwrap_or(1))
+            .binary(&self.binary)
+            .start()?;
+        self.fleet = Some(fleet);
+        done()
+    }
+
+    fn open_feeds(&mut self, count: usize) -> anyhow::Result<String> {
+        let fleet = self.fleet()?;
+        let deployment = fleet.deployment();
+        let callers = callers(fleet, deployment.services()[0], count)?;
+        let first = self.feeds.len();
+        for caller in callers {
+            let feed = caller.feed(deployment.feed_path());
+            self.feeds.push((caller, feed));
+        }
+        let opened = self.feeds[first..].iter();
+        let opened = opened.filter(|(_, feed)| feed.wait(1, WITHIN)).count();
+        Ok(format!("open {opened}"))
+    }
+
+    fn send(&mut self, method: RequestType, count: usize, path: &str) -> anyhow::Result<String> {
+        let errand = Errand {
+            method,
+            path: path.to_owned(),
+            count,
+        };
+        let service = self.service_of(path)?;
+        let callers = self.callers_of(service)?;
+        let samples = errand.run(&callers);
+        let text = summary(&samples, count);
+        self.tally.samples.extend(samples);
+        Ok(text)
+    }
+
+    /// Returns the service that a path belongs to.
+    fn service_of(&mut self, path: &str) -> anyhow::Result<&'static str> {
+        let deployment = self.fleet()?.deployment();
+        let [first, second] = deployment.services();
+        let reads = path.starts_with(deployment.read_path());
+        Ok(if reads { second } else { first })
+    }
+
+    fn callers_of(&mut self, service: &str) -> anyhow::Result<Vec<Arc<Caller>>> {
+        if !self.callers.contains_key(service) {
+            let opened = callers(self.fleet()?, service, CALLERS)?;
+            let opened = opened.into_iter().map(Arc::new).collect();
+            self.callers.insert(service.to_owned(), opened);
+        }
+        Ok(self.callers[service].clone())
+    }
+
+    fn change_load(&mut self, order: &Order) -> anyhow::Result<String> {
+        let Order::Load {
+            change,
+            callers: count,
+            posts,
+            think_ms,
+            per_flow,
+        } = order
+        else {
+            bail!("this changes no load");
+        };
+        if change == "stop" {
+            let load = self.load.take().context("no load was started")?;
+            self.tally.add(load.stop());
+            return done();
+        }
+        let fleet = self.fleet()?;
+        let deployment = fleet.deployment();
+        let plan = Plan {
+            get: deployment.feed_path().into(),
+            post: deployment.post_path().into(),
+            post_share: posts.unwrap_or(0.3),
+            think: Duration::from_millis(think_ms.unwrap_or(20)),
+            requests_per_flow: per_flow.unwrap_or(50.0),
+            seed: 1,
+        };
+        let callers = callers(fleet, deployment.services()[0], count.unwrap_or(24))?;
+        self.load = Some(Load::start(callers, &plan));
+        done()
+    }
+
+    fn each_vm(
+        &mut self,
+        vms: &[String],
+        change: impl Fn(&mut Fleet, &str),
+    ) -> anyhow::Result<String> {
+        let fleet = self.fleet()?;
+        vms.iter().for_each(|vm| change(fleet, vm));
+        done()
+    }
+
+    fn start_daemons(&mut self, vms: &[String]) -> anyhow::Result<String> {
+        for vm in vms {
+            self.fleet()?.start(vm)?;
+        }
+        done()
+    }
+
+    fn await_end(&mut self, vm: &str) -> anyhow::Result<String> {
+        Ok(match self.fleet()?.ended(vm, WITHIN) {
+            Some(status) => format!("{vm} ended: {status}"),
+            None => format!("{vm} runs on"),
+        })
+    }
+
+    fn deny(&mut self, vm: &str, peers: &[String]) -> anyhow::Result<String> {
+        let peers: Vec<&str> = peers.iter().map(String::as_str).collect();
+        quiet(self.fleet()?.deny(vm, &peers))
+    }
+
+    fn change_zone(
+        &mut self,
+        change: &str,
+        zone: &str,
+        only: Option<&str>,
+    ) -> anyhow::Result<String> {
+        let services = self.fleet()?.deployment().services();
+        for service in services {
+            if only.is_some_and(|only| only != service) {
+                continue;
+            }
+            match change {
+                "out" => {
+                    self.tally.zone_out(service, zone);
+                    self.fleet()?.zone_out(service, zone);
+                }
+                "in" => {
+                    self.fleet()?.zone_in(service, zone);
+                    self.tally.zone_in(service, zone);
+                }
+                _ => bail!("a zone can be taken out or in, not {change}"),
+            }
+        }
+        done()
+    }
+
+    fn drain(&mut self, names: &[String], draining: bool) -> anyhow::Result<String> {
+        for name in names {
+            let fleet = self.fleet()?;
+            let found = fleet.upstream(name).context("unknown upstream")?;
+            found.drain(draining);
+            let service = found.service();
+            fleet.edit(&service, |document| document.set_draining(name, draining));
+        }
+        done()
+    }
+
+    fn change_upstreams(&mut self, change: &str, names: &[String]) -> anyhow::Result<String> {
+        let fleet = self.fleet()?;
+        for name in names {
+            let upstream = fleet.upstream(name).context("unknown upstream")?;
+            change_upstream(upstream, change)?;
+        }
+        done()
+    }
+
+    fn change_platform(&mut self, change: &str) -> anyhow::Result<String> {
+        let platform = self.fleet()?.platform();
+        match change {
+            "down" => platform.stop(),
+            "up" => platform.resume(),
+            "stale" => platform.stale(true),
+            "rewound" => platform.rewind(REWOUND),
+            "fresh" => platform.stale(false),
+            _ => bail!("the platform can not be {change}"),
+        }
+        done()
+    }
+
+    fn change_fabric(&mut self, order: &Order) -> anyhow::Result<String> {
+        let Order::Fabric {
+            copies,
+            loss,
+            jitter_ms,
+            only,
+        } = order
+        else {
+            bail!("this changes no fabric");
+        };
+        let fleet = self.fleet()?;
+        let only = only.as_ref().map(|vm| vec![fleet.ip_of(vm)]);
+        for service in fleet.deployment().services() {
+            fleet.fabric(service).set(|behaviour| {
+                behaviour.only.clone_from(&only);
+                behaviour.copies = copies.unwrap_or(1);
+                behaviour.loss = loss.unwrap_or(0.0);
+                behaviour.jitter = Duration::from_millis(jitter_ms.unwrap_or(0));
+            });
+        }
+        done()
+    }
+
+    fn wait(&mut self, what: &str) -> anyhow::Result<String> {
+        match what {
+            "applied" => quiet(self.fleet()?.wait_applied(WITHIN)),
+            "synced" => quiet(self.fleet()?.wait_synced(WITHIN)),
+            "feeds" => self.wait_feeds(),
+            "quiet" => self.wait_quiet(),
+            "warm" => self.wait_warm(),
+            _ => bail!("a script can not wait for {what}"),
+        }
+    }
+
+    /// Waits until each feed has had further notifications.
+    fn wait_feeds(&self) -> anyhow::Result<String> {
+        let before = self
+            .feeds
+            .iter()
+            .map(|(_, feed)| feed.stats().notifications);
+        let before: Vec<u64> = before.collect();
+        let fed = |((_, feed), before): &(&(Caller, _), u64)| -> bool {
+            let feed: &crate::feed::Feed = feed;
+            feed.wait(before + 3, WITHIN)
+        };
+        let fed = self.feeds.iter().zip(before).filter(fed).count();
+        Ok(format!("fed {fed}"))
+    }
+
+    /// Waits until the zones that are out should be quiet, and some time more.
+    fn wait_quiet(&self) -> anyhow::Result<String> {
+        let open = self.tally.outages.iter().filter(|one| one.ended.is_none());
+        let last = open.map(|one| one.began).max().context("no zone is out")?;
+        let end = last + ZONE_QUIET_AFTER + ZONE_WATCHED;
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+        done()
+    }
+
+    /// Waits until the cold starts of all upstreams are over.
+    fn wait_warm(&mut self) -> anyhow::Result<String> {
+        let upstreams = self.fleet()?.upstreams();
+        let end = Instant::now() + WITHIN;
+        while upstreams.iter().any(Upstream::is_cold) {
+            anyhow::ensure!(Instant::now() < end, "an upstream stays cold");
+            thread::sleep(TICK);
+        }
+        done()
+    }
+}
+
+/// Opens callers spread over the availability zones.
+fn callers(fleet: &mut Fleet, service: &str, count: usize) -> anyhow::Result<Vec<Caller>> {
+    let zones = fleet.zones().len();
+    (0..count)
+        .map(|index| fleet.caller_in(service, index % zones))
+        .collect()
+}
+
+fn change_upstream(upstream: &Upstream, change: &str) -> anyhow::Result<()> {
+    match change {
+        "restart" => upstream.restart(),
+        "cool" => upstream.cool(),
+        "kill" => upstream.kill(),
+        "revive" => upstream.revive(),
+        "freeze" => upstream.freeze(),
+        "wake" => upstream.wake(),
+        "shed" => upstream.shed(true),
+        "unshed" => upstream.shed(false),
+        _ => bail!("an upstream can not {change}"),
+    }
+    Ok(())
+}
+
+fn done() -> anyhow::Result<String> {
+    Ok(String::new())
+}
+
+fn quiet(result: anyhow::Result<()>) -> anyhow::Result<String> {
+    result.map(|()| String::new())
+}
--- /dev/null
+++ b/crates/standins/src/scenario/mod.rs
@@ -0,0 +1,66 @@
+//! Scenario language of the fleet's tests, run by `goldenscript`.
+//!
+//! A script starts a fleet, does something to it and reports what came of it. Reports are
+//! outcomes, never durations, so that a script has the same output on every run.
+
+mod act;
+mod errand;
+mod order;
+mod report;
+mod tally;
+
+use crate::{
+    caller::Caller,
+    feed::Feed,
+    fleet::Fleet,
+    load::Load,
+    scenario::{
+        order::Order,
+        tally::Tally, //
+    }, //
+};
+use anyhow::Context;
+use std::{
+    collections::BTreeMap,
+    error::Error,
+    path::PathBuf,
+    sync::Arc, //
+};
+
+/// A script in progress.
+pub struct Scenario {
+    binary: PathBuf,
+    fleet: Option<Fleet>,
+    callers: BTreeMap<String, Vec<Arc<Caller>>>,
+    feeds: Vec<(Caller, Feed)>,
+    load: Option<Load>,
+    tally: Tally,
+}
+
+impl Scenario {
+    /// Prepares a script whose daemons run the given executable file.
+    pub fn new(binary: impl Into<PathBuf>) -> Self {
+        Scenario {
+            binary: binary.into(),
+            fleet: None,
+            callers: BTreeMap::new(),
+            feeds: Vec::new(),
+            load: None,
+            tally: Tally::default(),
+        }
+    }
+
+    fn fleet(&mut self) -> anyhow::Result<&mut Fleet> {
+        self.fleet
+            .as_mut()
+            .context("start the fleet first: fleet daemons=8")
+    }
+}
+
+impl goldenscript::Runner for Scenario {
+    type Command = Order;
+
+    fn run(&mut self, order: &Order, _: &goldenscript::Context) -> Result<String, Box<dyn Error>> {
+        self.act(order).map_err(|e| format!("{e:#}").into())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/scenario/report.rs
@@ -0,0 +1,131 @@
+//! Commands that report what came of a script.
+
+use crate::{
+    caller::Counts,
+    scenario::{
+        act::ZONE_QUIET_AFTER,
+        tally::runs,
+        Scenario, //
+    }, //
+};
+use anyhow::{
+    bail,
+    Context, //
+};
+use std::time::Instant;
+
+impl Scenario {
+    /// Reports one matter.
+    pub(super) fn report(&mut self, what: &str, subject: Option<&str>) -> anyhow::Result<String> {
+        let subject = subject.context("name the zone, service or upstream that is meant");
+        match what {
+            "broken" => self.report_broken(),
+            "runs" => self.report_runs(),
+            "lost" => Ok(self.report_lost()),
+            "wrong" => self.report_wrong(),
+            "zone-packets" => self.report_zone_packets(subject?),
+            "cold" => self.report_cold(),
+            "refused" => self.report_refused(subject?),
+            "feeds" => self.report_feeds(subject?),
+            _ => bail!("there is no report of {what}"),
+        }
+    }
+
+    /// Flows that ended but for their zone; the causes follow when there are any.
+    fn report_broken(&mut self) -> anyhow::Result<String> {
+        let mut breaks = self.tally.breaks(self.fleet.as_ref().context("no fleet")?);
+        for end in self.feeds.iter().flat_map(|(_, feed)| feed.stats().breaks) {
+            breaks.add_feed(&end);
+        }
+        breaks.add_moved(self.counts().moved);
+        let mut text = format!("broken flows {}", breaks.count());
+        for (cause, count) in &breaks.broken {
+            text += &format!("\n  {cause} {count}");
+        }
+        Ok(text)
+    }
+
+    fn report_runs(&mut self) -> anyhow::Result<String> {
+        let fleet = self.fleet.as_ref().context("no fleet")?;
+        let posts = self
+            .tally
+            .samples
+            .iter()
+            .filter_map(|one| one.post.as_ref());
+        let over = posts.filter(|id| runs(fleet, id) > 1).count();
+        let refused = self.tally.refused_but_ran(fleet);
+        Ok(format!(
+            "run more than once {over}, refused but run {refused}"
+        ))
+    }
+
+    fn report_lost(&self) -> String {
+        let (unknown, silent) = (
+            self.tally.outcomes("unknown"),
+            self.tally.outcomes("timed out"),
+        );
+        format!("unknown {unknown}, timed out {silent}")
+    }
+
+    fn report_wrong(&mut self) -> anyhow::Result<String> {
+        let fleet = self.fleet.as_ref().context("no fleet")?;
+        let foreign = fleet.upstreams().iter().map(|one| one.records().foreign);
+        let foreign: u64 = foreign.sum();
+        let counts = self.counts();
+        let (service, answer) = (counts.wrong_service + foreign, counts.wrong_answer);
+        Ok(format!("wrong service {service}, wrong answer {answer}"))
+    }
+
+    /// Packets into a zone from its quiet time on, until it was taken in again.
+    fn report_zone_packets(&mut self, zone: &str) -> anyhow::Result<String> {
+        let fleet = self.fleet.as_ref().context("no fleet")?;
+        let mut packets = 0;
+        for outage in self.tally.outages.iter().filter(|one| one.zone == zone) {
+            let quiet = outage.began + ZONE_QUIET_AFTER;
+            let times = quiet..outage.ended.unwrap_or_else(Instant::now);
+            let inside = fleet.upstreams().iter();
+            let inside = inside.filter(|one| one.zone() == zone && one.service() == outage.service);
+            for upstream in inside {
+                let arrivals = upstream.records().arrivals;
+                packets += arrivals
+                    .iter()
+                    .filter(|one| times.contains(&one.at))
+                    .count();
+            }
+        }
+        Ok(format!("packets {packets}"))
+    }
+
+    fn report_cold(&mut self) -> anyhow::Result<String> {
+        let upstreams = self.fleet()?.upstreams().iter();
+        let over: u64 = upstreams.map(|one| one.records().cold_overload).sum();
+        Ok(format!("beyond the cold start {over}"))
+    }
+
+    /// Documents that each running daemon refused, of one service.
+    fn report_refused(&mut self, service: &str) -> anyhow::Result<String> {
+        let fleet = self.fleet()?;
+        let vms = fleet.running();
+        let mut refusing = 0;
+        for vm in &vms {
+            let status = fleet.status(vm)?;
+            refusing += usize::from(status.refused.iter().any(|one| &*one.service == service));
+        }
+        Ok(format!("refused by {refusing} of {}", vms.len()))
+    }
+
+    /// Feeds that an upstream was given so far.
+    fn report_feeds(&mut self, upstream: &str) -> anyhow::Result<String> {
+        let fleet = self.fleet()?;
+        let found = fleet.upstream(upstream).context("unknown upstream")?;
+        Ok(format!("feeds begun {}", found.records().feeds))
+    }
+
+    fn counts(&self) -> Counts {
+        let mut counts = self.tally.counts;
+        let callers = self.callers.values().flatten().map(|one| one.counts());
+        let feeds = self.feeds.iter().map(|(caller, _)| caller.counts());
+        callers.chain(feeds).for_each(|one| counts += one);
+        counts
+    }
+}
--- /dev/null
+++ b/crates/standins/src/scenario/tally.rs
@@ -0,0 +1,82 @@
+//! What a script's requests led to so far.
+
+use crate::{
+    breaks::{
+        Breaks,
+        Outage,
+        Place, //
+    },
+    caller::Counts,
+    fleet::Fleet,
+    load::{
+        Results,
+        Sample, //
+    }, //
+};
+use std::{
+    collections::HashMap,
+    time::Instant, //
+};
+
+/// What a script's requests led to so far.
+#[derive(Default)]
+pub(super) struct Tally {
+    pub(super) samples: Vec<Sample>,
+    pub(super) counts: Counts,
+    pub(super) outages: Vec<Outage>,
+}
+
+impl Tally {
+    pub(super) fn add(&mut self, results: Results) {
+        self.samples.extend(results.samples);
+        self.counts += results.counts;
+    }
+
+    pub(super) fn zone_out(&mut self, service: &str, zone: &str) {
+        self.outages.push(Outage {
+            zone: zone.into(),
+            service: service.into(),
+            began: Instant::now(),
+            ended: None,
+        });
+    }
+
+    pub(super) fn zone_in(&mut self, service: &str, zone: &str) {
+        let open =
+            |one: &&mut Outage| one.zone == zone && one.service == service && one.ended.is_none();
+        if let Some(outage) = self.outages.iter_mut().find(open) {
+            outage.ended = Some(Instant::now());
+        }
+    }
+
+    /// Sorts the ends of flows; those of feeds are added by the caller.
+    pub(super) fn breaks(&self, fleet: &Fleet) -> Breaks {
+        let place = |one: &crate::upstream::Upstream| Place {
+            service: one.service(),
+            zone: one.zone(),
+        };
+        let upstreams = fleet.upstreams().iter();
+        let places: HashMap<_, _> = upstreams.map(|one| (one.name(), place(one))).collect();
+        let mut breaks = Breaks::new(places, self.outages.clone());
+        self.samples.iter().for_each(|one| breaks.add_request(one));
+        breaks
+    }
+
+    /// Counts the requests with an outcome.
+    pub(super) fn outcomes(&self, name: &str) -> usize {
+        let named = self.samples.iter().filter(|one| one.outcome == name);
+        named.count()
+    }
+
+    /// Counts the POSTs that ran at an upstream though they were refused as not run.
+    pub(super) fn refused_but_ran(&self, fleet: &Fleet) -> usize {
+        let refused = self.samples.iter().filter(|one| one.outcome == "not run");
+        let posts = refused.filter_map(|one| one.post.as_deref());
+        posts.filter(|id| runs(fleet, id) > 0).count()
+    }
+}
+
+/// Returns how often a POST ran at all upstreams together.
+pub(super) fn runs(fleet: &Fleet, id: &str) -> u32 {
+    fleet.upstreams().iter().map(|one| one.runs(id)).sum()
+}
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -91,6 +91,17 @@
     assert_eq!(documents(addr, "").revision, 2);
 }
 
+#[test]
+fn a_rewound_platform_answers_as_before_its_last_changes() {
+    let addr = "127.0.8.25:8080".parse().unwrap();
+    let platform = Platform::start(addr).unwrap();
+    platform.publish("certvault", "{}");
+    platform.publish("certvault", "{ }");
+    platform.publish("syncdesk-api", "{}");
+    platform.rewind(2);
+    assert_eq!(documents(addr, "").revision, 1);
+}
+
 #[test]
 fn nothing_can_be_written() {
     let addr = "127.0.8.23:8080".parse().unwrap();
