--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,9 +1,11 @@
 //! Test stand-ins for the platform, the fabric, upstreams and callers, and a launcher of small fleets.
 
+pub mod breaks;
 pub mod caller;
 pub mod fabric;
 pub mod feed;
 pub mod fleet;
+pub mod load;
 pub mod message;
 pub mod platform;
 pub mod scenario;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,27 +1,57 @@
 //! Stand-in for the platform's configuration service and VM list: HTTP/2 with JSON, read only.
 
+use bytes::Bytes;
+use h2::{
+    server::SendResponse,
+    RecvStream, //
+};
+use http::{
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use monoio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     future::Future,
     io,
-    net::{IpAddr, SocketAddr},
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
-        mpsc, Arc, Mutex, MutexGuard,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        },
+        mpsc,
+        Arc,
+        Mutex,
+        MutexGuard, //
     },
     thread,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
-use bytes::Bytes;
-use h2::{server::SendResponse, RecvStream};
-use http::{Method, Request, Response, StatusCode};
-use monoio::{
-    net::{TcpListener, TcpStream},
-    LegacyDriver, RuntimeBuilder,
-};
-use serde::{Deserialize, Serialize};
-
 /// Time between looks at what a test changed.
 const TICK: Duration = Duration::from_millis(5);
 /// Longest wait of a watch that names none.
@@ -114,6 +144,7 @@
 #[derive(Default)]
 struct State {
     store: Store,
+    earlier: Vec<Store>,
     frozen: Option<Store>,
     lag: Duration,
     cut: Vec<IpAddr>,
@@ -220,6 +251,18 @@
         state.frozen = stale.then(|| state.store.clone());
     }
 
+    /// Answers as before the last changes of documents, until `stale(false)`.
+    pub fn rewind(&self, changes: usize) {
+        let mut state = self.shared.state();
+        let place = state.earlier.len().saturating_sub(changes);
+        let store = state.earlier.get(place).cloned();
+        state.frozen = store.map(|earlier| Store {
+            vms_revision: state.store.vms_revision,
+            vms: state.store.vms.clone(),
+            ..earlier
+        });
+    }
+
     /// Closes the connections from these IP numbers and accepts no more from them; others are let in again.
     pub fn cut(&self, peers: &[IpAddr]) {
         self.shared.state().cut = peers.to_vec();
@@ -236,7 +279,10 @@
     }
 
     fn change(&self, service: &str, text: Option<String>) -> u64 {
-        let store = &mut self.shared.state().store;
+        let mut state = self.shared.state();
+        let earlier = state.store.clone();
+        state.earlier.push(earlier);
+        let store = &mut state.store;
         store.revision += 1;
         let document = Document {
             service: service.to_owned(),
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -1,14 +1,22 @@
 //! The platform's read-only interface.
 
+use foxtailhinge_standins::platform::{
+    Documents,
+    Platform, //
+};
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
 use std::{
     net::SocketAddr,
     thread,
-    time::{Duration, Instant},
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
-use foxtailhinge_standins::platform::{Documents, Platform};
-use monoio::{LegacyDriver, RuntimeBuilder};
-
 /// Reads a path over HTTP/2; returns the status and the body.
 fn read(addr: SocketAddr, method: &'static str, path: &str) -> (u16, String) {
     let uri = format!("http://{addr}{path}");
@@ -83,6 +91,17 @@
     assert_eq!(documents(addr, "").revision, 2);
 }
 
+#[test]
+fn a_rewound_platform_answers_as_before_its_last_changes() {
+    let addr = "127.0.8.25:8080".parse().unwrap();
+    let platform = Platform::start(addr).unwrap();
+    platform.publish("certvault", "{}");
+    platform.publish("certvault", "{ }");
+    platform.publish("syncdesk-api", "{}");
+    platform.rewind(2);
+    assert_eq!(documents(addr, "").revision, 1);
+}
+
 #[test]
 fn nothing_can_be_written() {
     let addr = "127.0.8.23:8080".parse().unwrap();
