--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! together, so a text is either taken whole or refused whole.
 
 pub mod bounds;
+pub mod check;
 pub mod document;
 pub mod finding;
 pub mod reader;
--- /dev/null
+++ b/crates/ctl/src/check.rs
@@ -0,0 +1,95 @@
+//! `foxtailctl check`.
+
+use crate::{
+    error::{
+        Outcome,
+        UsageError, //
+    },
+    output::print_json, //
+};
+use foxtailhinge_config::{
+    check::{
+        Checker,
+        Kind, //
+    },
+    finding::Findings, //
+};
+use serde::Serialize;
+use std::{
+    fs::File,
+    io::Read,
+    path::{
+        Path,
+        PathBuf, //
+    },
+};
+
+/// Bytes read of a file: enough to see that it is too long.
+const READ_BYTES: u64 = foxtailhinge_config::bounds::TEXT_BYTES as u64 + 1;
+
+#[derive(Serialize)]
+struct Report {
+    files: Vec<FileReport>,
+}
+
+#[derive(Serialize)]
+struct FileReport {
+    file: String,
+    kind: Option<Kind>,
+    findings: Findings,
+}
+
+/// Checks files and prints every finding.
+pub(crate) fn run(files: &[PathBuf], json: bool) -> anyhow::Result<Outcome> {
+    let mut checker = Checker::default();
+    let mut reports = Vec::new();
+    for file in files {
+        reports.push(check(&mut checker, file)?);
+    }
+    let report = Report { files: reports };
+    if json {
+        print_json(&report)?;
+    } else {
+        print_text(&report);
+    }
+    Ok(match count(&report) {
+        0 => Outcome::Success,
+        _ => Outcome::Findings,
+    })
+}
+
+fn check(checker: &mut Checker, path: &Path) -> Result<FileReport, UsageError> {
+    let bytes = read(path).map_err(|e| UsageError::File(path.to_path_buf(), e))?;
+    let file = path.display().to_string();
+    let (kind, findings) = match checker.check(&file, &bytes) {
+        Ok(kind) => (Some(kind), Findings::default()),
+        Err(findings) => (None, findings),
+    };
+    Ok(FileReport {
+        file,
+        kind,
+        findings,
+    })
+}
+
+fn read(path: &Path) -> std::io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    File::open(path)?.take(READ_BYTES).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+fn print_text(report: &Report) {
+    for file in &report.files {
+        match file.kind {
+            Some(Kind::Document) => println!("{}: good document", file.file),
+            Some(Kind::Settings) => println!("{}: good settings", file.file),
+            None => println!("{}", file.findings),
+        }
+    }
+    let (files, findings) = (report.files.len(), count(report));
+    println!("Files checked: {files}, findings: {findings}.");
+}
+
+fn count(report: &Report) -> usize {
+    report.files.iter().map(|f| f.findings.len()).sum()
+}
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,220 @@
+//! Arguments of the command line.
+
+use crate::{
+    error::EXIT_USAGE,
+    request::RequestSettings, //
+};
+use bpaf::{
+    Args,
+    Bpaf,
+    OptionParser,
+    ParseFailure,
+    Parser, //
+};
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    process::ExitCode, //
+};
+
+/// Name of the program.
+pub(crate) const PROGRAM: &str = "foxtailctl";
+
+const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7002);
+const HELP_WIDTH: usize = 100;
+
+const EXAMPLES: &str = "Examples:
+
+    foxtailctl check documents/*.jsonc
+    foxtailctl status --service syncdesk-api
+    foxtailctl status --admin 10.20.1.1:7002 --admin 10.20.1.2:7002
+    foxtailctl audit --service syncdesk-api --follow
+    foxtailctl explain syncdesk-api
+    foxtailctl request coap://10.20.0.1:5601/cues
+    foxtailctl completion bash > /etc/bash_completion.d/foxtailctl
+
+Exit codes: 0 success, 1 findings or a failure, 2 wrong usage.";
+
+/// What to do.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    descr("Operate foxtailhinge: check documents, see what the daemons do."),
+    footer(EXAMPLES)
+)]
+pub(crate) enum Command {
+    /// Check documents and settings; list every finding with its place
+    #[bpaf(
+        command,
+        footer("Example:\n\n    foxtailctl check syncdesk-api.jsonc certvault.jsonc")
+    )]
+    Check {
+        #[bpaf(external)]
+        json: bool,
+        /// Document or settings
+        #[bpaf(positional("FILE"), complete_shell(bpaf::ShellComp::File { mask: None }), some("Name at least one file."))]
+        files: Vec<PathBuf>,
+    },
+    /// Show members, zones, upstreams and documents as daemons see them
+    #[bpaf(
+        command,
+        footer("Example:\n\n    foxtailctl status --admin 10.20.1.1:7002 --admin 10.20.1.2:7002")
+    )]
+    Status {
+        #[bpaf(external)]
+        json: bool,
+        #[bpaf(external(admins))]
+        admin: Vec<SocketAddr>,
+        /// Show this service only
+        #[bpaf(argument("SERVICE"))]
+        service: Option<String>,
+    },
+    /// Show the last changes that a daemon made or saw
+    #[bpaf(
+        command,
+        footer("Example:\n\n    foxtailctl audit --service syncdesk-api --follow")
+    )]
+    Audit {
+        #[bpaf(external)]
+        json: bool,
+        #[bpaf(external(admin))]
+        admin: SocketAddr,
+        /// Show changes of this service only
+        #[bpaf(argument("SERVICE"))]
+        service: Option<String>,
+        /// Show changes after this sequence number
+        #[bpaf(argument("N"), fallback(0), display_fallback)]
+        since: u64,
+        /// Go on showing changes as they come
+        follow: bool,
+    },
+    /// Show where a flow goes, and why not elsewhere
+    #[bpaf(command, footer("Example:\n\n    foxtailctl explain syncdesk-api"))]
+    Explain {
+        #[bpaf(external)]
+        json: bool,
+        #[bpaf(external(admin))]
+        admin: SocketAddr,
+        /// Ticket of the flow; without it a new flow is explained
+        #[bpaf(argument("HEX"))]
+        ticket: Option<String>,
+        /// Name of the service
+        #[bpaf(positional("SERVICE"))]
+        service: String,
+    },
+    /// Send one CoAP request as a caller
+    #[bpaf(
+        command,
+        footer(
+            "Examples:
+
+    foxtailctl request coap://10.20.0.1:5601/cues
+    foxtailctl request --method post --payload '{\"track\":7}' coap://10.20.0.1:5601/clearances
+    foxtailctl request --observe --count 10 coap://10.20.0.1:5601/cues"
+        )
+    )]
+    Request {
+        #[bpaf(external)]
+        json: bool,
+        #[bpaf(external(crate::request::request_settings))]
+        settings: RequestSettings,
+        /// Address of the service and path of the request
+        #[bpaf(positional("URL"))]
+        url: String,
+    },
+    /// Print the completion script of a shell
+    #[bpaf(
+        command,
+        footer("Example:\n\n    foxtailctl completion bash > /etc/bash_completion.d/foxtailctl")
+    )]
+    Completion {
+        /// One of bash, zsh, fish and elvish
+        #[bpaf(positional("SHELL"))]
+        shell: Shell,
+    },
+}
+
+/// A shell with completion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Shell {
+    /// GNU Bash.
+    Bash,
+    /// Z shell.
+    Zsh,
+    /// Friendly interactive shell.
+    Fish,
+    /// Elvish.
+    Elvish,
+}
+
+impl std::str::FromStr for Shell {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "bash" => Ok(Self::Bash),
+            "zsh" => Ok(Self::Zsh),
+            "fish" => Ok(Self::Fish),
+            "elvish" => Ok(Self::Elvish),
+            _ => Err("write bash, zsh, fish or elvish"),
+        }
+    }
+}
+
+fn json() -> impl Parser<bool> {
+    bpaf::long("json").help("Print JSON for programs").switch()
+}
+
+fn admin() -> impl Parser<SocketAddr> {
+    admin_argument("Admin address of a daemon")
+        .fallback(DEFAULT_ADMIN)
+        .display_fallback()
+}
+
+fn admins() -> impl Parser<Vec<SocketAddr>> {
+    admin_argument("Admin address of a daemon, may be repeated; 127.0.0.1:7002 by default")
+        .many()
+        .map(|admins| {
+            if admins.is_empty() {
+                return vec![DEFAULT_ADMIN];
+            }
+            admins
+        })
+}
+
+fn admin_argument(help: &str) -> impl Parser<SocketAddr> {
+    bpaf::long("admin").help(help).argument("IP:PORT")
+}
+
+/// Parses the arguments of the process.
+///
+/// # Errors
+///
+/// Help, completions and complaints are printed, and the exit code is given.
+pub(crate) fn parse() -> Result<Command, ExitCode> {
+    options()
+        .run_inner(Args::current_args())
+        .map_err(|e| match e {
+            ParseFailure::Stdout(doc, full) => {
+                println!("{}", doc.monochrome(full).trim_end());
+                ExitCode::SUCCESS
+            }
+            ParseFailure::Completion(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            ParseFailure::Stderr(doc) => {
+                eprintln!("foxtailctl: {}", doc.monochrome(true).trim_end());
+                ExitCode::from(EXIT_USAGE)
+            }
+        })
+}
+
+/// Parser of the command line.
+pub(crate) fn options() -> OptionParser<Command> {
+    command().max_width(HELP_WIDTH)
+}
--- /dev/null
+++ b/crates/ctl/src/error.rs
@@ -0,0 +1,52 @@
+//! Outcome of a command.
+
+use std::{
+    path::PathBuf,
+    process::ExitCode, //
+};
+use thiserror::Error;
+
+/// Exit code for findings and failures.
+const EXIT_FAILURE: u8 = 1;
+/// Exit code for a command line that cannot be carried out as written.
+pub(crate) const EXIT_USAGE: u8 = 2;
+
+/// Outcome of a command that ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// All is well.
+    Success,
+    /// The command ran and found something to mend.
+    Findings,
+}
+
+impl From<Outcome> for ExitCode {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Success => Self::SUCCESS,
+            Outcome::Findings => Self::from(EXIT_FAILURE),
+        }
+    }
+}
+
+/// A command line that cannot be carried out as written.
+#[derive(Debug, Error)]
+pub(crate) enum UsageError {
+    /// A file cannot be read.
+    #[error("Name a file that can be read; {} cannot: {}.", .0.display(), .1)]
+    File(PathBuf, std::io::Error),
+    /// A URL is not of the right form.
+    #[error("Write a URL such as coap://10.20.0.1:5601/clearances instead of \"{0}\".")]
+    Url(String),
+    /// A ticket is not of the right form.
+    #[error("Write the ticket as 80 hexadecimal digits.")]
+    Ticket,
+}
+
+/// Exit code for an error of a command.
+pub(crate) fn exit_code(e: &anyhow::Error) -> ExitCode {
+    match e.downcast_ref::<UsageError>() {
+        Some(_) => ExitCode::from(EXIT_USAGE),
+        None => ExitCode::from(EXIT_FAILURE),
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,31 @@
-//! Entry point of the operator command line.
+//! Operator command line of foxtailhinge.
 
-fn main() {}
+mod admin;
+mod audit;
+mod check;
+mod cli;
+mod completion;
+mod error;
+mod explain;
+mod output;
+mod request;
+mod run;
+mod status;
+mod table;
+mod time;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let command = match cli::parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    match run::run(command) {
+        Ok(outcome) => outcome.into(),
+        Err(e) => {
+            eprintln!("{}: {e:#}", cli::PROGRAM);
+            error::exit_code(&e)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/run.rs
@@ -0,0 +1,48 @@
+//! Choice of the command.
+
+use crate::{
+    audit,
+    check,
+    cli::Command,
+    completion,
+    error::Outcome,
+    explain,
+    request,
+    status, //
+};
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// The error says what failed and what to do; a [`crate::error::UsageError`] in it stands for exit code 2, any
+/// other one for exit code 1.
+pub(crate) fn run(command: Command) -> anyhow::Result<Outcome> {
+    match command {
+        Command::Check { json, files } => check::run(&files, json),
+        Command::Status {
+            json,
+            admin,
+            service,
+        } => status::run(&admin, service.as_deref(), json),
+        Command::Audit {
+            json,
+            admin,
+            service,
+            since,
+            follow,
+        } => audit::run(admin, service.as_deref(), since, follow, json),
+        Command::Explain {
+            json,
+            admin,
+            ticket,
+            service,
+        } => explain::run(admin, &service, ticket.as_deref(), json),
+        Command::Request {
+            json,
+            settings,
+            url,
+        } => request::run(&url, &settings, json),
+        Command::Completion { shell } => completion::run(shell),
+    }
+}
