--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,6 +15,10 @@
             relay::Relay,
         },
         error::Error,
+        logging::{
+            self,
+            Event, //
+        },
         members::{
             Control,
             ControlEvent,
@@ -22,23 +26,30 @@
         },
         metrics::Metrics,
         operations::Desk,
+        signal::Signals,
+        supervisor::{
+            Limits,
+            Restart,
+            Supervisor, //
+        },
+        timer::Timer, //
     },
     foxtailhinge_config::settings::Settings,
     foxtailhinge_wire::ticket::TicketKeys,
+    futures::future::{
+        select,
+        Either, //
+    },
     monoio::{
         net::TcpListener,
         LegacyDriver,
         RuntimeBuilder, //
     },
     std::{
+        net::SocketAddr,
+        pin::pin,
         rc::Rc,
-        sync::{
-            atomic::{
-                AtomicBool,
-                Ordering, //
-            },
-            Arc, //
-        },
+        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -58,6 +69,12 @@
 ///
 /// Why it could not start, or had to end.
 pub fn run(settings: Settings) -> Result<(), Error> {
+    let level = settings
+        .log
+        .as_str()
+        .parse()
+        .unwrap_or(log::LevelFilter::Info);
+    let _logger = logging::start(level).map_err(|err| Error::Failed(err.into()))?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
@@ -66,33 +83,82 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register_conditional_shutdown(signal, 1, Arc::clone(&stop))
-            .map_err(Error::Runtime)?;
-        signal_hook::flag::register(signal, Arc::clone(&stop)).map_err(Error::Runtime)?;
+    let mut signals = Signals::register().map_err(Error::Runtime)?;
+    let supervisor = Supervisor::new("daemon", Limits::default(), |_| {});
+    let path = build(&settings, supervisor.clone())?;
+    start(&path, &settings, &supervisor)?;
+    Event::new("started")
+        .field("vm", &settings.vm)
+        .field("zone", &settings.zone)
+        .field("incarnation", path.incarnation)
+        .info();
+    let running = pin!(supervisor.run());
+    let stopped = pin!(signals.stop());
+    match select(running, stopped).await {
+        Either::Left((ended, _)) => Ok(ended?),
+        Either::Right((stopped, running)) => {
+            stopped.map_err(Error::Runtime)?;
+            leave(&path, settings.limits.drain).await;
+            supervisor.kill();
+            Ok(running.await?)
+        }
     }
-    let path = build(&settings)?;
-    let admin = TcpListener::bind(settings.admin).map_err(|source| Error::Bind {
+}
+
+/// Starts the long-lived tasks.
+fn start(path: &Rc<DataPath>, settings: &Settings, supervisor: &Supervisor) -> Result<(), Error> {
+    let timer = Timer::start();
+    let upkeep = Rc::clone(path);
+    supervisor.child("upkeep", Restart::Always, move |_| {
+        let task = Rc::clone(&upkeep).run_upkeep(Rc::clone(&timer));
+        async move {
+            task.await;
+            Ok(())
+        }
+    });
+    let relay = Rc::clone(path);
+    supervisor.child("relay", Restart::Always, move |_| {
+        let task = Rc::clone(&relay).read_relay();
+        async move { Ok(task.await?) }
+    });
+    let control = Rc::clone(path);
+    supervisor.child("control", Restart::Always, move |_| {
+        let handler = Rc::new(Rc::clone(&control));
+        let prober = Rc::clone(control.prober());
+        let task = Rc::clone(&control.control).run(prober, handler);
+        async move { Ok(task.await?) }
+    });
+    start_admin(path, settings, supervisor)
+}
+
+fn start_admin(
+    path: &Rc<DataPath>,
+    settings: &Settings,
+    supervisor: &Supervisor,
+) -> Result<(), Error> {
+    let desk = Rc::new(Desk::new(Rc::clone(path), settings));
+    let addr = settings.admin;
+    let mut first = Some(bind_admin(addr)?);
+    supervisor.child("admin", Restart::Always, move |_| {
+        let desk = Rc::clone(&desk);
+        let listener = first.take().map_or_else(|| bind_admin(addr), Ok);
+        async move {
+            admin::serve(listener?, desk).await;
+            Ok(())
+        }
+    });
+    Ok(())
+}
+
+fn bind_admin(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).map_err(|source| Error::Bind {
         role: "admin",
-        addr: settings.admin,
+        addr,
         source,
-    })?;
-    let desk = Rc::new(Desk::new(Rc::clone(&path), &settings));
-    monoio::spawn(admin::serve(admin, desk));
-    monoio::spawn(Rc::clone(&path).read_relay());
-    monoio::spawn(Rc::clone(&path).run_upkeep());
-    let control = Rc::clone(&path.control);
-    let handler = Rc::new(Rc::clone(&path));
-    monoio::spawn(control.run(Rc::clone(path.prober()), handler));
-    while !stop.load(Ordering::Relaxed) {
-        monoio::time::sleep(STOP_PERIOD).await;
-    }
-    leave(&path, settings.limits.drain).await;
-    Ok(())
+    })
 }
 
-fn build(settings: &Settings) -> Result<Rc<DataPath>, Error> {
+fn build(settings: &Settings, supervisor: Supervisor) -> Result<Rc<DataPath>, Error> {
     let incarnation = rand::random();
     let control = Control::new(ControlSettings::new(settings, incarnation, rand::random()));
     let keys = settings.keys.iter();
@@ -110,6 +176,7 @@
         tickets: TicketKeys::new(keys),
         listen: settings.listen,
         relay,
+        supervisor,
     });
     let weak = Rc::downgrade(&path);
     path.control.subscribe(move |event| {
@@ -128,33 +195,31 @@
             new,
             ..
         } => {
-            let (service_name, revision) = (Arc::from(&**service), *revision);
-            let record = match new {
-                Some(_) => AuditEvent::DocumentApplied {
-                    service: service_name,
-                    revision,
-                },
-                None => AuditEvent::DocumentRemoved {
-                    service: service_name,
-                    revision,
-                },
-            };
-            path.audit.record(record);
+            path.record_document(service, *revision, new.is_some());
             path.apply(service, new.clone());
         }
         ControlEvent::Refused {
             service, revision, ..
-        } => path.audit.record(AuditEvent::DocumentRefused {
-            service: Arc::from(&**service),
-            revision: *revision,
-            findings: Vec::new(),
-        }),
-        ControlEvent::Member(_) => path.reconcile(),
+        } => {
+            path.metrics.documents_refused.inc();
+            path.audit.record(AuditEvent::DocumentRefused {
+                service: Arc::from(&**service),
+                revision: *revision,
+                findings: Vec::new(),
+            });
+        }
+        ControlEvent::Member(change) => {
+            path.record_member(&change.member);
+            path.reconcile();
+        }
         ControlEvent::Paused(_) => {
             path.metrics.pauses_fenced.inc();
             path.audit.record(AuditEvent::FleetFenced);
         }
-        ControlEvent::Synced => path.audit.record(AuditEvent::FleetRejoined),
+        ControlEvent::Synced => {
+            path.audit.record(AuditEvent::FleetRejoined);
+            path.claim_again();
+        }
     }
 }
 
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -28,7 +28,9 @@
             LinkReply,
             LinkRequest, //
         },
+        logging::Event,
         metrics::HandOverResult,
+        supervisor::Restart, //
     },
     foxtailhinge_policy::{
         ledger::FlowLedger,
@@ -135,7 +137,7 @@
         let holding = Holding::Claiming(Vec::new());
         self.upstreams.borrow_mut().insert(addr, holding);
         let path = Rc::clone(self);
-        monoio::spawn(async move {
+        self.spawn("claim", async move {
             let former = path.ask_former(addr, &owned).await;
             path.take_up(addr, &owned, former);
         });
@@ -159,6 +161,25 @@
         None
     }
 
+    /// Claims the held upstreams from the daemons that may have taken them up during a pause.
+    pub fn claim_again(self: &Rc<Self>) {
+        for up in self.all_held() {
+            let owned = Owned {
+                key: Rc::clone(up.key()),
+                zone: Rc::clone(up.zone()),
+                spec: up.load().spec(),
+            };
+            let path = Rc::clone(self);
+            self.spawn("claim_again", async move {
+                if let Some((member, state)) = path.ask_former(up.addr(), &owned).await {
+                    let (slots, in_use) = (state.allowance.slots, state.in_use);
+                    up.load_mut().join(slots, in_use, Instant::now());
+                    path.take_flows(&up, member, state);
+                }
+            });
+        }
+    }
+
     /// The daemon that owned the upstream if this one had not been there.
     fn former_owner(&self, owned: &Owned) -> Option<Member> {
         let members = self.control.members();
@@ -178,7 +199,10 @@
         let up = match self.build(addr, owned, former.as_ref().map(|(_, state)| state)) {
             Ok(up) => up,
             Err(err) => {
-                log::error!("event=upstream_socket_failed upstream={addr} cause=\"{err}\"");
+                Event::new("upstream_socket_failed")
+                    .field("upstream", addr)
+                    .field("cause", err)
+                    .error();
                 self.upstreams.borrow_mut().remove(&addr);
                 return;
             }
@@ -217,11 +241,11 @@
     fn watch(self: &Rc<Self>, up: &Rc<Upstream>) {
         let path = Rc::clone(self);
         let up = Rc::clone(up);
-        monoio::spawn(async move {
-            let addr = up.addr();
-            if let Err(err) = path.read_upstream(up).await {
-                log::error!("event=upstream_socket_failed upstream={addr} cause=\"{err}\"");
-            }
+        let name = format!("upstream {}", up.addr());
+        self.supervisor.child(&name, Restart::OnFailure, move |_| {
+            let path = Rc::clone(&path);
+            let up = Rc::clone(&up);
+            async move { Ok(path.read_upstream(up).await?) }
         });
     }
 
@@ -241,7 +265,7 @@
         }
         let path = Rc::clone(self);
         let up = Rc::clone(up);
-        monoio::spawn(async move {
+        self.spawn("take_feeds", async move {
             for record in state.feeds {
                 path.take_feed(&up, record).await;
             }
@@ -298,7 +322,7 @@
         let path = Rc::clone(self);
         let next = Rc::clone(next);
         self.parting.borrow_mut().insert(up.addr(), Rc::clone(&up));
-        monoio::spawn(async move {
+        self.spawn("part", async move {
             path.report_finished(&up, &next, in_use).await;
             up.socket().close();
             let mut parting = path.parting.borrow_mut();
@@ -344,7 +368,10 @@
         let links = Rc::clone(self.control.links());
         let request = LinkRequest::Owner(request);
         if let Err(err) = links.request(&self.control, member, &request).await {
-            log::warn!("event=owner_report_lost vm={} cause=\"{err}\"", member.vm);
+            Event::new("owner_report_lost")
+                .field("vm", &member.vm)
+                .field("cause", err)
+                .warn();
         }
     }
 
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -214,6 +214,20 @@
         }
     }
 
+    /// Takes over from another owner that served the upstream in the meantime.
+    pub fn join(&mut self, slots: u32, elsewhere: u32, now: Instant) {
+        if slots < self.allowance.limits(now).0 {
+            self.allowance = Allowance::resume(self.spec.allowance, slots, now);
+        }
+        self.elsewhere += elsewhere;
+        self.refresh(now);
+    }
+
+    /// What the documents declare.
+    pub fn spec(&self) -> LoadSpec {
+        self.spec
+    }
+
     /// Requests of the former owner ended.
     pub fn finish_elsewhere(&mut self, slots: u32, now: Instant) {
         self.elsewhere = self.elsewhere.saturating_sub(slots);
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -70,7 +70,7 @@
         let tokens = up.feeds.borrow().tokens_of(|_| true);
         let path = Rc::clone(self);
         let up = Rc::clone(up);
-        monoio::spawn(async move {
+        self.spawn("register_again", async move {
             for token in tokens {
                 if let Some(job) = path.registration(&up, token) {
                     path.serve(&job).await;
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -10,11 +10,16 @@
             service::Service,
             upstream::Upstream, //
         },
+        logging::{
+            panic_message,
+            Event, //
+        },
         members::{
             prober::Prober,
             Control, //
         },
-        metrics::Metrics, //
+        metrics::Metrics,
+        supervisor::Supervisor, //
     },
     foxtailhinge_policy::{
         members::{
@@ -37,6 +42,7 @@
             TICKET_LEN, //
         },
     },
+    futures::FutureExt,
     std::{
         cell::{
             Cell,
@@ -44,11 +50,14 @@
             RefCell, //
         },
         collections::HashMap,
+        future::Future,
         net::{
             IpAddr,
             SocketAddr, //
         },
+        panic::AssertUnwindSafe,
         rc::Rc,
+        time::Instant,
     },
 };
 
@@ -78,6 +87,8 @@
     pub upstreams: RefCell<HashMap<SocketAddr, Holding>>,
     /// Upstreams that were handed over and still have requests in progress here.
     pub parting: RefCell<HashMap<SocketAddr, Rc<Upstream>>>,
+    /// Supervisor of the long-lived tasks of the data path.
+    pub supervisor: Supervisor,
     /// Set once the daemon stops.
     pub stopping: Cell<bool>,
     owners: RefCell<OwnerCache>,
@@ -98,6 +109,8 @@
     pub listen: Option<IpAddr>,
     /// The socket between daemons.
     pub relay: Relay,
+    /// Supervisor of the long-lived tasks of the data path.
+    pub supervisor: Supervisor,
 }
 
 impl DataPath {
@@ -115,6 +128,7 @@
             tickets: parts.tickets,
             listen: parts.listen,
             relay: parts.relay,
+            supervisor: parts.supervisor,
             numbers: Rc::default(),
             services: RefCell::default(),
             upstreams: RefCell::default(),
@@ -163,6 +177,18 @@
         member.vm == self.control.settings().vm
     }
 
+    /// Starts a task that ends by itself; a panic in it is logged and ends it alone.
+    pub fn spawn(&self, name: &'static str, task: impl Future<Output = ()> + 'static) {
+        monoio::spawn(async move {
+            if let Err(panic) = AssertUnwindSafe(task).catch_unwind().await {
+                Event::new("task_panicked")
+                    .field("task", name)
+                    .field("cause", panic_message(&*panic))
+                    .error();
+            }
+        });
+    }
+
     /// Gives a message to a daemon, which may be this one.
     pub fn deliver(self: &Rc<Self>, to: &Member, msg: RelayMessage) {
         if self.is_me(to) {
@@ -176,8 +202,16 @@
     /// Takes in a message of a daemon.
     pub fn on_relay(self: &Rc<Self>, from: u32, addr: SocketAddr, msg: RelayMessage) {
         match msg {
-            RelayMessage::Open(open) => self.on_open(open),
-            RelayMessage::Forward(forward) => self.on_forward(forward),
+            RelayMessage::Open(open) => {
+                if self.control.admits(Instant::now()) {
+                    self.on_open(open);
+                }
+            }
+            RelayMessage::Forward(forward) => {
+                if self.control.admits(Instant::now()) {
+                    self.on_forward(forward);
+                }
+            }
             msg => self.prober().on_message(from, addr, msg),
         }
     }
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -14,7 +14,10 @@
                 UpstreamToken, //
             },
         },
-        metrics::RequestOutcome,
+        metrics::{
+            Metrics,
+            RequestOutcome, //
+        },
     },
     foxtailhinge_wire::{
         coap::{
@@ -73,14 +76,23 @@
     Move,
 }
 
+/// Counts a request as in progress until it is dropped, by a panic too.
+struct InProgress<'a>(&'a Metrics);
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.0.requests_in_progress.dec();
+    }
+}
+
 impl DataPath {
     /// Starts a task that serves `job`.
     pub fn begin(self: &Rc<Self>, job: Job) {
         let path = Rc::clone(self);
         self.metrics.requests_in_progress.inc();
-        monoio::spawn(async move {
+        self.spawn("request", async move {
+            let _counted = InProgress(&path.metrics);
             path.serve(&job).await;
-            path.metrics.requests_in_progress.dec();
         });
     }
 
--- a/crates/daemon/src/data/socket.rs
+++ b/crates/daemon/src/data/socket.rs
@@ -1,17 +1,13 @@
 //! UDP sockets of the data path.
 
 use {
-    futures::future::{
-        AbortHandle,
-        AbortRegistration,
-        Abortable, //
+    crate::supervisor::{
+        Stop,
+        Stopper, //
     },
     monoio::net::udp::UdpSocket,
     std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
+        cell::Cell,
         io,
         net::{
             SocketAddr,
@@ -36,8 +32,8 @@
     tx: StdSocket,
     addr: SocketAddr,
     dropped: Cell<u64>,
-    closer: AbortHandle,
-    closed: RefCell<Option<AbortRegistration>>,
+    closer: Stopper,
+    closed: Stop,
 }
 
 impl Socket {
@@ -62,14 +58,14 @@
         tx.set_nonblocking(true)?;
         let addr = tx.local_addr()?;
         let rx = UdpSocket::from_std(tx.try_clone()?)?;
-        let (closer, closed) = AbortHandle::new_pair();
+        let (closer, closed) = Stop::new();
         Ok(Socket {
             rx,
             tx,
             addr,
             dropped: Cell::new(0),
             closer,
-            closed: RefCell::new(Some(closed)),
+            closed,
         })
     }
 
@@ -102,7 +98,7 @@
 
     /// Ends the task that reads the socket.
     pub fn close(&self) {
-        self.closer.abort();
+        self.closer.stop();
     }
 
     /// Reads datagrams until the socket is closed or fails, and gives each to `handle`.
@@ -113,11 +109,8 @@
         handle: impl FnMut(&[u8], SocketAddr),
         refused: impl FnMut(),
     ) -> io::Result<()> {
-        let Some(closed) = self.closed.borrow_mut().take() else {
-            return Err(io::Error::other("the socket is read by another task"));
-        };
-        let reading = Abortable::new(self.read_on(handle, refused), closed);
-        reading.await.unwrap_or(Ok(()))
+        let reading = self.read_on(handle, refused);
+        self.closed.unless_stopped(reading).await.unwrap_or(Ok(()))
     }
 
     async fn read_on(
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -10,7 +10,9 @@
             socket::Socket,
             upstream::Upstream, //
         },
+        logging::Event,
         metrics::FlowEnd,
+        supervisor::Restart, //
     },
     foxtailhinge_config::document::ServiceDocument,
     foxtailhinge_wire::ticket::name_hash,
@@ -39,15 +41,17 @@
         let addr = self.bind_address(&doc);
         let socket = match &before {
             Some(service) if service.socket.addr() == addr => Rc::clone(&service.socket),
-            _ => {
-                match self.listen_on(hash, addr) {
-                    Ok(socket) => socket,
-                    Err(err) => {
-                        log::error!("event=service_bind_failed service={name} address={addr} cause=\"{err}\"");
-                        return;
-                    }
+            _ => match self.listen_on(hash, addr) {
+                Ok(socket) => socket,
+                Err(err) => {
+                    Event::new("service_bind_failed")
+                        .field("service", name)
+                        .field("address", addr)
+                        .field("cause", err)
+                        .error();
+                    return;
                 }
-            }
+            },
         };
         if let Some(service) = &before {
             if !Rc::ptr_eq(&service.socket, &socket) {
@@ -71,10 +75,11 @@
         let socket = Rc::new(Socket::bind(addr)?);
         let path = Rc::clone(self);
         let reader = Rc::clone(&socket);
-        monoio::spawn(async move {
-            if let Err(err) = path.read_service(hash, reader).await {
-                log::error!("event=service_socket_failed address={addr} cause=\"{err}\"");
-            }
+        let name = format!("service {addr}");
+        self.supervisor.child(&name, Restart::OnFailure, move |_| {
+            let path = Rc::clone(&path);
+            let reader = Rc::clone(&reader);
+            async move { Ok(path.read_service(hash, reader).await?) }
         });
         Ok(socket)
     }
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -9,6 +9,7 @@
             upstream::Upstream, //
         },
         metrics::FlowEnd,
+        timer::Timer, //
     },
     foxtailhinge_config::report::UpstreamState,
     foxtailhinge_policy::health::HealthState,
@@ -34,10 +35,11 @@
 
 impl DataPath {
     /// Keeps the upstreams in order, without end.
-    pub async fn run_upkeep(self: Rc<Self>) {
+    pub async fn run_upkeep(self: Rc<Self>, timer: Rc<Timer>) {
+        let mut ticks = timer.subscribe_jittered(PERIOD, PERIOD / 10);
         loop {
-            monoio::time::sleep(PERIOD).await;
-            self.upkeep(Instant::now());
+            let tick = ticks.tick().await;
+            self.upkeep(tick.now);
         }
     }
 
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -262,7 +262,8 @@
     }
 }
 
-fn member_status(member: &members::Member) -> MemberStatus {
+/// A member as operators see it.
+pub fn member_status(member: &members::Member) -> MemberStatus {
     MemberStatus {
         vm: Arc::from(&*member.vm),
         zone: Arc::from(&*member.zone),
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -1,10 +1,10 @@
 //! One request and one non-idempotent request through real daemon processes.
 
-use std::time::Duration;
 use foxtailhinge_standins::{
     caller::Outcome,
     fleet::Fleet, //
 };
+use std::time::Duration;
 
 const WITHIN: Duration = Duration::from_secs(5);
 
