Write the program's own key=value lines as they are

Cause: the audit trail and the admin server log ready lines under targets of their own, which would be left out below warnings or be quoted whole. Change: these targets follow the level of the settings; a message with a control character is quoted, so that none forges a line.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -31,6 +31,9 @@
 /// Target of the records that come from [`Event`].
 const TARGET: &str = "event";
 
+/// Targets of this program's own records, which follow the level of the settings.
+const OWN_TARGETS: [&str; 4] = [TARGET, "admin", "audit", "foxtailhinge"];
+
 const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
 
 /// Most lines of one event in one [`RATE_WINDOW`]; further ones are counted and left out.
@@ -41,19 +44,20 @@
 
 /// Starts logging to standard error; keep the handle as long as the process runs.
 ///
-/// Events are written from `level` on, lines of libraries from warnings on. Panics become one
-/// line too.
+/// The program's own lines are written from `level` on, those of libraries from warnings on.
+/// Panics and messages that are not key=value pairs become one line each too.
 ///
 /// # Errors
 ///
 /// Fails when a logger was started before.
 pub fn start(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
     DeferredNow::force_utc();
-    let spec = LogSpecification::builder()
-        .default(level.min(LevelFilter::Warn))
-        .module(TARGET, level)
-        .build();
-    let handle = Logger::with(spec)
+    let mut spec = LogSpecification::builder();
+    spec.default(level.min(LevelFilter::Warn));
+    for target in OWN_TARGETS {
+        spec.module(target, level);
+    }
+    let handle = Logger::with(spec.build())
         .format(write_line)
         .log_to_stderr()
         .start()?;
@@ -85,12 +89,13 @@
 ) -> Result<(), io::Error> {
     let level = record.level().as_str().to_ascii_lowercase();
     write!(w, "time={} level={level} ", now.format(TIME_FORMAT))?;
-    if record.target() == TARGET {
-        return write!(w, "{}", record.args());
+    let message = record.args().to_string();
+    if message.starts_with("event=") && !message.contains(char::is_control) {
+        return w.write_all(message.as_bytes());
     }
-    let event = Event::new("library")
+    let event = Event::new("message")
         .field("target", record.target())
-        .field("message", record.args());
+        .field("message", message);
     write!(w, "{}", event.line)
 }
 
--- a/crates/daemon/tests/logging.rs
+++ b/crates/daemon/tests/logging.rs
@@ -69,6 +69,8 @@
     Event::new("detail").debug();
     log::info!("a library's detail");
     log::warn!("a library's warning");
+    log::info!(target: "audit", "event=zone_in zone=windhoek-2");
+    log::info!(target: "foxtailhinge::links", "event=closed cause=\"a\nb\"");
     panic::catch_unwind(|| panic!("out of\nbounds")).unwrap_err();
     handle.flush();
 }
