Test documents, members and faults of the control part over loopback

Sums in fixed arrays and lists of short names were refused by the envelope's decode limit, which is four times the length of the body: a name of one byte takes 25 bytes in memory. Ruled out: a wrong key, which gives the same status. Sums are now sent sparsely, and link messages are decoded after the envelope was opened, within a limit of their own.

--- a/crates/daemon/src/links/client.rs
+++ b/crates/daemon/src/links/client.rs
@@ -2,6 +2,8 @@
 
 use {
     super::message::{
+        decode,
+        encode,
         LinkReply,
         LinkRequest,
         BODY_MAX, //
@@ -67,6 +69,9 @@
     /// The answer could not be opened.
     #[error("The answer could not be opened. {0}")]
     Envelope(#[from] EnvelopeError),
+    /// An authentic message does not decode.
+    #[error("The message does not decode; run the same version on both daemons.")]
+    Garbled,
     /// The body is too long.
     #[error("The message is longer than {BODY_MAX} bytes; split it.")]
     TooLong,
@@ -208,7 +213,9 @@
     let settings = control.settings();
     let me = name_hash(&settings.vm);
     let to = name_hash(&peer.vm);
-    let body = settings.keys.seal(me, settings.incarnation, to, request);
+    let body = settings
+        .keys
+        .seal(me, settings.incarnation, to, &encode(request));
     if body.len() > BODY_MAX {
         return Err(LinkError::TooLong);
     }
@@ -225,8 +232,8 @@
     }
     let body = read_body(answer.into_body(), BODY_MAX).await?;
     count(&control.counters().link_bytes_received, body.len() as u64);
-    let opened = settings.keys.open::<LinkReply>(me, &body)?;
-    Ok(opened.message)
+    let opened = settings.keys.open::<Vec<u8>>(me, &body)?;
+    decode(&opened.message).ok_or(LinkError::Garbled)
 }
 
 /// Reads a whole body of at most `max` bytes.
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -5,6 +5,8 @@
         budget::ByteBudget,
         client::LinkError,
         message::{
+            from_bucket_sums,
+            to_bucket_sums,
             to_digest,
             to_revisions,
             Difference,
@@ -120,7 +122,7 @@
     let buckets = difference.document_buckets;
     let newer = control.documents().newer_in(buckets, &digest);
     announce(control, peer, &newer).await?;
-    if control.documents().sums() == &sums.documents {
+    if *control.documents().sums() == from_bucket_sums(&sums.documents) {
         control.documents_mut().set_synced(sums.synced);
         let age = sums.age_ms.map(Duration::from_millis);
         if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
@@ -192,12 +194,12 @@
     let ours = sums(control);
     let documents = control.documents();
     let mut more = false;
-    let unlike = documents.differing(&theirs.documents);
+    let unlike = documents.differing(&from_bucket_sums(&theirs.documents));
     let (document_buckets, revisions) = first_buckets(unlike, &mut more, |buckets| {
         to_revisions(documents.digest_in(buckets))
     });
     let members = control.members();
-    let unlike = differing(members.sums(), &theirs.members);
+    let unlike = differing(members.sums(), &from_bucket_sums(&theirs.members));
     let (member_buckets, members) = first_buckets(unlike, &mut more, |buckets| {
         let heard = members.heard_in(buckets);
         heard.map(record::to_wire).collect()
@@ -279,8 +281,8 @@
     let documents = control.documents();
     let age = control.confirmed().map(|at| at.elapsed());
     Sums {
-        documents: *documents.sums(),
-        members: *control.members().sums(),
+        documents: to_bucket_sums(documents.sums()),
+        members: to_bucket_sums(control.members().sums()),
         synced: documents.synced(),
         age_ms: age.map(|age| age.as_millis() as u64),
     }
--- a/crates/daemon/src/links/message.rs
+++ b/crates/daemon/src/links/message.rs
@@ -2,6 +2,7 @@
 
 use {
     bincode::{
+        config,
         Decode,
         Encode, //
     },
@@ -30,6 +31,12 @@
 /// Bytes of documents in one answer, unless a single document is longer.
 pub const DOCUMENTS_BYTES: usize = 32 << 10;
 
+/// Memory that a decoded message may claim, in bytes.
+///
+/// Short names take far more room in memory than in a message, so the limit is not a multiple of
+/// the message's length.
+const DECODED_MAX: usize = 2 * BODY_MAX;
+
 /// Revisions known of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Revision {
@@ -41,13 +48,22 @@
     pub seen: u64,
 }
 
+/// The sum of one bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct BucketSum {
+    /// Number of the bucket.
+    pub bucket: u8,
+    /// Its sum.
+    pub sum: u64,
+}
+
 /// Sums of the sender, to compare two views cheaply.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Sums {
-    /// One sum of the documents for each bucket.
-    pub documents: [u64; BUCKETS],
-    /// One sum of the members for each bucket.
-    pub members: [u64; BUCKETS],
+    /// Sums of the documents, those of empty buckets left out.
+    pub documents: Vec<BucketSum>,
+    /// Sums of the members, those of empty buckets left out.
+    pub members: Vec<BucketSum>,
     /// Platform's revision up to which all documents are known.
     pub synced: u64,
     /// Milliseconds since the platform last confirmed the documents, if it ever did.
@@ -130,3 +146,35 @@
         entries: entries.collect(),
     }
 }
+
+/// Returns sums as they are sent.
+pub fn to_bucket_sums(sums: &[u64; BUCKETS]) -> Vec<BucketSum> {
+    let filled = (0..).zip(sums).filter(|(_, &sum)| sum != 0);
+    filled
+        .map(|(bucket, &sum)| BucketSum { bucket, sum })
+        .collect()
+}
+
+/// Returns sums that were received.
+pub fn from_bucket_sums(sums: &[BucketSum]) -> [u64; BUCKETS] {
+    let mut all = [0; BUCKETS];
+    for one in sums {
+        if let Some(sum) = all.get_mut(usize::from(one.bucket)) {
+            *sum = one.sum;
+        }
+    }
+    all
+}
+
+/// Encodes a message to be sealed.
+pub fn encode<T: Encode>(message: &T) -> Vec<u8> {
+    bincode::encode_to_vec(message, config::standard())
+        .expect("Messages encode into memory without errors.")
+}
+
+/// Decodes a message that was opened; `None` when it is not one or bytes are left over.
+pub fn decode<T: Decode<()>>(buf: &[u8]) -> Option<T> {
+    let cfg = config::standard().with_limit::<DECODED_MAX>();
+    let (message, len) = bincode::decode_from_slice(buf, cfg).ok()?;
+    (len == buf.len()).then_some(message)
+}
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -11,6 +11,8 @@
         },
         exchange,
         message::{
+            decode,
+            encode,
             LinkReply,
             LinkRequest,
             BODY_MAX,
@@ -20,6 +22,7 @@
     crate::members::{
         control::count,
         Control,
+        ControlSettings,
         Source, //
     },
     bytes::Bytes,
@@ -52,6 +55,7 @@
             RefCell, //
         },
         io,
+        net::SocketAddr,
         rc::Rc,
         time::{
             Duration,
@@ -77,35 +81,37 @@
     ) -> OwnerReply;
 }
 
+/// Binds the control address.
+pub fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let opts = ListenerOpts::new().reuse_port(false).reuse_addr(true);
+    TcpListener::bind_with_config(addr, &opts)
+}
+
 /// Answers links.
 pub struct Server<H> {
     control: Rc<Control>,
     handler: Rc<H>,
-    listener: TcpListener,
     inbound: Rc<Cell<usize>>,
     budget: RefCell<ByteBudget>,
 }
 
 impl<H: LinkHandler + 'static> Server<H> {
-    /// Binds the control address.
-    pub fn bind(control: Rc<Control>, handler: Rc<H>) -> Result<Rc<Self>, io::Error> {
-        let opts = ListenerOpts::new().reuse_port(false).reuse_addr(true);
-        let listener = TcpListener::bind_with_config(control.settings().control, &opts)?;
+    /// Creates a server that answers from the state of `control`.
+    pub fn new(control: Rc<Control>, handler: Rc<H>) -> Rc<Self> {
         let limits = control.settings().limits;
         let budget = ByteBudget::new(limits.copy_rate, limits.copy_burst, Instant::now());
-        Ok(Rc::new(Self {
+        Rc::new(Self {
             control,
             handler,
-            listener,
             inbound: Rc::default(),
             budget: RefCell::new(budget),
-        }))
+        })
     }
 
     /// Accepts links without end.
-    pub async fn run(self: Rc<Self>) {
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match self.listener.accept().await {
+            match listener.accept().await {
                 Ok((stream, _)) => self.clone().admit(stream),
                 Err(err) => {
                     log::warn!("event=link_accept_failed cause=\"{err}\"");
@@ -177,12 +183,12 @@
         let body = monoio::time::timeout(settings.limits.link_timeout, body).await;
         let body = body.map_err(|_| LinkError::Timeout)??;
         let me = name_hash(&settings.vm);
-        let opened = match settings.keys.open::<LinkRequest>(me, &body) {
+        let opened = match open(settings, me, &body) {
             Ok(opened) => opened,
             Err(err) => {
                 count(&self.control.counters().links_refused, 1);
                 refuse(&mut respond)?;
-                return Err(err.into());
+                return Err(err);
             }
         };
         if self.control.is_denied_hash(opened.from) {
@@ -196,7 +202,9 @@
         );
         let from = opened.from;
         let reply = self.reply(opened);
-        let body = settings.keys.seal(me, settings.incarnation, from, &reply);
+        let body = settings
+            .keys
+            .seal(me, settings.incarnation, from, &encode(&reply));
         if matches!(reply, LinkReply::Documents(_) | LinkReply::Difference(_)) {
             self.budget.borrow_mut().spend(body.len());
         }
@@ -249,6 +257,19 @@
     }
 }
 
+fn open(
+    settings: &ControlSettings,
+    me: u32,
+    body: &[u8],
+) -> Result<Opened<LinkRequest>, LinkError> {
+    let opened = settings.keys.open::<Vec<u8>>(me, body)?;
+    Ok(Opened {
+        from: opened.from,
+        from_incarnation: opened.from_incarnation,
+        message: decode(&opened.message).ok_or(LinkError::Garbled)?,
+    })
+}
+
 fn refuse(respond: &mut SendResponse<Bytes>) -> Result<(), LinkError> {
     let mut head = Response::new(());
     *head.status_mut() = StatusCode::FORBIDDEN;
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -19,6 +19,7 @@
         links::{
             exchange,
             push,
+            server,
             LinkHandler,
             Links,
             Server, //
@@ -182,10 +183,11 @@
         S: RelaySender + 'static,
         H: LinkHandler + 'static,
     {
-        let server = Server::bind(self.clone(), handler)?;
+        let listener = server::bind(self.settings.control)?;
+        let server = Server::new(self.clone(), handler);
         let reader = Reader::new(self.clone());
         join!(
-            server.run(),
+            server.run(listener),
             prober.run(),
             reader.run(),
             exchange::run(self.clone()),
--- /dev/null
+++ b/crates/daemon/tests/control/fleet.rs
@@ -0,0 +1,411 @@
+//! Control parts of several daemons on one thread, with a platform.
+
+use {
+    foxtailhinge::links::LinkHandler,
+    foxtailhinge::members::{
+        Control,
+        ControlEvent,
+        ControlLimits,
+        ControlSettings,
+        Prober,
+        RelaySender, //
+    },
+    foxtailhinge_policy::{
+        members::{
+            ChangeKind,
+            Listed,
+            MemberState,
+            MembersSpec, //
+        },
+        pause::PauseSpec,
+    },
+    foxtailhinge_standins::platform::{
+        Platform,
+        Vm,
+        VmState, //
+    },
+    foxtailhinge_wire::{
+        envelope::PeerKeys,
+        message::{
+            OwnerReply,
+            OwnerRequest,
+            RelayMessage, //
+        },
+        ticket::name_hash,
+    },
+    monoio::{
+        net::udp::UdpSocket,
+        LegacyDriver,
+        RuntimeBuilder, //
+    },
+    std::{
+        cell::{
+            Cell,
+            RefCell, //
+        },
+        future::Future,
+        net::{
+            Ipv4Addr,
+            SocketAddr,
+            TcpListener, //
+        },
+        rc::Rc,
+        sync::atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time after which an outcome that does not come fails the test.
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+const CLAIM_PORT: u16 = 7998;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A block of loopback addresses that no other fleet uses.
+struct Block {
+    x: u8,
+    y: u8,
+    _claim: TcpListener,
+}
+
+impl Block {
+    fn claim() -> Self {
+        let first = std::process::id().wrapping_mul(37);
+        loop {
+            let n = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % (100 * 256);
+            let (x, y) = ((n / 256) as u8 + 100, (n % 256) as u8);
+            if let Ok(claim) = TcpListener::bind((Ipv4Addr::new(127, x, y, 253), CLAIM_PORT)) {
+                return Self {
+                    x,
+                    y,
+                    _claim: claim,
+                };
+            }
+        }
+    }
+
+    fn addr(&self, host: usize, port: u16) -> SocketAddr {
+        (Ipv4Addr::new(127, self.x, self.y, host as u8), port).into()
+    }
+}
+
+/// Takes no upstream over.
+struct NoHandler;
+
+impl LinkHandler for NoHandler {
+    fn on_owner_request(&self, _: &Rc<str>, _: u32, _: OwnerRequest) -> OwnerReply {
+        OwnerReply::NotHeld
+    }
+}
+
+struct UdpSender {
+    control: Rc<Control>,
+    socket: std::net::UdpSocket,
+}
+
+impl RelaySender for UdpSender {
+    fn send(&self, to: u32, addr: SocketAddr, message: &RelayMessage) {
+        let settings = self.control.settings();
+        let me = name_hash(&settings.vm);
+        let sealed = settings.keys.seal(me, settings.incarnation, to, message);
+        let _ = self.socket.send_to(&sealed, addr);
+    }
+}
+
+/// Control part of one daemon.
+pub(crate) struct Node {
+    pub(crate) control: Rc<Control>,
+    pub(crate) events: Rc<RefCell<Vec<ControlEvent>>>,
+    end: Option<local_sync::oneshot::Sender<()>>,
+    ended: Rc<Cell<bool>>,
+}
+
+impl Node {
+    /// Returns the text in force of a service.
+    pub(crate) fn text(&self, service: &str) -> Option<String> {
+        let documents = self.control.documents();
+        documents.get(service).map(|d| d.text.to_string())
+    }
+
+    /// Returns the revision in force of a service, or of its removal.
+    pub(crate) fn revision(&self, service: &str) -> u64 {
+        let documents = self.control.documents();
+        documents.entry(service).map_or(0, |e| e.revision)
+    }
+
+    /// Returns the state in which this daemon holds `vm`.
+    pub(crate) fn state_of(&self, vm: &str) -> Option<MemberState> {
+        self.control.members().get(vm).map(|m| m.state)
+    }
+
+    /// Returns the number of live members of all zones.
+    pub(crate) fn live(&self) -> usize {
+        self.control
+            .members()
+            .iter()
+            .filter(|m| m.is_live())
+            .count()
+    }
+
+    /// Returns the revisions of a service that came into force, in order.
+    pub(crate) fn applied(&self, wanted: &str) -> Vec<u64> {
+        let events = self.events.borrow();
+        let applied = events.iter().filter_map(|event| match event {
+            ControlEvent::Document {
+                service, revision, ..
+            } if service.as_ref() == wanted => Some(*revision),
+            _ => None,
+        });
+        applied.collect()
+    }
+
+    /// Returns the kinds of the changes to `vm`, in order.
+    pub(crate) fn changes_of(&self, vm: &str) -> Vec<ChangeKind> {
+        let events = self.events.borrow();
+        let kinds = events.iter().filter_map(|event| match event {
+            ControlEvent::Member(change) if change.member.vm.as_ref() == vm => Some(change.kind),
+            _ => None,
+        });
+        kinds.collect()
+    }
+
+    /// Ends the daemon without a word.
+    pub(crate) async fn kill(&mut self) {
+        self.end = None;
+        self.control.set_deny(all_names());
+        until("the daemon has ended", || self.ended.get()).await;
+    }
+}
+
+/// What a daemon of a test is started with.
+#[derive(Clone)]
+pub(crate) struct Start {
+    pub(crate) index: usize,
+    pub(crate) incarnation: u32,
+    pub(crate) fleet: &'static str,
+    /// Daemons named as peers in the settings.
+    pub(crate) peers: Vec<usize>,
+    pub(crate) limits: ControlLimits,
+}
+
+impl Start {
+    pub(crate) fn new(index: usize, peers: impl IntoIterator<Item = usize>) -> Self {
+        Self {
+            index,
+            incarnation: 1_000 + index as u32,
+            fleet: "test",
+            peers: peers.into_iter().collect(),
+            limits: limits(),
+        }
+    }
+}
+
+/// Limits with short times, so that outcomes come soon.
+pub(crate) fn limits() -> ControlLimits {
+    ControlLimits {
+        probe_interval: Duration::from_millis(300),
+        probe_timeout: Duration::from_millis(150),
+        exchange_interval: Duration::from_millis(200),
+        retry_interval: Duration::from_millis(50),
+        watch: Duration::from_millis(500),
+        platform_timeout: Duration::from_millis(1_000),
+        platform_backoff: Duration::from_millis(300),
+        silence: Duration::from_secs(5),
+        ..ControlLimits::default()
+    }
+}
+
+/// Number of daemons of a test at most.
+const NODES_MAX: usize = 16;
+
+fn all_names() -> Vec<Rc<str>> {
+    let mut names: Vec<Rc<str>> = (0..NODES_MAX).map(vm).collect();
+    names.push("platform".into());
+    names
+}
+
+/// Returns the VM id of a daemon.
+pub(crate) fn vm(index: usize) -> Rc<str> {
+    format!("vm-{index}").into()
+}
+
+/// Addresses, a platform, and the zones of the daemons.
+pub(crate) struct Fleet {
+    block: Block,
+    zones: Vec<&'static str>,
+    pub(crate) platform: Platform,
+}
+
+impl Fleet {
+    /// Claims addresses for one daemon in each of the given zones and starts a platform.
+    pub(crate) fn new(zones: &[&'static str]) -> Self {
+        let block = Block::claim();
+        let platform = Platform::start(block.addr(250, 8080)).unwrap();
+        Self {
+            block,
+            zones: zones.to_vec(),
+            platform,
+        }
+    }
+
+    /// Starts all daemons, each with all others as peers.
+    pub(crate) fn start_all(&self) -> Vec<Node> {
+        let all = 0..self.zones.len();
+        all.clone()
+            .map(|i| self.start(&Start::new(i, all.clone().filter(|p| *p != i))))
+            .collect()
+    }
+
+    /// Starts one daemon.
+    pub(crate) fn start(&self, start: &Start) -> Node {
+        let control = Control::new(self.settings(start));
+        let events: Rc<RefCell<Vec<ControlEvent>>> = Rc::default();
+        let sink = events.clone();
+        control.subscribe(move |event| sink.borrow_mut().push(event.clone()));
+        let (tx, rx) = local_sync::oneshot::channel::<()>();
+        let ended: Rc<Cell<bool>> = Rc::default();
+        let daemon = run(control.clone(), async move {
+            let _ = rx.await;
+        });
+        let flag = ended.clone();
+        monoio::spawn(async move {
+            daemon.await;
+            flag.set(true);
+        });
+        Node {
+            control,
+            events,
+            end: Some(tx),
+            ended,
+        }
+    }
+
+    /// Puts all daemons on the platform's list.
+    pub(crate) fn list_all(&self) {
+        let vms = (0..self.zones.len()).map(|i| Vm {
+            id: vm(i).to_string(),
+            zone: self.zones[i].to_owned(),
+            state: VmState::Live,
+            relay: self.block.addr(i + 1, 7000),
+            control: self.block.addr(i + 1, 7001),
+        });
+        self.platform.set_vms(vms.collect());
+    }
+
+    /// Starts another platform at the same address in place of the first.
+    pub(crate) fn replace_platform(&mut self) {
+        self.platform.stop();
+        let addr = self.platform.addr();
+        let end = Instant::now() + GIVE_UP;
+        self.platform = loop {
+            match Platform::start(addr) {
+                Ok(platform) => break platform,
+                Err(err) => assert!(Instant::now() < end, "{err}"),
+            }
+        };
+    }
+
+    fn settings(&self, start: &Start) -> ControlSettings {
+        let peer = |i: usize| Listed {
+            vm: vm(i),
+            zone: self.zones[i].into(),
+            relay: self.block.addr(i + 1, 7000),
+            control: self.block.addr(i + 1, 7001),
+            leaving: false,
+        };
+        let me = peer(start.index);
+        ControlSettings {
+            vm: me.vm,
+            zone: me.zone,
+            relay: me.relay,
+            control: me.control,
+            platform: Some(self.platform.addr()),
+            peers: start.peers.iter().map(|&i| peer(i)).collect(),
+            keys: PeerKeys::new(start.fleet, vec![(0, [7; 32])]),
+            incarnation: start.incarnation,
+            seed: start.index as u64,
+            members: MembersSpec {
+                suspicion: Duration::from_millis(600),
+                name_hash,
+                ..MembersSpec::default()
+            },
+            pause: PauseSpec {
+                pause: GIVE_UP,
+                ..PauseSpec::default()
+            },
+            limits: start.limits,
+        }
+    }
+}
+
+async fn run(control: Rc<Control>, end: impl Future<Output = ()>) {
+    let socket = std::net::UdpSocket::bind(control.settings().relay).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let sender = UdpSender {
+        control: control.clone(),
+        socket: socket.try_clone().unwrap(),
+    };
+    let prober = Prober::new(control.clone(), sender);
+    let socket = UdpSocket::from_std(socket).unwrap();
+    monoio::select! {
+        result = control.clone().run(prober.clone(), Rc::new(NoHandler)) => result.unwrap(),
+        () = receive(&control, &prober, &socket) => {}
+        () = end => {}
+    }
+}
+
+async fn receive(control: &Control, prober: &Prober<UdpSender>, socket: &UdpSocket) {
+    let settings = control.settings();
+    let me = name_hash(&settings.vm);
+    let mut buf = vec![0; 65_536];
+    loop {
+        let (result, filled) = socket.recv_from(buf).await;
+        buf = filled;
+        let Ok((len, addr)) = result else {
+            continue;
+        };
+        if let Ok(opened) = settings.keys.open::<RelayMessage>(me, &buf[..len]) {
+            prober.on_message(opened.from, addr, opened.message);
+        }
+    }
+}
+
+/// Runs a test on a runtime of its own.
+pub(crate) fn block_on<T>(test: impl Future<Output = T>) -> T {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .unwrap();
+    runtime.block_on(test)
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + GIVE_UP;
+    while !holds() {
+        assert!(Instant::now() < end, "It did not come about that {what}.");
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits until something holds for each of the daemons.
+pub(crate) async fn until_all(nodes: &[Node], what: &str, holds: impl Fn(&Node) -> bool) {
+    until(what, || nodes.iter().all(&holds)).await;
+}
+
+/// Returns a document of a service whose only difference is its deadline.
+pub(crate) fn document(service: &str, deadline_ms: u64) -> String {
+    format!(
+        r#"{{ "service": "{service}", "address": "127.0.0.200:5601",
+  "zones": {{ "a": "in", "b": "in" }},
+  "upstreams": [ {{ "name": "{service}-1", "address": "10.0.0.1:5683", "zone": "a", "slots": 4, "connections": 2000 }} ],
+  "defaults": {{ "deadline_ms": {deadline_ms} }} }}"#
+    )
+}
--- /dev/null
+++ b/crates/daemon/tests/control/main.rs
@@ -0,0 +1,7 @@
+//! Control part of several daemons in one process, over loopback.
+
+mod documents;
+mod faults;
+mod fleet;
+mod members;
+mod messages;
