Send requests as a caller, and test foxtailctl as operators run it

Cause: an operator wants to see one request go through, and the command line needs a contract that tests hold. Change: a CoAP caller that opens a flow, repeats with the newest ticket, puts blocks together and follows feeds; a request that is not idempotent is never repeated in a new flow by itself. A late acknowledgement of an earlier copy, which has the same token, is told by its message id.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -34,9 +34,8 @@
     foxtailctl audit --service syncdesk-api --follow
     foxtailctl explain syncdesk-api
     foxtailctl request coap://10.20.0.1:5601/cues
-    foxtailctl completion bash > /etc/bash_completion.d/foxtailctl
-
-Exit codes: 0 success, 1 findings or a failure, 2 wrong usage.";
+    foxtailctl completion bash > /etc/bash_completion.d/foxtailctl";
+const EXIT_CODES: &str = "Exit codes: 0 success, 1 findings or a failure, 2 wrong usage.";
 
 /// What to do.
 #[derive(Clone, Debug, Bpaf)]
@@ -44,6 +43,7 @@
     options,
     version,
     descr("Operate foxtailhinge: check documents, see what the daemons do."),
+    header(EXIT_CODES),
     footer(EXAMPLES)
 )]
 pub(crate) enum Command {
@@ -199,8 +199,8 @@
     options()
         .run_inner(Args::current_args())
         .map_err(|e| match e {
-            ParseFailure::Stdout(doc, full) => {
-                println!("{}", doc.monochrome(full).trim_end());
+            ParseFailure::Stdout(doc, _) => {
+                println!("{}", doc.monochrome(true).trim_end());
                 ExitCode::SUCCESS
             }
             ParseFailure::Completion(text) => {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod audit;
+mod caller;
 mod check;
 mod cli;
 mod completion;
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -101,11 +101,11 @@
 
 fn print_text(report: &Report) {
     if report.daemons.len() > 1 {
-        println!("Documents in force on each daemon");
-        print!("{}", revisions(report));
+        print_section("Documents in force on each daemon", &revisions(report));
+        println!();
     }
-    for daemon in &report.daemons {
-        if report.daemons.len() > 1 {
+    for (i, daemon) in report.daemons.iter().enumerate() {
+        if i > 0 {
             println!();
         }
         match (&daemon.status, &daemon.error) {
@@ -137,19 +137,23 @@
 
 fn print_status(status: &Status) {
     println!("{}", summary(status));
+    println!();
     print_section("Members", &members(status));
+    println!();
     print_section("Documents in force", &documents(status));
+    println!();
     print_section("Zones", &zones(status));
+    println!();
     print_section("Upstreams", &upstreams(status));
     print_refused(status);
 }
 
 fn print_section<const N: usize>(title: &str, table: &Table<N>) {
     if table.is_empty() {
-        println!("\n{title}: none");
+        println!("{title}: none");
         return;
     }
-    print!("\n{title}\n{table}");
+    print!("{title}\n{table}");
 }
 
 fn summary(status: &Status) -> String {
--- /dev/null
+++ b/crates/ctl/tests/foxtailctl/main.rs
@@ -0,0 +1,9 @@
+//! The real binary, as an operator runs it.
+
+mod check;
+mod ctl;
+mod fake_admin;
+mod fake_service;
+mod reports;
+mod request;
+mod usage;
--- /dev/null
+++ b/crates/ctl/tests/foxtailctl/reports.rs
@@ -0,0 +1,187 @@
+//! `foxtailctl status`, `audit` and `explain`.
+
+use crate::{
+    ctl::{
+        ctl,
+        Ctl, //
+    },
+    fake_admin::FakeAdmin, //
+};
+use rstest::rstest;
+use std::{
+    io::{
+        BufRead,
+        BufReader, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    process::Stdio,
+};
+
+const STATUS: &str = r#"{"vm":"vm-1","zone":"windhoek-1","fleet":"kalahari","incarnation":7,"state":"serving",
+"platform":{"reader":true,"reachable":false,"revision":12},
+"members":[{"vm":"vm-1","zone":"windhoek-1","state":"live","incarnation":7},
+    {"vm":"vm-22","zone":"windhoek-2","state":"suspect","incarnation":null}],
+"zones":[{"service":"syncdesk-api","zone":"windhoek-1","in_service":true},
+    {"service":"syncdesk-api","zone":"windhoek-2","in_service":false},
+    {"service":"certvault","zone":"windhoek-1","in_service":true}],
+"upstreams":[
+    {"service":"syncdesk-api","upstream":"syncdesk-1","zone":"windhoek-1","address":"10.0.0.1:5683","owner":"vm-1",
+        "owned":{"state":"warm","slots":{"used":3,"allowed":4,"limit":4},
+            "connections":{"used":1200,"allowed":2000,"limit":2000},"queued":0}},
+    {"service":"syncdesk-api","upstream":"syncdesk-2","zone":"windhoek-2","address":"10.0.0.2:5683","owner":"vm-22","owned":null},
+    {"service":"certvault","upstream":"certvault-1","zone":"windhoek-1","address":"10.0.0.3:5683","owner":null,
+        "owned":{"state":"cold","slots":{"used":1,"allowed":1,"limit":4},
+            "connections":{"used":10,"allowed":50,"limit":2000},"queued":2}}],
+"documents":[{"service":"syncdesk-api","revision":9},{"service":"certvault","revision":3}],
+"refused":[{"service":"certvault","revision":11,"findings":[
+    {"file":"certvault","line":4,"column":9,"message":"Write \"in\" or \"out\"."}]}]}"#;
+
+const AUDIT: &str = r#"{"incarnation":7,"records":[
+{"seq":4,"at_ms":951782400001,"event":"document-applied","service":"certvault","revision":3},
+{"seq":5,"at_ms":951868799999,"event":"document-refused","service":"certvault","revision":11,"findings":[
+    {"file":"certvault","line":4,"column":9,"message":"Write \"in\" or \"out\"."}]},
+{"seq":6,"at_ms":1767225599000,"event":"zone-out","service":"syncdesk-api","zone":"windhoek-2"},
+{"seq":7,"at_ms":1767225600000,"event":"upstream-state","service":"syncdesk-api","upstream":"syncdesk-1","from":"cold","to":"warm"},
+{"seq":8,"at_ms":1767225600000,"event":"owner-moved","service":"syncdesk-api","upstream":"syncdesk-1","from":null,"to":"vm-1"},
+{"seq":9,"at_ms":1767225600000,"event":"member-state","vm":"vm-2","state":"dead","incarnation":77},
+{"seq":10,"at_ms":1767225600000,"event":"fleet-fenced"}]}"#;
+
+const NEW_FLOW: &str = r#"{"service":"syncdesk-api","upstream":"syncdesk-1","owner":"vm-1","ticket":null,"candidates":[
+{"upstream":"syncdesk-1","zone":"windhoek-1","owner":"vm-1","verdict":{"drawn":1}},
+{"upstream":"syncdesk-3","zone":"windhoek-1","owner":null,"verdict":"no-owner"},
+{"upstream":"syncdesk-2","zone":"windhoek-2","owner":"vm-22","verdict":"zone-out"}]}"#;
+
+const OLD_FLOW: &str = r#"{"service":"syncdesk-api","upstream":"syncdesk-1","owner":"vm-1",
+"ticket":{"upstream_incarnation":3,"issuer":null,"issuer_incarnation":99,"flow":5,"epoch":2},"candidates":[
+{"upstream":"syncdesk-1","zone":"windhoek-1","owner":"vm-1","verdict":"ticket"},
+{"upstream":"syncdesk-2","zone":"windhoek-2","owner":"vm-22","verdict":"other-ticket"}]}"#;
+
+fn asking(admin: SocketAddr, args: &[&str]) -> Ctl {
+    let admin = admin.to_string();
+    ctl(args).arg("--admin").arg(&admin).hide(&admin, "ADMIN")
+}
+
+#[rstest]
+#[case::text("status", &["status"])]
+#[case::json("status in JSON", &["status", "--json"])]
+#[case::service("status of a service", &["status", "--service", "certvault"])]
+fn status_shows_what_a_daemon_knows(#[case] name: &str, #[case] args: &[&str]) {
+    let admin = FakeAdmin::default().answer("/status", 200, STATUS).start();
+    insta::assert_snapshot!(name, asking(admin, args).run().all());
+}
+
+#[test]
+fn status_compares_daemons() {
+    let other = STATUS
+        .replace(
+            "\"vm\":\"vm-1\",\"zone\":\"windhoek-1\",\"fleet\"",
+            "\"vm\":\"vm-22\",\"zone\":\"windhoek-2\",\"fleet\"",
+        )
+        .replace("\"revision\":9", "\"revision\":8");
+    let first = FakeAdmin::default().answer("/status", 200, STATUS).start();
+    let second = FakeAdmin::default().answer("/status", 200, &other).start();
+    let second = second.to_string();
+    let run = asking(first, &["status", "--service", "syncdesk-api"])
+        .arg("--admin")
+        .arg(&second)
+        .hide(&second, "SECOND")
+        .run();
+    insta::assert_snapshot!(run.all());
+}
+
+#[test]
+fn a_daemon_that_is_away_does_not_hide_the_others() {
+    let first = FakeAdmin::default().answer("/status", 200, STATUS).start();
+    let away = closed_port().to_string();
+    let run = asking(first, &["status", "--service", "none"])
+        .arg("--admin")
+        .arg(&away)
+        .hide(&away, "AWAY")
+        .run();
+    insta::assert_snapshot!(run.all());
+}
+
+#[rstest]
+#[case::text("audit", &["audit"], "/audit?since=0")]
+#[case::json("audit in JSON", &["audit", "--json"], "/audit?since=0")]
+#[case::service("audit of a service", &["audit", "--since", "3", "--service", "a b"], "/audit?since=3&service=a+b")]
+fn audit_shows_records(#[case] name: &str, #[case] args: &[&str], #[case] target: &str) {
+    let admin = FakeAdmin::default().answer(target, 200, AUDIT).start();
+    insta::assert_snapshot!(name, asking(admin, args).run().all());
+}
+
+#[test]
+fn audit_follows_a_daemon_over_its_restart() {
+    let page = |incarnation: u32, seqs: &[u64]| {
+        let records = seqs
+            .iter()
+            .map(|seq| format!(r#"{{"seq":{seq},"at_ms":0,"event":"stopping"}}"#));
+        let records: Vec<_> = records.collect();
+        format!(
+            r#"{{"incarnation":{incarnation},"records":[{}]}}"#,
+            records.join(",")
+        )
+    };
+    let admin = FakeAdmin::default()
+        .answer("/audit?since=0", 200, &page(7, &[1, 2]))
+        .answer("/audit?since=0", 200, &page(8, &[1]))
+        .answer("/audit?since=2", 200, &page(7, &[3]))
+        .answer("/audit?since=3", 200, &page(8, &[]))
+        .answer("/audit?since=1", 200, &page(8, &[2]))
+        .answer("/audit?since=2", 200, &page(8, &[]))
+        .start();
+    let mut follow = asking(admin, &["audit", "--follow", "--json"])
+        .command()
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let stdout = BufReader::new(follow.stdout.take().unwrap());
+    let lines: Vec<_> = stdout.lines().take(5).map(Result::unwrap).collect();
+    follow.kill().unwrap();
+    follow.wait().unwrap();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[rstest]
+#[case::new_flow("new flow", &["explain", "syncdesk-api"], "/explain?service=syncdesk-api", NEW_FLOW)]
+#[case::ticket("flow with a ticket", &["explain", "syncdesk-api", "--ticket", "0f"], "/explain?service=syncdesk-api&ticket=0f", OLD_FLOW)]
+#[case::json("new flow in JSON", &["explain", "syncdesk-api", "--json"], "/explain?service=syncdesk-api", NEW_FLOW)]
+#[case::nowhere("flow that goes nowhere", &["explain", "syncdesk-api"], "/explain?service=syncdesk-api", r#"{"service":"syncdesk-api","upstream":null,"owner":null,"ticket":null,"candidates":[]}"#)]
+fn explain_shows_why(
+    #[case] name: &str,
+    #[case] args: &[&str],
+    #[case] target: &str,
+    #[case] answer: &str,
+) {
+    let admin = FakeAdmin::default().answer(target, 200, answer).start();
+    insta::assert_snapshot!(name, asking(admin, args).run().all());
+}
+
+#[rstest]
+#[case::refused(
+    "refused",
+    404,
+    r#"{"error":"Name another service; \"x\" has no document in force here."}"#
+)]
+#[case::no_reason("refused without a reason", 500, "oops")]
+#[case::not_json("answer that is not JSON", 200, "<html>")]
+#[case::other_version("answer of another version", 200, r#"{"vm":"vm-1"}"#)]
+fn bad_answers_end_with_code_1(#[case] name: &str, #[case] status: u16, #[case] body: &str) {
+    let admin = FakeAdmin::default().answer("/status", status, body).start();
+    insta::assert_snapshot!(name, asking(admin, &["status"]).run().all());
+}
+
+#[test]
+fn a_daemon_that_is_away_ends_with_code_1() {
+    insta::assert_snapshot!(asking(closed_port(), &["status"]).run().all());
+}
+
+/// An address where nobody listens.
+fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
