--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -49,7 +49,6 @@
         net::SocketAddr,
         pin::pin,
         rc::Rc,
-        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -201,12 +200,7 @@
         ControlEvent::Refused {
             service, revision, ..
         } => {
-            path.metrics.documents_refused.inc();
-            path.audit.record(AuditEvent::DocumentRefused {
-                service: Arc::from(&**service),
-                revision: *revision,
-                findings: Vec::new(),
-            });
+            path.record_refusal(service, *revision);
         }
         ControlEvent::Member(change) => {
             path.record_member(&change.member);
--- a/crates/daemon/src/data/answer.rs
+++ b/crates/daemon/src/data/answer.rs
@@ -56,15 +56,9 @@
         let mut rsp = Datagram::response_to(req, status, ids.next());
         match self {
             Notice::Challenge(ticket) | Notice::Unknown(Some(ticket)) => rsp.set_echo(ticket),
-            Notice::NotRun(after) => rsp.set_max_age(whole_seconds(*after)),
+            Notice::NotRun(after) => rsp.set_max_age(*after),
             Notice::GivenUp | Notice::Unknown(None) => {}
         }
         rsp
     }
 }
-
-/// Rounds up to whole seconds, one at least, as Max-Age counts them.
-fn whole_seconds(time: Duration) -> Duration {
-    let secs = time.as_millis().div_ceil(1000).max(1);
-    Duration::from_secs(u64::try_from(secs).unwrap_or(u64::MAX))
-}
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -210,6 +210,9 @@
         let held = Holding::Held(Rc::clone(&up));
         let before = self.upstreams.borrow_mut().insert(addr, held);
         self.watch(&up);
+        let me = Rc::clone(&self.control.settings().vm);
+        let from = former.as_ref().map(|(member, _)| &*member.vm);
+        self.record_owner(addr, from, Some(&me));
         if let Some((member, state)) = former {
             self.metrics.hand_overs.inc(HandOverResult::Received);
             self.take_flows(&up, member, state);
@@ -311,6 +314,8 @@
         }
         self.upstreams.borrow_mut().remove(&addr);
         self.metrics.hand_overs.inc(HandOverResult::Confirmed);
+        let me = Rc::clone(&self.control.settings().vm);
+        self.record_owner(addr, Some(&me), Some(from));
         let state = export(&up);
         self.part(up, from, state.in_use);
         OwnerReply::HandOver(state)
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -75,7 +75,7 @@
             return;
         };
         if req.method().is_none() {
-            self.on_reply(&req, caller);
+            self.on_reply(service, &req, caller);
             return;
         }
         let arrived = Arrived {
@@ -100,9 +100,9 @@
     }
 
     /// An empty message or a response of a caller: only a reset means something, if its feed is held here.
-    fn on_reply(self: &Rc<Self>, msg: &Datagram, caller: SocketAddr) {
+    fn on_reply(&self, service: &Service, msg: &Datagram, caller: SocketAddr) {
         if msg.kind() == Kind::Rst {
-            self.on_caller_reset(caller, msg.message_id());
+            self.on_caller_reset(service, caller, msg.message_id());
         } else if msg.kind() != Kind::Ack {
             self.metrics.datagrams.inc(DatagramResult::Malformed);
         }
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// How a new flow asks to be admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// When its caller no longer waits.
+    pub deadline: Instant,
+    /// Whether no other candidate is left.
+    pub last: bool,
+    /// Whether all candidates are down and this one is the least bad.
+    pub although_down: bool,
+}
+
 /// How a request ended at the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -140,18 +151,18 @@
         self.admission.set_cold(!self.allowance.is_full());
     }
 
-    /// Whether a new flow may be opened; `last` when no other candidate is left.
+    /// Decides whether a new flow may be opened.
     ///
     /// # Errors
     ///
     /// The reason for which the flow is not admitted.
-    pub fn open(&mut self, now: Instant, deadline: Instant, last: bool) -> Result<(), Refusal> {
+    pub fn open(&mut self, now: Instant, entry: Entry) -> Result<(), Refusal> {
         self.refresh(now);
-        if self.health.state(now) == HealthState::Down {
-            return Err(Refusal::Draining);
+        if self.is_down(now) && !entry.although_down {
+            return Err(Refusal::Down);
         }
-        let res = if last {
-            self.admission.open_last(now, deadline)
+        let res = if entry.last {
+            self.admission.open_last(now, entry.deadline)
         } else {
             self.admission.open(now)
         };
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -10,6 +10,7 @@
 pub mod opening;
 pub mod owner;
 pub mod path;
+pub mod probe;
 pub mod record;
 pub mod relay;
 pub mod request;
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -1,18 +1,24 @@
 //! Datagrams of upstreams: answers, notifications of feeds, and the end of feeds.
 
 use {
-    crate::data::{
-        answer::Notice,
-        feed::Feed,
-        ingress::Arrived,
-        path::DataPath,
-        request::Job,
-        service::Service,
-        upstream::{
-            Arrival,
-            Upstream,
-            UpstreamToken, //
+    crate::{
+        data::{
+            answer::Notice,
+            feed::Feed,
+            ingress::Arrived,
+            path::DataPath,
+            request::Job,
+            service::{
+                Notified,
+                Service, //
+            },
+            upstream::{
+                Arrival,
+                Upstream,
+                UpstreamToken, //
+            },
         },
+        metrics::RequestOutcome, //
     },
     foxtailhinge_wire::coap::{
         Datagram,
@@ -112,7 +118,11 @@
         rsp.clear_upstream_incarnation();
         rsp.set_token(request.token());
         rsp.set_kind(Kind::Non);
-        rsp.set_message_id(service.ids.next());
+        rsp.set_message_id(service.next_notification(Notified {
+            caller: caller.caller,
+            upstream: up.addr(),
+            token,
+        }));
         match ticket {
             Some(ticket) => rsp.set_echo(&ticket),
             None => rsp.remove_echo(),
@@ -180,8 +190,18 @@
         self.open(&arrived, true);
     }
 
-    /// A caller's reset; which feed it means is known only where its message ids are.
-    pub fn on_caller_reset(&self, _caller: SocketAddr, _message_id: u16) {}
+    /// A caller's reset ends the feed whose notification it refuses, if that was sent from here.
+    ///
+    /// Elsewhere it means nothing; the next notification is refused again and may find its owner.
+    pub fn on_caller_reset(&self, service: &Service, caller: SocketAddr, message_id: u16) {
+        let Some(notified) = service.notified(caller, message_id) else {
+            return;
+        };
+        if let Some(up) = self.held(notified.upstream) {
+            up.feeds.borrow_mut().remove(notified.token);
+            self.metrics.requests.inc(RequestOutcome::Cancelled);
+        }
+    }
 }
 
 /// The registration as a request whose answer is sent like a notification.
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -6,6 +6,7 @@
             answer::Notice,
             flow::FlowStart,
             ingress::Arrived,
+            load::Entry,
             owner::Holding,
             path::DataPath,
             request::Job,
@@ -21,6 +22,7 @@
     foxtailhinge_wire::{
         coap::Datagram,
         message::{
+            DownCandidate,
             Open,
             RelayMessage, //
         },
@@ -47,6 +49,7 @@
             candidates: candidates.to_vec(),
             next: 0,
             confirmed,
+            down: Vec::new(),
             datagram: arrived.buf.to_vec(),
         };
         self.offer(arrived.service, open);
@@ -78,30 +81,52 @@
             return;
         };
         let now = Instant::now();
-        let last = usize::from(open.next) + 1 >= open.candidates.len();
-        let refused_after = match self.candidate(&service, &open) {
-            Some((up, name)) => {
-                let deadline = service.deadline(&req, now);
-                let admitted = up.load_mut().open(now, deadline, last);
-                match admitted {
-                    Ok(()) => {
-                        self.admit(&service, &up, name, &open, req);
-                        return;
-                    }
-                    Err(_) if last => Some(up.load_mut().come_back(now)),
-                    Err(_) => None,
+        let Some((up, name)) = self.candidate(&service, &open) else {
+            self.ask_next(&service, open, service.come_back(now));
+            return;
+        };
+        let entry = Entry {
+            deadline: service.deadline(&req, now),
+            last: open.is_last(),
+            although_down: open.all_down(),
+        };
+        let admitted = up.load_mut().open(now, entry);
+        match admitted {
+            Ok(()) => self.admit(&service, &up, name, &open, req),
+            Err(_) => {
+                if up.load().is_down(now) && !entry.although_down {
+                    let health = up.load().health(now);
+                    open.down.push(DownCandidate {
+                        index: open.next,
+                        health,
+                    });
+                }
+                let after = up.load_mut().come_back(now);
+                if entry.although_down {
+                    self.refuse_open(&service, &open, after);
+                } else {
+                    self.ask_next(&service, open, after);
                 }
             }
-            None => None,
-        };
-        if last {
-            let after = refused_after.unwrap_or_else(|| service.come_back(now));
-            self.refuse_open(&service, &open, after);
+        }
+    }
+
+    /// Passes a flow that was not admitted to the next candidate. When all are down the least bad one
+    /// gets it; otherwise the last one refuses.
+    fn ask_next(self: &Rc<Self>, service: &Rc<Service>, mut open: Open, after: Duration) {
+        if !open.is_last() {
+            self.metrics.bounces.inc();
+            open.next += 1;
+            self.offer(service, open);
             return;
         }
-        self.metrics.bounces.inc();
-        open.next += 1;
-        self.offer(&service, open);
+        match open.least_bad() {
+            Some(index) if open.all_down() => {
+                open.next = index;
+                self.offer(service, open);
+            }
+            _ => self.refuse_open(service, &open, after),
+        }
     }
 
     fn candidate(&self, service: &Service, open: &Open) -> Option<(Rc<Upstream>, u32)> {
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -23,7 +23,10 @@
     foxtailhinge_wire::{
         coap::Datagram,
         message::Forward,
-        ticket::Ticket, //
+        ticket::{
+            caller_tag,
+            Ticket, //
+        },
     },
     std::{
         rc::Rc,
@@ -58,10 +61,17 @@
     ticket: Ticket,
     up: &'a Rc<Upstream>,
     idempotent: bool,
+    /// Whether the flow begins with this request.
+    fresh: bool,
     now: Instant,
 }
 
 impl Visit<'_> {
+    /// Whether the request comes from the address that the ticket was given to.
+    fn is_at_home(&self) -> bool {
+        caller_tag(self.arrived.caller) == self.ticket.caller_tag
+    }
+
     fn start(&self) -> FlowStart {
         FlowStart {
             service: self.arrived.service.hash,
@@ -152,14 +162,15 @@
     }
 
     fn visit(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: Ticket, up: &Rc<Upstream>) {
+        let found = up.flows.borrow().find(&ticket);
         let visit = Visit {
             arrived,
             ticket,
             up,
             idempotent: arrived.service.is_idempotent(arrived.req),
+            fresh: matches!(found, Found::Opened { .. }),
             now: Instant::now(),
         };
-        let found = up.flows.borrow().find(&ticket);
         let (flow, covered) = match found {
             Found::Held { flow, ledger } => (flow, ledger),
             Found::Opened { flow } => {
@@ -202,10 +213,27 @@
     fn greet(&self, visit: &Visit<'_>, flow: u32) {
         if let Some(entry) = visit.up.flows.borrow_mut().get_mut(flow) {
             entry.last_seen = visit.now;
-            entry.caller = visit.arrived.caller;
+            if visit.is_at_home() {
+                entry.caller = visit.arrived.caller;
+            }
         }
     }
 
+    /// Whether the flow is over at this upstream: given up, or its zone is out of service.
+    fn is_over(&self, visit: &Visit<'_>, flow: u32) -> bool {
+        let mut flows = visit.up.flows.borrow_mut();
+        let given_up = flows
+            .get_mut(flow)
+            .is_some_and(|entry| entry.given_up.is_some());
+        given_up || !visit.arrived.service.zone_in_service(visit.up.zone())
+    }
+
+    /// Whether a request should go to another upstream, for which its flow's first one is too early.
+    fn should_move(&self, visit: &Visit<'_>) -> bool {
+        let (service, name) = (visit.arrived.service, visit.ticket.upstream);
+        !visit.fresh && self.must_move(visit.up, service, name, visit.now)
+    }
+
     /// Whether the upstream should not get requests of this service any more, so that its flows move.
     pub fn must_move(&self, up: &Upstream, service: &Service, name: u32, now: Instant) -> bool {
         let draining = service
@@ -216,11 +244,18 @@
 
     fn visit_idempotent(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) {
         let arrived = visit.arrived;
-        if self.is_given_up(visit, flow) {
+        if self.is_over(visit, flow) {
             self.notify(arrived, Notice::GivenUp);
             return;
         }
-        if self.must_move(visit.up, arrived.service, visit.ticket.upstream, visit.now) {
+        if !visit.is_at_home() {
+            // The ticket came from another address, which is not confirmed yet.
+            if let Some(ticket) = self.renewed(visit, flow) {
+                self.notify(arrived, Notice::Challenge(ticket));
+            }
+            return;
+        }
+        if self.should_move(visit) {
             self.open(arrived, true);
             return;
         }
@@ -261,12 +296,12 @@
 
     fn run_once(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) {
         let arrived = visit.arrived;
-        if self.is_given_up(visit, flow) {
+        if self.is_over(visit, flow) {
             self.with_ledger(visit, flow, |ledger, token| ledger.not_run(token));
             self.notify(arrived, Notice::GivenUp);
             return;
         }
-        if self.must_move(visit.up, arrived.service, visit.ticket.upstream, visit.now) {
+        if self.should_move(visit) {
             self.with_ledger(visit, flow, |ledger, token| ledger.moved(token));
             self.open(arrived, false);
             return;
@@ -285,13 +320,6 @@
         }
     }
 
-    fn is_given_up(&self, visit: &Visit<'_>, flow: u32) -> bool {
-        let mut flows = visit.up.flows.borrow_mut();
-        flows
-            .get_mut(flow)
-            .is_some_and(|entry| entry.given_up.is_some())
-    }
-
     fn start(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) {
         let arrived = visit.arrived;
         let job = Job {
--- /dev/null
+++ b/crates/daemon/src/data/probe.rs
@@ -0,0 +1,72 @@
+//! Probes of the upstreams that this daemon owns: their silence counts, their reports come second.
+
+use {
+    crate::data::{
+        load::Outcome,
+        path::DataPath,
+        upstream::Upstream, //
+    },
+    foxtailhinge_policy::health::EndpointReport,
+    foxtailhinge_wire::coap::{
+        Datagram,
+        Status, //
+    },
+    serde::Deserialize,
+    std::{
+        rc::Rc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time without an answer after which an upstream is probed.
+const QUIET: Duration = Duration::from_secs(2);
+
+/// Time that a probe waits for its answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What an upstream's health endpoint says.
+#[derive(Debug, Deserialize)]
+struct HealthBody {
+    healthy: bool,
+}
+
+impl DataPath {
+    /// Probes an upstream that has not answered a request for a while.
+    pub fn probe_quiet(self: &Rc<Self>, up: &Rc<Upstream>, now: Instant) {
+        let quiet = now.saturating_duration_since(up.last_answer()) >= QUIET;
+        if !quiet || !up.begin_probe() {
+            return;
+        }
+        let up = Rc::clone(up);
+        self.spawn("probe", async move {
+            let res = up.probe(TIMEOUT).await;
+            let now = Instant::now();
+            match res {
+                Ok(rsp) => {
+                    if let Some(report) = read_report(&rsp) {
+                        up.load_mut().learn_report(report, now);
+                    }
+                }
+                Err(_) => up.load_mut().learn(Outcome::TimedOut, now),
+            }
+            monoio::time::sleep(QUIET).await;
+            up.end_probe();
+        });
+    }
+}
+
+/// The report in an answer of the health endpoint; an upstream without one gives none.
+fn read_report(rsp: &Datagram) -> Option<EndpointReport> {
+    if rsp.status() != Some(Status::Content) {
+        return None;
+    }
+    let body: HealthBody = serde_json::from_slice(rsp.payload()).ok()?;
+    Some(if body.healthy {
+        EndpointReport::Healthy
+    } else {
+        EndpointReport::Unhealthy
+    })
+}
--- a/crates/daemon/src/data/record.rs
+++ b/crates/daemon/src/data/record.rs
@@ -4,10 +4,16 @@
     crate::{
         audit::AuditEvent,
         data::path::DataPath,
-        operations::member_status, //
+        operations::{
+            findings,
+            member_status, //
+        },
     },
     foxtailhinge_policy::members::Member,
-    std::sync::Arc,
+    std::{
+        net::SocketAddr,
+        sync::Arc, //
+    },
 };
 
 impl DataPath {
@@ -23,6 +29,35 @@
         self.audit.record(event);
     }
 
+    /// Records that a document was refused, with its findings.
+    pub fn record_refusal(&self, service: &str, revision: u64) {
+        self.metrics.documents_refused.inc();
+        let documents = self.control.documents();
+        let refusal = documents.entry(service).and_then(|e| e.refusal.as_ref());
+        let findings = refusal.map(|refusal| findings(service, &refusal.text));
+        self.audit.record(AuditEvent::DocumentRefused {
+            service: Arc::from(service),
+            revision,
+            findings: findings.unwrap_or_default(),
+        });
+    }
+
+    /// Records that an upstream has another owner.
+    pub fn record_owner(&self, addr: SocketAddr, from: Option<&str>, to: Option<&str>) {
+        for service in self.services.borrow().values() {
+            for (_, named) in service.upstreams() {
+                if named.spec.address == addr {
+                    self.audit.record(AuditEvent::OwnerMoved {
+                        service: Arc::from(&*service.name),
+                        upstream: Arc::clone(&named.spec.name),
+                        from: from.map(Arc::from),
+                        to: to.map(Arc::from),
+                    });
+                }
+            }
+        }
+    }
+
     /// Records the state of a member.
     pub fn record_member(&self, member: &Member) {
         let status = member_status(member);
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -15,6 +15,7 @@
             },
         },
         metrics::{
+            FlowEnd,
             Metrics,
             RequestOutcome, //
         },
@@ -109,6 +110,9 @@
         } else {
             self.answer_once(job, ending);
         }
+        if job.req.is_release() {
+            self.release(job);
+        }
     }
 
     /// Tries the request until it is answered, refused, or its caller no longer waits.
@@ -118,6 +122,9 @@
             let Ok(slot) = job.up.acquire(job.deadline).await else {
                 return self.not_run(job);
             };
+            if self.is_zone_out(job) {
+                return self.not_run(job);
+            }
             let left = job.deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return self.not_run(job);
@@ -147,6 +154,12 @@
         }
     }
 
+    /// Whether the upstream's zone went out of service while the request waited.
+    fn is_zone_out(&self, job: &Job) -> bool {
+        let service = self.service(job.service.hash);
+        service.is_some_and(|service| !service.zone_in_service(job.up.zone()))
+    }
+
     /// Whether the service's budget and the request's deadline allow another attempt after `pause`.
     fn may_retry(&self, job: &Job, pause: Duration) -> bool {
         let now = Instant::now();
@@ -305,6 +318,15 @@
         Some(self.ticket(&job.service, job.name, incarnation, key, job.caller, epoch))
     }
 
+    /// Ends a flow that its caller has released.
+    fn release(&self, job: &Job) {
+        let released = job.up.flows.borrow_mut().remove(job.flow);
+        if released.is_some_and(|flow| flow.given_up.is_none()) {
+            job.up.load_mut().disconnect();
+            self.metrics.flows_ended.inc(FlowEnd::Released);
+        }
+    }
+
     /// Begins a new flow for an idempotent request whose upstream is gone.
     fn reopen(self: &Rc<Self>, job: &Job) {
         let mut req = job.req.clone();
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -4,7 +4,8 @@
     crate::data::{
         answer::MessageIds,
         load::LoadSpec,
-        socket::Socket, //
+        socket::Socket,
+        upstream::UpstreamToken, //
     },
     foxtailhinge_config::document::{
         ServiceDocument,
@@ -31,6 +32,7 @@
     std::{
         cell::RefCell,
         collections::HashMap,
+        net::SocketAddr,
         rc::Rc,
         time::{
             Duration,
@@ -63,10 +65,22 @@
     index: HashMap<u32, Entry>,
     zones: HashMap<Rc<str>, ZoneState>,
     comeback: RefCell<Comeback>,
+    notified: RefCell<HashMap<u16, Notified>>,
     /// Share of requests that may be sent again.
     pub budget: RefCell<RetryBudget>,
 }
 
+/// The feed whose notification had a message id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Notified {
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The upstream.
+    pub upstream: SocketAddr,
+    /// The feed's token towards the upstream.
+    pub token: UpstreamToken,
+}
+
 /// Where an upstream stands in the document.
 #[derive(Debug)]
 struct Entry {
@@ -128,6 +142,7 @@
             index,
             zones,
             comeback: RefCell::default(),
+            notified: RefCell::default(),
             budget: RefCell::new(budget),
             doc,
         }
@@ -157,6 +172,19 @@
         }
     }
 
+    /// Takes a message id for a notification and remembers the feed, so that a reset can end it.
+    pub fn next_notification(&self, notified: Notified) -> u16 {
+        let id = self.ids.next();
+        self.notified.borrow_mut().insert(id, notified);
+        id
+    }
+
+    /// The feed whose notification to `caller` had this message id.
+    pub fn notified(&self, caller: SocketAddr, id: u16) -> Option<Notified> {
+        let notified = self.notified.borrow().get(&id).copied();
+        notified.filter(|notified| notified.caller == caller)
+    }
+
     /// For how long the upstream has been draining; nothing when it serves.
     pub fn draining_for(&self, hash: u32, now: Instant) -> Option<Duration> {
         let since = self.index.get(&hash)?.draining_since?;
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        audit::AuditEvent,
         data::{
             load::LoadState,
             path::DataPath,
@@ -17,6 +18,7 @@
         collections::HashSet,
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -51,6 +53,8 @@
             self.end_silent_feeds(up, now);
             self.move_on(up, now);
             up.collect(now);
+            self.probe_quiet(up, now);
+            self.note_state(up, now);
         }
         self.drop_undeclared(&held);
         let flows: usize = held.iter().map(|up| up.flows.borrow().len()).sum();
@@ -61,6 +65,26 @@
         self.metrics.upstreams.count(states);
     }
 
+    /// Records the upstream's state when it changed.
+    fn note_state(&self, up: &Upstream, now: Instant) {
+        let to = report_state(up, now);
+        let Some(from) = up.replace_state(to).filter(|from| *from != to) else {
+            return;
+        };
+        for service in self.services.borrow().values() {
+            for (_, named) in service.upstreams() {
+                if named.spec.address == up.addr() {
+                    self.audit.record(AuditEvent::UpstreamState {
+                        service: Arc::from(&*service.name),
+                        upstream: Arc::clone(&named.spec.name),
+                        from,
+                        to,
+                    });
+                }
+            }
+        }
+    }
+
     fn collect_flows(&self, up: &Upstream, now: Instant) {
         let idle = |service: u32| {
             self.service(service)
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -10,6 +10,7 @@
         },
         socket::Socket, //
     },
+    foxtailhinge_config::report::UpstreamState,
     foxtailhinge_policy::admission::{
         Refusal,
         Start,
@@ -18,6 +19,7 @@
     foxtailhinge_wire::{
         coap::{
             Datagram,
+            Method,
             Status, //
         },
         message::FinishedRun,
@@ -48,6 +50,9 @@
 /// How long a request that was given up keeps its slot while the upstream may still run it.
 const ABANDONED_LEASE: Duration = Duration::from_secs(5);
 
+/// Path of an upstream's own health endpoint.
+const HEALTH_PATH: &str = "/health";
+
 /// A token towards the upstream, never used twice by one daemon incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct UpstreamToken(u64);
@@ -124,7 +129,8 @@
 #[derive(Debug)]
 struct Pending {
     answer: Option<oneshot::Sender<Datagram>>,
-    slot: Slot,
+    /// The slot in use; probes use none.
+    slot: Option<Slot>,
     sent: Instant,
 }
 
@@ -141,6 +147,9 @@
     tokens: Cell<u64>,
     message_ids: Cell<u16>,
     incarnation: Cell<Option<u16>>,
+    last_answer: Cell<Instant>,
+    state: Cell<Option<UpstreamState>>,
+    probing: Cell<bool>,
     parted: Cell<bool>,
     finished: RefCell<Vec<FinishedRun>>,
     /// Flows that are held.
@@ -170,6 +179,9 @@
             tokens: Cell::new(rand::random()),
             message_ids: Cell::new(rand::random()),
             incarnation: Cell::new(None),
+            last_answer: Cell::new(Instant::now()),
+            state: Cell::new(None),
+            probing: Cell::new(false),
             parted: Cell::new(false),
             finished: RefCell::default(),
             flows: RefCell::new(flows),
@@ -293,6 +305,31 @@
         token: UpstreamToken,
         req: &Datagram,
         timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
+        self.send_and_wait(Some(slot), token, req, timeout).await
+    }
+
+    /// Asks the upstream's own endpoint for its health, without a slot.
+    ///
+    /// # Errors
+    ///
+    /// Why no answer came.
+    pub async fn probe(&self, timeout: Duration) -> Result<Datagram, ExchangeError> {
+        let token = self.next_token();
+        let req = Datagram::request(Method::Get, HEALTH_PATH)
+            .with_token(&token.bytes())
+            .with_message_id(self.next_message_id());
+        let res = self.send_and_wait(None, token, &req, timeout).await;
+        self.pending.borrow_mut().remove(&token);
+        res
+    }
+
+    async fn send_and_wait(
+        &self,
+        slot: Option<Slot>,
+        token: UpstreamToken,
+        req: &Datagram,
+        timeout: Duration,
     ) -> Result<Datagram, ExchangeError> {
         let (tx, rx) = oneshot::channel();
         let pending = Pending {
@@ -347,17 +384,11 @@
     }
 
     fn on_answer(&self, pending: Pending, rsp: Datagram) -> Arrival {
-        let now = Instant::now();
-        let latency = now.saturating_duration_since(pending.sent);
-        let outcome = if rsp.status() == Some(Status::ServiceUnavailable) {
-            Outcome::Shed
-        } else {
-            pending.slot.service_time.set(Some(latency));
-            Outcome::Answered(latency)
-        };
-        self.load_mut().learn(outcome, now);
-        let Pending { answer, slot, .. } = pending;
-        drop(slot);
+        let Pending { answer, slot, sent } = pending;
+        if let Some(slot) = slot {
+            self.learn_answer(&slot, sent, &rsp);
+            drop(slot);
+        }
         match answer {
             Some(tx) => {
                 let _ = tx.send(rsp);
@@ -367,6 +398,39 @@
         }
     }
 
+    fn learn_answer(&self, slot: &Slot, sent: Instant, rsp: &Datagram) {
+        let now = Instant::now();
+        let latency = now.saturating_duration_since(sent);
+        let outcome = if rsp.status() == Some(Status::ServiceUnavailable) {
+            Outcome::Shed
+        } else {
+            slot.service_time.set(Some(latency));
+            Outcome::Answered(latency)
+        };
+        self.last_answer.set(now);
+        self.load_mut().learn(outcome, now);
+    }
+
+    /// Begins a probe; false while another one is in progress.
+    pub fn begin_probe(&self) -> bool {
+        !self.probing.replace(true)
+    }
+
+    /// Allows the next probe.
+    pub fn end_probe(&self) {
+        self.probing.set(false);
+    }
+
+    /// When the upstream last answered a request.
+    pub fn last_answer(&self) -> Instant {
+        self.last_answer.get()
+    }
+
+    /// The state that was reported last; `state` is now.
+    pub fn replace_state(&self, state: UpstreamState) -> Option<UpstreamState> {
+        self.state.replace(Some(state))
+    }
+
     /// Notes the incarnation that a datagram of the upstream carries; true when the upstream restarted.
     pub fn note_incarnation(&self, rsp: &Datagram) -> bool {
         let Some(now) = rsp.upstream_incarnation() else {
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -18,8 +18,11 @@
             upkeep::report_state,
             upstream::Upstream, //
         },
+        members::Accepted,
     },
     foxtailhinge_config::{
+        document::ServiceDocument,
+        finding::Finding,
         report::{
             AuditPage,
             Candidate,
@@ -31,6 +34,7 @@
             MemberStatus,
             OwnedUpstream,
             PlatformStatus,
+            RefusedDocument,
             Status,
             TicketReport,
             UpstreamStatus,
@@ -40,7 +44,10 @@
         },
         settings::Settings, //
     },
-    foxtailhinge_policy::members,
+    foxtailhinge_policy::{
+        members,
+        revisions::Documents, //
+    },
     foxtailhinge_wire::ticket::{
         name_hash,
         Ticket, //
@@ -48,10 +55,16 @@
     std::{
         rc::Rc,
         sync::Arc,
-        time::Instant, //
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
+/// Time for which a confirmation by the platform, own or heard of, counts as contact with it.
+const CONFIRMED: Duration = Duration::from_secs(60);
+
 /// Answers operators.
 pub struct Desk {
     path: Rc<DataPath>,
@@ -194,14 +207,18 @@
             state: self.state(),
             platform: PlatformStatus {
                 reader: false,
-                reachable: None,
+                reachable: self
+                    .path
+                    .control
+                    .confirmed()
+                    .map(|at| at.elapsed() < CONFIRMED),
                 revision: documents.synced(),
             },
             members: self.members(),
             zones,
             upstreams,
             documents: in_force,
-            refused: Vec::new(),
+            refused: refused(&documents),
         }
     }
 
@@ -253,6 +270,37 @@
     }
 }
 
+/// Refused documents with their findings.
+fn refused(documents: &Documents<Accepted>) -> Vec<RefusedDocument> {
+    let mut refused: Vec<RefusedDocument> = documents
+        .iter()
+        .filter_map(|(service, entry)| Some((service, entry.refusal.as_ref()?)))
+        .map(|(service, refusal)| RefusedDocument {
+            service: Arc::from(&**service),
+            revision: refusal.revision,
+            findings: findings(service, &refusal.text),
+        })
+        .collect();
+    refused.sort_by(|a, b| a.service.cmp(&b.service));
+    refused
+}
+
+/// Findings of a document that was refused for `service`.
+pub fn findings(service: &str, text: &str) -> Vec<Finding> {
+    match ServiceDocument::parse(service, text) {
+        Err(findings) => findings.iter().cloned().collect(),
+        Ok(document) => vec![Finding {
+            file: Arc::from(service),
+            line: 1,
+            column: 1,
+            message: format!(
+                "Write \"{service}\" as the service; the document names \"{}\".",
+                document.service
+            ),
+        }],
+    }
+}
+
 /// Order of the candidates in an explanation: the chosen one first.
 fn rank(verdict: Verdict) -> u8 {
     match verdict {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -42,6 +42,8 @@
     Draining,
     /// The upstream's cold-start allowance is used up.
     ColdStart,
+    /// The upstream does not answer.
+    Down,
 }
 
 /// What to do with a request.
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -4,7 +4,7 @@
 //! takes an upstream out, nor keeps one in that does not answer.
 
 use {
-    serde::{Deserialize, Serialize},
+    bincode::{Decode, Encode},
     std::time::{Duration, Instant},
 };
 
@@ -33,7 +33,7 @@
 const FADE_S: f64 = 30.0;
 
 /// What an upstream's health endpoint said.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointReport {
     /// It calls itself healthy.
     Healthy,
@@ -42,7 +42,7 @@
 }
 
 /// State of an upstream for new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub enum HealthState {
     /// It answers.
     Up,
@@ -53,7 +53,7 @@
 }
 
 /// What [`least_bad`] compares; small enough to travel with a relayed request.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 pub struct HealthView {
     /// State for new work.
     pub state: HealthState,
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -34,6 +34,9 @@
 /// Number of the option that carries the incarnation of an upstream in its answers.
 pub const UPSTREAM_INCARNATION: u16 = 65002;
 
+/// Number of the option with which a caller says that its flow ends with this request.
+pub const RELEASE: u16 = 65004;
+
 const VERSION: u8 = 1;
 const HEAD_LEN: usize = 4;
 const PAYLOAD_MARKER: u8 = 0xff;
@@ -361,6 +364,19 @@
             .clear_option(CoapOption::from(UPSTREAM_INCARNATION));
     }
 
+    /// Whether the caller ends its flow with this request.
+    pub fn is_release(&self) -> bool {
+        let option = CoapOption::from(RELEASE);
+        self.packet.get_option(option).is_some()
+    }
+
+    /// Ends the flow with this request.
+    pub fn set_release(&mut self) {
+        let option = CoapOption::from(RELEASE);
+        self.packet
+            .set_option(option, LinkedList::from([Vec::new()]));
+    }
+
     /// Value of the Block1 option, which is for the request's payload.
     pub fn block1(&self) -> Option<Block> {
         self.uint(CoapOption::Block1).map(Block::from)
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,6 +5,10 @@
         Decode,
         Encode, //
     },
+    foxtailhinge_policy::health::{
+        self,
+        HealthView, //
+    },
     std::net::SocketAddr,
 };
 
@@ -62,10 +66,42 @@
     pub next: u8,
     /// Whether the caller's address is confirmed, so that the request is served at once.
     pub confirmed: bool,
+    /// Health of the candidates that refused because they are down, with their indices.
+    pub down: Vec<DownCandidate>,
     /// The caller's datagram as it arrived.
     pub datagram: Vec<u8>,
 }
 
+impl Open {
+    /// Whether no candidate follows the one that is asked now.
+    pub fn is_last(&self) -> bool {
+        usize::from(self.next) + 1 >= self.candidates.len()
+    }
+
+    /// Whether every candidate has refused because it is down.
+    pub fn all_down(&self) -> bool {
+        !self.candidates.is_empty() && self.down.len() == self.candidates.len()
+    }
+
+    /// Index of the least bad among the candidates that are down.
+    pub fn least_bad(&self) -> Option<u8> {
+        let views: Vec<HealthView> = self.down.iter().map(|one| one.health).collect();
+        let best = health::least_bad(&views)?;
+        Some(self.down[best].index)
+    }
+}
+
+/// A candidate that refused a flow because it is down.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct DownCandidate {
+    /// Index of the candidate.
+    pub index: u8,
+    /// Its health as its owner sees it.
+    pub health: HealthView,
+}
+
+impl Eq for DownCandidate {}
+
 /// A request of a flow.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Forward {
