Quote names that are not plain in audit lines

Cause: names of services and VMs come from the platform, which may send any string; a blank or a line break in one forged a pair or a whole line of the log (test a_name_cannot_forge_a_pair_or_a_line failed first in 3 of its 4 cases). Change: such values are written in quotes with escapes; foxtailctl shows control characters in tables as question marks.

--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -484,7 +484,8 @@
     }
 }
 
-fn is_name(text: &str) -> bool {
+/// Tells whether a text can be the name of a service, VM, zone, upstream or fleet.
+pub(crate) fn is_name(text: &str) -> bool {
     let is_name_byte = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
     !text.is_empty() && text.len() <= bounds::NAME_BYTES && text.bytes().all(is_name_byte)
 }
--- a/crates/config/src/report.rs
+++ b/crates/config/src/report.rs
@@ -1,6 +1,9 @@
 //! Reports of a daemon to its operators, as they cross the admin interface in JSON.
 
-use crate::finding::Finding;
+use crate::{
+    finding::Finding,
+    reader::is_name, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -469,18 +472,18 @@
         match self {
             Self::DocumentApplied { service, revision }
             | Self::DocumentRemoved { service, revision } => {
-                write!(f, " service={service} revision={revision}")
+                write!(f, " service={} revision={revision}", Value(service))
             }
             Self::DocumentRefused {
                 service,
                 revision,
                 findings,
             } => {
-                write!(f, " service={service} revision={revision}")?;
+                write!(f, " service={} revision={revision}", Value(service))?;
                 write_findings(f, findings)
             }
             Self::ZoneOut { service, zone } | Self::ZoneIn { service, zone } => {
-                write!(f, " service={service} zone={zone}")
+                write!(f, " service={} zone={}", Value(service), Value(zone))
             }
             Self::UpstreamState {
                 service,
@@ -489,7 +492,9 @@
                 to,
             } => write!(
                 f,
-                " service={service} upstream={upstream} from={from} to={to}"
+                " service={} upstream={} from={from} to={to}",
+                Value(service),
+                Value(upstream)
             ),
             Self::OwnerMoved {
                 service,
@@ -497,10 +502,12 @@
                 from,
                 to,
             } => {
-                let (from, to) = (or_none(from), or_none(to));
+                let (from, to) = (Value(or_none(from)), Value(or_none(to)));
                 write!(
                     f,
-                    " service={service} upstream={upstream} from={from} to={to}"
+                    " service={} upstream={} from={from} to={to}",
+                    Value(service),
+                    Value(upstream)
                 )
             }
             Self::MemberState {
@@ -508,7 +515,7 @@
                 state,
                 incarnation,
             } => {
-                write!(f, " vm={vm} state={state}")?;
+                write!(f, " vm={} state={state}", Value(vm))?;
                 match incarnation {
                     Some(incarnation) => write!(f, " incarnation={incarnation}"),
                     None => Ok(()),
@@ -526,6 +533,18 @@
     }
 }
 
+/// A value of a key=value pair, in quotes unless it is a plain name.
+struct Value<'a>(&'a str);
+
+impl fmt::Display for Value<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if is_name(self.0) {
+            return f.write_str(self.0);
+        }
+        write!(f, "{:?}", self.0)
+    }
+}
+
 fn write_findings(f: &mut fmt::Formatter<'_>, findings: &[Finding]) -> fmt::Result {
     write!(f, " findings={}", findings.len())?;
     match findings.first() {
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -17,7 +17,8 @@
     }
 
     pub(crate) fn push(&mut self, row: [String; N]) {
-        self.rows.push(row);
+        self.rows
+            .push(row.map(|cell| cell.replace(char::is_control, "?")));
     }
 
     pub(crate) fn is_empty(&self) -> bool {
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -66,7 +66,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                log::warn!(target: "admin", "event=accept-failed error=\"{e}\"");
+                log::warn!(target: "admin", "event=accept-failed error={:?}", e.to_string());
                 time::sleep(ACCEPT_BACK_OFF).await;
                 continue;
             }
@@ -79,7 +79,7 @@
                 answer_one(stream, operations)
             ));
             if let Either::Left((Ok(Err(e)), _)) = select(served, evicted).await {
-                log::debug!(target: "admin", "event=connection-failed error=\"{e}\"");
+                log::debug!(target: "admin", "event=connection-failed error={:?}", e.to_string());
             }
         });
     }
