Serve only once the fleet is known, offer upstreams that another owns, and hand opened flows over

A daemon that started beside a live fleet saw itself as the only member and took up every upstream of its zone. It now waits for a sync and a peer of its zone, or 3 s; callers' datagrams are held until then.

--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -150,6 +150,9 @@
             return Found::Unknown;
         }
         match self.aliases.get(&key) {
+            Some(alias) if self.opened.contains_key(&alias.flow) => {
+                Found::Opened { flow: alias.flow }
+            }
             Some(alias) => Found::Held {
                 flow: alias.flow,
                 ledger: alias.ledger,
@@ -158,6 +161,18 @@
         }
     }
 
+    /// Keys of the flows whose callers have not come back yet; they can be used here no more.
+    pub fn take_opened(&mut self) -> Vec<FlowKey> {
+        let opened = std::mem::take(&mut self.opened);
+        opened.into_keys().map(|flow| self.name(flow)).collect()
+    }
+
+    /// Takes over a flow that its former owner had opened.
+    pub fn import_opened(&mut self, key: FlowKey, now: Instant) {
+        let flow = self.open(now);
+        self.aliases.insert(key, Alias { flow, ledger: true });
+    }
+
     /// The number of the flow with this key, and what it began with.
     pub fn resolve(&self, key: FlowKey) -> Option<(u32, FlowStart)> {
         let flow = if self.is_mine(key) {
@@ -278,6 +293,7 @@
     ///
     /// Gives the numbers of the flows that held a connection until now.
     pub fn collect(&mut self, now: Instant, idle: impl Fn(u32) -> Duration) -> Vec<u32> {
+        let opened_before = self.opened.len();
         self.opened
             .retain(|_, at| now.saturating_duration_since(*at) < OPEN_LEASE);
         let mut ended = Vec::new();
@@ -296,10 +312,11 @@
         for number in ended.iter().chain(&gone) {
             self.held.remove(number);
         }
-        if !(ended.is_empty() && gone.is_empty()) {
-            let held = &self.held;
-            self.aliases
-                .retain(|_, alias| held.contains_key(&alias.flow));
+        if opened_before != self.opened.len() || !(ended.is_empty() && gone.is_empty()) {
+            let (held, opened) = (&self.held, &self.opened);
+            self.aliases.retain(|_, alias| {
+                held.contains_key(&alias.flow) || opened.contains_key(&alias.flow)
+            });
         }
         ended
     }
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -93,6 +93,9 @@
     /// Brings what this daemon holds in line with what it owns by its view and the documents.
     pub fn reconcile(self: &Rc<Self>) {
         let now = Instant::now();
+        if !self.is_ready(now) {
+            return;
+        }
         for (addr, owned) in self.owned() {
             let held = match self.upstreams.borrow().get(&addr) {
                 Some(Holding::Held(up)) => Some(Rc::clone(up)),
@@ -164,22 +167,44 @@
     /// Claims the held upstreams from the daemons that may have taken them up during a pause.
     pub fn claim_again(self: &Rc<Self>) {
         for up in self.all_held() {
-            let owned = Owned {
-                key: Rc::clone(up.key()),
-                zone: Rc::clone(up.zone()),
-                spec: up.load().spec(),
-            };
-            let path = Rc::clone(self);
-            self.spawn("claim_again", async move {
-                if let Some((member, state)) = path.ask_former(up.addr(), &owned).await {
-                    let (slots, in_use) = (state.allowance.slots, state.in_use);
-                    up.load_mut().join(slots, in_use, Instant::now());
-                    path.take_flows(&up, member, state);
-                }
-            });
+            self.join_holders(up);
+        }
+    }
+
+    /// Takes over what another daemon has done with an upstream that this one holds too.
+    fn join_holders(self: &Rc<Self>, up: Rc<Upstream>) {
+        let owned = Owned {
+            key: Rc::clone(up.key()),
+            zone: Rc::clone(up.zone()),
+            spec: up.load().spec(),
+        };
+        let path = Rc::clone(self);
+        self.spawn("join_holders", async move {
+            if let Some((member, state)) = path.ask_former(up.addr(), &owned).await {
+                let (slots, in_use) = (state.allowance.slots, state.in_use);
+                up.load_mut().join(slots, in_use, Instant::now());
+                path.take_flows(&up, member, state);
+            }
+        });
+    }
+
+    /// Another daemon holds an upstream that this one owns by its view.
+    fn on_offer(self: &Rc<Self>, addr: SocketAddr) {
+        match self.held(addr) {
+            Some(up) => self.join_holders(up),
+            None => self.reconcile(),
         }
     }
 
+    /// Offers an upstream to the daemon that owns it by this one's view, in case that does not know.
+    pub fn offer_upstream(self: &Rc<Self>, up: &Rc<Upstream>, owner: Member) {
+        let path = Rc::clone(self);
+        let upstream = up.addr();
+        self.spawn("offer", async move {
+            path.tell(&owner, OwnerRequest::Offer { upstream }).await;
+        });
+    }
+
     /// The daemon that owned the upstream if this one had not been there.
     fn former_owner(&self, owned: &Owned) -> Option<Member> {
         let members = self.control.members();
@@ -266,6 +291,9 @@
                 .borrow_mut()
                 .import(&record.keys, start, ledger, now);
         }
+        for key in state.opened {
+            up.flows.borrow_mut().import_opened(key, now);
+        }
         let path = Rc::clone(self);
         let up = Rc::clone(up);
         self.spawn("take_feeds", async move {
@@ -421,6 +449,10 @@
     ) -> OwnerReply {
         match request {
             OwnerRequest::Claim { upstream } => self.on_claim(from, upstream),
+            OwnerRequest::Offer { upstream } => {
+                self.on_offer(upstream);
+                OwnerReply::Ok
+            }
             OwnerRequest::Settled { upstream } => {
                 self.on_settled(upstream);
                 OwnerReply::Ok
@@ -450,6 +482,7 @@
             request: feed.request.to_bytes(),
         })
         .collect();
+    let opened = flows.take_opened();
     let flows = flows
         .iter_mut()
         .filter(|(_, entry)| entry.given_up.is_none())
@@ -467,6 +500,7 @@
         allowance: AllowanceRecord { slots, connections },
         in_use: up.running(),
         flows,
+        opened,
         feeds,
     }
 }
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -4,7 +4,10 @@
     crate::{
         data::{
             answer::Notice,
-            path::DataPath,
+            path::{
+                DataPath,
+                Early, //
+            },
             service::Service,
             socket::Socket, //
         },
@@ -66,8 +69,18 @@
         socket.read_each(handle, || {}).await
     }
 
-    fn on_caller(self: &Rc<Self>, service: &Rc<Service>, buf: &[u8], caller: SocketAddr) {
-        if !self.control.admits(Instant::now()) {
+    /// Takes in a caller's datagram.
+    pub fn on_caller(self: &Rc<Self>, service: &Rc<Service>, buf: &[u8], caller: SocketAddr) {
+        let now = Instant::now();
+        if !self.is_ready(now) {
+            self.hold_early(Early {
+                service: service.hash,
+                caller,
+                buf: buf.into(),
+            });
+            return;
+        }
+        if !self.control.admits(now) {
             return;
         }
         let Ok(req) = Datagram::parse(buf) else {
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -23,8 +23,7 @@
     },
     foxtailhinge_policy::{
         members::{
-            Member,
-            MemberState, //
+            Member, //
         },
         rendezvous::OwnerCache,
     },
@@ -57,10 +56,29 @@
         },
         panic::AssertUnwindSafe,
         rc::Rc,
-        time::Instant,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
+/// Time after which a daemon serves although it has heard of no peer in its zone.
+const PEERLESS: Duration = Duration::from_secs(3);
+
+/// Datagrams held while a daemon starts.
+const EARLY_MAX: usize = 1024;
+
+/// A caller's datagram that arrived before the daemon was ready.
+pub struct Early {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// The caller.
+    pub caller: SocketAddr,
+    /// The datagram.
+    pub buf: Box<[u8]>,
+}
+
 /// Everything that serves callers on this daemon.
 pub struct DataPath {
     /// Members and documents.
@@ -91,6 +109,10 @@
     pub supervisor: Supervisor,
     /// Set once the daemon stops.
     pub stopping: Cell<bool>,
+    started: Instant,
+    ready: Cell<bool>,
+    /// Datagrams of callers that arrived before this daemon knew its fleet.
+    early: RefCell<Vec<Early>>,
     owners: RefCell<OwnerCache>,
     prober: OnceCell<Rc<Prober<Rc<DataPath>>>>,
 }
@@ -134,6 +156,9 @@
             upstreams: RefCell::default(),
             parting: RefCell::default(),
             stopping: Cell::new(false),
+            started: Instant::now(),
+            ready: Cell::new(false),
+            early: RefCell::default(),
             owners: RefCell::default(),
             prober: OnceCell::new(),
         });
@@ -147,6 +172,43 @@
         self.prober.get().expect("the prober is set in new")
     }
 
+    /// Whether this daemon knows enough of its fleet to serve: it has synced and heard of a peer in its
+    /// zone, or has waited for one long enough.
+    pub fn is_ready(self: &Rc<Self>, now: Instant) -> bool {
+        if !self.ready.get() && self.knows_fleet(now) {
+            self.ready.set(true);
+            self.serve_early();
+        }
+        self.ready.get()
+    }
+
+    fn knows_fleet(&self, now: Instant) -> bool {
+        if !self.control.admits(now) {
+            return false;
+        }
+        let members = self.control.members();
+        let zone = &members.me().zone;
+        let peers = members.iter().filter(|m| m.zone == *zone).count() > 1;
+        let heard = members.live_in_zone(zone).count() > 1;
+        heard || !peers || now.saturating_duration_since(self.started) >= PEERLESS
+    }
+
+    /// Keeps a datagram until this daemon is ready.
+    pub fn hold_early(&self, early: Early) {
+        let mut held = self.early.borrow_mut();
+        if held.len() < EARLY_MAX {
+            held.push(early);
+        }
+    }
+
+    fn serve_early(self: &Rc<Self>) {
+        for early in self.early.take() {
+            if let Some(service) = self.service(early.service) {
+                self.on_caller(&service, &early.buf, early.caller);
+            }
+        }
+    }
+
     /// The service whose name has this hash.
     pub fn service(&self, hash: u32) -> Option<Rc<Service>> {
         self.services.borrow().get(&hash).cloned()
@@ -159,11 +221,12 @@
         members.get(&vm).cloned()
     }
 
-    /// The daemon of this incarnation, unless it is gone.
+    /// The daemon of this incarnation, unless it is gone or leaving.
     pub fn incarnation_of(&self, vm: u32, incarnation: u32) -> Option<Member> {
         let members = self.control.members();
         let member = members.by_hash(vm)?;
-        let there = member.incarnation == incarnation && member.state != MemberState::Dead;
+        // A leaving daemon hands its flows over to the owner that follows.
+        let there = member.incarnation == incarnation && member.is_live();
         there.then(|| member.clone())
     }
 
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -32,6 +32,9 @@
 /// Feeds that one upstream moves in a round.
 const MOVES_PER_ROUND: usize = 32;
 
+/// Time within which a new owner should claim an upstream by itself.
+const CLAIM_DUE: Duration = Duration::from_secs(2);
+
 /// Idle time of flows whose service is gone.
 const IDLE_WITHOUT_SERVICE: Duration = Duration::from_secs(60);
 
@@ -55,6 +58,7 @@
             up.collect(now);
             self.probe_quiet(up, now);
             self.note_state(up, now);
+            self.offer_foreign(up, now);
         }
         self.drop_undeclared(&held);
         let flows: usize = held.iter().map(|up| up.flows.borrow().len()).sum();
@@ -65,6 +69,23 @@
         self.metrics.upstreams.count(states);
     }
 
+    /// Offers an upstream that another daemon should have claimed by now.
+    fn offer_foreign(self: &Rc<Self>, up: &Rc<Upstream>, now: Instant) {
+        let owner = self.owner(up.key(), up.zone());
+        let foreign = owner.filter(|owner| !self.is_me(owner));
+        let Some(owner) = foreign else {
+            up.set_foreign_since(None);
+            return;
+        };
+        let since = *up.foreign_since().get_or_insert(now);
+        if now.saturating_duration_since(since) >= CLAIM_DUE {
+            self.offer_upstream(up, owner);
+            up.set_foreign_since(Some(now));
+        } else {
+            up.set_foreign_since(Some(since));
+        }
+    }
+
     /// Records the upstream's state when it changed.
     fn note_state(&self, up: &Upstream, now: Instant) {
         let to = report_state(up, now);
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -150,6 +150,7 @@
     last_answer: Cell<Instant>,
     state: Cell<Option<UpstreamState>>,
     probing: Cell<bool>,
+    foreign_since: Cell<Option<Instant>>,
     parted: Cell<bool>,
     finished: RefCell<Vec<FinishedRun>>,
     /// Flows that are held.
@@ -182,6 +183,7 @@
             last_answer: Cell::new(Instant::now()),
             state: Cell::new(None),
             probing: Cell::new(false),
+            foreign_since: Cell::new(None),
             parted: Cell::new(false),
             finished: RefCell::default(),
             flows: RefCell::new(flows),
@@ -411,6 +413,16 @@
         self.load_mut().learn(outcome, now);
     }
 
+    /// Since when another daemon owns the upstream by this one's view.
+    pub fn foreign_since(&self) -> Option<Instant> {
+        self.foreign_since.get()
+    }
+
+    /// Notes since when another daemon owns the upstream by this one's view.
+    pub fn set_foreign_since(&self, since: Option<Instant>) {
+        self.foreign_since.set(since);
+    }
+
     /// Begins a probe; false while another one is in progress.
     pub fn begin_probe(&self) -> bool {
         !self.probing.replace(true)
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -87,7 +87,7 @@
             DaemonState::Stopping
         } else if !self.path.control.is_synced() {
             DaemonState::Fenced
-        } else if self.path.services.borrow().is_empty() {
+        } else if !self.path.is_ready(Instant::now()) || self.path.services.borrow().is_empty() {
             DaemonState::Starting
         } else {
             DaemonState::Serving
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -155,6 +155,11 @@
         /// Address of the upstream.
         upstream: SocketAddr,
     },
+    /// The sender holds an upstream that the receiver owns by the sender's view.
+    Offer {
+        /// Address of the upstream.
+        upstream: SocketAddr,
+    },
     /// The sender has taken up the feeds of an upstream that was handed over.
     Settled {
         /// Address of the upstream.
@@ -210,6 +215,8 @@
     pub in_use: u32,
     /// Its flows.
     pub flows: Vec<FlowRecord>,
+    /// Flows whose callers have not come back with their tickets yet.
+    pub opened: Vec<FlowKey>,
     /// Its feeds.
     pub feeds: Vec<FeedRecord>,
 }
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -189,6 +189,11 @@
                 ],
             },
         }],
+        opened: vec![FlowKey {
+            owner: 1,
+            owner_incarnation: 2,
+            flow: 4,
+        }],
         feeds: vec![FeedRecord {
             flow: FLOW,
             caller,
