Show what several daemons agree on in one table

Cause: at night an operator asks whether all daemons have the document and who owns what; one block of tables a daemon hid both. A second row of one upstream shows daemons that disagree.

--- /dev/null
+++ b/crates/ctl/src/fleet_view.rs
@@ -0,0 +1,134 @@
+//! Text about several daemons: what they agree on stands once, with the daemons that say so.
+
+use crate::{
+    daemon_view::print_section,
+    rows,
+    status::DaemonReport,
+    table::Table, //
+};
+use foxtailhinge_config::report::{
+    OwnedUpstream,
+    Status,
+    UpstreamStatus, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+/// Stands for all daemons that answered.
+const ALL: &str = "all";
+const SEEN_BY: &str = "seen by";
+
+/// Prints what several daemons know.
+pub(crate) fn print(daemons: &[DaemonReport]) {
+    let statuses: Vec<_> = daemons.iter().filter_map(|d| d.status.as_ref()).collect();
+    print_section("Daemons", &answered(&statuses));
+    for error in daemons.iter().filter_map(|d| d.error.as_ref()) {
+        println!("{error}");
+    }
+    println!();
+    print_section("Members", &members(&statuses));
+    println!();
+    print_section("Documents in force", &documents(&statuses));
+    println!();
+    print_section("Zones", &zones(&statuses));
+    println!();
+    print_section("Upstreams", &upstreams(&statuses));
+    print_refused(&statuses);
+}
+
+fn answered(statuses: &[&Status]) -> Table {
+    let mut table = Table::new(["vm", "zone", "state", "incarnation", "revision"]);
+    for status in statuses {
+        table.push([
+            status.vm.to_string(),
+            status.zone.to_string(),
+            status.state.to_string(),
+            status.incarnation.to_string(),
+            status.platform.revision.to_string(),
+        ]);
+    }
+    table
+}
+
+fn members(statuses: &[&Status]) -> Table {
+    let mut views = Views::default();
+    for status in statuses {
+        let members = status.members.iter();
+        members.for_each(|m| views.add(rows::member(m), status));
+    }
+    views.table(rows::MEMBER, statuses.len())
+}
+
+fn documents(statuses: &[&Status]) -> Table {
+    let mut views = Views::default();
+    for status in statuses {
+        let documents = status.documents.iter();
+        documents.for_each(|d| views.add(rows::document(d), status));
+    }
+    views.table(rows::DOCUMENT, statuses.len())
+}
+
+fn zones(statuses: &[&Status]) -> Table {
+    let mut views = Views::default();
+    for status in statuses {
+        let zones = status.zones.iter();
+        zones.for_each(|z| views.add(rows::zone(z), status));
+    }
+    views.table(rows::ZONE, statuses.len())
+}
+
+/// Two rows of one upstream show that daemons disagree on its owner.
+fn upstreams(statuses: &[&Status]) -> Table {
+    let mut views = Views::default();
+    for status in statuses {
+        for upstream in &status.upstreams {
+            views.add(rows::upstream(upstream, owned(statuses, upstream)), status);
+        }
+    }
+    views.table(rows::UPSTREAM, statuses.len())
+}
+
+/// What the owner itself says about an upstream.
+fn owned<'a>(statuses: &[&'a Status], upstream: &UpstreamStatus) -> Option<&'a OwnedUpstream> {
+    let owner = statuses
+        .iter()
+        .find(|s| Some(&s.vm) == upstream.owner.as_ref())?;
+    let same =
+        |u: &&UpstreamStatus| (&u.service, &u.upstream) == (&upstream.service, &upstream.upstream);
+    owner.upstreams.iter().find(same)?.owned.as_ref()
+}
+
+fn print_refused(statuses: &[&Status]) {
+    let refused = statuses.iter().flat_map(|s| &s.refused).map(rows::refused);
+    let texts: BTreeSet<_> = refused.collect();
+    texts.iter().for_each(|text| println!("\n{text}"));
+}
+
+/// Rows with the daemons that say so.
+struct Views<const N: usize>(BTreeMap<[String; N], Vec<String>>);
+
+impl<const N: usize> Default for Views<N> {
+    fn default() -> Self {
+        Self(BTreeMap::new())
+    }
+}
+
+impl<const N: usize> Views<N> {
+    fn add(&mut self, row: [String; N], status: &Status) {
+        self.0.entry(row).or_default().push(status.vm.to_string());
+    }
+
+    fn table(self, titles: [&str; N], daemons: usize) -> Table {
+        let mut table = Table::new(titles.into_iter().chain([SEEN_BY]));
+        for (row, vms) in self.0 {
+            let by = match vms.len() == daemons {
+                true => ALL.to_string(),
+                false => vms.join(" "),
+            };
+            table.push(row.into_iter().chain([by]));
+        }
+        table
+    }
+}
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -5,31 +5,26 @@
         AdminClient,
         AdminError, //
     },
+    daemon_view,
     error::Outcome,
-    output::print_json,
-    table::Table, //
-};
-use foxtailhinge_config::report::{
-    OwnedUpstream,
-    Status, //
+    fleet_view,
+    output::print_json, //
 };
+use foxtailhinge_config::report::Status;
 use serde::Serialize;
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::Arc, //
-};
+use std::net::SocketAddr;
 
 #[derive(Serialize)]
 struct Report {
     daemons: Vec<DaemonReport>,
 }
 
+/// Answer of one daemon, or why there is none.
 #[derive(Serialize)]
-struct DaemonReport {
-    admin: SocketAddr,
-    status: Option<Status>,
-    error: Option<String>,
+pub(crate) struct DaemonReport {
+    pub(crate) admin: SocketAddr,
+    pub(crate) status: Option<Status>,
+    pub(crate) error: Option<String>,
 }
 
 /// Prints what daemons know.
@@ -100,162 +95,11 @@
 }
 
 fn print_text(report: &Report) {
-    if report.daemons.len() > 1 {
-        print_section("Documents in force on each daemon", &revisions(report));
-        println!();
-    }
-    for (i, daemon) in report.daemons.iter().enumerate() {
-        if i > 0 {
-            println!();
-        }
-        match (&daemon.status, &daemon.error) {
-            (Some(status), _) => print_status(status),
-            (None, Some(error)) => println!("{error}"),
-            (None, None) => {}
-        }
-    }
-}
-
-/// Revision of each service on each daemon, so that uneven ones show.
-fn revisions(report: &Report) -> Table<3> {
-    let mut by_service: BTreeMap<Arc<str>, BTreeMap<u64, Vec<Arc<str>>>> = BTreeMap::new();
-    for status in report.daemons.iter().filter_map(|d| d.status.as_ref()) {
-        for document in &status.documents {
-            let by_revision = by_service.entry(document.service.clone()).or_default();
-            let vms = by_revision.entry(document.revision).or_default();
-            vms.push(status.vm.clone());
-        }
-    }
-    let mut table = Table::new(["service", "revision", "daemons"]);
-    for (service, by_revision) in by_service {
-        for (revision, vms) in by_revision {
-            table.push([service.to_string(), revision.to_string(), vms.join(" ")]);
-        }
-    }
-    table
-}
-
-fn print_status(status: &Status) {
-    println!("{}", summary(status));
-    println!();
-    print_section("Members", &members(status));
-    println!();
-    print_section("Documents in force", &documents(status));
-    println!();
-    print_section("Zones", &zones(status));
-    println!();
-    print_section("Upstreams", &upstreams(status));
-    print_refused(status);
-}
-
-fn print_section<const N: usize>(title: &str, table: &Table<N>) {
-    if table.is_empty() {
-        println!("{title}: none");
-        return;
-    }
-    print!("{title}\n{table}");
-}
-
-fn summary(status: &Status) -> String {
-    let Status {
-        vm,
-        zone,
-        fleet,
-        incarnation,
-        state,
-        platform,
-        ..
-    } = status;
-    let reachable = match platform.reachable {
-        Some(true) => "reachable",
-        Some(false) => "unreachable",
-        None => "not asked",
-    };
-    let reader = match platform.reader {
-        true => "watched by this daemon",
-        false => "learned from peers",
-    };
-    format!(
-        "Daemon {vm} of fleet {fleet} in zone {zone}: {state}, incarnation {incarnation}\n\
-         Platform: {reachable}, {reader}, revision {}",
-        platform.revision
-    )
-}
-
-fn members(status: &Status) -> Table<4> {
-    let mut table = Table::new(["vm", "zone", "state", "incarnation"]);
-    for member in &status.members {
-        let incarnation = member.incarnation.map(|i| i.to_string());
-        table.push([
-            member.vm.to_string(),
-            member.zone.to_string(),
-            member.state.to_string(),
-            incarnation.unwrap_or_else(dash),
-        ]);
-    }
-    table
-}
-
-fn documents(status: &Status) -> Table<2> {
-    let mut table = Table::new(["service", "revision"]);
-    for document in &status.documents {
-        table.push([document.service.to_string(), document.revision.to_string()]);
-    }
-    table
-}
-
-fn zones(status: &Status) -> Table<3> {
-    let mut table = Table::new(["service", "zone", "state"]);
-    for zone in &status.zones {
-        let state = if zone.in_service { "in" } else { "out" };
-        table.push([
-            zone.service.to_string(),
-            zone.zone.to_string(),
-            state.to_string(),
-        ]);
+    match &report.daemons[..] {
+        [DaemonReport {
+            status: Some(status),
+            ..
+        }] => daemon_view::print(status),
+        daemons => fleet_view::print(daemons),
     }
-    table
-}
-
-fn upstreams(status: &Status) -> Table<8> {
-    let mut table = Table::new([
-        "service",
-        "upstream",
-        "zone",
-        "owner",
-        "state",
-        "slots",
-        "connections",
-        "queued",
-    ]);
-    for upstream in &status.upstreams {
-        let owned = |cell: fn(&OwnedUpstream) -> String| {
-            upstream.owned.as_ref().map(cell).unwrap_or_else(dash)
-        };
-        table.push([
-            upstream.service.to_string(),
-            upstream.upstream.to_string(),
-            upstream.zone.to_string(),
-            upstream.owner.as_deref().unwrap_or("-").to_string(),
-            owned(|o| o.state.to_string()),
-            owned(|o| o.slots.to_string()),
-            owned(|o| o.connections.to_string()),
-            owned(|o| o.queued.to_string()),
-        ]);
-    }
-    table
-}
-
-fn print_refused(status: &Status) {
-    for refused in &status.refused {
-        let (service, revision) = (&refused.service, refused.revision);
-        println!("\nRefused: revision {revision} of {service}; the document in force stays");
-        for finding in &refused.findings {
-            println!("    {finding}");
-        }
-    }
-}
-
-fn dash() -> String {
-    "-".to_string()
 }
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -5,28 +5,32 @@
 const GAP: usize = 2;
 
 /// A table whose columns are as wide as their widest cell.
-pub(crate) struct Table<const N: usize> {
-    rows: Vec<[String; N]>,
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
 }
 
-impl<const N: usize> Table<N> {
-    pub(crate) fn new(titles: [&str; N]) -> Self {
+impl Table {
+    pub(crate) fn new<'a>(titles: impl IntoIterator<Item = &'a str>) -> Self {
+        let titles = titles.into_iter().map(str::to_uppercase);
         Self {
-            rows: vec![titles.map(str::to_uppercase)],
+            rows: vec![titles.collect()],
         }
     }
 
-    pub(crate) fn push(&mut self, row: [String; N]) {
-        self.rows
-            .push(row.map(|cell| cell.replace(char::is_control, "?")));
+    /// Adds a row with a cell for each title.
+    pub(crate) fn push(&mut self, row: impl IntoIterator<Item = String>) {
+        let cells = row
+            .into_iter()
+            .map(|cell| cell.replace(char::is_control, "?"));
+        self.rows.push(cells.collect());
     }
 
     pub(crate) fn is_empty(&self) -> bool {
         self.rows.len() == 1
     }
 
-    fn widths(&self) -> [usize; N] {
-        let mut widths = [0; N];
+    fn widths(&self) -> Vec<usize> {
+        let mut widths = vec![0; self.rows[0].len()];
         for row in &self.rows {
             for (width, cell) in widths.iter_mut().zip(row) {
                 *width = (*width).max(cell.chars().count());
@@ -36,12 +40,12 @@
     }
 }
 
-impl<const N: usize> fmt::Display for Table<N> {
+impl fmt::Display for Table {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let widths = self.widths();
         for row in &self.rows {
             let mut line = String::new();
-            for (cell, width) in row.iter().zip(widths) {
+            for (cell, width) in row.iter().zip(&widths) {
                 line += &format!("{cell:<0$}", width + GAP);
             }
             writeln!(f, "{}", line.trim_end())?;
--- a/crates/ctl/tests/foxtailctl/main.rs
+++ b/crates/ctl/tests/foxtailctl/main.rs
@@ -4,6 +4,7 @@
 mod ctl;
 mod fake_admin;
 mod fake_service;
+mod fleet;
 mod reports;
 mod request;
 mod usage;
