--- /dev/null
+++ b/crates/config/tests/docs.rs
@@ -0,0 +1,147 @@
+//! The pages on documents and settings agree with the code.
+
+use foxtailhinge_config::{
+    bounds,
+    check::{
+        Checker,
+        Kind, //
+    },
+    document::{
+        ColdStart,
+        Defaults, //
+    },
+    settings::Limits,
+};
+use rstest::rstest;
+use std::{
+    fmt::Display,
+    fs,
+    ops::RangeInclusive, //
+};
+
+const DOCUMENT: &str = "DOCUMENT.md";
+const SETTINGS: &str = "SETTINGS.md";
+
+fn page(name: &str) -> String {
+    let docs = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs");
+    fs::read_to_string(format!("{docs}/{name}")).unwrap()
+}
+
+/// Lines of the tables that describe a field.
+fn rows(name: &str, field: &str) -> Vec<String> {
+    let start = format!("| `{field}` |");
+    let page = page(name);
+    let rows = page.lines().filter(|l| l.starts_with(&start));
+    rows.map(str::to_string).collect()
+}
+
+#[rstest]
+#[case(DOCUMENT, Kind::Document)]
+#[case(SETTINGS, Kind::Settings)]
+fn examples_have_no_findings(#[case] name: &str, #[case] kind: Kind) {
+    let page = page(name);
+    let blocks: Vec<_> = page.split("```jsonc\n").skip(1).collect();
+    assert_eq!(blocks.len(), 1);
+    let (example, _) = blocks[0].split_once("```").unwrap();
+    assert_eq!(Checker::default().check(name, example.as_bytes()), Ok(kind));
+}
+
+#[rstest]
+#[case(DOCUMENT, "slots", bounds::SLOTS)]
+#[case(DOCUMENT, "connections", bounds::CONNECTIONS)]
+#[case(DOCUMENT, "ramp_s", bounds::RAMP_S)]
+#[case(DOCUMENT, "deadline_ms", bounds::DEADLINE_MS)]
+#[case(DOCUMENT, "queue", bounds::QUEUE)]
+#[case(DOCUMENT, "retry_budget_percent", bounds::RETRY_BUDGET_PERCENT)]
+#[case(DOCUMENT, "idle_s", bounds::IDLE_S)]
+#[case(DOCUMENT, "zones", 1..=bounds::ZONES as u64)]
+#[case(DOCUMENT, "upstreams", 1..=bounds::UPSTREAMS as u64)]
+#[case(SETTINGS, "slot", bounds::KEY_SLOT)]
+#[case(SETTINGS, "keys", 1..=bounds::KEYS as u64)]
+#[case(SETTINGS, "drain_s", bounds::DRAIN_S)]
+#[case(SETTINGS, "pause_ms", bounds::PAUSE_MS)]
+fn bounds_are_those_of_the_code(
+    #[case] name: &str,
+    #[case] field: &str,
+    #[case] range: RangeInclusive<u64>,
+) {
+    let written = format!("{} to {}", range.start(), range.end());
+    let rows = rows(name, field);
+    assert!(!rows.is_empty());
+    for row in rows {
+        assert!(row.contains(&written), "{row}");
+    }
+}
+
+#[rstest]
+#[case(DOCUMENT, "routes", bounds::ROUTES)]
+#[case(DOCUMENT, "path", bounds::PATH_BYTES)]
+#[case(SETTINGS, "peers", bounds::PEERS)]
+fn longest_lists_are_those_of_the_code(
+    #[case] name: &str,
+    #[case] field: &str,
+    #[case] most: usize,
+) {
+    let rows = rows(name, field);
+    assert!(rows[0].contains(&format!("at most {most}")), "{}", rows[0]);
+}
+
+#[test]
+fn sizes_are_those_of_the_code() {
+    let page = page(DOCUMENT);
+    for text in [
+        format!("at most {} bytes of UTF-8", bounds::TEXT_BYTES),
+        format!("1 to {} letters", bounds::NAME_BYTES),
+        format!("At most {} findings", bounds::FINDINGS),
+    ] {
+        assert!(page.contains(&text), "{text}");
+    }
+}
+
+#[test]
+fn defaults_are_those_of_the_code() {
+    let cold_start = ColdStart::default();
+    let defaults = Defaults::default();
+    let limits = Limits::default();
+    assert_default(DOCUMENT, "slots", cold_start.slots);
+    assert_default(DOCUMENT, "connections", cold_start.connections);
+    assert_default(DOCUMENT, "ramp_s", cold_start.ramp.as_secs());
+    assert_default(DOCUMENT, "deadline_ms", defaults.deadline.as_millis());
+    assert_default(DOCUMENT, "queue", defaults.queue);
+    assert_default(
+        DOCUMENT,
+        "retry_budget_percent",
+        defaults.retry_budget_percent,
+    );
+    assert_default(DOCUMENT, "idle_s", defaults.idle.as_secs());
+    assert_default(SETTINGS, "drain_s", limits.drain.as_secs());
+    assert_default(SETTINGS, "pause_ms", limits.pause.as_millis());
+}
+
+fn assert_default(name: &str, field: &str, default: impl Display) {
+    let cell = format!("| {default} |");
+    let rows = rows(name, field);
+    assert!(rows.iter().any(|r| r.contains(&cell)), "{field}: {default}");
+}
+
+/// The finding about an unknown field lists those that are known.
+#[rstest]
+#[case(DOCUMENT, r#"{ "?": 0 }"#)]
+#[case(DOCUMENT, r#"{ "upstreams": [{ "?": 0 }] }"#)]
+#[case(DOCUMENT, r#"{ "cold_start": { "?": 0 } }"#)]
+#[case(DOCUMENT, r#"{ "defaults": { "?": 0 } }"#)]
+#[case(DOCUMENT, r#"{ "routes": [{ "?": 0 }] }"#)]
+#[case(SETTINGS, r#"{ "vm": "v", "?": 0 }"#)]
+#[case(SETTINGS, r#"{ "vm": "v", "keys": [{ "?": 0 }] }"#)]
+#[case(SETTINGS, r#"{ "vm": "v", "peers": [{ "?": 0 }] }"#)]
+#[case(SETTINGS, r#"{ "vm": "v", "limits": { "?": 0 } }"#)]
+#[case(SETTINGS, r#"{ "vm": "v", "testing": { "?": 0 } }"#)]
+fn every_field_has_a_row(#[case] name: &str, #[case] text: &str) {
+    let findings = Checker::default().check("x", text.as_bytes()).unwrap_err();
+    let unknown = findings.iter().find(|f| f.message.contains("\"?\""));
+    let message = &unknown.unwrap().message;
+    let (_, known) = message.split_once("the fields here are ").unwrap();
+    for field in known.trim_end_matches('.').split(", ") {
+        assert!(!rows(name, field).is_empty(), "{field}");
+    }
+}
