--- /dev/null
+++ b/crates/daemon/tests/caller_contract.rs
@@ -0,0 +1,103 @@
+//! What callers may send, and what they get for it.
+
+use foxtailhinge_standins::{
+    caller::{
+        Caller,
+        Outcome, //
+    },
+    fleet::Fleet, //
+};
+use rstest::rstest;
+use std::{
+    net::UdpSocket,
+    time::Duration, //
+};
+
+const WITHIN: Duration = Duration::from_secs(5);
+/// Time in which a refusal would have come.
+const REFUSED_WITHIN: Duration = Duration::from_millis(300);
+/// Length of a ticket, in bytes.
+const TICKET: usize = 40;
+
+fn fleet() -> Fleet {
+    Fleet::builder()
+        .daemons(1)
+        .zones(1)
+        .upstreams(1, 1)
+        .binary(env!("CARGO_BIN_EXE_foxtailhinge"))
+        .start()
+        .unwrap()
+}
+
+/// Returns a caller whose flow is established.
+fn established(fleet: &mut Fleet, service: &str) -> Caller {
+    let caller = fleet.caller(service).unwrap();
+    assert!(caller.get("/cues", WITHIN).answer().is_some());
+    caller
+}
+
+fn flip(ticket: &mut Vec<u8>, place: usize) {
+    ticket[place] ^= 1;
+}
+
+#[rstest]
+#[case::version(|ticket| flip(ticket, 0))]
+#[case::service(|ticket| flip(ticket, 1))]
+#[case::upstream(|ticket| flip(ticket, 5))]
+#[case::flow(|ticket| flip(ticket, 21))]
+#[case::epoch(|ticket| flip(ticket, 26))]
+#[case::mac(|ticket| flip(ticket, TICKET - 1))]
+#[case::short(|ticket: &mut Vec<u8>| ticket.truncate(TICKET - 1))]
+#[case::one_byte(|ticket: &mut Vec<u8>| ticket.truncate(1))]
+#[case::zeros(|ticket: &mut Vec<u8>| ticket.fill(0))]
+fn a_ticket_that_was_changed_is_refused(#[case] change: fn(&mut Vec<u8>)) {
+    let mut fleet = fleet();
+    let caller = established(&mut fleet, "syncdesk-api");
+    let mut ticket = caller.ticket().unwrap();
+    assert_eq!(ticket.len(), TICKET);
+    change(&mut ticket);
+    caller.set_ticket(Some(ticket));
+    assert_eq!(caller.post("/clearances", b"one", WITHIN), Outcome::GivenUp);
+    assert!(caller.get("/cues", WITHIN).answer().is_some());
+    assert_eq!(fleet.upstreams()[0].runs("one"), 0);
+}
+
+#[test]
+fn a_ticket_of_another_service_is_refused() {
+    let mut fleet = fleet();
+    let first = established(&mut fleet, "syncdesk-api");
+    let second = fleet.caller("certvault").unwrap();
+    second.set_ticket(first.ticket());
+    assert_eq!(second.get("/certificates", WITHIN), Outcome::GivenUp);
+    let foreign = fleet.upstreams().iter().map(|one| one.records().foreign);
+    assert_eq!(foreign.sum::<u64>(), 0);
+    assert_eq!(fleet.upstream("certvault-1").unwrap().records().run, 0);
+}
+
+#[rstest]
+#[case::empty(&[])]
+#[case::one_byte(&[0x40])]
+#[case::another_version(&[0x80, 1, 0, 1])]
+#[case::long_token(&[0x4f, 1, 0, 1, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15])]
+#[case::missing_token(&[0x48, 1, 0, 1, 1, 2])]
+#[case::option_past_end(&[0x40, 1, 0, 1, 0xbd, 0xff, 1])]
+#[case::reserved_delta(&[0x40, 1, 0, 1, 0xf0])]
+#[case::reserved_length(&[0x40, 1, 0, 1, 0xbf])]
+#[case::marker_without_payload(&[0x40, 1, 0, 1, 0xff])]
+#[case::answer(&[0x40, 0x45, 0, 1])]
+#[case::unknown_method(&[0x40, 0x1f, 0, 1])]
+#[case::noise(&[0xa5; 1200])]
+#[case::huge(&[0x5a; 60_000])]
+fn a_bad_datagram_gets_no_larger_answer(#[case] datagram: &[u8]) {
+    let mut fleet = fleet();
+    let caller = established(&mut fleet, "syncdesk-api");
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(REFUSED_WITHIN)).unwrap();
+    let service = fleet.document_of("syncdesk-api").address;
+    socket.send_to(datagram, service).unwrap();
+    let mut buf = [0; 65_536];
+    let answer = socket.recv(&mut buf).unwrap_or(0);
+    assert!(answer <= datagram.len().max(4), "{answer} bytes");
+    assert!(caller.get("/cues", WITHIN).answer().is_some());
+    assert_eq!(caller.counts().given_up, 0);
+}
--- /dev/null
+++ b/crates/daemon/tests/upstream_contract.rs
@@ -0,0 +1,105 @@
+//! What upstreams may do to the system.
+
+use foxtailhinge_standins::{
+    caller::{
+        Caller,
+        Outcome, //
+    },
+    fleet::Fleet,
+    upstream::Upstream, //
+};
+use rstest::rstest;
+use std::{
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+const WITHIN: Duration = Duration::from_secs(3);
+/// Time for which a fault lasts.
+const FAULT: Duration = Duration::from_secs(4);
+/// Time after the fault by which requests are answered again.
+const MENDED_WITHIN: Duration = Duration::from_secs(20);
+
+fn fleet() -> Fleet {
+    Fleet::builder()
+        .daemons(2)
+        .zones(1)
+        .upstreams(2, 1)
+        .binary(env!("CARGO_BIN_EXE_foxtailhinge"))
+        .start()
+        .unwrap()
+}
+
+/// Sends requests until one is answered.
+fn is_answered(caller: &Caller) -> bool {
+    let end = Instant::now() + MENDED_WITHIN;
+    while Instant::now() < end {
+        match caller.get("/cues", WITHIN) {
+            Outcome::Answered(_) => return true,
+            Outcome::NotRun { come_back } => thread::sleep(come_back),
+            _ => {}
+        }
+    }
+    false
+}
+
+/// Returns the upstream that a caller's flow reaches.
+fn reached<'a>(fleet: &'a Fleet, caller: &Caller) -> &'a Upstream {
+    fleet.upstream(&caller.upstream().unwrap()).unwrap()
+}
+
+#[rstest]
+#[case::frozen(Upstream::freeze, Upstream::wake)]
+#[case::killed(Upstream::kill, Upstream::revive)]
+#[case::restarted(Upstream::restart, |_| {})]
+#[case::cooled(Upstream::cool, |_| {})]
+#[case::shedding(|one: &Upstream| one.shed(true), |one: &Upstream| one.shed(false))]
+fn a_fault_of_an_upstream_breaks_no_promise(
+    #[case] begin: fn(&Upstream),
+    #[case] end: fn(&Upstream),
+) {
+    let mut fleet = fleet();
+    let caller = fleet.caller("syncdesk-api").unwrap();
+    let other = fleet.caller("syncdesk-api").unwrap();
+    assert!(is_answered(&caller));
+    let upstream = reached(&fleet, &caller);
+    begin(upstream);
+    let began = Instant::now();
+    let posted = caller.post("/clearances", b"one", WITHIN);
+    assert!(is_answered(&other), "no other upstream serves new flows");
+    thread::sleep(FAULT.saturating_sub(began.elapsed()));
+    end(upstream);
+    assert!(is_answered(&caller));
+
+    let runs: u32 = fleet.upstreams().iter().map(|one| one.runs("one")).sum();
+    assert!(runs <= 1, "{posted:?} ran {runs} times");
+    if matches!(posted, Outcome::NotRun { .. }) {
+        assert_eq!(runs, 0);
+    }
+    assert_eq!(caller.counts().wrong_answer, 0);
+    assert_eq!(caller.counts().wrong_service, 0);
+}
+
+#[rstest]
+#[case::healthy_though_dead(true)]
+#[case::failing_though_alive(false)]
+fn a_health_endpoint_that_lies_decides_nothing(#[case] claimed: bool) {
+    let mut fleet = fleet();
+    for upstream in fleet.upstreams() {
+        upstream.set_endpoints(foxtailhinge_standins::upstream::Endpoints {
+            claimed: Some(claimed),
+            lag: Duration::ZERO,
+        });
+    }
+    thread::sleep(FAULT);
+    if claimed {
+        fleet.upstream("syncdesk-1").unwrap().shed(true);
+    }
+    for _ in 0..10 {
+        let caller = fleet.caller("syncdesk-api").unwrap();
+        assert!(is_answered(&caller));
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -0,0 +1,333 @@
+//! The run itself: load, and the events that the fleet has to bear.
+
+use crate::{
+    Options,
+    DAEMON, //
+};
+use anyhow::Context;
+use foxtailhinge_standins::{
+    breaks::Place,
+    caller::{
+        Caller,
+        Counts, //
+    },
+    feed::{
+        Feed,
+        FeedStats, //
+    },
+    fleet::Fleet,
+    load::{
+        Load,
+        Plan,
+        Results, //
+    },
+    upstream::{
+        records::Records,
+        ServiceTime, //
+    }, //
+};
+use std::{
+    collections::HashMap,
+    process::ExitStatus,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+/// Daemons of the fleet.
+const DAEMONS: usize = 8;
+/// Feeds that are held through the run.
+const FEEDS: usize = 24;
+/// Callers of the first service, which keep its slots about 80 % busy.
+const FIRST_CALLERS: usize = 96;
+/// Callers of the second service.
+const SECOND_CALLERS: usize = 28;
+/// Mean time that an upstream spends on a request.
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Mean time between an answer and the caller's next request.
+const THINK: Duration = Duration::from_millis(55);
+/// Mean number of requests of a flow.
+const REQUESTS_PER_FLOW: f64 = 20.0;
+/// Share of requests to the first service that must run at most once.
+const POST_SHARE: f64 = 0.2;
+/// Longest wait for a feed's first notification.
+const FEED_WITHIN: Duration = Duration::from_secs(5);
+/// Longest wait for a stopped daemon to end.
+const STOP_WITHIN: Duration = Duration::from_secs(8);
+/// Longest wait until an edited document is in force everywhere.
+const APPLIED_WITHIN: Duration = Duration::from_secs(5);
+/// Time between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(2);
+/// Longest sleep between looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Share of the run at which the zone is taken out.
+const ZONE_OUT: f64 = 0.2;
+/// Share of the run at which the zone is taken in again.
+const ZONE_IN: f64 = 0.6;
+/// Share of the run at which a daemon is stopped.
+const STOP: f64 = 0.75;
+/// Share of the run at which a daemon is killed.
+const KILL: f64 = 0.88;
+
+/// When the events happened.
+pub(crate) struct Times {
+    /// The load began.
+    pub(crate) start: Instant,
+    /// The zone was taken out.
+    pub(crate) zone_out: Instant,
+    /// The zone was taken in again.
+    pub(crate) zone_in: Instant,
+    /// A daemon was asked to stop.
+    pub(crate) stop: Instant,
+    /// A daemon was killed.
+    pub(crate) kill: Instant,
+    /// The load ended.
+    pub(crate) end: Instant,
+}
+
+/// An upstream and what it saw.
+pub(crate) struct Seen {
+    /// Its name.
+    pub(crate) name: String,
+    /// Its service.
+    pub(crate) service: String,
+    /// Its availability zone.
+    pub(crate) zone: String,
+    /// What it saw.
+    pub(crate) records: Records,
+}
+
+/// All that the run led to.
+pub(crate) struct Record {
+    /// When the events happened.
+    pub(crate) times: Times,
+    /// The availability zone that was taken out.
+    pub(crate) zone: String,
+    /// The two services.
+    pub(crate) services: [&'static str; 2],
+    /// How the daemon that was stopped ended.
+    pub(crate) stopped: Option<ExitStatus>,
+    /// What became of the requests to each service.
+    pub(crate) results: [Results; 2],
+    /// What each feed saw.
+    pub(crate) feeds: Vec<FeedStats>,
+    /// Sum of the counters of the feeds' callers.
+    pub(crate) feed_counts: Counts,
+    /// All upstreams.
+    pub(crate) upstreams: Vec<Seen>,
+    /// Calls to the platform.
+    pub(crate) platform_calls: u64,
+}
+
+impl Record {
+    /// Returns where upstreams belong, by their names.
+    pub(crate) fn places(&self) -> HashMap<String, Place> {
+        let place = |one: &Seen| Place {
+            service: one.service.clone(),
+            zone: one.zone.clone(),
+        };
+        let pairs = self.upstreams.iter();
+        pairs.map(|one| (one.name.clone(), place(one))).collect()
+    }
+}
+
+/// A fleet under load.
+struct Run {
+    start: Instant,
+    length: Duration,
+    fleet: Fleet,
+    feeds: Vec<(Caller, Feed)>,
+    load: [Load; 2],
+}
+
+/// Runs the fleet and returns what happened.
+pub(crate) fn run(options: &Options) -> anyhow::Result<Record> {
+    let began = Instant::now();
+    let mut fleet = start_fleet(options)?;
+    let zones = fleet.zones().len();
+    let took = began.elapsed().as_secs_f64();
+    println!(
+        "{DAEMONS} daemons in {zones} availability zones and 14 + 4 upstreams after {took:.1} s"
+    );
+    let feeds = open_feeds(&mut fleet)?;
+    println!("{FEEDS} feeds are open");
+    let load = start_load(&mut fleet, options.seed)?;
+    let run = Run {
+        start: Instant::now(),
+        length: Duration::from_secs(options.seconds),
+        fleet,
+        feeds,
+        load,
+    };
+    run.events()
+}
+
+fn start_fleet(options: &Options) -> anyhow::Result<Fleet> {
+    Fleet::builder()
+        .deployment(options.deployment)
+        .daemons(DAEMONS)
+        .seed(options.seed)
+        .binary(std::env::current_exe()?)
+        .args(&[DAEMON])
+        .tune(|spec| spec.service_time = ServiceTime::Exponential(SERVICE_TIME))
+        .start()
+}
+
+fn open_feeds(fleet: &mut Fleet) -> anyhow::Result<Vec<(Caller, Feed)>> {
+    let deployment = fleet.deployment();
+    let mut feeds = Vec::new();
+    for caller in callers(fleet, deployment.services()[0], FEEDS)? {
+        let feed = caller.feed(deployment.feed_path());
+        feeds.push((caller, feed));
+    }
+    for (_, feed) in &feeds {
+        let first = feed.wait(1, FEED_WITHIN);
+        anyhow::ensure!(first, "a feed had no notification: {:?}", feed.stats());
+    }
+    Ok(feeds)
+}
+
+fn start_load(fleet: &mut Fleet, seed: u64) -> anyhow::Result<[Load; 2]> {
+    let deployment = fleet.deployment();
+    let [first, second] = deployment.services();
+    let plan = Plan {
+        get: deployment.feed_path().into(),
+        post: deployment.post_path().into(),
+        post_share: POST_SHARE,
+        think: THINK,
+        requests_per_flow: REQUESTS_PER_FLOW,
+        seed,
+    };
+    let reads = Plan {
+        get: deployment.read_path().into(),
+        post_share: 0.0,
+        ..plan.clone()
+    };
+    Ok([
+        Load::start(callers(fleet, first, FIRST_CALLERS)?, &plan),
+        Load::start(callers(fleet, second, SECOND_CALLERS)?, &reads),
+    ])
+}
+
+/// Opens callers spread over the availability zones.
+fn callers(fleet: &mut Fleet, service: &str, count: usize) -> anyhow::Result<Vec<Caller>> {
+    let zones = fleet.zones().len();
+    (0..count)
+        .map(|index| fleet.caller_in(service, index % zones))
+        .collect()
+}
+
+impl Run {
+    fn events(mut self) -> anyhow::Result<Record> {
+        let zone = self.fleet.zones().last().context("no zone")?.clone();
+        let zone_out = self.until(ZONE_OUT);
+        self.set_zone(&zone, false)?;
+        let zone_in = self.until(ZONE_IN);
+        self.restart_upstreams(&zone);
+        self.set_zone(&zone, true)?;
+        let stop = self.until(STOP);
+        let stopped = self.stop("vm-2");
+        let kill = self.until(KILL);
+        self.kill("vm-3");
+        let end = self.until(1.0);
+        let times = Times {
+            start: self.start,
+            zone_out,
+            zone_in,
+            stop,
+            kill,
+            end,
+        };
+        Ok(self.close(times, zone, stopped))
+    }
+
+    /// Shows progress until a share of the run has passed; returns the time.
+    fn until(&self, share: f64) -> Instant {
+        let end = self.start + self.length.mul_f64(share);
+        let mut next = Instant::now() + PROGRESS;
+        while Instant::now() < end {
+            thread::sleep(TICK);
+            if Instant::now() >= next {
+                next += PROGRESS;
+                self.say("");
+            }
+        }
+        Instant::now()
+    }
+
+    fn say(&self, event: &str) {
+        let passed = self.start.elapsed().as_secs_f64();
+        let (sent, answered) = self.load.iter().fold((0, 0), |sum, load| {
+            let (sent, answered) = load.progress();
+            (sum.0 + sent, sum.1 + answered)
+        });
+        let open = |(_, feed): &&(Caller, Feed)| feed.stats().upstream.is_some();
+        let open = self.feeds.iter().filter(open).count();
+        println!(
+            "{passed:5.1} s  {sent:6} requests, {answered:6} answered, {open} feeds open  {event}"
+        );
+    }
+
+    fn set_zone(&mut self, zone: &str, serves: bool) -> anyhow::Result<()> {
+        for service in self.fleet.deployment().services() {
+            match serves {
+                true => self.fleet.zone_in(service, zone),
+                false => self.fleet.zone_out(service, zone),
+            };
+        }
+        let change = if serves { "in" } else { "out" };
+        self.say(&format!("{zone} {change}"));
+        self.fleet.wait_applied(APPLIED_WITHIN)
+    }
+
+    /// Restarts a zone's upstreams, so that they come back cold.
+    fn restart_upstreams(&self, zone: &str) {
+        let upstreams = self.fleet.upstreams().iter();
+        upstreams
+            .filter(|one| one.zone() == zone)
+            .for_each(|one| one.restart());
+    }
+
+    fn stop(&mut self, vm: &str) -> Option<ExitStatus> {
+        self.fleet.stop(vm);
+        self.say(&format!("{vm} is asked to stop"));
+        let status = self.fleet.ended(vm, STOP_WITHIN);
+        self.say(&format!("{vm} has ended: {}", status.is_some()));
+        status
+    }
+
+    fn kill(&mut self, vm: &str) {
+        self.fleet.kill(vm);
+        self.say(&format!("{vm} is killed"));
+    }
+
+    /// Stops the load, then the feeds, and collects all records.
+    fn close(self, times: Times, zone: String, stopped: Option<ExitStatus>) -> Record {
+        let results = self.load.map(Load::stop);
+        let feeds = self.feeds.iter().map(|(_, feed)| feed.stats()).collect();
+        let mut feed_counts = Counts::default();
+        for (caller, _) in &self.feeds {
+            feed_counts += caller.counts();
+        }
+        let seen = |one: &foxtailhinge_standins::upstream::Upstream| Seen {
+            name: one.name(),
+            service: one.service(),
+            zone: one.zone(),
+            records: one.records(),
+        };
+        Record {
+            times,
+            zone,
+            services: self.fleet.deployment().services(),
+            stopped,
+            results,
+            feeds,
+            feed_counts,
+            upstreams: self.fleet.upstreams().iter().map(seen).collect(),
+            platform_calls: self.fleet.platform().calls(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -0,0 +1,192 @@
+//! The closing table.
+
+use crate::{
+    promises::Figures,
+    run::Record, //
+};
+use foxtailhinge_standins::{
+    caller::Counts,
+    load::Sample,
+    upstream::records::{
+        Arrival,
+        Kind, //
+    }, //
+};
+use hdrhistogram::Histogram;
+use std::{
+    ops::Range,
+    process::ExitCode,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+/// Width of the first column.
+const NAME: usize = 46;
+/// Target for the imbalance of a service at 80 % load.
+const IMBALANCE_TARGET: f64 = 1.05;
+
+/// A part of the run.
+struct Phase {
+    name: &'static str,
+    times: Range<Instant>,
+}
+
+/// Prints the table; returns failure when a promise was broken.
+pub(crate) fn print(record: &Record) -> ExitCode {
+    let figures = Figures::of(record);
+    println!();
+    print_flows(record, &figures);
+    print_requests(record, &figures);
+    print_upstreams(record, &figures);
+    print_phases(record);
+    let broken = figures.promises_broken(record);
+    println!();
+    for promise in &broken {
+        println!("BROKEN: {promise}");
+    }
+    if broken.is_empty() {
+        println!("All promises were kept.");
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
+
+fn row(name: &str, value: impl std::fmt::Display) {
+    println!("{name:NAME$} {value}");
+}
+
+fn print_flows(record: &Record, figures: &Figures) {
+    let mut counts = Counts::default();
+    record.results.iter().for_each(|one| counts += one.counts);
+    row("flows opened", counts.flows + record.feed_counts.flows);
+    row(
+        "flows given up with their zone (agreed)",
+        figures.breaks.accepted,
+    );
+    row("flows broken (must be 0)", figures.breaks.count());
+    for (cause, count) in &figures.breaks.broken {
+        row(&format!("  {cause}"), count);
+    }
+    let notifications = record.feeds.iter().map(|one| one.notifications);
+    let gap = record.feeds.iter().map(|one| one.largest_gap).max();
+    row("notifications of feeds", notifications.sum::<u64>());
+    row("largest gap in a feed", seconds(gap.unwrap_or_default()));
+}
+
+fn print_requests(record: &Record, figures: &Figures) {
+    let count = |name| samples(record).filter(|one| one.outcome == name).count();
+    row("requests answered", count("answered"));
+    row("requests refused as not run", count("not run"));
+    row("requests with unknown outcome", count("unknown"));
+    row("requests without any answer", count("timed out"));
+    row(
+        "requests cut by a planned stop (must be 0)",
+        figures.cut_by_stop,
+    );
+    let posts = samples(record).filter(|one| one.post.is_some());
+    row("POSTs sent", posts.count());
+    row(
+        "runs of each POST over one (must be 0)",
+        figures.runs_over_one,
+    );
+    row(
+        "refused as not run, but ran (must be 0)",
+        figures.refused_but_ran,
+    );
+    row("wrong service (must be 0)", figures.wrong_service);
+    row("wrong or torn answers (must be 0)", figures.wrong_answer);
+}
+
+fn print_upstreams(record: &Record, figures: &Figures) {
+    for service in record.services {
+        let name = format!("imbalance of {service}, before (target {IMBALANCE_TARGET})");
+        row(&name, imbalance(record, service));
+    }
+    let name = format!(
+        "packets into {} 5 s after it is out (must be 0)",
+        record.zone
+    );
+    row(&name, figures.zone_packets);
+    row(
+        "requests beyond a cold start (must be 0)",
+        figures.cold_overload,
+    );
+    let shed = record.upstreams.iter().map(|one| one.records.shed);
+    row("requests shed by upstreams", shed.sum::<u64>());
+    row("calls to the platform", record.platform_calls);
+}
+
+/// Returns the requests of a service's busiest upstream over their mean, while all zones are in.
+fn imbalance(record: &Record, service: &str) -> String {
+    let times = record.times.start..record.times.zone_out;
+    let counts = |arrivals: &[Arrival]| {
+        let inside = |one: &&Arrival| one.kind == Kind::Request && times.contains(&one.at);
+        arrivals.iter().filter(inside).count()
+    };
+    let own = record.upstreams.iter().filter(|one| one.service == service);
+    let loads: Vec<usize> = own.map(|one| counts(&one.records.arrivals)).collect();
+    let mean = loads.iter().sum::<usize>() as f64 / loads.len() as f64;
+    let most = loads.iter().copied().max().unwrap_or(0) as f64;
+    format!("{:.3} (mean {mean:.0} requests)", most / mean)
+}
+
+fn print_phases(record: &Record) {
+    println!();
+    println!(
+        "{:NAME$} {:>9} {:>9} {:>9} {:>9}",
+        "phase", "answered", "share", "p50", "p99"
+    );
+    for phase in phases(record) {
+        print_phase(record, &phase);
+    }
+}
+
+fn phases(record: &Record) -> [Phase; 4] {
+    let times = &record.times;
+    let phase = |name, begin, end| Phase {
+        name,
+        times: begin..end,
+    };
+    [
+        phase("before: all zones in", times.start, times.zone_out),
+        phase("during: one zone out", times.zone_out, times.zone_in),
+        phase("after: the zone is back", times.zone_in, times.stop),
+        phase("one daemon stopped, one killed", times.stop, times.end),
+    ]
+}
+
+fn print_phase(record: &Record, phase: &Phase) {
+    let inside = |one: &&Sample| phase.times.contains(&one.began);
+    let all = samples(record).filter(inside).count();
+    let mut took = Histogram::<u64>::new(3).expect("three digits are supported");
+    for sample in samples(record)
+        .filter(inside)
+        .filter(|one| one.is_answered())
+    {
+        took.saturating_record(sample.took.as_micros() as u64);
+    }
+    let quantile = |share| milliseconds(Duration::from_micros(took.value_at_quantile(share)));
+    let share = 100.0 * took.len() as f64 / all.max(1) as f64;
+    println!(
+        "{:NAME$} {:>9} {:>8.2}% {:>9} {:>9}",
+        phase.name,
+        took.len(),
+        share,
+        quantile(0.5),
+        quantile(0.99)
+    );
+}
+
+fn samples(record: &Record) -> impl Iterator<Item = &Sample> {
+    record.results.iter().flat_map(|one| &one.samples)
+}
+
+fn seconds(time: Duration) -> String {
+    format!("{:.2} s", time.as_secs_f64())
+}
+
+fn milliseconds(time: Duration) -> String {
+    format!("{:.1} ms", time.as_secs_f64() * 1000.0)
+}
--- a/crates/standins/src/scenario/act.rs
+++ b/crates/standins/src/scenario/act.rs
@@ -131,10 +131,10 @@
     fn send(&mut self, method: RequestType, count: usize, path: &str) -> anyhow::Result<String> {
         let errand = Errand {
             method,
-            path: path.to_owned(),
+            path: format!("/{path}"),
             count,
         };
-        let service = self.service_of(path)?;
+        let service = self.service_of(&errand.path)?;
         let callers = self.callers_of(service)?;
         let samples = errand.run(&callers);
         let text = summary(&samples, count);
--- a/crates/standins/src/scenario/order.rs
+++ b/crates/standins/src/scenario/order.rs
@@ -32,32 +32,32 @@
         /// How many.
         count: usize,
     },
-    /// Sends GET requests: `get 100 /certificates`.
+    /// Sends GET requests: `get 100 certificates`.
     Get {
         /// How many.
         count: usize,
-        /// Their path.
+        /// Their path, without its first slash.
         path: String,
     },
     /// Sends PUT requests.
     Put {
         /// How many.
         count: usize,
-        /// Their path.
+        /// Their path, without its first slash.
         path: String,
     },
     /// Sends DELETE requests.
     Delete {
         /// How many.
         count: usize,
-        /// Their path.
+        /// Their path, without its first slash.
         path: String,
     },
-    /// Sends POST requests, each with an id of its own: `post 50 /clearances`.
+    /// Sends POST requests, each with an id of its own: `post 50 clearances`.
     Post {
         /// How many.
         count: usize,
-        /// Their path.
+        /// Their path, without its first slash.
         path: String,
     },
     /// Starts or stops a steady load on the first service: `load start`, `load stop`.
