--- a/crates/policy/benches/placement/report.rs
+++ b/crates/policy/benches/placement/report.rs
@@ -29,6 +29,7 @@
     pub(crate) admitted: u64,
     /// Requests for each upstream.
     pub(crate) by_upstream: Vec<u64>,
+    worst_imbalance: f64,
 }
 
 impl Span {
@@ -46,6 +47,7 @@
             bounces: 0,
             admitted: 0,
             by_upstream: vec![0; upstreams],
+            worst_imbalance: 0.0,
         }
     }
 
@@ -94,6 +96,36 @@
         percent(self.refusals, self.refusals + self.in_time + self.late)
     }
 
+    /// Adds the measures of a run with another seed.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        self.wait.add(&other.wait).expect("bounds are equal");
+        self.total.add(&other.total).expect("bounds are equal");
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.failed += other.failed;
+        self.refusals += other.refusals;
+        self.sent += other.sent;
+        self.shed += other.shed;
+        self.bounces += other.bounces;
+        self.admitted += other.admitted;
+        self.worst_imbalance = self.worst_imbalance().max(other.worst_imbalance());
+    }
+
+    /// Largest imbalance of the runs merged.
+    pub(crate) fn worst_imbalance(&self) -> f64 {
+        self.worst_imbalance.max(self.imbalance())
+    }
+
+    /// Requests never served, in percent.
+    pub(crate) fn failed_percent(&self) -> f64 {
+        percent(self.failed, self.requests())
+    }
+
+    /// Requests sent to upstreams for each request of a caller.
+    pub(crate) fn sent_per_request(&self) -> f64 {
+        self.sent as f64 / self.requests().max(1) as f64
+    }
+
     /// Share of the requests sent that upstreams shed, in percent.
     pub(crate) fn shed_percent(&self) -> f64 {
         percent(self.shed, self.sent)
@@ -105,7 +137,7 @@
     }
 
     /// Most requests of an upstream over the mean.
-    pub(crate) fn imbalance(&self) -> f64 {
+    fn imbalance(&self) -> f64 {
         let max = self.by_upstream.iter().copied().max().unwrap_or(0) as f64;
         let sum: u64 = self.by_upstream.iter().sum();
         max * self.by_upstream.len() as f64 / sum.max(1) as f64
--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -4,9 +4,9 @@
     crate::{
         report::{Span, Table},
         sim::{run, Change, Options, Pick, Policy, Retry, Scenario},
-        trace::{Burst, Load, Shape},
+        trace::{Burst, Flow, Load, Shape},
     },
-    std::time::Duration,
+    std::{thread, time::Duration},
 };
 
 /// A table of the benchmark.
@@ -49,6 +49,10 @@
         name: "retry",
         run: retry,
     },
+    Entry {
+        name: "sick",
+        run: sick,
+    },
     Entry {
         name: "scale",
         run: scale,
@@ -84,6 +88,7 @@
         changes: Vec::new(),
         spans: vec![Duration::ZERO],
         connections: 2_000,
+        seeds: SEEDS,
     }
 }
 
@@ -99,29 +104,31 @@
 fn single() {
     let scenario = base(Shape::Single, 90, 0.8);
     place(
-        "single: flows of one request, no network",
+        "single: flows of one request, queue of 4, no network",
         &scenario,
-        &policies(),
+        &policies(4),
     );
 }
 
 fn network() {
     let scenario = network_base(Shape::Single, 90, 0.8);
     place(
-        "network: 1 ms to callers and between daemons",
+        "network: as single, 1 ms to callers and between daemons",
         &scenario,
-        &policies(),
+        &policies(4),
     );
+    place("network: queue of 16", &scenario, &policies(16));
 }
 
 fn unequal() {
     let mut scenario = network_base(Shape::Unequal, 300, 0.8);
     scenario.spans = vec![Duration::from_secs(100)];
     place(
-        "unequal: pinned flows of 2 to 200 requests",
+        "unequal: pinned flows of 2 to 200 requests, queue of 4",
         &scenario,
-        &policies(),
+        &policies(4),
     );
+    place("unequal: queue of 16", &scenario, &policies(16));
 }
 
 fn queue() {
@@ -132,53 +139,61 @@
     ];
     let queues = [0, 4, 8, 16, 32, 64].map(|queue| Options { queue, ..OURS });
     let policies: Vec<_> = names.into_iter().zip(queues).collect();
-    place("queue: pinned flows as in unequal", &scenario, &policies);
+    place("queue: pinned flows, 80 % busy", &scenario, &policies);
 }
 
-fn policies() -> Vec<(&'static str, Options)> {
+fn policies(queue: u32) -> Vec<(&'static str, Options)> {
+    let ours = Options { queue, ..OURS };
+    let baseline = |policy| Options {
+        queue,
+        ..Options::baseline(policy)
+    };
     let pick = |candidates, pick| Options {
         candidates,
         pick,
-        ..OURS
+        ..ours
     };
     vec![
         (
             "least loaded, view 250 ms old",
-            Options::baseline(Policy::StaleLeast),
+            baseline(Policy::StaleLeast),
         ),
+        ("two choices, view 250 ms old", baseline(Policy::StaleTwo)),
+        ("random", baseline(Policy::Random)),
+        ("two choices on own counts", baseline(Policy::OwnCounts)),
+        ("round robin", baseline(Policy::RoundRobin)),
+        ("owner, 1 candidate", pick(1, Pick::FirstFree)),
+        ("owner, 2, last queues", pick(2, Pick::FirstFree)),
+        ("owner, 3, last queues", pick(3, Pick::FirstFree)),
+        ("owner, 4, last queues", pick(4, Pick::FirstFree)),
         (
-            "two choices, view 250 ms old",
-            Options::baseline(Policy::StaleTwo),
+            "owner, 2, least loaded queues",
+            pick(2, Pick::FirstFreeElseLeast),
         ),
-        ("random", Options::baseline(Policy::Random)),
         (
-            "two choices on own counts",
-            Options::baseline(Policy::OwnCounts),
+            "owner, 3, least loaded queues",
+            pick(3, Pick::FirstFreeElseLeast),
         ),
-        ("round robin", Options::baseline(Policy::RoundRobin)),
-        ("owner, 1 candidate", pick(1, Pick::FirstFree)),
-        ("owner, 2 candidates", pick(2, Pick::FirstFree)),
-        ("owner, 3 candidates", pick(3, Pick::FirstFree)),
-        ("owner, 4 candidates", pick(4, Pick::FirstFree)),
+        (
+            "owner, 4, least loaded queues",
+            pick(4, Pick::FirstFreeElseLeast),
+        ),
+        ("owner, 2, all asked", pick(2, Pick::LeastLoad)),
+        ("owner, 3, all asked", pick(3, Pick::LeastLoad)),
         (
             "owner, 3, random points",
             Options {
                 sequence: false,
-                ..OURS
+                ..pick(3, Pick::FirstFreeElseLeast)
             },
         ),
         (
-            "owner, 2, else least loaded",
-            pick(2, Pick::FirstFreeElseLeast),
-        ),
-        (
-            "owner, 3, else least loaded",
-            pick(3, Pick::FirstFreeElseLeast),
+            "owner, 3, no reservation",
+            Options {
+                reserve: false,
+                ..pick(3, Pick::FirstFreeElseLeast)
+            },
         ),
-        ("owner, 2, all asked, load", pick(2, Pick::LeastLoad)),
-        ("owner, 3, all asked, load", pick(3, Pick::LeastLoad)),
-        ("owner, 2, all asked, rate", pick(2, Pick::LeastRecent)),
-        ("owner, 3, all asked, rate", pick(3, Pick::LeastRecent)),
     ]
 }
 
@@ -250,6 +265,13 @@
             },
         ),
         ("owner, both", OURS),
+        (
+            "owner, both, last queues",
+            Options {
+                pick: Pick::FirstFree,
+                ..OURS
+            },
+        ),
         (
             "owner, both, 1 slot headroom",
             Options {
@@ -390,6 +412,34 @@
     );
 }
 
+fn sick() {
+    let with = |retry| Options {
+        retry,
+        comeback: Some(true),
+        ..OURS
+    };
+    let policies = [
+        ("no retry", with(Retry::None)),
+        ("retry unbounded", with(Retry::Unbounded)),
+        ("retry budget 10 %", with(Retry::Budget(10))),
+        ("retry budget 20 %", with(Retry::Budget(20))),
+    ];
+    for (share, title) in [
+        (0.05, "sick: every upstream sheds 5 % for 40 s"),
+        (0.6, "sick: every upstream sheds 60 % for 40 s"),
+    ] {
+        let mut scenario = network_base(Shape::Unequal, 140, 0.7);
+        for upstream in 0..scenario.upstreams {
+            let sick = Change::Sick(upstream, share);
+            let well = Change::Sick(upstream, 0.0);
+            scenario.changes.push((Duration::from_secs(60), sick));
+            scenario.changes.push((Duration::from_secs(100), well));
+        }
+        scenario.spans = spans([40, 60, 100]);
+        serve(title, ["before", "sick", "after"], &scenario, &policies);
+    }
+}
+
 fn scale() {
     let upstreams = 13_000;
     let mut scenario = network_base(Shape::Single, 4, 0.8);
@@ -400,6 +450,7 @@
     scenario.load.rate = 200_000.0;
     scenario.load.length = Duration::from_secs(12);
     scenario.spans = vec![Duration::from_secs(2)];
+    scenario.seeds = 1;
     let policies = [
         ("random", Options::baseline(Policy::Random)),
         ("round robin", Options::baseline(Policy::RoundRobin)),
@@ -444,9 +495,47 @@
     starts.map(Duration::from_secs).to_vec()
 }
 
+const SEEDS: u64 = 3;
+const THREADS: usize = 3;
+
+/// Runs each policy over [`SEEDS`] traces and adds the measures up.
+fn measure(scenario: &Scenario, policies: &[(&str, Options)]) -> Vec<Vec<Span>> {
+    let mut merged: Vec<Vec<Span>> = Vec::new();
+    for seed in SEED..SEED + scenario.seeds {
+        let mut scenario = scenario.clone();
+        scenario.load.seed = seed;
+        let flows = scenario.load.flows();
+        let mut spans = Vec::new();
+        for some in policies.chunks(THREADS) {
+            spans.extend(run_all(&scenario, &flows, some));
+        }
+        if merged.is_empty() {
+            merged = spans;
+            continue;
+        }
+        for (sum, spans) in merged.iter_mut().zip(&spans) {
+            for (sum, span) in sum.iter_mut().zip(spans) {
+                sum.merge(span);
+            }
+        }
+    }
+    merged
+}
+
+fn run_all(scenario: &Scenario, flows: &[Flow], policies: &[(&str, Options)]) -> Vec<Vec<Span>> {
+    thread::scope(|scope| {
+        let runs: Vec<_> = policies
+            .iter()
+            .map(|(_, options)| scope.spawn(|| run(scenario, *options, flows)))
+            .collect();
+        runs.into_iter()
+            .map(|run| run.join().expect("a run does not panic"))
+            .collect()
+    })
+}
+
 fn place(title: &str, scenario: &Scenario, policies: &[(&str, Options)]) {
-    let flows = scenario.load.flows();
-    println!("{title}; {} flows\n", flows.len());
+    println!("{title}\n");
     let mut table = Table::new(&[
         "policy",
         "mean wait",
@@ -455,8 +544,7 @@
         "imbalance",
         "bounces",
     ]);
-    for (name, options) in policies {
-        let spans = run(scenario, *options, &flows);
+    for ((name, _), spans) in policies.iter().zip(measure(scenario, policies)) {
         table.row(placed(name, &spans[0]));
     }
     println!("{table}");
@@ -468,20 +556,15 @@
         format!("{:.2} ms", span.mean_wait_ms()),
         format!("{:.0} ms", span.p99_wait_ms()),
         format!("{:.2} %", span.refused_percent()),
-        format!("{:.3}", span.imbalance()),
+        format!("{:.3}", span.worst_imbalance()),
         format!("{:.2}", span.bounces_per_flow()),
     ]
 }
 
 fn serve(title: &str, names: [&str; 3], scenario: &Scenario, policies: &[(&str, Options)]) {
-    let flows = scenario.load.flows();
-    println!(
-        "{title}; {} flows; in time, p99, refused, shed\n",
-        flows.len()
-    );
+    println!("{title}; in time, never, refused (%), p99 (ms), shed (%), sent per request\n");
     let mut table = Table::new(&["policy", names[0], names[1], names[2]]);
-    for (name, options) in policies {
-        let spans = run(scenario, *options, &flows);
+    for ((name, _), spans) in policies.iter().zip(measure(scenario, policies)) {
         let mut row = vec![name.to_string()];
         row.extend(spans.iter().map(served));
         table.row(row);
@@ -491,10 +574,12 @@
 
 fn served(span: &Span) -> String {
     format!(
-        "{:6.2} % {:5.0} ms {:5.2} % {:5.2} %",
+        "{:6.2} {:5.2} {:5.2} {:5.0} {:5.2} {:4.2}",
         span.in_time_percent(),
-        span.p99_total_ms(),
+        span.failed_percent(),
         span.refused_percent(),
+        span.p99_total_ms(),
         span.shed_percent(),
+        span.sent_per_request(),
     )
 }
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -7,7 +7,7 @@
         truth::{Outcome, Truth},
     },
     foxtailhinge_policy::{
-        admission::{Admission, Limits, Start, WaitingList},
+        admission::{least_loaded, Admission, Limits, Start, WaitingList},
         allowance::{Allowance, AllowanceSpec, Capacity},
         budget::RetryBudget,
         comeback::Comeback,
@@ -46,8 +46,6 @@
     FirstFreeElseLeast,
     /// All are asked, the least loaded takes it.
     LeastLoad,
-    /// As before, but an owner with a busier upstream than the candidates before passes it on.
-    LeastRecent,
 }
 
 /// What is on in a run.
@@ -59,6 +57,8 @@
     /// First candidates from a low-discrepancy sequence.
     pub(crate) sequence: bool,
     pub(crate) queue: u32,
+    /// An admitted flow holds a slot against other new ones until its first request.
+    pub(crate) reserve: bool,
     pub(crate) allowance: bool,
     /// Weights of a returning zone ramp.
     pub(crate) zone_ramp: bool,
@@ -66,7 +66,7 @@
     pub(crate) comeback: Option<bool>,
     /// Retries of shed requests: none, without bound, or with a budget in percent.
     pub(crate) retry: Retry,
-    /// Slots of each upstream kept free of new flows.
+    /// Slots of each upstream kept free of all new flows but those given up by a zone.
     pub(crate) headroom: u32,
 }
 
@@ -82,9 +82,10 @@
     pub(crate) const OURS: Self = Self {
         policy: Policy::Owner,
         candidates: 3,
-        pick: Pick::FirstFree,
+        pick: Pick::FirstFreeElseLeast,
         sequence: true,
-        queue: 4,
+        queue: 16,
+        reserve: true,
         allowance: true,
         zone_ramp: true,
         comeback: None,
@@ -111,6 +112,8 @@
     ZoneIn(usize),
     /// One upstream falls into a cold start without a word.
     Chill(usize),
+    /// One upstream sheds this share of its requests, whatever its load.
+    Sick(usize, f64),
 }
 
 /// Sizes and events of a scenario.
@@ -133,12 +136,13 @@
     /// Starts of the spans that are measured; what arrives before the first is not.
     pub(crate) spans: Vec<Duration>,
     pub(crate) connections: u32,
+    /// Traces that are run.
+    pub(crate) seeds: u64,
 }
 
 const VIEW_AGE: Duration = Duration::from_millis(250);
 const COLD_SLOTS: u32 = 1;
 const COLD_CONNECTIONS: u32 = 100;
-const RECENT_S: f64 = 5.0;
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
 enum Event {
@@ -172,21 +176,13 @@
     waiting: WaitingList<Job>,
     allowance: Allowance,
     truth: Truth,
-    /// Requests started, decayed over [`RECENT_S`].
-    recent: f64,
-    recent_since: Instant,
-}
-
-impl Upstream {
-    fn recent_at(&self, now: Instant) -> f64 {
-        let elapsed = now - self.recent_since;
-        self.recent * (-elapsed.as_secs_f64() / RECENT_S).exp()
-    }
 }
 
 struct FlowState {
     ingress: usize,
     upstream: Option<usize>,
+    /// Index of the next request.
+    next: u32,
     generation: u32,
     since: Instant,
 }
@@ -289,6 +285,7 @@
             sim.states.push(FlowState {
                 ingress: ingress.random_range(0..scenario.daemons),
                 upstream: None,
+                next: 0,
                 generation: 0,
                 since: origin + flow.at,
             });
@@ -328,8 +325,6 @@
             waiting: WaitingList::default(),
             allowance: Allowance::warm(spec, self.origin),
             truth: Truth::warm(slots, COLD_SLOTS),
-            recent: 0.0,
-            recent_since: self.origin,
         }
     }
 
@@ -376,7 +371,7 @@
         let upstream = self.choose(self.states[flow as usize].ingress);
         self.states[flow as usize].upstream = Some(upstream);
         let delay = self.scenario.caller + self.scenario.hop;
-        let job = self.job(flow, 0, upstream, self.states[flow as usize].since, false);
+        let job = self.job(flow, upstream, self.states[flow as usize].since, true);
         self.push(self.now + delay, Event::Request(job));
     }
 
@@ -425,8 +420,7 @@
         }
         let free = match self.options.pick {
             Pick::LeastLoad => false,
-            Pick::LeastRecent => false,
-            Pick::FirstFree | Pick::FirstFreeElseLeast => self.try_open(here),
+            Pick::FirstFree | Pick::FirstFreeElseLeast => self.try_open(flow, here),
         };
         if free {
             return self.admit(flow, here, at);
@@ -440,7 +434,7 @@
         }
         let best = match self.options.pick {
             Pick::FirstFree => here,
-            _ => self.least_loaded(&candidates),
+            _ => self.least_loaded(&candidates, here),
         };
         if best == here {
             return self.open_last(flow, here, at, deadline);
@@ -453,9 +447,10 @@
         );
     }
 
-    fn try_open(&mut self, upstream: usize) -> bool {
+    fn try_open(&mut self, flow: u32, upstream: usize) -> bool {
         let now = self.now;
-        let headroom = self.options.headroom;
+        let given_up = self.states[flow as usize].generation > 0;
+        let headroom = if given_up { 0 } else { self.options.headroom };
         let u = &mut self.upstreams[upstream];
         if !u.in_service {
             return false;
@@ -479,20 +474,18 @@
         self.refuse_flow(flow, since, upstream);
     }
 
-    fn least_loaded(&self, candidates: &[usize]) -> usize {
-        let load = |u: &usize| {
-            let a = &self.upstreams[*u].admission;
-            let slots = a.limits().slots.max(1);
-            let load = a.load() * 1_000 / slots;
-            match self.options.pick {
-                Pick::LeastRecent => ((self.upstreams[*u].recent_at(self.now) * 1e3) as u32, load),
-                _ => (load, a.connections()),
-            }
-        };
-        *candidates
+    fn least_loaded(&mut self, candidates: &[usize], here: usize) -> usize {
+        let now = self.now;
+        let offers: SmallVec<[_; 4]> = candidates
             .iter()
-            .min_by_key(|u| load(u))
-            .expect("not empty")
+            .map(|u| {
+                let u = &mut self.upstreams[*u];
+                let mut offer = u.admission.offer(now);
+                offer.open &= u.in_service;
+                offer
+            })
+            .collect();
+        least_loaded(&offers).map_or(here, |index| candidates[index])
     }
 
     fn admit(&mut self, flow: u32, upstream: usize, hops: usize) {
@@ -502,16 +495,22 @@
             span.admitted += 1;
         }
         self.states[flow as usize].upstream = Some(upstream);
+        let mut confirms = true;
+        if !self.options.reserve {
+            let confirmed = self.upstreams[upstream].admission.confirm(self.now);
+            debug_assert!(confirmed.is_ok());
+            confirms = false;
+        }
         // 4.01 to the caller, its repetition to an ingress, relay to the owner.
         let delay = self.scenario.caller * 2 + self.scenario.hop;
-        let job = self.job(flow, 0, upstream, since, true);
+        let job = self.job(flow, upstream, since, confirms);
         self.push(self.now + delay, Event::Request(job));
     }
 
-    fn job(&self, flow: u32, index: u32, upstream: usize, since: Instant, confirms: bool) -> Job {
+    fn job(&self, flow: u32, upstream: usize, since: Instant, confirms: bool) -> Job {
         Job {
             flow,
-            index,
+            index: self.states[flow as usize].next,
             upstream,
             since,
             deadline: self.now + self.scenario.deadline,
@@ -569,7 +568,7 @@
         if !self.upstreams[job.upstream].in_service {
             return self.give_up(job.flow);
         }
-        if job.confirms || (job.index == 0 && self.options.policy != Policy::Owner) {
+        if job.confirms {
             let confirmed = self.upstreams[job.upstream].admission.confirm(self.now);
             if confirmed.is_err() {
                 return self.refuse_flow(job.flow, job.since, job.upstream);
@@ -600,9 +599,6 @@
             span.sent += 1;
             span.by_upstream[by] += 1;
         }
-        let u = &mut self.upstreams[by];
-        u.recent = u.recent_at(now) + 1.0;
-        u.recent_since = now;
         self.budget.on_request(now);
         self.comeback[by].on_admitted(now);
         self.attempt(job);
@@ -716,6 +712,10 @@
 
     /// Begins the flow's next request, or ends the flow.
     fn next(&mut self, job: Job) {
+        if self.states[job.flow as usize].generation != job.generation {
+            return;
+        }
+        self.states[job.flow as usize].next = job.index + 1;
         let requests = &self.flows[job.flow as usize].requests;
         let Some(next) = requests.get(job.index as usize + 1) else {
             self.upstreams[job.upstream].admission.disconnect();
@@ -723,9 +723,6 @@
             self.states[job.flow as usize].upstream = None;
             return;
         };
-        if self.states[job.flow as usize].generation != job.generation {
-            return;
-        }
         let planned = self.origin + self.flows[job.flow as usize].at + next.offset;
         let since = planned.max(self.now + self.scenario.caller);
         let delay = self.scenario.caller + self.scenario.hop;
@@ -779,6 +776,7 @@
             Change::ZoneOut(zone) => self.set_zone(zone, false),
             Change::ZoneIn(zone) => self.set_zone(zone, true),
             Change::Chill(upstream) => self.upstreams[upstream].truth.chill(),
+            Change::Sick(upstream, shed) => self.upstreams[upstream].truth.set_shed(shed),
         }
     }
 
@@ -819,16 +817,11 @@
             };
             let single = self.flows[flow].requests.len() == 1;
             if self.upstreams[upstream].zone == zone && !single {
-                self.resume_elsewhere(flow as u32);
+                self.give_up(flow as u32);
             }
         }
     }
 
-    /// Gives the flow up now; what it has left to ask goes to a new flow.
-    fn resume_elsewhere(&mut self, flow: u32) {
-        self.give_up(flow);
-    }
-
     fn ramp(&mut self) {
         let mut busy = false;
         for i in 0..self.upstreams.len() {
--- a/crates/policy/benches/placement/truth.rs
+++ b/crates/policy/benches/placement/truth.rs
@@ -19,6 +19,7 @@
     slots: f64,
     cold_slots: f64,
     warmth: f64,
+    shed: f64,
 }
 
 impl Truth {
@@ -27,6 +28,7 @@
             slots: f64::from(slots),
             cold_slots: f64::from(cold_slots),
             warmth: 1.0,
+            shed: 0.0,
         }
     }
 
@@ -34,8 +36,15 @@
         self.warmth = 0.0;
     }
 
+    pub(crate) fn set_shed(&mut self, share: f64) {
+        self.shed = share;
+    }
+
     /// Runs a request, with `running` at one time, this one included.
     pub(crate) fn run(&self, running: u32, service: Duration, rng: &mut impl Rng) -> Outcome {
+        if self.shed > 0.0 && rng.random::<f64>() < self.shed {
+            return Outcome::Shed;
+        }
         let load = f64::from(running) / self.bears();
         if load <= 1.0 + 1e-9 {
             return Outcome::Answer(service.mul_f64(2.0 - self.warmth));
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,6 +5,7 @@
 //! they only stop admission until enough has finished.
 
 use {
+    serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::{
         collections::VecDeque,
@@ -29,8 +30,35 @@
     pub queue: u32,
 }
 
+/// What an owner that passes a new flow on tells of its upstream, for [`least_loaded`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Whether it could take the flow at all.
+    pub open: bool,
+    /// Slots allowed.
+    pub slots: u32,
+    /// Requests running, waiting and reserved for.
+    pub load: u32,
+    /// Flows held.
+    pub connections: u32,
+}
+
+/// Index of the offer with the shortest queue for its slots, then with the fewest flows.
+///
+/// The last candidate's owner sends the flow there when no candidate had a free slot. `None`
+/// when none is open.
+pub fn least_loaded(offers: &[Offer]) -> Option<usize> {
+    let open = offers.iter().enumerate().filter(|(_, offer)| offer.open);
+    let least = open.min_by(|(_, a), (_, b)| {
+        let left = u64::from(a.load) * u64::from(b.slots);
+        let right = u64::from(b.load) * u64::from(a.slots);
+        left.cmp(&right).then(a.connections.cmp(&b.connections))
+    });
+    least.map(|(index, _)| index)
+}
+
 /// Why a flow or request was not admitted. It was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
     /// All slots are taken, and the queue is full.
     Slots,
@@ -247,6 +275,19 @@
         self.connections
     }
 
+    /// What to tell the next candidate when this upstream does not take a new flow at once.
+    pub fn offer(&mut self, now: Instant) -> Offer {
+        self.expire(now);
+        let free_connection = self.connections + self.reserved() < self.limits.connections;
+        let place = self.load() < self.limits.slots + self.limits.queue;
+        Offer {
+            open: !self.draining && self.limits.slots > 0 && free_connection && place,
+            slots: self.limits.slots,
+            load: self.load(),
+            connections: self.connections,
+        }
+    }
+
     /// Requests running, waiting and reserved for.
     pub fn load(&self) -> u32 {
         self.in_use + self.queued + self.reserved()
