--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -152,6 +152,24 @@
         read_text(file, text, read_document)
     }
 
+    /// Reads the document that was published for `service`, which must be the one it names.
+    pub fn parse_published(service: &str, text: &str) -> Result<Self, Findings> {
+        read_text(service, text, |reader, object| {
+            let document = read_document(reader, object)?;
+            if &*document.service != service {
+                let fields = reader.entries(object);
+                reader.report(
+                    fields.optional("service").map_or(0, start),
+                    format!(
+                        "Write {} here; the document was published for it.",
+                        Quoted(service)
+                    ),
+                );
+            }
+            Some(document)
+        })
+    }
+
     /// Reads a document from bytes that may not be UTF-8.
     pub fn parse_bytes(file: &str, bytes: &[u8]) -> Result<Self, Findings> {
         Self::parse(file, decode(file, bytes)?)
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -41,6 +41,14 @@
     insta::assert_json_snapshot!(good());
 }
 
+#[test]
+fn a_published_document_names_its_service() {
+    let read = ServiceDocument::parse_published("syncdesk-api", GOOD);
+    assert_eq!(read.unwrap(), good());
+    let other = ServiceDocument::parse_published("certvault", GOOD);
+    insta::assert_snapshot!(other.unwrap_err());
+}
+
 #[test]
 fn left_out_sections_take_defaults() {
     let text = r#"{
