--- a/crates/wire/tests/envelope.rs
+++ b/crates/wire/tests/envelope.rs
@@ -156,7 +156,7 @@
 #[case::list_longer_than_memory(&[3, 5, 253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff])]
 fn garbled_body(#[case] body: &[u8]) {
     let keys = peer_keys();
-    let buf = keys.seal(FROM, FROM_INCARNATION, TO, &Raw(body.to_vec()));
+    let buf = keys.seal(FROM, FROM_INCARNATION, TO, &support::Raw(body.to_vec()));
     assert_eq!(
         keys.open::<RelayMessage>(TO, &buf),
         Err(EnvelopeError::Garbled)
@@ -171,16 +171,3 @@
     let opened = peer_keys().open::<OwnerReply>(TO, &sealed);
     assert_eq!(opened.err(), Some(EnvelopeError::WrongKey));
 }
-
-/// Bytes that are sealed as they are.
-struct Raw(Vec<u8>);
-
-impl bincode::Encode for Raw {
-    fn encode<E: bincode::enc::Encoder>(
-        &self,
-        encoder: &mut E,
-    ) -> Result<(), bincode::error::EncodeError> {
-        use bincode::enc::write::Writer;
-        encoder.writer().write(&self.0)
-    }
-}
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -224,3 +224,16 @@
     });
     req
 }
+
+/// Bytes that are sealed as they are.
+pub(crate) struct Raw(pub(crate) Vec<u8>);
+
+impl bincode::Encode for Raw {
+    fn encode<E: bincode::enc::Encoder>(
+        &self,
+        encoder: &mut E,
+    ) -> Result<(), bincode::error::EncodeError> {
+        use bincode::enc::write::Writer;
+        encoder.writer().write(&self.0)
+    }
+}
