--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -114,12 +114,20 @@
     pub size_exponent: u8,
 }
 
-/// One CoAP message.
-#[derive(Clone, Debug, PartialEq)]
+/// One CoAP message; two are equal when they are written as the same bytes.
+#[derive(Clone, Debug)]
 pub struct Datagram {
     packet: Packet,
 }
 
+impl PartialEq for Datagram {
+    fn eq(&self, other: &Self) -> bool {
+        self.to_bytes() == other.to_bytes()
+    }
+}
+
+impl Eq for Datagram {}
+
 impl Datagram {
     /// Reads a datagram.
     ///
