Derive envelope keys from a constant context and the fleet's name

Cause: the key derivation of BLAKE3 asks for a constant context string; the fleet's name stood in it. Change: secret and fleet name are the key material.

--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -22,6 +22,7 @@
 const VERSION: u8 = 1;
 const HEAD_LEN: usize = 13;
 const MAC_LEN: usize = 16;
+const KEY_CONTEXT: &str = "foxtailhinge 2026-12 peer envelope";
 
 /// Bytes that an envelope adds to its message.
 pub const ENVELOPE_OVERHEAD: usize = HEAD_LEN + MAC_LEN;
@@ -78,9 +79,8 @@
     /// Panics when `keys` is empty or a slot is over 15; settings with such keys are refused
     /// before.
     pub fn new(fleet: &str, keys: Vec<(u8, [u8; 32])>) -> Self {
-        let context = format!("foxtailhinge 2026-12 peer envelope of fleet {fleet}");
         Self {
-            ring: KeyRing::derive(&context, &keys),
+            ring: KeyRing::derive(KEY_CONTEXT, &keys, fleet),
         }
     }
 
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -19,12 +19,13 @@
 }
 
 impl KeyRing {
-    /// Derives one key from each pair of slot and secret for the given context.
+    /// Derives one key from each pair of slot and secret for the given context, apart for each
+    /// `scope` within it.
     ///
     /// # Panics
     ///
     /// Panics when `keys` is empty or a slot is over 15.
-    pub(crate) fn derive(context: &str, keys: &[(u8, [u8; 32])]) -> Self {
+    pub(crate) fn derive(context: &str, keys: &[(u8, [u8; 32])], scope: &str) -> Self {
         assert!(!keys.is_empty(), "at least one key is needed");
         assert!(
             keys.iter().all(|(slot, _)| *slot < SLOTS),
@@ -33,6 +34,7 @@
         let derive = |secret: &[u8; 32]| {
             let mut hasher = Hasher::new_derive_key(context);
             hasher.update(secret);
+            hasher.update(scope.as_bytes());
             *hasher.finalize().as_bytes()
         };
         Self {
--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -91,7 +91,7 @@
     /// before.
     pub fn new(keys: Vec<(u8, [u8; 32])>) -> Self {
         Self {
-            ring: KeyRing::derive(KEY_CONTEXT, &keys),
+            ring: KeyRing::derive(KEY_CONTEXT, &keys, ""),
         }
     }
 
