--- a/crates/standins/examples/local_fleet/promises.rs
+++ b/crates/standins/examples/local_fleet/promises.rs
@@ -1,9 +1,6 @@
 //! The promises that a run is held against.
 
-use crate::run::{
-    Record,
-    Seen, //
-};
+use crate::run::Record;
 use foxtailhinge_standins::{
     breaks::{
         Breaks,
@@ -33,8 +30,8 @@
     pub(crate) wrong_service: u64,
     /// Answers that are not whole or of another request.
     pub(crate) wrong_answer: u64,
-    /// Packets into the zone that was out, after its five seconds.
-    pub(crate) zone_packets: usize,
+    /// Kind, time and receiver of each packet into the zone that was out, after its five seconds.
+    pub(crate) zone_packets: Vec<String>,
     /// Requests lost while a daemon stopped as planned.
     pub(crate) cut_by_stop: usize,
     /// Requests that came while a cold upstream carried all it could.
@@ -68,7 +65,7 @@
         let stopped = record.stopped.is_some_and(|status| status.success());
         let checks = [
             (
-                self.breaks.count() as u64,
+                self.breaks.broken.len() as u64,
                 "a flow survives all but the end of its zone",
             ),
             (u64::from(self.runs_over_one), "a POST runs at most once"),
@@ -82,7 +79,7 @@
                 "a caller receives the whole answer to its own request",
             ),
             (
-                self.zone_packets as u64,
+                self.zone_packets.len() as u64,
                 "a zone that is out receives no packets after 5 s",
             ),
             (self.cut_by_stop as u64, "a planned stop cuts no request"),
@@ -144,14 +141,24 @@
     samples.filter(ran).count()
 }
 
-fn zone_packets(record: &Record) -> usize {
+fn zone_packets(record: &Record) -> Vec<String> {
     let quiet = record.times.zone_out + ZONE_QUIET_AFTER..record.times.zone_in;
-    let inside = |one: &&Seen| one.zone == record.zone;
-    let arrivals = record.upstreams.iter().filter(inside);
-    arrivals
-        .flat_map(|one| &one.records.arrivals)
-        .filter(|arrival| quiet.contains(&arrival.at))
-        .count()
+    let mut packets = Vec::new();
+    for upstream in record
+        .upstreams
+        .iter()
+        .filter(|one| one.zone == record.zone)
+    {
+        let arrivals = upstream.records.arrivals.iter();
+        for arrival in arrivals.filter(|one| quiet.contains(&one.at)) {
+            let at = (arrival.at - record.times.start).as_secs_f64();
+            packets.push(format!(
+                "{:?} to {} at {at:.2} s",
+                arrival.kind, upstream.name
+            ));
+        }
+    }
+    packets
 }
 
 /// Counts the requests that were lost between the stop of one daemon and the death of another.
--- a/crates/standins/examples/local_fleet/run.rs
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -54,6 +54,8 @@
 const POST_SHARE: f64 = 0.2;
 /// Longest wait for a feed's first notification.
 const FEED_WITHIN: Duration = Duration::from_secs(5);
+/// Longest wait until all upstreams carry their full load.
+const WARM_WITHIN: Duration = Duration::from_secs(20);
 /// Longest wait for a stopped daemon to end.
 const STOP_WITHIN: Duration = Duration::from_secs(8);
 /// Longest wait until an edited document is in force everywhere.
@@ -155,6 +157,7 @@
     let feeds = open_feeds(&mut fleet)?;
     println!("{FEEDS} feeds are open");
     let load = start_load(&mut fleet, options.seed)?;
+    wait_warm(&fleet);
     let run = Run {
         start: Instant::now(),
         length: Duration::from_secs(options.seconds),
@@ -190,6 +193,17 @@
     Ok(feeds)
 }
 
+/// Waits until the owners let all upstreams carry their full load, for some time at most.
+fn wait_warm(fleet: &Fleet) {
+    let began = Instant::now();
+    while began.elapsed() < WARM_WITHIN && fleet.warm_upstreams() < fleet.upstreams().len() {
+        thread::sleep(TICK);
+    }
+    let (warm, all) = (fleet.warm_upstreams(), fleet.upstreams().len());
+    let took = began.elapsed().as_secs_f64();
+    println!("{warm} of {all} upstreams are warm after {took:.1} s of load");
+}
+
 fn start_load(fleet: &mut Fleet, seed: u64) -> anyhow::Result<[Load; 2]> {
     let deployment = fleet.deployment();
     let [first, second] = deployment.services();
--- a/crates/standins/examples/local_fleet/table.rs
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -5,6 +5,7 @@
     run::Record, //
 };
 use foxtailhinge_standins::{
+    breaks::BrokenFlow,
     caller::Counts,
     load::Sample,
     upstream::records::{
@@ -27,6 +28,11 @@
 /// Target for the imbalance of a service at 80 % load.
 const IMBALANCE_TARGET: f64 = 1.05;
 
+/// Longest time that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+/// Broken flows that are shown one by one.
+const SHOWN: usize = 20;
+
 /// A part of the run.
 struct Phase {
     name: &'static str,
@@ -65,16 +71,25 @@
         "flows given up with their zone (agreed)",
         figures.breaks.accepted,
     );
-    row("flows broken (must be 0)", figures.breaks.count());
-    for (cause, count) in &figures.breaks.broken {
+    row("flows broken (must be 0)", figures.breaks.broken.len());
+    for (cause, count) in figures.breaks.causes() {
         row(&format!("  {cause}"), count);
     }
+    for flow in figures.breaks.broken.iter().take(SHOWN) {
+        print_broken(record, flow);
+    }
     let notifications = record.feeds.iter().map(|one| one.notifications);
     let gap = record.feeds.iter().map(|one| one.largest_gap).max();
     row("notifications of feeds", notifications.sum::<u64>());
     row("largest gap in a feed", seconds(gap.unwrap_or_default()));
 }
 
+fn print_broken(record: &Record, flow: &BrokenFlow) {
+    let at = flow.at.map(|at| seconds(at - record.times.start));
+    let (cause, upstream) = (flow.cause, &flow.upstream);
+    println!("    {cause} at {}, {upstream}", at.unwrap_or_default());
+}
+
 fn print_requests(record: &Record, figures: &Figures) {
     let count = |name| samples(record).filter(|one| one.outcome == name).count();
     row("requests answered", count("answered"));
@@ -108,7 +123,10 @@
         "packets into {} 5 s after it is out (must be 0)",
         record.zone
     );
-    row(&name, figures.zone_packets);
+    row(&name, figures.zone_packets.len());
+    for packet in figures.zone_packets.iter().take(SHOWN) {
+        println!("    {packet}");
+    }
     row(
         "requests beyond a cold start (must be 0)",
         figures.cold_overload,
@@ -135,8 +153,8 @@
 fn print_phases(record: &Record) {
     println!();
     println!(
-        "{:NAME$} {:>9} {:>9} {:>9} {:>9}",
-        "phase", "answered", "share", "p50", "p99"
+        "{:NAME$} {:>9} {:>8} {:>8} {:>9} {:>9} {:>9}",
+        "phase", "answered", "not run", "lost", "in time", "p50", "p99"
     );
     for phase in phases(record) {
         print_phase(record, &phase);
@@ -160,19 +178,26 @@
 fn print_phase(record: &Record, phase: &Phase) {
     let inside = |one: &&Sample| phase.times.contains(&one.began);
     let all = samples(record).filter(inside).count();
-    let mut took = Histogram::<u64>::new(3).expect("three digits are supported");
+    let mut took = Histogram::<u64>::new_with_bounds(1, LONGEST_US, 3)
+        .expect("the bounds of the histogram are in order");
     for sample in samples(record)
         .filter(inside)
         .filter(|one| one.is_answered())
     {
         took.saturating_record(sample.took.as_micros() as u64);
     }
+    let count = |names: &[&str]| {
+        let named = samples(record).filter(inside);
+        named.filter(|one| names.contains(&one.outcome)).count()
+    };
     let quantile = |share| milliseconds(Duration::from_micros(took.value_at_quantile(share)));
     let share = 100.0 * took.len() as f64 / all.max(1) as f64;
     println!(
-        "{:NAME$} {:>9} {:>8.2}% {:>9} {:>9}",
+        "{:NAME$} {:>9} {:>8} {:>8} {:>8.2}% {:>9} {:>9}",
         phase.name,
         took.len(),
+        count(&["not run"]),
+        count(&["unknown", "timed out"]),
         share,
         quantile(0.5),
         quantile(0.99)
--- a/crates/standins/src/breaks.rs
+++ b/crates/standins/src/breaks.rs
@@ -12,15 +12,9 @@
         BTreeMap,
         HashMap, //
     },
-    time::{
-        Duration,
-        Instant, //
-    }, //
+    time::Instant, //
 };
 
-/// Time after a zone's return within which callers may still learn that their flow was given up.
-const LATE_NEWS: Duration = Duration::from_secs(2);
-
 /// A time in which an availability zone was out of service for some service.
 #[derive(Clone, Debug)]
 pub struct Outage {
@@ -43,13 +37,24 @@
     pub zone: String,
 }
 
+/// A flow that broke.
+#[derive(Clone, Debug)]
+pub struct BrokenFlow {
+    /// Why.
+    pub cause: &'static str,
+    /// Upstream that it had reached.
+    pub upstream: String,
+    /// When, as far as it is known.
+    pub at: Option<Instant>,
+}
+
 /// Ends of flows, sorted into broken and accepted ones.
 #[derive(Clone, Debug, Default)]
 pub struct Breaks {
     places: HashMap<String, Place>,
     outages: Vec<Outage>,
-    /// Flows that broke, by cause.
-    pub broken: BTreeMap<&'static str, usize>,
+    /// Flows that broke.
+    pub broken: Vec<BrokenFlow>,
     /// Flows that ended with their zone, as agreed.
     pub accepted: usize,
 }
@@ -64,9 +69,13 @@
         }
     }
 
-    /// Returns the number of broken flows.
-    pub fn count(&self) -> usize {
-        self.broken.values().sum()
+    /// Counts the broken flows by cause.
+    pub fn causes(&self) -> BTreeMap<&'static str, usize> {
+        let mut causes = BTreeMap::new();
+        for flow in &self.broken {
+            *causes.entry(flow.cause).or_default() += 1;
+        }
+        causes
     }
 
     /// Sorts the end of a feed.
@@ -76,8 +85,8 @@
             Reason::Silent => (true, "feed silent"),
             Reason::Moved => (false, "feed moved to another upstream"),
         };
-        let accepted = may_end && self.went_with_zone(&end.upstream, end.at);
-        self.add(accepted, cause);
+        let accepted = may_end && self.went_with_zone(&end.upstream, end.heard, end.at);
+        self.add(accepted, cause, &end.upstream, end.at);
     }
 
     /// Sorts the end of a flow, if the request ended one.
@@ -86,35 +95,44 @@
             return;
         }
         let upstream = sample.upstream.as_deref().unwrap_or_default();
-        let accepted = self.went_with_zone(upstream, sample.began + sample.took);
-        self.add(accepted, "flow given up");
+        let at = sample.began + sample.took;
+        let heard = sample.heard.unwrap_or(sample.began);
+        let accepted = self.went_with_zone(upstream, heard, at);
+        self.add(accepted, "flow given up", upstream, at);
     }
 
     /// Adds flows that were answered by another upstream than their own.
     pub fn add_moved(&mut self, count: u64) {
-        if count > 0 {
-            *self
-                .broken
-                .entry("flow moved to another upstream")
-                .or_default() += count as usize;
+        for _ in 0..count {
+            self.broken.push(BrokenFlow {
+                cause: "flow moved to another upstream",
+                upstream: String::new(),
+                at: None,
+            });
         }
     }
 
-    fn add(&mut self, accepted: bool, cause: &'static str) {
-        match accepted {
-            true => self.accepted += 1,
-            false => *self.broken.entry(cause).or_default() += 1,
+    fn add(&mut self, accepted: bool, cause: &'static str, upstream: &str, at: Instant) {
+        if accepted {
+            self.accepted += 1;
+            return;
         }
+        self.broken.push(BrokenFlow {
+            cause,
+            upstream: upstream.to_owned(),
+            at: Some(at),
+        });
     }
 
-    fn went_with_zone(&self, upstream: &str, at: Instant) -> bool {
+    /// Returns whether the upstream's zone was out between the flow's last answer and its end.
+    fn went_with_zone(&self, upstream: &str, heard: Instant, at: Instant) -> bool {
         let Some(place) = self.places.get(upstream) else {
             return false;
         };
         self.outages.iter().any(|outage| {
-            let open = outage.ended.is_none_or(|ended| at < ended + LATE_NEWS);
             let same = outage.zone == place.zone && outage.service == place.service;
-            same && outage.began <= at && open
+            let before = outage.ended.is_none_or(|ended| heard < ended);
+            same && outage.began <= at && before
         })
     }
 }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -199,6 +199,7 @@
 struct Flow {
     ticket: Option<Vec<u8>>,
     upstream: Option<String>,
+    heard: Option<Instant>,
     generation: u64,
     next_token: u64,
     first_token: u64,
@@ -237,6 +238,7 @@
         let flow = Flow {
             ticket: None,
             upstream: None,
+            heard: None,
             generation: 0,
             next_token: first_token,
             first_token,
@@ -317,6 +319,7 @@
         flow.generation += 1;
         flow.ticket = None;
         flow.upstream = None;
+        flow.heard = None;
     }
 
     /// Returns the upstream that the flow reaches.
@@ -324,6 +327,11 @@
         self.shared.flow().upstream.clone()
     }
 
+    /// Returns when the flow had its last answer.
+    pub fn heard(&self) -> Option<Instant> {
+        self.shared.flow().heard
+    }
+
     /// Returns the address that daemons see when no fabric lies between.
     pub fn addr(&self) -> io::Result<SocketAddr> {
         self.shared.socket.local_addr()
@@ -476,6 +484,7 @@
         }
         flow.generation += 1;
         flow.upstream = None;
+        flow.heard = None;
         let held = flow.ticket.take().is_some();
         drop(flow);
         if held {
@@ -509,6 +518,7 @@
         if flow.generation != generation {
             return false;
         }
+        flow.heard = Some(Instant::now());
         let before = flow.upstream.replace(upstream);
         before.is_some_and(|before| flow.upstream.as_ref() != Some(&before))
     }
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -67,6 +67,8 @@
     pub reason: Reason,
     /// When.
     pub at: Instant,
+    /// When the last notification came.
+    pub heard: Instant,
     /// Upstream that the feed had reached.
     pub upstream: String,
 }
@@ -328,10 +330,11 @@
         self.over = true;
         let mut stats = self.inner.stats();
         let upstream = stats.upstream.take();
-        if self.last.is_some() {
+        if let Some((heard, _)) = self.last {
             stats.breaks.push(Break {
                 reason,
                 at: Instant::now(),
+                heard,
                 upstream: upstream.unwrap_or_default(),
             });
         }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -50,8 +50,11 @@
 };
 use foxtailhinge_config::report::{
     AuditPage,
+    DaemonState,
     MemberState,
-    Status, //
+    Status,
+    UpstreamState,
+    UpstreamStatus, //
 };
 use std::{
     collections::BTreeMap,
@@ -481,6 +484,18 @@
         self.daemon(vm).read_json("/status")
     }
 
+    /// Counts the upstreams that their owners let carry their full load.
+    pub fn warm_upstreams(&self) -> usize {
+        let running = self.running();
+        let statuses = running.iter().filter_map(|vm| self.status(vm).ok());
+        let upstreams = statuses.flat_map(|status| status.upstreams);
+        let warm = |one: &UpstreamStatus| {
+            let owned = one.owned.as_ref();
+            owned.is_some_and(|owned| owned.state == UpstreamState::Warm)
+        };
+        upstreams.filter(warm).count()
+    }
+
     /// Reads a daemon's audit trail.
     pub fn audit(&self, vm: &str) -> anyhow::Result<AuditPage> {
         self.daemon(vm).read_json("/audit?since=0")
@@ -506,7 +521,7 @@
         self.wait_for(within, Self::lacks_document)
     }
 
-    /// Waits until, besides, each running daemon sees those that run, and no others, as live.
+    /// Waits until, besides, each running daemon serves and sees those that run, and no others, as live.
     pub fn wait_synced(&mut self, within: Duration) -> anyhow::Result<()> {
         self.wait_applied(within)?;
         self.wait_for(within, Self::misjudges_member)
@@ -563,6 +578,9 @@
     }
 
     fn misjudges_member(&self, status: &Status) -> Option<String> {
+        if status.state != DaemonState::Serving {
+            return Some(format!("it is {}", status.state));
+        }
         let live = |vm: &str| {
             let mut members = status.members.iter();
             members.any(|one| &*one.vm == vm && one.state == MemberState::Live)
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -71,6 +71,8 @@
     pub post: Option<String>,
     /// Upstream of the flow before the request, if it had one.
     pub upstream: Option<String>,
+    /// When the flow had its last answer before the request, if it had one.
+    pub heard: Option<Instant>,
 }
 
 impl Sample {
@@ -173,7 +175,7 @@
 
 fn send(shared: &Shared, caller: &Caller, plan: &Plan, posts: bool) -> Outcome {
     let post = posts.then(new_post);
-    let upstream = caller.upstream();
+    let (upstream, heard) = (caller.upstream(), caller.heard());
     let began = Instant::now();
     let outcome = match &post {
         Some(id) => caller.request(RequestType::Post, &plan.post, id.as_bytes(), WITHIN),
@@ -185,6 +187,7 @@
         outcome: outcome.name(),
         post,
         upstream,
+        heard,
     });
     outcome
 }
--- a/crates/standins/src/scenario/errand.rs
+++ b/crates/standins/src/scenario/errand.rs
@@ -71,7 +71,7 @@
     fn send(&self, caller: &Caller) -> (Sample, Outcome) {
         let post = (self.method == RequestType::Post).then(new_post);
         let payload = post.clone().unwrap_or_default();
-        let upstream = caller.upstream();
+        let (upstream, heard) = (caller.upstream(), caller.heard());
         let began = Instant::now();
         let outcome = caller.request(self.method, &self.path, payload.as_bytes(), WITHIN);
         let sample = Sample {
@@ -80,6 +80,7 @@
             outcome: outcome.name(),
             post,
             upstream,
+            heard,
         };
         (sample, outcome)
     }
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -38,8 +38,8 @@
             breaks.add_feed(&end);
         }
         breaks.add_moved(self.counts().moved);
-        let mut text = format!("broken flows {}", breaks.count());
-        for (cause, count) in &breaks.broken {
+        let mut text = format!("broken flows {}", breaks.broken.len());
+        for (cause, count) in breaks.causes() {
             text += &format!("\n  {cause} {count}");
         }
         Ok(text)
