Bring members before documents to a joining daemon, and copy views without gossip

A copied view of 2,400 members is known to others already: as news it would be gossiped 24 times each. Documents of a joining daemon come at 12 KB/s, so members behind them would wait for minutes.

--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -111,11 +111,15 @@
 ) -> Result<(), LinkError> {
     let sums = difference.sums;
     let newer = newer_members(control, difference.member_buckets, &difference.members);
-    control.merge_members(difference.members);
+    control.learn_members(difference.members);
     if !newer.is_empty() {
         let request = LinkRequest::Members(newer);
         control.links().request(control, peer, &request).await?;
     }
+    if difference.more && difference.member_buckets != 0 {
+        // Members come first: documents may take long at the rate of copies.
+        return Ok(());
+    }
     let digest = to_digest(difference.revisions);
     let missing = control.documents().missing(&digest);
     fetch(control, peer, missing, budget).await?;
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -230,7 +230,7 @@
             }
             LinkRequest::Fetch(services) => self.documents(&services),
             LinkRequest::Members(updates) => {
-                control.merge_members(updates);
+                control.learn_members(updates);
                 LinkReply::Ok
             }
             LinkRequest::Owner(request) => {
@@ -243,6 +243,7 @@
     fn documents(&self, services: &[String]) -> LinkReply {
         let wait = self.budget.borrow_mut().wait(Instant::now());
         if !wait.is_zero() {
+            count(&self.control.counters().copies_deferred, 1);
             return LinkReply::Busy(wait.as_millis() as u64 + 1);
         }
         LinkReply::Documents(exchange::documents(&self.control, services))
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -100,6 +100,8 @@
     pub exchanges: Cell<u64>,
     /// Changes announced to peers.
     pub announcements: Cell<u64>,
+    /// Requests for copies that were put off because the bytes for copies were spent.
+    pub copies_deferred: Cell<u64>,
 }
 
 /// Adds to a counter.
@@ -107,6 +109,9 @@
     counter.set(counter.get() + n);
 }
 
+/// Records in one copy of a view up to which they are passed on as news.
+const NEWS_MAX: usize = 32;
+
 type Listener = Rc<dyn Fn(&ControlEvent)>;
 
 /// Control state that the tasks of one daemon share.
@@ -290,7 +295,7 @@
         }
     }
 
-    /// Takes records of members from a peer.
+    /// Takes news about members from a peer.
     pub fn merge_members(&self, updates: impl IntoIterator<Item = MemberUpdate>) {
         let now = Instant::now();
         for update in updates {
@@ -300,6 +305,19 @@
         }
     }
 
+    /// Takes members from a copy of a peer's view; few records count as news, many do not.
+    pub fn learn_members(&self, updates: Vec<MemberUpdate>) {
+        if updates.len() <= NEWS_MAX {
+            return self.merge_members(updates);
+        }
+        let now = Instant::now();
+        for update in updates {
+            let update = record::from_wire(update);
+            let change = self.members.borrow_mut().learn(update, now);
+            self.notify_member(change);
+        }
+    }
+
     /// Returns this daemon's own record as it is sent.
     pub(crate) fn my_record(&self) -> MemberUpdate {
         record::to_wire(self.members.borrow().me())
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -155,7 +155,9 @@
 }
 
 /// Times that another process with the same VM id may raise its version before it is held alive.
-const CONTESTS: u32 = 2;
+///
+/// Records of an earlier life may still arrive, each with a version higher than the one before.
+const CONTESTS: u32 = 8;
 
 #[derive(Debug)]
 struct Known {
@@ -181,6 +183,13 @@
     gone: Vec<usize>,
 }
 
+/// Outcome of a merge: the slot of a record that was newer, and the change.
+#[derive(Debug, Default)]
+struct Taken {
+    slot: Option<usize>,
+    change: Option<Change>,
+}
+
 #[derive(Debug)]
 struct News {
     slot: usize,
@@ -234,25 +243,18 @@
         &self.known(ME).member
     }
 
-    /// Merges a record heard from a peer.
+    /// Merges a record heard from a peer and, if it is newer, passes it on as news.
     pub fn merge(&mut self, update: Member, now: Instant) -> Option<Change> {
-        let Some(&slot) = self.by_name.get(&update.vm) else {
-            return self.merge_new(update, now);
-        };
-        if slot == ME {
-            return self.merge_own(update);
-        }
-        let known = &self.known(slot).member;
-        if update.precedence() <= known.precedence() {
-            return None;
+        let taken = self.take(update, now);
+        if let Some(slot) = taken.slot {
+            self.announce(slot);
         }
-        let kind = kind_of(known, &update);
-        self.replace(slot, update, now);
-        self.announce(slot);
-        Some(Change {
-            kind: kind?,
-            member: self.known(slot).member.clone(),
-        })
+        taken.change
+    }
+
+    /// Merges a record that others know already, as from a copy of a peer's whole view.
+    pub fn learn(&mut self, update: Member, now: Instant) -> Option<Change> {
+        self.take(update, now).change
     }
 
     /// Takes names and addresses from the platform's list, which may be stale.
@@ -474,18 +476,43 @@
         me
     }
 
-    fn merge_new(&mut self, update: Member, now: Instant) -> Option<Change> {
+    fn take(&mut self, update: Member, now: Instant) -> Taken {
+        let Some(&slot) = self.by_name.get(&update.vm) else {
+            return self.take_new(update, now);
+        };
+        if slot == ME {
+            let change = self.merge_own(update);
+            return Taken { slot: None, change };
+        }
+        let known = &self.known(slot).member;
+        if update.precedence() <= known.precedence() {
+            return Taken::default();
+        }
+        let kind = kind_of(known, &update);
+        self.replace(slot, update, now);
+        self.taken(slot, kind)
+    }
+
+    fn take_new(&mut self, update: Member, now: Instant) -> Taken {
+        if update.version == 0 {
+            self.insert(update, now);
+            return Taken::default();
+        }
         let kind = match update.state {
-            MemberState::Alive | MemberState::Suspect => ChangeKind::Joined,
-            MemberState::Leaving => ChangeKind::Leaving,
-            MemberState::Dead => ChangeKind::Died,
+            MemberState::Alive | MemberState::Suspect => Some(ChangeKind::Joined),
+            MemberState::Leaving => Some(ChangeKind::Leaving),
+            MemberState::Dead => None,
         };
         let slot = self.insert(update, now);
-        if self.known(slot).member.version > 0 {
-            self.announce(slot);
-        }
+        self.taken(slot, kind)
+    }
+
+    fn taken(&self, slot: usize, kind: Option<ChangeKind>) -> Taken {
         let member = self.known(slot).member.clone();
-        (kind != ChangeKind::Died).then_some(Change { kind, member })
+        Taken {
+            slot: Some(slot),
+            change: kind.map(|kind| Change { kind, member }),
+        }
     }
 
     fn merge_own(&mut self, update: Member) -> Option<Change> {
