Report pauses that the packet path sees first, and test fence and readers

A pause that admits() noticed before the tick closed the fence without an event: the test of a daemon that wakes found no Paused event in 30 s. The detector now keeps the pause until the tick takes it. Ruled out: the wall clock comparison, which has no earlier value in the first 100 ms.

--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -255,12 +255,7 @@
 
     /// Returns whether new work may be taken now.
     pub fn admits(&self, now: Instant) -> bool {
-        let before = self.pause.borrow().pauses();
-        let admits = self.pause.borrow_mut().admits(now);
-        if self.pause.borrow().pauses() != before {
-            self.exchange_wake.set();
-        }
-        admits
+        self.pause.borrow_mut().admits(now)
     }
 
     /// Returns whether this daemon has synced since its start or its last pause.
@@ -435,7 +430,10 @@
             monoio::time::sleep(self.settings.limits.tick).await;
             let wall = SystemTime::now().duration_since(UNIX_EPOCH);
             let wall = wall.unwrap_or_default();
-            let pause = self.pause.borrow_mut().tick_with_wall(Instant::now(), wall);
+            let mut detector = self.pause.borrow_mut();
+            detector.tick_with_wall(Instant::now(), wall);
+            let pause = detector.take_pause();
+            drop(detector);
             if let Some(pause) = pause {
                 self.exchange_wake.set();
                 self.notify(&ControlEvent::Paused(pause));
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -190,6 +190,7 @@
     /// Daemons named as peers in the settings.
     pub(crate) peers: Vec<usize>,
     pub(crate) limits: ControlLimits,
+    pub(crate) pause: PauseSpec,
 }
 
 impl Start {
@@ -200,6 +201,10 @@
             fleet: "test",
             peers: peers.into_iter().collect(),
             limits: limits(),
+            pause: PauseSpec {
+                pause: GIVE_UP,
+                ..PauseSpec::default()
+            },
         }
     }
 }
@@ -333,10 +338,7 @@
                 name_hash,
                 ..MembersSpec::default()
             },
-            pause: PauseSpec {
-                pause: GIVE_UP,
-                ..PauseSpec::default()
-            },
+            pause: start.pause,
             limits: start.limits,
         }
     }
--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -3,6 +3,8 @@
 mod copies;
 mod documents;
 mod faults;
+mod fence;
 mod fleet;
 mod members;
 mod messages;
+mod readers;
--- a/crates/policy/src/pause.rs
+++ b/crates/policy/src/pause.rs
@@ -48,6 +48,7 @@
     wall: Option<Duration>,
     fence: Fence,
     pauses: u64,
+    unseen: Option<Pause>,
 }
 
 impl PauseDetector {
@@ -59,6 +60,7 @@
             wall: None,
             fence: Fence::Closed(now),
             pauses: 0,
+            unseen: None,
         }
     }
 
@@ -109,6 +111,11 @@
         self.fence
     }
 
+    /// Takes the last pause, also one that [`admits`](Self::admits) detected.
+    pub fn take_pause(&mut self) -> Option<Pause> {
+        self.unseen.take()
+    }
+
     /// Returns the number of pauses seen so far.
     pub fn pauses(&self) -> u64 {
         self.pauses
@@ -117,6 +124,8 @@
     fn close(&mut self, length: Duration, now: Instant) -> Pause {
         self.fence = Fence::Closed(now);
         self.pauses += 1;
-        Pause { length }
+        let pause = Pause { length };
+        self.unseen = Some(pause);
+        pause
     }
 }
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -3,6 +3,7 @@
 use {
     foxtailhinge_policy::pause::{
         Fence,
+        Pause,
         PauseDetector,
         PauseSpec, //
     },
@@ -48,6 +49,9 @@
     let mut detector = synced(now);
     assert!(!detector.admits(now + 10_000 * MS));
     assert_eq!(detector.pauses(), 1);
+    let length = 10_000 * MS;
+    assert_eq!(detector.take_pause(), Some(Pause { length }));
+    assert_eq!(detector.take_pause(), None);
 }
 
 #[test]
