--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -1,7 +1,10 @@
 //! Control part of several daemons in one process, over loopback.
 
+mod copies;
 mod documents;
 mod faults;
+mod fence;
 mod fleet;
 mod members;
 mod messages;
+mod readers;
