--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -283,6 +283,13 @@
         count
     }
 
+    /// Takes up flows of `service` that were given up and not ended yet; gives their number.
+    pub fn restore(&mut self, service: u32) -> usize {
+        let flows = self.held.values_mut();
+        let given_up = flows.filter(|flow| flow.service == service && flow.given_up.is_some());
+        given_up.map(|flow| flow.given_up = None).count()
+    }
+
     /// Ends a flow.
     pub fn remove(&mut self, flow: u32) -> Option<Flow> {
         self.aliases.retain(|_, alias| alias.flow != flow);
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -192,10 +192,14 @@
         self.admission.disconnect();
     }
 
-    /// Decides whether a request runs, waits or is refused.
-    pub fn start(&mut self, now: Instant, deadline: Instant) -> Start {
+    /// Decides whether a request runs, waits or is refused; `feed` when it registers for a feed.
+    pub fn start(&mut self, now: Instant, deadline: Instant, feed: bool) -> Start {
         self.refresh(now);
-        let start = self.admission.start(now, deadline);
+        let start = if feed {
+            self.admission.start_feed(now, deadline)
+        } else {
+            self.admission.start(now, deadline)
+        };
         if !matches!(start, Start::Refuse(_)) {
             self.comeback.on_admitted(now);
         }
@@ -234,6 +238,16 @@
         self.refresh(now);
     }
 
+    /// Whether the upstream carries its full allowance.
+    pub fn is_full(&self) -> bool {
+        self.allowance.is_full()
+    }
+
+    /// The upstream was warm under its former owner and has not restarted since.
+    pub fn recover(&mut self) {
+        self.allowance.recover();
+    }
+
     /// What the documents declare.
     pub fn spec(&self) -> LoadSpec {
         self.spec
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -139,7 +139,7 @@
         let flow = flows.get_mut(feed.flow)?;
         let epoch = flow.ledger.epoch();
         let caller = feed.caller.caller;
-        Some(self.ticket(service, feed.name, up.incarnation(), key, caller, epoch))
+        Some(self.ticket(service, up, feed.name, key, caller, epoch))
     }
 
     /// Tells the callers of a service's feeds that their flows are given up.
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -158,8 +158,7 @@
             return;
         }
         let key = up.flows.borrow().name(flow);
-        let incarnation = up.incarnation();
-        let ticket = self.ticket(service, name, incarnation, key, open.caller, EPOCH_FIRST);
+        let ticket = self.ticket(service, up, name, key, open.caller, EPOCH_FIRST);
         let rsp = Notice::Challenge(ticket).answer(&req, &service.ids);
         service.socket.send_to(&rsp.to_bytes(), open.caller);
     }
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -206,6 +206,9 @@
     /// Takes over a flow whose owner is gone, or that ended here for want of packets.
     fn take_over(&self, visit: &Visit<'_>) -> u32 {
         visit.up.load_mut().adopt();
+        if visit.ticket.warm {
+            visit.up.hint_warm(visit.ticket.upstream_incarnation);
+        }
         let mut flows = visit.up.flows.borrow_mut();
         flows.take_over(&visit.ticket, visit.start(), visit.now)
     }
@@ -356,8 +359,8 @@
         let epoch = entry.ledger.epoch();
         Some(self.ticket(
             visit.arrived.service,
+            visit.up,
             visit.ticket.upstream,
-            visit.up.incarnation(),
             key,
             visit.arrived.caller,
             epoch,
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -259,6 +259,7 @@
             return;
         }
         self.metrics.relay_sent.inc();
+        self.prober().on_use(to);
         self.send_to(name_hash(&to.vm), to.relay, &msg);
     }
 
@@ -286,12 +287,12 @@
         held || !self.parting.borrow().is_empty() || self.metrics.requests_in_progress.get() > 0
     }
 
-    /// A ticket for a flow of an upstream named `name` by `service`.
+    /// A ticket for a flow of `up`, which `service` calls `name`.
     pub fn ticket(
         &self,
         service: &Service,
+        up: &Upstream,
         name: u32,
-        upstream_incarnation: Option<u16>,
         flow: FlowKey,
         caller: SocketAddr,
         epoch: u32,
@@ -300,9 +301,10 @@
             .upstream(name)
             .map_or(0, |named| zone_hash(&named.spec.zone));
         let ticket = Ticket {
+            warm: up.load().is_full(),
             service: service.hash,
             upstream: name,
-            upstream_incarnation: upstream_incarnation.unwrap_or(0),
+            upstream_incarnation: up.incarnation().unwrap_or(0),
             zone,
             owner: flow.owner,
             owner_incarnation: flow.owner_incarnation,
--- a/crates/daemon/src/data/probe.rs
+++ b/crates/daemon/src/data/probe.rs
@@ -37,7 +37,7 @@
     /// Probes an upstream that has not answered a request for a while.
     pub fn probe_quiet(self: &Rc<Self>, up: &Rc<Upstream>, now: Instant) {
         let quiet = now.saturating_duration_since(up.last_answer()) >= QUIET;
-        if !quiet || !up.begin_probe() {
+        if !quiet || !self.is_in_service(up) || !up.begin_probe() {
             return;
         }
         let up = Rc::clone(up);
@@ -58,6 +58,17 @@
     }
 }
 
+impl DataPath {
+    /// Whether any service that names the upstream has its zone in service.
+    fn is_in_service(&self, up: &Upstream) -> bool {
+        self.services.borrow().values().any(|service| {
+            let named = service.upstreams();
+            let mut here = named.filter(|(_, named)| named.spec.address == up.addr());
+            service.zone_in_service(up.zone()) && here.next().is_some()
+        })
+    }
+}
+
 /// The report in an answer of the health endpoint; an upstream without one gives none.
 fn read_report(rsp: &Datagram) -> Option<EndpointReport> {
     if rsp.status() != Some(Status::Content) {
--- a/crates/daemon/src/data/relay.rs
+++ b/crates/daemon/src/data/relay.rs
@@ -52,6 +52,7 @@
             return;
         }
         self.metrics.relay_received.inc();
+        self.prober().on_heard(opened.from);
         self.on_relay(opened.from, addr, opened.message);
     }
 
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -119,7 +119,8 @@
     async fn attempt(&self, job: &Job, token: UpstreamToken, idempotent: bool) -> Ending {
         job.service.budget.borrow_mut().on_request(Instant::now());
         loop {
-            let Ok(slot) = job.up.acquire(job.deadline).await else {
+            let feed = job.req.observe() == Some(REGISTER);
+            let Ok(slot) = job.up.acquire(job.deadline, feed).await else {
                 return self.not_run(job);
             };
             if self.is_zone_out(job) {
@@ -314,8 +315,7 @@
         } else {
             flow.ledger.epoch()
         };
-        let incarnation = job.up.incarnation();
-        Some(self.ticket(&job.service, job.name, incarnation, key, job.caller, epoch))
+        Some(self.ticket(&job.service, &job.up, job.name, key, job.caller, epoch))
     }
 
     /// Ends a flow that its caller has released.
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -104,12 +104,25 @@
                 }
             };
             self.audit.record(event);
-            if !zone.in_service {
+            if zone.in_service {
+                self.take_zone_in(service, &zone.name);
+            } else {
                 self.give_up_zone(service, &zone.name);
             }
         }
     }
 
+    /// Upstreams of a returning zone may have restarted meanwhile: they begin at their cold-start allowance.
+    fn take_zone_in(&self, service: &Rc<Service>, zone: &str) {
+        for up in self.held_in(zone) {
+            up.load_mut().restart(Instant::now());
+            let restored = up.flows.borrow_mut().restore(service.hash);
+            for _ in 0..restored {
+                up.load_mut().adopt();
+            }
+        }
+    }
+
     fn give_up_zone(&self, service: &Rc<Service>, zone: &str) {
         for up in self.held_in(zone) {
             self.give_up_flows(&up, service, FlowEnd::ZoneOut);
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -151,6 +151,7 @@
     state: Cell<Option<UpstreamState>>,
     probing: Cell<bool>,
     foreign_since: Cell<Option<Instant>>,
+    warm_hint: Cell<Option<u16>>,
     parted: Cell<bool>,
     finished: RefCell<Vec<FinishedRun>>,
     /// Flows that are held.
@@ -184,6 +185,7 @@
             state: Cell::new(None),
             probing: Cell::new(false),
             foreign_since: Cell::new(None),
+            warm_hint: Cell::new(None),
             parted: Cell::new(false),
             finished: RefCell::default(),
             flows: RefCell::new(flows),
@@ -251,14 +253,14 @@
         self.load().admission().in_use()
     }
 
-    /// Waits for a slot until `deadline`.
+    /// Waits for a slot until `deadline`; `feed` when the request registers for a feed.
     ///
     /// # Errors
     ///
     /// Why the request was not let through; it was not run.
-    pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<Slot, Refusal> {
+    pub async fn acquire(self: &Rc<Self>, deadline: Instant, feed: bool) -> Result<Slot, Refusal> {
         let now = Instant::now();
-        let start = self.load_mut().start(now, deadline);
+        let start = self.load_mut().start(now, deadline, feed);
         match start {
             Start::Run => return Ok(Slot::new(self)),
             Start::Refuse(refusal) => return Err(refusal),
@@ -443,8 +445,19 @@
         self.state.replace(Some(state))
     }
 
+    /// A ticket of the former owner says that this incarnation of the upstream was warm.
+    pub fn hint_warm(&self, incarnation: u16) {
+        if !self.load().is_full() {
+            self.warm_hint.set(Some(incarnation));
+        }
+    }
+
     /// Notes the incarnation that a datagram of the upstream carries; true when the upstream restarted.
     pub fn note_incarnation(&self, rsp: &Datagram) -> bool {
+        let told = rsp.upstream_incarnation().unwrap_or(0);
+        if self.warm_hint.take() == Some(told) {
+            self.load_mut().recover();
+        }
         let Some(now) = rsp.upstream_incarnation() else {
             return false;
         };
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -65,6 +65,7 @@
     sender: S,
     next_seq: Cell<u32>,
     last_expiry: Cell<Instant>,
+    heard: RefCell<HashMap<u32, Instant>>,
     pending: RefCell<HashMap<u32, Pending>>,
     on_behalf: RefCell<HashMap<u32, OnBehalf>>,
 }
@@ -75,6 +76,7 @@
         Rc::new(Self {
             next_seq: Cell::new(control.settings().incarnation),
             last_expiry: Cell::new(Instant::now()),
+            heard: RefCell::default(),
             control,
             sender,
             pending: RefCell::default(),
@@ -85,19 +87,52 @@
     /// Probes a few random members in each interval, without end.
     pub async fn run(&self) {
         let limits = self.control.settings().limits;
+        let mut due = Instant::now();
         loop {
-            self.round();
-            let _ =
-                monoio::time::timeout(limits.probe_timeout, self.control.probe_wake.wait()).await;
-            self.expire(Instant::now());
-            let rest = limits.probe_interval - limits.probe_timeout;
-            let _ = monoio::time::timeout(rest, self.control.probe_wake.wait()).await;
+            let now = Instant::now();
+            if now >= due {
+                self.round();
+                due = now + limits.probe_interval;
+            }
+            let wake = self.control.probe_wake.wait();
+            if monoio::time::timeout(limits.probe_tick, wake).await.is_ok() {
+                due = Instant::now();
+            }
             self.expire(Instant::now());
             let changes = self.control.members_mut().tick(Instant::now());
+            if !changes.is_empty() {
+                self.control.probe_wake.set();
+            }
             self.control.notify_member(changes);
         }
     }
 
+    /// Probes a daemon that a packet goes to, unless it was heard of lately or is probed already.
+    pub fn on_use(&self, member: &Member) {
+        let now = Instant::now();
+        let fresh = self.control.settings().limits.heard_fresh;
+        let hash = name_hash(&member.vm);
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < fresh;
+        if self.heard.borrow().get(&hash).is_some_and(recent) {
+            return;
+        }
+        let probed = self.pending.borrow().values().any(|p| p.vm == member.vm);
+        if !probed
+            && self
+                .control
+                .members()
+                .get(&member.vm)
+                .is_some_and(Member::is_live)
+        {
+            self.ping(member);
+        }
+    }
+
+    /// Notes that a daemon was heard of.
+    pub fn on_heard(&self, from: u32) {
+        self.heard.borrow_mut().insert(from, Instant::now());
+    }
+
     /// Sends one round of probes.
     pub fn round(&self) {
         let mut members = self.control.members_mut();
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -25,6 +25,10 @@
 pub struct ControlLimits {
     /// Time between two rounds of probes.
     pub probe_interval: Duration,
+    /// Time between two looks at probes that are not answered.
+    pub probe_tick: Duration,
+    /// Time for which a daemon that was heard of needs no probe before a packet goes to it.
+    pub heard_fresh: Duration,
     /// Time that an answer to a probe may take.
     pub probe_timeout: Duration,
     /// Gossiped records in one probe.
@@ -69,7 +73,9 @@
     fn default() -> Self {
         Self {
             probe_interval: Duration::from_secs(1),
-            probe_timeout: Duration::from_millis(400),
+            probe_tick: Duration::from_millis(100),
+            heard_fresh: Duration::from_millis(250),
+            probe_timeout: Duration::from_millis(300),
             gossip: 6,
             exchange_interval: Duration::from_secs(5),
             retry_interval: Duration::from_millis(250),
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -16,6 +16,9 @@
 /// How long a reservation for a new flow is held while its caller repeats the request.
 pub const TENTATIVE: Duration = Duration::from_millis(250);
 
+/// Registrations of feeds that may wait beyond the queue, since a feed that is not renewed ends.
+pub const FEED_QUEUE: u32 = 32;
+
 /// Weight of a new sample in the mean service time.
 const SERVICE_TIME_GAIN: f64 = 0.125;
 
@@ -217,6 +220,15 @@
 
     /// Decides on a request of a held flow.
     pub fn start(&mut self, now: Instant, deadline: Instant) -> Start {
+        self.start_within(now, deadline, self.limits.queue)
+    }
+
+    /// Decides on the registration of a feed, for which [`FEED_QUEUE`] more places are kept.
+    pub fn start_feed(&mut self, now: Instant, deadline: Instant) -> Start {
+        self.start_within(now, deadline, self.limits.queue + FEED_QUEUE)
+    }
+
+    fn start_within(&mut self, now: Instant, deadline: Instant, queue: u32) -> Start {
         if deadline <= now {
             return Start::Refuse(Refusal::Deadline);
         }
@@ -224,7 +236,7 @@
             self.in_use += 1;
             return Start::Run;
         }
-        if self.queued >= self.limits.queue {
+        if self.queued >= queue {
             return Start::Refuse(self.refusal(Refusal::Slots));
         }
         if now + self.expected_answer() > deadline {
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -9,6 +9,9 @@
 /// Steps from the cold allowance to the full one.
 const STEPS: u32 = 10;
 
+/// Shortest ramp of an upstream that is known to have been warm.
+const RECOVERY_RAMP: Duration = Duration::from_millis(500);
+
 /// Successes needed for a step, for each slot allowed.
 const SUCCESSES_PER_SLOT: u32 = 2;
 
@@ -65,6 +68,8 @@
 #[derive(Clone, Debug)]
 pub struct Allowance {
     spec: AllowanceSpec,
+    /// Shortest time of the whole ramp, the document's unless the upstream is known to be warm.
+    ramp: Duration,
     step: u32,
     step_since: Instant,
     successes: u32,
@@ -78,6 +83,7 @@
     pub fn cold(spec: AllowanceSpec, now: Instant) -> Self {
         Self {
             spec,
+            ramp: spec.ramp,
             step: 0,
             step_since: now,
             successes: 0,
@@ -102,6 +108,13 @@
         allowance
     }
 
+    /// Shortens the ramp of an upstream that is known to have been warm and not to have restarted since.
+    ///
+    /// The allowance still rises on observed success alone, and falls as ever.
+    pub fn recover(&mut self) {
+        self.ramp = RECOVERY_RAMP.min(self.spec.ramp);
+    }
+
     /// Replaces the document's figures; the ramp keeps its step.
     pub fn set_spec(&mut self, spec: AllowanceSpec) {
         self.spec = spec;
@@ -140,6 +153,7 @@
     /// Falls back to the cold allowance.
     pub fn restart(&mut self, now: Instant) {
         self.step = 0;
+        self.ramp = self.spec.ramp;
         self.step_since = now;
         self.successes = 0;
         self.failure_share = 0.0;
@@ -178,7 +192,7 @@
         let (slots, _) = self.limits(now);
         let enough = self.successes >= SUCCESSES_PER_SLOT * slots.max(1);
         let elapsed = now.saturating_duration_since(self.step_since);
-        if enough && elapsed >= self.spec.ramp / STEPS {
+        if enough && elapsed >= self.ramp / STEPS {
             self.step += 1;
             self.step_since = now;
             self.successes = 0;
--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -14,6 +14,9 @@
 /// Time constant of the meters of refused and admitted flows, in seconds.
 const METER_S: f64 = 10.0;
 
+/// Shortest time over which a rate is taken, in seconds.
+const RATE_MIN_S: f64 = 1.0;
+
 /// Share of the admitted rate that returning callers may add.
 const RETURN_SHARE: f64 = 0.2;
 
@@ -28,12 +31,14 @@
 #[derive(Clone, Debug, Default)]
 struct Meter {
     count: f64,
+    first: Option<Instant>,
     last: Option<Instant>,
 }
 
 impl Meter {
     fn add(&mut self, now: Instant) {
         self.count = self.count(now) + 1.0;
+        self.first.get_or_insert(now);
         self.last = Some(self.last.map_or(now, |last| last.max(now)));
     }
 
@@ -43,6 +48,16 @@
             .map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.count * (-elapsed.as_secs_f64() / METER_S).exp()
     }
+
+    /// Events a second; a meter that began lately is taken for the time that it has seen.
+    fn rate(&self, now: Instant) -> f64 {
+        let Some(first) = self.first else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(first).as_secs_f64();
+        let seen_s = METER_S * (1.0 - (-age / METER_S).exp());
+        self.count(now) / seen_s.max(RATE_MIN_S)
+    }
 }
 
 impl Comeback {
@@ -69,7 +84,7 @@
     /// Seconds over which callers refused now are spread.
     fn window_s(&self, now: Instant, overload: f64) -> u64 {
         let refused = self.refused.count(now);
-        let admitted_per_s = self.admitted.count(now) / METER_S;
+        let admitted_per_s = self.admitted.rate(now);
         let counted = refused / (RETURN_SHARE * admitted_per_s).max(f64::MIN_POSITIVE);
         let told = overload.clamp(0.0, 1.0) * MAX_COMEBACK_S as f64;
         let window = counted.max(told).ceil();
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -129,7 +129,7 @@
     pub join_probes: usize,
     /// Probes missed in a row after which a member is suspect.
     pub misses: u8,
-    /// Time between suspicion and removal.
+    /// Time between suspicion and removal in a zone of a few members; it grows with their logarithm.
     pub suspicion: Duration,
     /// Time after which a member that is gone and not listed is forgotten.
     pub forget: Duration,
@@ -146,7 +146,7 @@
             far_probes: 1,
             join_probes: 4,
             misses: 2,
-            suspicion: Duration::from_secs(2),
+            suspicion: Duration::from_secs(1),
             forget: Duration::from_secs(6 * 3600),
             repeats: 2,
             name_hash: |name| NameKey::new(name).get() as u32,
@@ -352,10 +352,11 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Change> {
         let mut expired = Vec::new();
         let mut forgotten = Vec::new();
+        let suspicion = self.suspicion();
         for (slot, known) in self.occupied().skip(1) {
             let age = now.saturating_duration_since(known.since);
             match known.member.state {
-                MemberState::Suspect if age >= self.spec.suspicion => expired.push(slot),
+                MemberState::Suspect if age >= suspicion => expired.push(slot),
                 MemberState::Dead if age >= self.spec.forget && !known.listed => {
                     forgotten.push(slot);
                 }
@@ -371,6 +372,13 @@
             .collect()
     }
 
+    /// Time between suspicion and removal: a refutation needs longer to reach everyone in a larger zone.
+    fn suspicion(&self) -> Duration {
+        let peers = self.live_in_zone(&self.me().zone).count().max(2);
+        let rounds = f64::from(peers.ilog2()) / 2.0;
+        self.spec.suspicion.mul_f64(rounds.max(1.0))
+    }
+
     /// Returns up to `max` records to pass on, newest first; each is repeated a bounded number of times.
     pub fn gossip(&mut self, max: usize) -> Vec<Member> {
         let taken: Vec<Member> = self
--- a/crates/wire/benches/ticket.rs
+++ b/crates/wire/benches/ticket.rs
@@ -139,6 +139,7 @@
 
 fn ticket(upstream: &str) -> Ticket {
     Ticket {
+        warm: true,
         service: name_hash(SERVICE),
         upstream: name_hash(upstream),
         upstream_incarnation: 1,
--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -28,6 +28,8 @@
 pub const EPOCH_MAX: u32 = 0x00ff_ffff;
 
 const VERSION: u8 = 1;
+const VERSION_MASK: u8 = 0x70;
+const WARM: u8 = 0x80;
 const MAC_LEN: usize = 10;
 const BODY_LEN: usize = TICKET_LEN - MAC_LEN;
 const KEY_CONTEXT: &str = "foxtailhinge 2026-12 flow ticket";
@@ -35,6 +37,8 @@
 /// What a packet must carry so that any daemon can route it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ticket {
+    /// Whether the upstream carried its full allowance when the ticket was issued.
+    pub warm: bool,
     /// Hash of the service's name.
     pub service: u32,
     /// Hash of the upstream's name.
@@ -102,6 +106,9 @@
         let (slot, key) = self.ring.signing();
         let mut buf = [0; TICKET_LEN];
         buf[0] = VERSION << 4 | slot;
+        if ticket.warm {
+            buf[0] |= WARM;
+        }
         buf[1..5].copy_from_slice(&ticket.service.to_be_bytes());
         buf[5..9].copy_from_slice(&ticket.upstream.to_be_bytes());
         buf[9..11].copy_from_slice(&ticket.upstream_incarnation.to_be_bytes());
@@ -123,7 +130,7 @@
     /// A ticket of another service is told from its service hash, before its MAC is looked at.
     pub fn open(&self, buf: &[u8], service_name: &str) -> Result<Ticket, TicketError> {
         let buf: &[u8; TICKET_LEN] = buf.try_into().map_err(|_| TicketError::Length)?;
-        if buf[0] >> 4 != VERSION {
+        if buf[0] & VERSION_MASK != VERSION << 4 {
             return Err(TicketError::Version);
         }
         let key = self
@@ -146,6 +153,7 @@
     let u16_at = |at: usize| u16::from_be_bytes([buf[at], buf[at + 1]]);
     let u32_at = |at: usize| u32::from_be_bytes([buf[at], buf[at + 1], buf[at + 2], buf[at + 3]]);
     Ticket {
+        warm: buf[0] & WARM != 0,
         service: u32_at(1),
         upstream: u32_at(5),
         upstream_incarnation: u16_at(9),
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -74,6 +74,7 @@
 
 pub(crate) fn ticket() -> Ticket {
     Ticket {
+        warm: true,
         service: name_hash(SERVICE),
         upstream: name_hash("syncdesk-1"),
         upstream_incarnation: 0x0102,
--- a/crates/wire/tests/ticket.rs
+++ b/crates/wire/tests/ticket.rs
@@ -52,6 +52,7 @@
 fn round_trip() {
     fn property(names: (u32, u16, u16, u32), flow: (u32, u32, u32, u16), service: String) -> bool {
         let sent = Ticket {
+            warm: flow.0 & 1 == 1,
             service: name_hash(&service),
             upstream: names.0,
             upstream_incarnation: names.1,
