--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -14,7 +14,10 @@
         ObjectProp,
         Value, //
     },
-    common::Range,
+    common::{
+        Range,
+        Ranged, //
+    },
     parse_to_ast,
     CollectOptions,
     CommentCollectionStrategy,
@@ -25,7 +28,9 @@
         Cell,
         RefCell, //
     },
+    collections::HashSet,
     fmt,
+    iter,
     net::{
         IpAddr,
         SocketAddr, //
@@ -134,7 +139,7 @@
         Self {
             file: file.into(),
             text,
-            line_starts: std::iter::once(0).chain(line_ends).collect(),
+            line_starts: iter::once(0).chain(line_ends).collect(),
             findings: RefCell::default(),
             left_out: Cell::new(0),
         }
@@ -184,16 +189,13 @@
     }
 
     fn finish<T>(self, found: Option<T>) -> Result<T, Findings> {
-        self.report_missing_result(found.is_none());
         match found {
             Some(found) if self.findings.borrow().is_empty() => Ok(found),
-            _ => Err(self.into_findings()),
-        }
-    }
-
-    fn report_missing_result(&self, missing: bool) {
-        if missing {
-            self.report_if_first(0, "Write the text anew; it could not be read.");
+            Some(_) => Err(self.into_findings()),
+            None => {
+                self.report_if_first(0, "Write the text anew; it could not be read.");
+                Err(self.into_findings())
+            }
         }
     }
 
@@ -215,7 +217,7 @@
     /// Reads an object whose field names are free; duplicates are findings.
     pub fn entries<'r, 'a>(&'r self, object: &'a Object<'a>) -> Fields<'r, 't, 'a> {
         let mut entries: Vec<(&str, &ObjectProp<'_>)> = Vec::new();
-        let mut seen = std::collections::HashSet::new();
+        let mut seen = HashSet::new();
         for prop in &object.properties {
             let name = prop.name.as_str();
             if seen.insert(name) {
@@ -446,8 +448,6 @@
 
 /// Place of a value.
 pub fn start(value: &Value<'_>) -> usize {
-    use jsonc_parser::common::Ranged;
-
     value.range().start
 }
 
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -8,6 +8,7 @@
     output::print_json, //
 };
 use foxtailhinge_config::{
+    bounds,
     check::{
         Checker,
         Kind, //
@@ -17,7 +18,10 @@
 use serde::Serialize;
 use std::{
     fs::File,
-    io::Read,
+    io::{
+        self,
+        Read, //
+    },
     path::{
         Path,
         PathBuf, //
@@ -25,7 +29,7 @@
 };
 
 /// Bytes read of a file: enough to see that it is too long.
-const READ_BYTES: u64 = foxtailhinge_config::bounds::TEXT_BYTES as u64 + 1;
+const READ_BYTES: u64 = bounds::TEXT_BYTES as u64 + 1;
 
 #[derive(Serialize)]
 struct Report {
@@ -72,7 +76,7 @@
     })
 }
 
-fn read(path: &Path) -> std::io::Result<Vec<u8>> {
+fn read(path: &Path) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     File::open(path)?.take(READ_BYTES).read_to_end(&mut bytes)?;
     Ok(bytes)
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -9,21 +9,24 @@
     Bpaf,
     OptionParser,
     ParseFailure,
-    Parser, //
+    Parser,
+    ShellComp, //
 };
 use std::{
     net::{
+        IpAddr,
         Ipv4Addr,
         SocketAddr, //
     },
     path::PathBuf,
-    process::ExitCode, //
+    process::ExitCode,
+    str::FromStr, //
 };
 
 /// Name of the program.
 pub(crate) const PROGRAM: &str = "foxtailctl";
 
-const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 7002);
+const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7002);
 const HELP_WIDTH: usize = 100;
 
 const EXAMPLES: &str = "Examples:
@@ -56,7 +59,7 @@
         #[bpaf(external)]
         json: bool,
         /// Document or settings
-        #[bpaf(positional("FILE"), complete_shell(bpaf::ShellComp::File { mask: None }), some("Name at least one file."))]
+        #[bpaf(positional("FILE"), complete_shell(ShellComp::File { mask: None }), some("Name at least one file."))]
         files: Vec<PathBuf>,
     },
     /// Show members, zones, upstreams and documents as daemons see them
@@ -151,7 +154,7 @@
     Elvish,
 }
 
-impl std::str::FromStr for Shell {
+impl FromStr for Shell {
     type Err = &'static str;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,6 +1,7 @@
 //! Outcome of a command.
 
 use std::{
+    io,
     path::PathBuf,
     process::ExitCode, //
 };
@@ -34,7 +35,7 @@
 pub(crate) enum UsageError {
     /// A file cannot be read.
     #[error("Name a file that can be read; {} cannot: {}.", .0.display(), .1)]
-    File(PathBuf, std::io::Error),
+    File(PathBuf, io::Error),
     /// A URL is not of the right form.
     #[error("Write a URL such as coap://10.20.0.1:5601/clearances instead of \"{0}\".")]
     Url(String),
--- a/crates/ctl/src/request.rs
+++ b/crates/ctl/src/request.rs
@@ -23,6 +23,7 @@
 };
 use serde::Serialize;
 use std::{
+    fmt,
     net::SocketAddr,
     str::FromStr,
     time::Duration, //
@@ -64,8 +65,8 @@
     Delete,
 }
 
-impl std::fmt::Display for MethodName {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Display for MethodName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Get => "get",
             Self::Put => "put",
--- a/crates/daemon/src/admin/query.rs
+++ b/crates/daemon/src/admin/query.rs
@@ -4,6 +4,7 @@
     admin::ExplainQuery,
     audit::AuditQuery, //
 };
+use std::str::FromStr;
 use thiserror::Error;
 
 /// Why a query string was refused.
@@ -62,10 +63,7 @@
     Ok(found)
 }
 
-fn number<T: std::str::FromStr>(
-    name: &'static str,
-    value: Option<&str>,
-) -> Result<Option<T>, QueryError> {
+fn number<T: FromStr>(name: &'static str, value: Option<&str>) -> Result<Option<T>, QueryError> {
     let number = value.map(str::parse).transpose();
     number.map_err(|_| QueryError::Number(name))
 }
