Spread refused callers by rates that begin at zero, and keep flows while their last candidate is claimed

Cause: a fresh owner had admitted nothing, so its first refusal sent the caller away for up to 30 s, and a flow whose last candidate was being claimed was refused at all. Ruled out: too few slots (cold start 1 each).

--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -243,8 +243,8 @@
             self.take_flows(&up, member, state);
         }
         if let Some(Holding::Claiming(waiting)) = before {
-            for forward in waiting {
-                self.on_forward(forward);
+            for msg in waiting {
+                self.on_relay(self.me, addr, msg);
             }
         }
     }
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -130,13 +130,11 @@
         };
         self.metrics.datagrams.inc(result);
         match err {
-            TicketError::ForeignService => self.notify(arrived, Notice::GivenUp),
             // A request sealed with a retired key may have run while the key was good.
             TicketError::UnknownKey if !arrived.service.is_idempotent(arrived.req) => {
                 self.notify(arrived, Notice::Unknown(None));
             }
-            TicketError::UnknownKey => self.notify(arrived, Notice::GivenUp),
-            TicketError::Length | TicketError::Version | TicketError::Forged => {}
+            _ => self.notify(arrived, Notice::GivenUp),
         }
     }
 
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -82,6 +82,9 @@
         };
         let now = Instant::now();
         let Some((up, name)) = self.candidate(&service, &open) else {
+            if open.is_last() && self.wait_for_claim(&service, &open) {
+                return;
+            }
             self.ask_next(&service, open, service.come_back(now));
             return;
         };
@@ -129,6 +132,17 @@
         }
     }
 
+    /// Keeps a flow whose last candidate is being claimed; false when it is not.
+    fn wait_for_claim(&self, service: &Service, open: &Open) -> bool {
+        let name = open.candidates.get(usize::from(open.next));
+        let addr = name
+            .and_then(|name| service.upstream(*name))
+            .map(|named| named.spec.address);
+        let mut upstreams = self.upstreams.borrow_mut();
+        let holding = addr.and_then(|addr| upstreams.get_mut(&addr));
+        holding.is_some_and(|holding| holding.keep(RelayMessage::Open(open.clone())))
+    }
+
     fn candidate(&self, service: &Service, open: &Open) -> Option<(Rc<Upstream>, u32)> {
         let name = *open.candidates.get(usize::from(open.next))?;
         let named = service.upstream(name)?;
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -22,7 +22,10 @@
     },
     foxtailhinge_wire::{
         coap::Datagram,
-        message::Forward,
+        message::{
+            Forward,
+            RelayMessage, //
+        },
         ticket::{
             caller_tag,
             Ticket, //
@@ -52,7 +55,20 @@
     /// It owns it.
     Held(Rc<Upstream>),
     /// It has asked the former owner for it; requests that arrived since then wait.
-    Claiming(Vec<Forward>),
+    Claiming(Vec<RelayMessage>),
+}
+
+impl Holding {
+    /// Keeps a message until the claim has ended; false when the upstream is held already or too many wait.
+    pub fn keep(&mut self, msg: RelayMessage) -> bool {
+        match self {
+            Holding::Claiming(waiting) if waiting.len() < HELD_MAX => {
+                waiting.push(msg);
+                true
+            }
+            Holding::Claiming(_) | Holding::Held(_) => false,
+        }
+    }
 }
 
 /// A request of a flow at its owner.
@@ -105,10 +121,8 @@
         };
         let held = match self.upstreams.borrow_mut().get_mut(&addr) {
             Some(Holding::Held(up)) => Some(Rc::clone(up)),
-            Some(Holding::Claiming(waiting)) => {
-                if waiting.len() < HELD_MAX {
-                    waiting.push(forward);
-                }
+            Some(claiming) => {
+                claiming.keep(RelayMessage::Forward(forward));
                 return;
             }
             None => None,
--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -14,6 +14,9 @@
 /// Time constant of the meters of refused and admitted flows, in seconds.
 const METER_S: f64 = 10.0;
 
+/// Flows a second that are taken to be admitted at least, as before the first one was.
+const ADMITTED_MIN_PER_S: f64 = 10.0;
+
 /// Shortest time over which a rate is taken, in seconds.
 const RATE_MIN_S: f64 = 1.0;
 
@@ -84,8 +87,8 @@
     /// Seconds over which callers refused now are spread.
     fn window_s(&self, now: Instant, overload: f64) -> u64 {
         let refused = self.refused.count(now);
-        let admitted_per_s = self.admitted.rate(now);
-        let counted = refused / (RETURN_SHARE * admitted_per_s).max(f64::MIN_POSITIVE);
+        let admitted_per_s = self.admitted.rate(now).max(ADMITTED_MIN_PER_S);
+        let counted = refused / (RETURN_SHARE * admitted_per_s);
         let told = overload.clamp(0.0, 1.0) * MAX_COMEBACK_S as f64;
         let window = counted.max(told).ceil();
         window.clamp(1.0, MAX_COMEBACK_S as f64) as u64
