--- a/crates/standins/examples/local_fleet/promises.rs
+++ b/crates/standins/examples/local_fleet/promises.rs
@@ -108,7 +108,7 @@
         ended: Some(record.times.zone_in),
     };
     let outages = record.services.iter().map(outage).collect();
-    let mut breaks = Breaks::new(record.places(), outages);
+    let mut breaks = Breaks::new(record.places(), outages, Vec::new());
     for end in record.feeds.iter().flat_map(|feed| &feed.breaks) {
         breaks.add_feed(end);
     }
@@ -117,8 +117,12 @@
             .samples
             .iter()
             .for_each(|one| breaks.add_request(one));
-        breaks.add_moved(results.counts.moved);
+        results.moves.iter().for_each(|one| breaks.add_move(one));
     }
+    record
+        .feed_moves
+        .iter()
+        .for_each(|one| breaks.add_move(one));
     breaks
 }
 
--- a/crates/standins/examples/local_fleet/run.rs
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -9,7 +9,8 @@
     breaks::Place,
     caller::{
         Caller,
-        Counts, //
+        Counts,
+        Move, //
     },
     feed::{
         Feed,
@@ -118,6 +119,8 @@
     pub(crate) feeds: Vec<FeedStats>,
     /// Sum of the counters of the feeds' callers.
     pub(crate) feed_counts: Counts,
+    /// Moves of the feeds' flows between upstreams.
+    pub(crate) feed_moves: Vec<Move>,
     /// All upstreams.
     pub(crate) upstreams: Vec<Seen>,
     /// Calls to the platform.
@@ -323,8 +326,10 @@
         let results = self.load.map(Load::stop);
         let feeds = self.feeds.iter().map(|(_, feed)| feed.stats()).collect();
         let mut feed_counts = Counts::default();
+        let mut feed_moves = Vec::new();
         for (caller, _) in &self.feeds {
             feed_counts += caller.counts();
+            feed_moves.extend(caller.moves());
         }
         let seen = |one: &foxtailhinge_standins::upstream::Upstream| Seen {
             name: one.name(),
@@ -340,6 +345,7 @@
             results,
             feeds,
             feed_counts,
+            feed_moves,
             upstreams: self.fleet.upstreams().iter().map(seen).collect(),
             platform_calls: self.fleet.platform().calls(),
         }
--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -26,7 +26,10 @@
         Mutex, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 /// Time between looks at whether the fabric was ended.
@@ -74,6 +77,7 @@
 
 struct State {
     daemons: Vec<SocketAddr>,
+    leaving: Vec<(SocketAddr, Instant)>,
     sites: HashMap<IpAddr, Vec<IpAddr>>,
     behaviour: Behaviour,
     counts: Counts,
@@ -83,6 +87,7 @@
 impl State {
     /// Draws the daemon for one packet of a caller.
     fn draw(&mut self, caller: SocketAddr) -> Option<SocketAddr> {
+        self.drop_leaving();
         let only = self.behaviour.only.as_ref();
         let site = self.sites.get(&caller.ip());
         let allowed = |daemon: &&SocketAddr| {
@@ -94,6 +99,14 @@
         daemons.get(pick).map(|daemon| **daemon)
     }
 
+    fn drop_leaving(&mut self) {
+        let now = Instant::now();
+        let due = |one: &(SocketAddr, Instant)| one.1 <= now;
+        let gone: Vec<_> = self.leaving.extract_if(.., |one| due(one)).collect();
+        self.daemons
+            .retain(|daemon| gone.iter().all(|one| one.0 != *daemon));
+    }
+
     /// Draws the delay of one packet, or nothing when the packet is lost.
     fn delay(&mut self) -> Option<Duration> {
         if self.rng.random_bool(self.behaviour.loss) {
@@ -131,6 +144,7 @@
             line: DelayLine::start(),
             state: Mutex::new(State {
                 daemons: daemons.to_vec(),
+                leaving: Vec::new(),
                 sites: HashMap::new(),
                 behaviour: Behaviour::default(),
                 counts: Counts::default(),
@@ -151,15 +165,16 @@
     /// Adds a daemon to those that get packets.
     pub fn add(&self, daemon: SocketAddr) {
         let mut state = self.shared.state.lock().unwrap();
+        state.leaving.retain(|one| one.0 != daemon);
         if !state.daemons.contains(&daemon) {
             state.daemons.push(daemon);
         }
     }
 
-    /// Removes a daemon from those that get packets.
-    pub fn remove(&self, daemon: SocketAddr) {
+    /// Removes a daemon from those that get packets, after some time.
+    pub fn remove(&self, daemon: SocketAddr, after: Duration) {
         let mut state = self.shared.state.lock().unwrap();
-        state.daemons.retain(|one| *one != daemon);
+        state.leaving.push((daemon, Instant::now() + after));
     }
 
     /// Hands packets of the callers at one IP number only to the given daemons, as a cut-off zone does.
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -77,6 +77,8 @@
 const START_WITHIN: Duration = Duration::from_secs(15);
 /// Time between looks at the daemons.
 const TICK: Duration = Duration::from_millis(50);
+/// Time after the end of a daemon in which the fabric still hands it packets.
+const FABRIC_LAG: Duration = Duration::from_secs(1);
 /// Environment variable that keeps the daemons' logs after the run.
 const KEEP_LOGS: &str = "FOXTAILHINGE_KEEP_LOGS";
 /// Lines of a daemon's log that an error shows.
@@ -364,9 +366,10 @@
         self.edit(service, |document| document.set_zone(zone, true))
     }
 
-    /// Kills a daemon.
+    /// Kills a daemon; the fabric notices some time later.
     pub fn kill(&mut self, vm: &str) {
         self.daemon_mut(vm).kill();
+        self.unspray(vm);
     }
 
     /// Asks a daemon to stop; `ended` tells when it has.
@@ -374,9 +377,13 @@
         self.daemon(vm).signal(Signal::Terminate);
     }
 
-    /// Waits until a daemon has ended.
+    /// Waits until a daemon has ended; the fabric notices some time later.
     pub fn ended(&mut self, vm: &str, within: Duration) -> Option<ExitStatus> {
-        self.daemon_mut(vm).wait(within)
+        let status = self.daemon_mut(vm).wait(within);
+        if status.is_some() {
+            self.unspray(vm);
+        }
+        status
     }
 
     /// Pauses a daemon.
@@ -396,6 +403,7 @@
         // One that ended by itself is still known as running.
         daemon.kill();
         daemon.start(&program)?;
+        self.spray(vm);
         Ok(())
     }
 
@@ -465,15 +473,15 @@
         self.block.daemon(self.index(vm))
     }
 
-    /// Takes a VM out of the fabric, so that no packet of a caller reaches it any more.
-    pub fn unspray(&self, vm: &str) {
+    /// Takes a VM out of the fabric, which goes on handing it packets for some time.
+    fn unspray(&self, vm: &str) {
         for (service, fabric) in self.fabrics.iter().enumerate() {
-            fabric.remove(self.block.ingress(self.index(vm), service));
+            fabric.remove(self.block.ingress(self.index(vm), service), FABRIC_LAG);
         }
     }
 
     /// Lets the fabric hand packets to a VM again.
-    pub fn spray(&self, vm: &str) {
+    fn spray(&self, vm: &str) {
         for (service, fabric) in self.fabrics.iter().enumerate() {
             fabric.add(self.block.ingress(self.index(vm), service));
         }
--- a/crates/standins/src/scenario/act.rs
+++ b/crates/standins/src/scenario/act.rs
@@ -252,15 +252,24 @@
             found.drain(draining);
             let service = found.service();
             fleet.edit(&service, |document| document.set_draining(name, draining));
+            match draining {
+                true => self.tally.depart(name),
+                false => self.tally.come_back(name),
+            }
         }
         done()
     }
 
     fn change_upstreams(&mut self, change: &str, names: &[String]) -> anyhow::Result<String> {
-        let fleet = self.fleet()?;
         for name in names {
+            let fleet = self.fleet()?;
             let upstream = fleet.upstream(name).context("unknown upstream")?;
             change_upstream(upstream, change)?;
+            match change {
+                "kill" | "freeze" | "shed" => self.tally.depart(name),
+                "revive" | "wake" | "unshed" => self.tally.come_back(name),
+                _ => {}
+            }
         }
         done()
     }
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -37,7 +37,11 @@
         for end in self.feeds.iter().flat_map(|(_, feed)| feed.stats().breaks) {
             breaks.add_feed(&end);
         }
-        breaks.add_moved(self.counts().moved);
+        let callers = self.callers.values().flatten().map(|one| one.moves());
+        let feeds = self.feeds.iter().map(|(caller, _)| caller.moves());
+        for change in callers.chain(feeds).flatten() {
+            breaks.add_move(&change);
+        }
         let mut text = format!("broken flows {}", breaks.broken.len());
         for (cause, count) in breaks.causes() {
             text += &format!("\n  {cause} {count}");
--- a/crates/standins/src/scenario/tally.rs
+++ b/crates/standins/src/scenario/tally.rs
@@ -3,10 +3,14 @@
 use crate::{
     breaks::{
         Breaks,
+        Departure,
         Outage,
         Place, //
     },
-    caller::Counts,
+    caller::{
+        Counts,
+        Move, //
+    },
     fleet::Fleet,
     load::{
         Results,
@@ -23,13 +27,16 @@
 pub(super) struct Tally {
     pub(super) samples: Vec<Sample>,
     pub(super) counts: Counts,
+    pub(super) moves: Vec<Move>,
     pub(super) outages: Vec<Outage>,
+    pub(super) departures: Vec<Departure>,
 }
 
 impl Tally {
     pub(super) fn add(&mut self, results: Results) {
         self.samples.extend(results.samples);
         self.counts += results.counts;
+        self.moves.extend(results.moves);
     }
 
     pub(super) fn zone_out(&mut self, service: &str, zone: &str) {
@@ -49,6 +56,21 @@
         }
     }
 
+    pub(super) fn depart(&mut self, upstream: &str) {
+        self.departures.push(Departure {
+            upstream: upstream.into(),
+            began: Instant::now(),
+            ended: None,
+        });
+    }
+
+    pub(super) fn come_back(&mut self, upstream: &str) {
+        let open = |one: &&mut Departure| one.upstream == upstream && one.ended.is_none();
+        for departure in self.departures.iter_mut().filter(open) {
+            departure.ended = Some(Instant::now());
+        }
+    }
+
     /// Sorts the ends of flows; those of feeds are added by the caller.
     pub(super) fn breaks(&self, fleet: &Fleet) -> Breaks {
         let place = |one: &crate::upstream::Upstream| Place {
@@ -57,8 +79,9 @@
         };
         let upstreams = fleet.upstreams().iter();
         let places: HashMap<_, _> = upstreams.map(|one| (one.name(), place(one))).collect();
-        let mut breaks = Breaks::new(places, self.outages.clone());
+        let mut breaks = Breaks::new(places, self.outages.clone(), self.departures.clone());
         self.samples.iter().for_each(|one| breaks.add_request(one));
+        self.moves.iter().for_each(|one| breaks.add_move(one));
         breaks
     }
 
