Tell chance sheds from a cold start; spread returning callers wider

Cause: two sheds in a row meant a cold start, and one shed stopped the ramp, so an upstream that sheds 5 % by chance stayed cold. The share of failures is now taken over 16 requests, against the share that remains at the cold allowance; a step of the ramp is judged by its share.

--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -342,10 +342,10 @@
             },
         ),
         (
-            "spread, queue 16",
+            "spread, queue 4",
             Options {
                 comeback: Some(true),
-                queue: 16,
+                queue: 4,
                 ..OURS
             },
         ),
@@ -562,7 +562,7 @@
 }
 
 fn serve(title: &str, names: [&str; 3], scenario: &Scenario, policies: &[(&str, Options)]) {
-    println!("{title}; in time, never, refused (%), p99 (ms), shed (%), sent per request\n");
+    println!("{title}; in time, never, refused (%), p99 (ms), shed (%), sent per request, bounces\n");
     let mut table = Table::new(&["policy", names[0], names[1], names[2]]);
     for ((name, _), spans) in policies.iter().zip(measure(scenario, policies)) {
         let mut row = vec![name.to_string()];
@@ -574,12 +574,13 @@
 
 fn served(span: &Span) -> String {
     format!(
-        "{:6.2} {:5.2} {:5.2} {:5.0} {:5.2} {:4.2}",
+        "{:6.2} {:5.2} {:5.2} {:5.0} {:5.2} {:4.2} {:4.2}",
         span.in_time_percent(),
         span.failed_percent(),
         span.refused_percent(),
         span.p99_total_ms(),
         span.shed_percent(),
         span.sent_per_request(),
+        span.bounces_per_flow(),
     )
 }
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -143,6 +143,8 @@
 const VIEW_AGE: Duration = Duration::from_millis(250);
 const COLD_SLOTS: u32 = 1;
 const COLD_CONNECTIONS: u32 = 100;
+/// Time that a shed request keeps its slot.
+const SHED_TIME: Duration = Duration::from_millis(5);
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
 enum Event {
@@ -610,7 +612,7 @@
         let outcome = u.truth.run(u.admission.in_use(), service, &mut self.rng);
         let (after, answered) = match outcome {
             Outcome::Answer(time) => (time, true),
-            Outcome::Shed => (Duration::from_millis(1), false),
+            Outcome::Shed => (SHED_TIME, false),
         };
         let left = job.deadline.saturating_duration_since(self.now);
         let answered = answered && after <= left;
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -12,14 +12,23 @@
 /// Successes needed for a step, for each slot allowed.
 const SUCCESSES_PER_SLOT: u32 = 2;
 
-/// Weight of a new sample in the share of failures and in the present latency.
+/// Weight of a new sample in the present latency.
 const FAST_GAIN: f64 = 0.125;
 
+/// Weight of a new sample in the present share of failures.
+const FAILURE_GAIN: f64 = 1.0 / 16.0;
+
 /// Weight of a new sample in the warm baseline of the latency.
 const SLOW_GAIN: f64 = 1.0 / 64.0;
 
-/// Share of sheds and timeouts above which a warm upstream is taken for cold.
-const FAILURE_SHARE: f64 = 0.2;
+/// Share of failures above the floor at which the upstream is taken for cold.
+const FALL_SHARE: f64 = 0.3;
+
+/// Share of failures above the floor up to which the ramp goes on.
+const CLIMB_SHARE: f64 = 0.1;
+
+/// Largest floor of the share of failures.
+const MAX_FLOOR: f64 = 0.65;
 
 /// Samples before the baseline of the latency is used.
 const BASELINE_SAMPLES: u32 = 64;
@@ -68,7 +77,11 @@
     step: u32,
     step_since: Instant,
     successes: u32,
+    failures: u32,
+    /// Present share of sheds and timeouts.
     failure_share: f64,
+    /// Share of sheds and timeouts that less load does not lower.
+    floor: f64,
     latency: LatencyBaseline,
     falls: u64,
 }
@@ -81,7 +94,9 @@
             step: 0,
             step_since: now,
             successes: 0,
+            failures: 0,
             failure_share: 0.0,
+            floor: 0.0,
             latency: LatencyBaseline::default(),
             falls: 0,
         }
@@ -106,7 +121,7 @@
 
     /// Counts an answered request.
     pub fn on_success(&mut self, now: Instant) {
-        self.failure_share -= FAST_GAIN * self.failure_share;
+        self.failure_share -= FAILURE_GAIN * self.failure_share;
         self.successes = self.successes.saturating_add(1);
         self.climb(now);
     }
@@ -131,9 +146,7 @@
 
     /// Falls back to the cold allowance.
     pub fn restart(&mut self, now: Instant) {
-        self.step = 0;
-        self.step_since = now;
-        self.successes = 0;
+        self.enter(0, now);
         self.failure_share = 0.0;
         self.latency = LatencyBaseline::default();
         self.falls += 1;
@@ -155,25 +168,50 @@
     }
 
     fn fail(&mut self, now: Instant) {
-        self.failure_share += FAST_GAIN * (1.0 - self.failure_share);
-        self.successes = 0;
-        self.step_since = now;
-        if self.failure_share > FAILURE_SHARE {
+        self.failures = self.failures.saturating_add(1);
+        self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share);
+        let falls = self.failure_share > self.floor + FALL_SHARE;
+        if falls && self.step > 0 {
             self.restart(now);
+            return;
         }
+        self.climb(now);
     }
 
+    /// Goes a step up once the present one has held long enough, under enough successes.
     fn climb(&mut self, now: Instant) {
         if self.is_full() {
+            self.lower_floor();
             return;
         }
         let (slots, _) = self.limits(now);
         let enough = self.successes >= SUCCESSES_PER_SLOT * slots.max(1);
         let elapsed = now.saturating_duration_since(self.step_since);
-        if enough && elapsed >= self.spec.ramp / STEPS {
-            self.step += 1;
-            self.step_since = now;
-            self.successes = 0;
+        if !enough || elapsed < self.spec.ramp / STEPS {
+            return;
+        }
+        let share = f64::from(self.failures) / f64::from(self.failures + self.successes);
+        if self.step == 0 {
+            self.floor = share.min(MAX_FLOOR);
+        }
+        let step = if share <= self.floor + CLIMB_SHARE {
+            self.step + 1
+        } else {
+            self.step
+        };
+        self.enter(step, now);
+    }
+
+    fn enter(&mut self, step: u32, now: Instant) {
+        self.step = step;
+        self.step_since = now;
+        self.successes = 0;
+        self.failures = 0;
+    }
+
+    fn lower_floor(&mut self) {
+        if self.failure_share < self.floor {
+            self.floor += SLOW_GAIN * (self.failure_share - self.floor);
         }
     }
 }
--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -9,13 +9,13 @@
 };
 
 /// Longest time a caller is told to stay away, in seconds.
-pub const MAX_COMEBACK_S: u64 = 30;
+pub const MAX_COMEBACK_S: u64 = 60;
 
 /// Time constant of the meters of refused and admitted flows, in seconds.
 const METER_S: f64 = 10.0;
 
 /// Share of the admitted rate that returning callers may add.
-const RETURN_SHARE: f64 = 0.2;
+const RETURN_SHARE: f64 = 0.1;
 
 /// Spread of refused callers over the next seconds.
 #[derive(Clone, Debug, Default)]
