--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        report::{Span, Table},
+        report::{percent, Span, Table},
         sim::{run, Change, Options, Pick, Policy, Retry, Scenario},
         trace::{Burst, Flow, Load, Shape},
     },
@@ -41,6 +41,10 @@
         name: "zone",
         run: zone,
     },
+    Entry {
+        name: "returning",
+        run: returning,
+    },
     Entry {
         name: "burst",
         run: burst,
@@ -53,6 +57,14 @@
         name: "sick",
         run: sick,
     },
+    Entry {
+        name: "few",
+        run: few,
+    },
+    Entry {
+        name: "all-down",
+        run: crate::least_bad::table,
+    },
     Entry {
         name: "scale",
         run: scale,
@@ -243,72 +255,104 @@
             Options::baseline(Policy::OwnCounts),
         ),
         (
-            "owner, neither",
-            Options {
-                allowance: false,
-                zone_ramp: false,
-                ..OURS
-            },
-        ),
-        (
-            "owner, ramp of weights only",
+            "owner, no allowance",
             Options {
                 allowance: false,
                 ..OURS
             },
         ),
+        ("owner, allowance", OURS),
         (
-            "owner, allowance only",
+            "owner, allowance, last queues",
             Options {
-                zone_ramp: false,
+                pick: Pick::FirstFree,
                 ..OURS
             },
         ),
-        ("owner, both", OURS),
         (
-            "owner, both, last queues",
+            "owner, allowance, no bounce",
             Options {
-                pick: Pick::FirstFree,
+                candidates: 1,
                 ..OURS
             },
         ),
+        ("owner, allowance, queue of 4", Options { queue: 4, ..OURS }),
         (
-            "owner, both, 1 slot headroom",
+            "owner, allowance, headroom",
             Options {
                 headroom: 1,
                 ..OURS
             },
         ),
-    ];
-    let mechanisms: Vec<_> = mechanisms
-        .into_iter()
-        .map(|(name, options)| {
-            (
-                name,
-                Options {
-                    comeback: Some(true),
-                    ..options
-                },
-            )
-        })
-        .collect();
+    ]
+    .map(|(name, options)| (name, spread(options)));
     for (busy, title) in [
         (0.55, "zone: 4 of 14 out for 40 s, 55 % busy before"),
         (0.8, "zone: 4 of 14 out for 40 s, 80 % busy before"),
     ] {
-        for shape in [Shape::Single, Shape::Unequal] {
-            let mut scenario = network_base(shape, 200, busy);
-            scenario.changes = vec![
-                (Duration::from_secs(60), Change::ZoneOut(0)),
-                (Duration::from_secs(100), Change::ZoneIn(0)),
-            ];
+        for (shape, flows) in [
+            (Shape::Single, "flows of one request"),
+            (Shape::Unequal, "pinned flows"),
+        ] {
+            let mut scenario = zone_out_and_in(shape, busy);
             scenario.spans = spans([40, 60, 100]);
-            let title = format!("{title}, {shape:?}");
+            let title = format!("{title}, {flows}");
             serve(&title, ["before", "out", "back"], &scenario, &mechanisms);
         }
     }
 }
 
+/// Share of the requests that the returned zone gets, in steps of 5 s.
+fn returning() {
+    const STEP_S: u64 = 5;
+    const STEPS: u64 = 9;
+    let policies = [
+        (
+            "owner, no allowance",
+            spread(Options {
+                allowance: false,
+                ..OURS
+            }),
+        ),
+        ("owner, allowance", spread(OURS)),
+    ];
+    let mut scenario = zone_out_and_in(Shape::Single, 0.55);
+    scenario.spans = (0..STEPS)
+        .map(|step| Duration::from_secs(100 + step * STEP_S))
+        .collect();
+    scenario.seeds = 1;
+    println!("returning: requests (%) of the returned zone in each 5 s; its capacity is 28.6 %\n");
+    let mut table = Table::new(&[
+        "policy", "5", "10", "15", "20", "25", "30", "35", "40", "rest",
+    ]);
+    for ((name, _), spans) in policies.iter().zip(measure(&scenario, &policies)) {
+        let mut row = vec![(*name).to_string()];
+        row.extend(spans.iter().map(|span| {
+            let zone = span.by_upstream.iter().step_by(scenario.zones);
+            format!("{:.1}", percent(zone.sum(), span.by_upstream.iter().sum()))
+        }));
+        table.row(row);
+    }
+    println!("{table}");
+}
+
+fn zone_out_and_in(shape: Shape, busy: f64) -> Scenario {
+    let mut scenario = network_base(shape, 200, busy);
+    scenario.changes = vec![
+        (Duration::from_secs(60), Change::ZoneOut(0)),
+        (Duration::from_secs(100), Change::ZoneIn(0)),
+    ];
+    scenario
+}
+
+/// Refused callers come back, spread.
+const fn spread(options: Options) -> Options {
+    Options {
+        comeback: Some(true),
+        ..options
+    }
+}
+
 fn burst() {
     let policies = [
         (
@@ -440,17 +484,30 @@
     }
 }
 
+/// The same load for a short time: how soon the spread is even.
+fn few() {
+    let policies = [
+        ("random", Options::baseline(Policy::Random)),
+        ("round robin", Options::baseline(Policy::RoundRobin)),
+        (
+            "owner, 3, random points",
+            Options {
+                sequence: false,
+                ..OURS
+            },
+        ),
+        ("owner, 3, sequence", OURS),
+    ];
+    for requests in [1_000, 4_000, 16_000] {
+        let mut scenario = network_base(Shape::Single, 1, 0.8);
+        scenario.load.length = Duration::from_secs_f64(f64::from(requests) / scenario.load.rate);
+        scenario.seeds = 10;
+        let title = format!("few: {requests} flows of one request in all, worst of 10 seeds");
+        place(&title, &scenario, &policies);
+    }
+}
+
 fn scale() {
-    let upstreams = 13_000;
-    let mut scenario = network_base(Shape::Single, 4, 0.8);
-    scenario.upstreams = upstreams;
-    scenario.daemons = 2_400;
-    // 200,000 new flows a second fill 80 % of the slots.
-    scenario.load.service = Duration::from_millis(208);
-    scenario.load.rate = 200_000.0;
-    scenario.load.length = Duration::from_secs(12);
-    scenario.spans = vec![Duration::from_secs(2)];
-    scenario.seeds = 1;
     let policies = [
         ("random", Options::baseline(Policy::Random)),
         ("round robin", Options::baseline(Policy::RoundRobin)),
@@ -469,13 +526,6 @@
             },
         ),
         ("owner, 3 candidates", OURS),
-        (
-            "owner, 3, else least loaded",
-            Options {
-                pick: Pick::FirstFreeElseLeast,
-                ..OURS
-            },
-        ),
         (
             "owner, 4 candidates",
             Options {
@@ -484,11 +534,24 @@
             },
         ),
     ];
+    let mut scenario = network_base(Shape::Single, 10, 0.8);
+    scenario.upstreams = 13_000;
+    scenario.daemons = 2_400;
+    // 200,000 new flows a second fill 80 % of the slots.
+    scenario.load.service = Duration::from_millis(208);
+    scenario.load.rate = 200_000.0;
+    scenario.spans = vec![Duration::from_secs(2)];
+    scenario.seeds = 1;
     place(
-        "scale: 2,400 daemons before 13,000 upstreams, 200,000 flows/s of 208 ms",
+        "scale: 2,400 daemons, 13,000 upstreams, 200,000 flows/s of 208 ms, 8 s",
         &scenario,
         &policies,
     );
+    scenario.upstreams = 1_300;
+    scenario.daemons = 240;
+    scenario.load.rate = 20_000.0;
+    scenario.load.length = Duration::from_secs(82);
+    place("scale: a tenth of it for 80 s", &scenario, &policies);
 }
 
 fn spans(starts: [u64; 3]) -> Vec<Duration> {
@@ -562,7 +625,9 @@
 }
 
 fn serve(title: &str, names: [&str; 3], scenario: &Scenario, policies: &[(&str, Options)]) {
-    println!("{title}; in time, never, refused (%), p99 (ms), shed (%), sent per request, bounces\n");
+    println!(
+        "{title}; in time, never, refused (%), p99 (ms), shed (%), sent per request, bounces\n"
+    );
     let mut table = Table::new(&["policy", names[0], names[1], names[2]]);
     for ((name, _), spans) in policies.iter().zip(measure(scenario, policies)) {
         let mut row = vec![name.to_string()];
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -11,7 +11,7 @@
         allowance::{Allowance, AllowanceSpec, Capacity},
         budget::RetryBudget,
         comeback::Comeback,
-        placement::{Placement, Ramp, Sequence},
+        placement::{Placement, Sequence},
     },
     rand::{rngs::SmallRng, Rng, SeedableRng},
     smallvec::SmallVec,
@@ -60,8 +60,6 @@
     /// An admitted flow holds a slot against other new ones until its first request.
     pub(crate) reserve: bool,
     pub(crate) allowance: bool,
-    /// Weights of a returning zone ramp.
-    pub(crate) zone_ramp: bool,
     /// Refused callers come back, after a time that `Comeback` spreads, or after 1 s.
     pub(crate) comeback: Option<bool>,
     /// Retries of shed requests: none, without bound, or with a budget in percent.
@@ -87,7 +85,6 @@
         queue: 16,
         reserve: true,
         allowance: true,
-        zone_ramp: true,
         comeback: None,
         retry: Retry::None,
         headroom: 0,
@@ -97,7 +94,6 @@
         Self {
             policy,
             allowance: false,
-            zone_ramp: false,
             ..Self::OURS
         }
     }
@@ -154,7 +150,6 @@
     Finish(Job, bool, Instant),
     Expire(usize),
     Refresh(usize),
-    Ramp,
     Change(Change),
 }
 
@@ -205,7 +200,6 @@
     turns: Vec<usize>,
     own: Vec<Vec<u32>>,
     views: Vec<Vec<u32>>,
-    ramps: Vec<Option<Ramp>>,
     comeback: Vec<Comeback>,
     budget: RetryBudget,
     spans: Vec<Span>,
@@ -276,7 +270,6 @@
                 .collect(),
             own,
             views,
-            ramps: vec![None; n],
             comeback: vec![Comeback::new(); n],
             budget: RetryBudget::new(budget_percent(options.retry), 0),
             spans: scenario.spans.iter().map(|_| Span::new(n)).collect(),
@@ -347,7 +340,6 @@
             Event::Finish(job, answered, started) => self.finish(job, answered, started),
             Event::Expire(upstream) => self.expire(upstream),
             Event::Refresh(daemon) => self.refresh(daemon),
-            Event::Ramp => self.ramp(),
             Event::Change(change) => self.change(change),
         }
     }
@@ -794,19 +786,11 @@
             if in_service {
                 u.truth.chill();
                 u.allowance.restart(now);
-                let ramp = Ramp::new(u.allowance.spec(), now);
                 weight = f64::from(self.scenario.slots);
-                if self.options.zone_ramp {
-                    weight = ramp.weight(now);
-                    self.ramps[i] = Some(ramp);
-                }
                 self.follow_allowance(i);
             }
             self.placement.set_weight(i, weight);
         }
-        if in_service && self.options.zone_ramp {
-            self.push(self.now, Event::Ramp);
-        }
         if !in_service {
             self.give_up_zone(zone);
         }
@@ -823,24 +807,6 @@
             }
         }
     }
-
-    fn ramp(&mut self) {
-        let mut busy = false;
-        for i in 0..self.upstreams.len() {
-            let Some(ramp) = &self.ramps[i] else {
-                continue;
-            };
-            self.placement.set_weight(i, ramp.weight(self.now));
-            if ramp.is_over(self.now) {
-                self.ramps[i] = None;
-            } else {
-                busy = true;
-            }
-        }
-        if busy {
-            self.push(self.now + Duration::from_millis(500), Event::Ramp);
-        }
-    }
 }
 
 fn budget_percent(retry: Retry) -> u32 {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -4,11 +4,9 @@
 //! counts, which of them takes the flow.
 
 use {
-    crate::allowance::AllowanceSpec,
     rand::Rng,
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
-    std::time::Instant,
 };
 
 /// Weights are kept as integers in units of 1 / `WEIGHT_UNITS`, so that sums stay exact.
@@ -156,44 +154,6 @@
     }
 }
 
-/// Weight of an upstream that is new or whose zone has returned.
-///
-/// The ingress does not know the allowance that the owner grants; it follows the document's ramp
-/// by time, and the owner's exact counts correct the rest.
-#[derive(Clone, Copy, Debug)]
-pub struct Ramp {
-    spec: AllowanceSpec,
-    since: Instant,
-}
-
-impl Ramp {
-    /// Starts at the cold allowance.
-    pub fn new(spec: AllowanceSpec, since: Instant) -> Self {
-        Self { spec, since }
-    }
-
-    /// Weight in slots.
-    pub fn weight(&self, now: Instant) -> f64 {
-        let full = f64::from(self.spec.full.slots);
-        let cold = f64::from(self.spec.cold_slots).min(full);
-        cold + (full - cold) * self.progress(now)
-    }
-
-    /// Whether the weight is the full one.
-    pub fn is_over(&self, now: Instant) -> bool {
-        self.progress(now) >= 1.0
-    }
-
-    fn progress(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
-        let ramp = self.spec.ramp.as_secs_f64();
-        if elapsed >= ramp {
-            return 1.0;
-        }
-        elapsed / ramp
-    }
-}
-
 fn units(weight: f64) -> u64 {
     if !weight.is_finite() || weight <= 0.0 {
         return 0;
