--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -9,7 +9,7 @@
 };
 
 /// Longest time a caller is told to stay away, in seconds.
-pub const MAX_COMEBACK_S: u64 = 30;
+pub const MAX_COMEBACK_S: u64 = 60;
 
 /// Time constant of the meters of refused and admitted flows, in seconds.
 const METER_S: f64 = 10.0;
@@ -21,7 +21,7 @@
 const RATE_MIN_S: f64 = 1.0;
 
 /// Share of the admitted rate that returning callers may add.
-const RETURN_SHARE: f64 = 0.2;
+const RETURN_SHARE: f64 = 0.1;
 
 /// Spread of refused callers over the next seconds.
 #[derive(Clone, Debug, Default)]
