Take a joining daemon's copies from many peers, each at its own rate

At 12 KB/s from one peer 7,300 documents took over 8 minutes. Now each peer gives a burst and then defers; the joining daemon, which takes no work yet, goes on to the next peer, and its fence stays closed while answers come, at most a minute. Adds the benchmark of the control part's slopes.

--- /dev/null
+++ b/crates/daemon/benches/control/main.rs
@@ -0,0 +1,20 @@
+//! Slopes of the control part: memory, processor time and bytes by members and documents.
+//!
+//! Run with `cargo bench -p foxtailhinge --bench control`. Processor time is that of this thread,
+//! which runs both ends of a link.
+
+mod documents;
+#[allow(dead_code)]
+#[path = "../../tests/control/fleet.rs"]
+mod fleet;
+mod links;
+mod members;
+mod meter;
+mod probes;
+
+fn main() {
+    members::run();
+    documents::run();
+    probes::run();
+    links::run();
+}
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -40,6 +40,7 @@
         Rng, //
     },
     std::{
+        collections::HashMap,
         rc::Rc,
         time::{
             Duration,
@@ -58,48 +59,93 @@
 pub async fn run(control: Rc<Control>) {
     let limits = control.settings().limits;
     let mut budget = ByteBudget::new(limits.copy_rate, limits.copy_burst, Instant::now());
+    let mut busy = BusyPeers::default();
     loop {
-        if let Some(peer) = pick_peer(&control) {
-            match exchange(&control, &peer, &mut budget).await {
-                Ok(()) => count(&control.counters().exchanges, 1),
-                Err(err) => {
-                    let vm = &peer.vm;
-                    log::debug!("event=exchange_failed peer={vm} cause=\"{err}\"");
-                }
-            }
-        }
-        control.links().close_idle(Instant::now());
-        let pause = match control.is_synced() {
-            true => limits.exchange_interval,
-            false => limits.retry_interval,
+        busy.forget_until(Instant::now());
+        let pause = match pick_peer(&control, &busy) {
+            Some(peer) => step(&control, &peer, &mut budget, &mut busy).await,
+            None => limits.retry_interval,
         };
+        control.links().close_idle(Instant::now());
         let pause = pause.mul_f64(control.rng().random_range(0.75..1.25));
         let _ = monoio::time::timeout(pause, control.exchange_wake.wait()).await;
     }
 }
 
+/// How an exchange ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Both hold the newer of both views.
+    Complete,
+    /// The peer has spent its bytes for copies and may be asked again after this time.
+    Deferred(Duration),
+}
+
+/// Peers that have spent their bytes for copies, each until a time.
+#[derive(Debug, Default)]
+struct BusyPeers(HashMap<Rc<str>, Instant>);
+
+impl BusyPeers {
+    fn forget_until(&mut self, now: Instant) {
+        self.0.retain(|_, until| *until > now);
+    }
+}
+
+/// Exchanges with one peer and returns how long to wait before the next exchange.
+async fn step(
+    control: &Rc<Control>,
+    peer: &Member,
+    budget: &mut ByteBudget,
+    busy: &mut BusyPeers,
+) -> Duration {
+    let limits = control.settings().limits;
+    let retry = match control.is_synced() {
+        true => limits.exchange_interval,
+        false => limits.retry_interval,
+    };
+    match exchange(control, peer, budget).await {
+        Ok(Outcome::Complete) => {
+            count(&control.counters().exchanges, 1);
+            limits.exchange_interval
+        }
+        Ok(Outcome::Deferred(wait)) => {
+            busy.0.insert(peer.vm.clone(), Instant::now() + wait);
+            limits.retry_interval
+        }
+        Err(err) => {
+            let vm = &peer.vm;
+            log::debug!("event=exchange_failed peer={vm} cause=\"{err}\"");
+            retry
+        }
+    }
+}
+
 /// Compares views with `peer` and copies what differs both ways.
 pub async fn exchange(
     control: &Rc<Control>,
     peer: &Member,
     budget: &mut ByteBudget,
-) -> Result<(), LinkError> {
+) -> Result<Outcome, LinkError> {
     let began = Instant::now();
     for _ in 0..PAGES {
         let request = LinkRequest::Compare(Box::new(sums(control)));
         let asked = Instant::now();
         let reply = control.links().request(control, peer, &request).await?;
+        control.reached(Instant::now());
         let LinkReply::Difference(difference) = reply else {
-            return Ok(());
+            return Err(LinkError::Garbled);
         };
         let more = difference.more;
-        adopt(control, peer, *difference, asked, budget).await?;
+        let outcome = adopt(control, peer, *difference, asked, budget).await?;
+        if outcome != Outcome::Complete {
+            return Ok(outcome);
+        }
         if !more {
             control.synced(began);
-            return Ok(());
+            break;
         }
     }
-    Ok(())
+    Ok(Outcome::Complete)
 }
 
 async fn adopt(
@@ -108,7 +154,7 @@
     difference: Difference,
     asked: Instant,
     budget: &mut ByteBudget,
-) -> Result<(), LinkError> {
+) -> Result<Outcome, LinkError> {
     let sums = difference.sums;
     let newer = newer_members(control, difference.member_buckets, &difference.members);
     control.learn_members(difference.members);
@@ -118,11 +164,14 @@
     }
     if difference.more && difference.member_buckets != 0 {
         // Members come first: documents may take long at the rate of copies.
-        return Ok(());
+        return Ok(Outcome::Complete);
     }
     let digest = to_digest(difference.revisions);
     let missing = control.documents().missing(&digest);
-    fetch(control, peer, missing, budget).await?;
+    let outcome = fetch(control, peer, missing, budget).await?;
+    if outcome != Outcome::Complete {
+        return Ok(outcome);
+    }
     let buckets = difference.document_buckets;
     let newer = control.documents().newer_in(buckets, &digest);
     announce(control, peer, &newer).await?;
@@ -133,19 +182,20 @@
             control.confirm(at);
         }
     }
-    Ok(())
+    Ok(Outcome::Complete)
 }
 
+/// Fetches documents; a daemon that takes work keeps to its own rate as well.
 async fn fetch(
     control: &Rc<Control>,
     peer: &Member,
     mut missing: Vec<Rc<str>>,
     budget: &mut ByteBudget,
-) -> Result<(), LinkError> {
+) -> Result<Outcome, LinkError> {
     let source = Source::Peer(peer.vm.clone());
     while !missing.is_empty() {
         let wait = budget.wait(Instant::now());
-        if !wait.is_zero() {
+        if !wait.is_zero() && control.is_synced() {
             monoio::time::sleep(wait).await;
         }
         let services = missing.iter().take(PAGE).map(ToString::to_string).collect();
@@ -154,18 +204,18 @@
         let records = match reply {
             LinkReply::Documents(records) if !records.is_empty() => records,
             LinkReply::Busy(wait_ms) => {
-                monoio::time::sleep(Duration::from_millis(wait_ms)).await;
-                continue;
+                return Ok(Outcome::Deferred(Duration::from_millis(wait_ms)))
             }
-            _ => return Ok(()),
+            _ => return Err(LinkError::Garbled),
         };
+        control.reached(Instant::now());
         budget.spend(records.iter().map(length).sum());
         missing.retain(|s| !records.iter().any(|r| r.service == s.as_ref()));
         for record in records {
             control.apply_document(record, &source);
         }
     }
-    Ok(())
+    Ok(Outcome::Complete)
 }
 
 /// Tells `peer` of the documents of `services` and sends those that it wants.
@@ -318,12 +368,13 @@
 }
 
 /// Draws a peer: a live one, mostly of the own zone, else any that is known by name.
-pub(crate) fn pick_peer(control: &Control) -> Option<Member> {
+fn pick_peer(control: &Control, busy: &BusyPeers) -> Option<Member> {
     let members = control.members();
     let mut rng = control.rng();
     let me = members.me();
     let far = rng.random_ratio(1, FAR_SHARE);
-    let others = || members.iter().skip(1).filter(|m| !control.is_denied(&m.vm));
+    let barred = |m: &Member| control.is_denied(&m.vm) || busy.0.contains_key(&m.vm);
+    let others = || members.iter().skip(1).filter(|m| !barred(m));
     let alive = |m: &&Member| m.state == MemberState::Alive;
     let same = |m: &&Member| (m.zone == me.zone) != far;
     let picked = others().filter(alive).filter(same).choose(&mut rng);
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -331,7 +331,7 @@
     }
 
     /// Takes the services that changed since the last call.
-    pub(crate) fn take_fresh(&self) -> Vec<Rc<str>> {
+    pub fn take_fresh(&self) -> Vec<Rc<str>> {
         self.fresh.take()
     }
 
@@ -353,6 +353,11 @@
         }
     }
 
+    /// Records that a peer answered, so that a sync is worth waiting for.
+    pub(crate) fn reached(&self, now: Instant) {
+        self.pause.borrow_mut().reached(now);
+    }
+
     pub(crate) fn notify_member(&self, change: impl IntoIterator<Item = Change>) {
         for change in change {
             if change.kind == ChangeKind::Refuted {
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -41,9 +41,10 @@
     pub links: usize,
     /// Links that others may hold open to this daemon.
     pub inbound_links: usize,
-    /// Bytes a second for copies of documents and members.
+    /// Bytes a second for copies of documents and members, given and, once in service, taken.
     pub copy_rate: u64,
-    /// Bytes that may be copied at once after a quiet time.
+    /// Bytes that may be copied at once after a quiet time; a joining daemon takes as many from
+    /// each of its peers.
     pub copy_burst: u64,
     /// Peers of the own zone that hear of a change at once.
     pub push_near: usize,
--- a/crates/daemon/tests/control/copies.rs
+++ b/crates/daemon/tests/control/copies.rs
@@ -46,6 +46,11 @@
         until_all(&nodes, "the joining daemon is complete", complete).await;
         let synced = || nodes[2].control.documents().synced() == DOCUMENTS as u64;
         until("it knows the platform's revision from its peers", synced).await;
+        let deferred = |n: &crate::fleet::Node| n.control.counters().copies_deferred.get();
+        assert!(
+            nodes.iter().map(deferred).sum::<u64>() > 0,
+            "peers keep to their rate"
+        );
     });
 }
 
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -314,7 +314,7 @@
         };
     }
 
-    fn settings(&self, start: &Start) -> ControlSettings {
+    pub(crate) fn settings(&self, start: &Start) -> ControlSettings {
         let peer = |i: usize| Listed {
             vm: vm(i),
             zone: self.zones[i].into(),
--- a/crates/policy/src/pause.rs
+++ b/crates/policy/src/pause.rs
@@ -13,6 +13,8 @@
     pub pause: Duration,
     /// Time after which a fenced daemon that reaches nobody takes work again.
     pub bound: Duration,
+    /// Time after which a fenced daemon takes work again though a sync has not ended.
+    pub longest: Duration,
 }
 
 impl Default for PauseSpec {
@@ -20,6 +22,7 @@
         Self {
             pause: Duration::from_secs(1),
             bound: Duration::from_secs(5),
+            longest: Duration::from_secs(60),
         }
     }
 }
@@ -47,6 +50,7 @@
     last: Instant,
     wall: Option<Duration>,
     fence: Fence,
+    reached: Instant,
     pauses: u64,
     unseen: Option<Pause>,
 }
@@ -59,6 +63,7 @@
             last: now,
             wall: None,
             fence: Fence::Closed(now),
+            reached: now,
             pauses: 0,
             unseen: None,
         }
@@ -102,10 +107,19 @@
         self.tick(now);
         match self.fence {
             Fence::Open => true,
-            Fence::Closed(since) => now.saturating_duration_since(since) >= self.spec.bound,
+            Fence::Closed(since) => {
+                let quiet = now.saturating_duration_since(since.max(self.reached));
+                let closed = now.saturating_duration_since(since);
+                quiet >= self.spec.bound || closed >= self.spec.longest
+            }
         }
     }
 
+    /// Records an answer of a peer, after which a sync is worth waiting for.
+    pub fn reached(&mut self, now: Instant) {
+        self.reached = now;
+    }
+
     /// Returns the fence.
     pub fn fence(&self) -> Fence {
         self.fence
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -67,6 +67,20 @@
     assert!(detector.admits(now + spec.bound));
 }
 
+#[test]
+fn a_sync_in_progress_is_waited_for_up_to_a_time() {
+    let now = Instant::now();
+    let spec = PauseSpec::default();
+    let mut detector = PauseDetector::new(spec, now);
+    let mut at = now;
+    while at + 500 * MS < now + spec.longest {
+        at += 500 * MS;
+        detector.reached(at);
+        assert!(!detector.admits(at));
+    }
+    assert!(detector.admits(now + spec.longest));
+}
+
 #[test]
 fn a_pause_while_fenced_starts_the_bound_anew() {
     let now = Instant::now();
