Keep the services of each bucket, and hash a name once

An exchange in sync walked all documents and members and hashed each name: 38 us of both ends at 100 documents, 667 us at 7,300 with 2,400 members.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -11,7 +11,7 @@
 use {
     crate::{
         rendezvous::{mix, score_keys, NameKey},
-        revisions::{bucket_of, in_buckets, BUCKETS},
+        revisions::BUCKETS,
     },
     rand::{
         seq::{index, SliceRandom},
@@ -461,8 +461,10 @@
 
     /// Returns the records heard in the given buckets, one bit each.
     pub fn heard_in(&self, buckets: u64) -> impl Iterator<Item = &Member> {
-        self.iter()
-            .filter(move |m| m.version > 0 && in_buckets(&m.vm, buckets))
+        self.occupied()
+            .filter(move |(_, known)| buckets >> known.key.bucket() & 1 == 1)
+            .map(|(_, known)| &known.member)
+            .filter(|m| m.version > 0)
     }
 
     /// Marks this daemon as leaving and makes it news.
@@ -565,8 +567,8 @@
         });
         self.by_name.insert(member.vm.clone(), slot);
         self.by_hash.insert((self.spec.name_hash)(&member.vm), slot);
-        self.sums[bucket_of(&member.vm)] ^= sum_of(&member);
         let key = NameKey::new(&member.vm);
+        self.sums[key.bucket()] ^= sum_of(key, &member);
         if member.is_live() {
             self.add_live(&member.zone, key, slot);
         }
@@ -589,7 +591,8 @@
             known.since = now;
             known.misses = 0;
         }
-        self.sums[bucket_of(&member.vm)] ^= sum_of(&old) ^ sum_of(&member);
+        let key = self.known(slot).key;
+        self.sums[key.bucket()] ^= sum_of(key, &old) ^ sum_of(key, &member);
         if old.state != member.state || old.zone != member.zone || old.version == 0 {
             self.order = None;
         }
@@ -612,7 +615,7 @@
         self.by_hash
             .remove(&(self.spec.name_hash)(&known.member.vm));
         self.free.push(slot);
-        self.sums[bucket_of(&known.member.vm)] ^= sum_of(&known.member);
+        self.sums[known.key.bucket()] ^= sum_of(known.key, &known.member);
         self.news.retain(|news| news.slot != slot);
         self.order = None;
     }
@@ -695,12 +698,12 @@
     Some(kind)
 }
 
-fn sum_of(member: &Member) -> u64 {
+fn sum_of(key: NameKey, member: &Member) -> u64 {
     if member.version == 0 {
         return 0;
     }
     let life = u64::from(member.version) << 32 | u64::from(member.incarnation);
-    mix(NameKey::new(&member.vm).get() ^ mix(life) ^ member.state as u64)
+    mix(key.get() ^ mix(life) ^ member.state as u64)
 }
 
 fn draw(from: &[usize], n: usize, rng: &mut impl Rng, into: &mut SmallVec<[usize; 8]>) {
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -5,7 +5,10 @@
 //! the name, then the SplitMix64 finaliser), because daemons of different builds have to agree.
 
 use {
-    crate::members::Members,
+    crate::{
+        members::Members,
+        revisions::BUCKETS, //
+    },
     smallvec::SmallVec,
     std::{cmp::Reverse, collections::HashMap, rc::Rc},
 };
@@ -30,6 +33,11 @@
     pub fn get(self) -> u64 {
         self.0
     }
+
+    /// Returns the bucket in which sets compare this name.
+    pub fn bucket(self) -> usize {
+        (self.0 >> 32) as usize % BUCKETS
+    }
 }
 
 /// Finaliser of SplitMix64: every input bit changes about half of the output bits.
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -90,6 +90,7 @@
 #[derive(Clone, Debug)]
 pub struct Documents<T> {
     entries: HashMap<Rc<str>, Entry<T>>,
+    buckets: Vec<Vec<Rc<str>>>,
     sums: [u64; BUCKETS],
     synced: u64,
 }
@@ -98,6 +99,7 @@
     fn default() -> Self {
         Self {
             entries: HashMap::new(),
+            buckets: vec![Vec::new(); BUCKETS],
             sums: [0; BUCKETS],
             synced: 0,
         }
@@ -212,9 +214,7 @@
     /// Returns the revisions of the services in the given buckets.
     pub fn digest_in(&self, buckets: u64) -> Digest {
         let mut entries: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(service, _)| in_buckets(service, buckets))
+            .entries_in(buckets)
             .map(|(service, e)| DigestEntry {
                 service: service.clone(),
                 in_force: e.revision,
@@ -253,9 +253,7 @@
             .map(|e| (e.service.as_ref(), e))
             .collect();
         let mut newer: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(service, _)| in_buckets(service, buckets))
+            .entries_in(buckets)
             .filter(|(service, ours)| {
                 let theirs = theirs.get(service.as_ref());
                 let in_force = theirs.map_or(0, |e| e.in_force);
@@ -287,34 +285,34 @@
         }
     }
 
+    fn entries_in(&self, buckets: u64) -> impl Iterator<Item = (&Rc<str>, &Entry<T>)> {
+        let wanted = (0..BUCKETS).filter(move |i| buckets >> i & 1 == 1);
+        let names = wanted.flat_map(|i| &self.buckets[i]);
+        names.filter_map(|service| Some((service, self.entries.get(service)?)))
+    }
+
     fn update(&mut self, service: &Rc<str>, change: impl FnOnce(&mut Entry<T>)) {
-        let bucket = bucket_of(service);
+        let key = NameKey::new(service);
+        let bucket = key.bucket();
+        if !self.entries.contains_key(service) {
+            self.buckets[bucket].push(service.clone());
+        }
         let entry = self.entries.entry(service.clone()).or_default();
-        self.sums[bucket] ^= sum_of(service, entry.revision, entry.seen());
+        self.sums[bucket] ^= sum_of(key, entry.revision, entry.seen());
         change(entry);
-        self.sums[bucket] ^= sum_of(service, entry.revision, entry.seen());
+        self.sums[bucket] ^= sum_of(key, entry.revision, entry.seen());
     }
 }
 
-/// Returns the bucket of a name.
-pub fn bucket_of(name: &str) -> usize {
-    (NameKey::new(name).get() >> 32) as usize % BUCKETS
-}
-
-/// Returns whether a name lies in one of the given buckets.
-pub fn in_buckets(name: &str, buckets: u64) -> bool {
-    buckets >> bucket_of(name) & 1 == 1
-}
-
 /// Returns the buckets, one bit each, whose sums differ.
 pub fn differing(a: &[u64; BUCKETS], b: &[u64; BUCKETS]) -> u64 {
     let unlike = (0..BUCKETS).filter(|&i| a[i] != b[i]);
     unlike.fold(0, |buckets, i| buckets | 1 << i)
 }
 
-fn sum_of(service: &str, in_force: u64, seen: u64) -> u64 {
+fn sum_of(service: NameKey, in_force: u64, seen: u64) -> u64 {
     if seen == 0 {
         return 0;
     }
-    mix(NameKey::new(service).get() ^ mix(in_force).rotate_left(17) ^ mix(!seen))
+    mix(service.get() ^ mix(in_force).rotate_left(17) ^ mix(!seen))
 }
