--- a/crates/policy/tests/ledger.rs
+++ b/crates/policy/tests/ledger.rs
@@ -230,6 +230,12 @@
     assert_eq!(copy.begin(&[3, 231], 1000, now), Begin::Refused);
 }
 
+/// 8,750 flows of an owner and the 200 B for each leave little room for a ledger.
+#[test]
+fn a_ledger_without_runs_is_small() {
+    assert!(size_of::<FlowLedger>() <= 64, "{}", size_of::<FlowLedger>());
+}
+
 /// At the end of the epochs runs go on until the last one is forgotten; then nothing runs on this
 /// flow.
 #[test]
