--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -1,7 +1,7 @@
 //! The flow ticket: an opaque, authenticated value that callers repeat in the CoAP Echo option.
 //!
-//! Layout, all integers big-endian: head 1 (version in the high 4 bits, key slot in the low 4),
-//! service hash 4, upstream hash 4, upstream incarnation 2, zone hash 2, owner hash 4, owner
+//! Layout, all integers big-endian: head 1 (from the highest bit: warm 1 bit, version 3, key slot
+//! 4), service hash 4, upstream hash 4, upstream incarnation 2, zone hash 2, owner hash 4, owner
 //! incarnation 4, flow 4, epoch 3, caller tag 2, then the first 10 bytes of keyed BLAKE3 over these
 //! 30 bytes and the name of the service.
 
