--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -15,7 +15,7 @@
 const METER_S: f64 = 10.0;
 
 /// Flows a second that are taken to be admitted at least, as before the first one was.
-const ADMITTED_MIN_PER_S: f64 = 10.0;
+const ADMITTED_MIN_PER_S: f64 = 20.0;
 
 /// Shortest time over which a rate is taken, in seconds.
 const RATE_MIN_S: f64 = 1.0;
--- a/crates/standins/examples/local_fleet/promises.rs
+++ b/crates/standins/examples/local_fleet/promises.rs
@@ -33,7 +33,7 @@
     /// Kind, time and receiver of each packet into the zone that was out, after its five seconds.
     pub(crate) zone_packets: Vec<String>,
     /// Requests lost while a daemon stopped as planned.
-    pub(crate) cut_by_stop: usize,
+    pub(crate) cut_by_stop: Vec<String>,
     /// Requests that came while a cold upstream carried all it could.
     pub(crate) cold_overload: u64,
 }
@@ -82,7 +82,7 @@
                 self.zone_packets.len() as u64,
                 "a zone that is out receives no packets after 5 s",
             ),
-            (self.cut_by_stop as u64, "a planned stop cuts no request"),
+            (self.cut_by_stop.len() as u64, "a planned stop cuts no request"),
             (
                 u64::from(!stopped),
                 "a daemon that is asked to stop ends by itself",
@@ -165,13 +165,19 @@
     packets
 }
 
-/// Counts the requests that were lost between the stop of one daemon and the death of another.
-fn cut_by_stop(record: &Record) -> usize {
+/// Returns the requests that were lost between the stop of one daemon and the death of another.
+fn cut_by_stop(record: &Record) -> Vec<String> {
     let (stop, kill) = (record.times.stop, record.times.kill);
     let cut = |one: &&Sample| {
         let lost = ["unknown", "timed out"].contains(&one.outcome);
         lost && one.began + one.took > stop && one.began + IN_FLIGHT < kill
     };
     let samples = record.results.iter().flat_map(|one| &one.samples);
-    samples.filter(cut).count()
+    let describe = |one: &Sample| {
+        let at = (one.began - record.times.start).as_secs_f64();
+        let method = if one.post.is_some() { "POST" } else { "GET" };
+        let upstream = one.upstream.as_deref().unwrap_or("a new flow");
+        format!("{method} to {upstream} at {at:.2} s: {}", one.outcome)
+    };
+    samples.filter(cut).map(describe).collect()
 }
--- a/crates/standins/examples/local_fleet/table.rs
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -98,8 +98,11 @@
     row("requests without any answer", count("timed out"));
     row(
         "requests cut by a planned stop (must be 0)",
-        figures.cut_by_stop,
+        figures.cut_by_stop.len(),
     );
+    for request in figures.cut_by_stop.iter().take(SHOWN) {
+        println!("    {request}");
+    }
     let posts = samples(record).filter(|one| one.post.is_some());
     row("POSTs sent", posts.count());
     row(
