--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -83,8 +83,12 @@
 
 async fn serve(settings: Settings) -> Result<(), Error> {
     let mut signals = Signals::register().map_err(Error::Runtime)?;
-    let supervisor = Supervisor::new("daemon", Limits::default(), |_| {});
-    let path = build(&settings, supervisor.clone())?;
+    let metrics = Rc::new(Metrics::new());
+    let restarts = Rc::clone(&metrics);
+    let supervisor = Supervisor::new("daemon", Limits::default(), move |_| {
+        restarts.task_restarts.inc();
+    });
+    let path = build(&settings, metrics, supervisor.clone())?;
     start(&path, &settings, &supervisor)?;
     Event::new("started")
         .field("vm", &settings.vm)
@@ -157,7 +161,11 @@
     })
 }
 
-fn build(settings: &Settings, supervisor: Supervisor) -> Result<Rc<DataPath>, Error> {
+fn build(
+    settings: &Settings,
+    metrics: Rc<Metrics>,
+    supervisor: Supervisor,
+) -> Result<Rc<DataPath>, Error> {
     let incarnation = rand::random();
     let control = Control::new(ControlSettings::new(settings, incarnation, rand::random()));
     let keys = settings.keys.iter();
@@ -170,7 +178,7 @@
     })?;
     let path = DataPath::new(Parts {
         control,
-        metrics: Rc::new(Metrics::new()),
+        metrics,
         audit: Rc::new(Audit::new(incarnation)),
         tickets: TicketKeys::new(keys),
         listen: settings.listen,
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -177,6 +177,7 @@
     pub fn is_ready(self: &Rc<Self>, now: Instant) -> bool {
         if !self.ready.get() && self.knows_fleet(now) {
             self.ready.set(true);
+            self.reconcile();
             self.serve_early();
         }
         self.ready.get()
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -86,6 +86,36 @@
     }
 }
 
+/// A request whose copies wait for it; dropping it, as by a panic, ends it with an unknown outcome.
+struct Unfinished<'a> {
+    path: &'a Rc<DataPath>,
+    job: &'a Job,
+    idempotent: bool,
+}
+
+impl Unfinished<'_> {
+    fn finish(self, ending: Ending) {
+        self.end(ending);
+        std::mem::forget(self);
+    }
+
+    fn end(&self, ending: Ending) {
+        if self.idempotent {
+            let key = CallerToken::of(self.job.caller, &self.job.req);
+            self.job.up.in_progress.borrow_mut().remove(&key);
+            self.path.answer(self.job, ending);
+        } else {
+            self.path.answer_once(self.job, ending);
+        }
+    }
+}
+
+impl Drop for Unfinished<'_> {
+    fn drop(&mut self) {
+        self.end(Ending::Unknown);
+    }
+}
+
 impl DataPath {
     /// Starts a task that serves `job`.
     pub fn begin(self: &Rc<Self>, job: Job) {
@@ -101,15 +131,14 @@
     pub async fn serve(self: &Rc<Self>, job: &Job) {
         let idempotent = job.service.is_idempotent(&job.req);
         let token = self.upstream_token(job, idempotent);
+        let unfinished = Unfinished {
+            path: self,
+            job,
+            idempotent,
+        };
         let ending = self.attempt(job, token, idempotent).await;
         self.settle_feed(job, token, &ending);
-        if idempotent {
-            let key = CallerToken::of(job.caller, &job.req);
-            job.up.in_progress.borrow_mut().remove(&key);
-            self.answer(job, ending);
-        } else {
-            self.answer_once(job, ending);
-        }
+        unfinished.finish(ending);
         if job.req.is_release() {
             self.release(job);
         }
--- a/crates/standins/examples/local_fleet/promises.rs
+++ b/crates/standins/examples/local_fleet/promises.rs
@@ -82,7 +82,10 @@
                 self.zone_packets.len() as u64,
                 "a zone that is out receives no packets after 5 s",
             ),
-            (self.cut_by_stop.len() as u64, "a planned stop cuts no request"),
+            (
+                self.cut_by_stop.len() as u64,
+                "a planned stop cuts no request",
+            ),
             (
                 u64::from(!stopped),
                 "a daemon that is asked to stop ends by itself",
