--- a/crates/standins/examples/local_fleet/promises.rs
+++ b/crates/standins/examples/local_fleet/promises.rs
@@ -119,6 +119,10 @@
             .for_each(|one| breaks.add_request(one));
         results.moves.iter().for_each(|one| breaks.add_move(one));
     }
+    record
+        .silent
+        .iter()
+        .for_each(|one| breaks.add_silent_feed(one));
     record
         .feed_moves
         .iter()
--- a/crates/standins/examples/local_fleet/run.rs
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -57,6 +57,10 @@
 const FEED_WITHIN: Duration = Duration::from_secs(5);
 /// Longest wait until all upstreams carry their full load.
 const WARM_WITHIN: Duration = Duration::from_secs(20);
+/// Notifications that each feed must still have when the load has stopped.
+const FURTHER: u64 = 2;
+/// Longest wait for them.
+const FURTHER_WITHIN: Duration = Duration::from_secs(8);
 /// Longest wait for a stopped daemon to end.
 const STOP_WITHIN: Duration = Duration::from_secs(8);
 /// Longest wait until an edited document is in force everywhere.
@@ -71,9 +75,9 @@
 /// Share of the run at which the zone is taken in again.
 const ZONE_IN: f64 = 0.6;
 /// Share of the run at which a daemon is stopped.
-const STOP: f64 = 0.75;
+const STOP: f64 = 0.7;
 /// Share of the run at which a daemon is killed.
-const KILL: f64 = 0.88;
+const KILL: f64 = 0.8;
 
 /// When the events happened.
 pub(crate) struct Times {
@@ -117,6 +121,8 @@
     pub(crate) results: [Results; 2],
     /// What each feed saw.
     pub(crate) feeds: Vec<FeedStats>,
+    /// The feeds that had no further notification at the end.
+    pub(crate) silent: Vec<FeedStats>,
     /// Sum of the counters of the feeds' callers.
     pub(crate) feed_counts: Counts,
     /// Moves of the feeds' flows between upstreams.
@@ -196,6 +202,17 @@
     Ok(feeds)
 }
 
+/// Returns the feeds that have no further notification within some time.
+fn silent_feeds(feeds: &[(Caller, Feed)]) -> Vec<FeedStats> {
+    let before: Vec<_> = feeds.iter().map(|(_, feed)| feed.stats()).collect();
+    let further = |(feed, before): &(&Feed, FeedStats)| {
+        !feed.wait(before.notifications + FURTHER, FURTHER_WITHIN)
+    };
+    let feeds = feeds.iter().map(|(_, feed)| feed);
+    let silent = feeds.zip(before).filter(further);
+    silent.map(|(feed, _)| feed.stats()).collect()
+}
+
 /// Waits until the owners let all upstreams carry their full load, for some time at most.
 fn wait_warm(fleet: &Fleet) {
     let began = Instant::now();
@@ -324,6 +341,7 @@
     /// Stops the load, then the feeds, and collects all records.
     fn close(self, times: Times, zone: String, stopped: Option<ExitStatus>) -> Record {
         let results = self.load.map(Load::stop);
+        let silent = silent_feeds(&self.feeds);
         let feeds = self.feeds.iter().map(|(_, feed)| feed.stats()).collect();
         let mut feed_counts = Counts::default();
         let mut feed_moves = Vec::new();
@@ -344,6 +362,7 @@
             stopped,
             results,
             feeds,
+            silent,
             feed_counts,
             feed_moves,
             upstreams: self.fleet.upstreams().iter().map(seen).collect(),
--- a/crates/standins/examples/local_fleet/table.rs
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -81,6 +81,11 @@
     let notifications = record.feeds.iter().map(|one| one.notifications);
     let gap = record.feeds.iter().map(|one| one.largest_gap).max();
     row("notifications of feeds", notifications.sum::<u64>());
+    let refused = record.feeds.iter().map(|one| one.refused);
+    row(
+        "registrations of feeds refused as not run",
+        refused.sum::<u64>(),
+    );
     row("largest gap in a feed", seconds(gap.unwrap_or_default()));
 }
 
--- a/crates/standins/src/breaks.rs
+++ b/crates/standins/src/breaks.rs
@@ -4,6 +4,7 @@
     caller::Move,
     feed::{
         Break,
+        FeedStats,
         Reason, //
     },
     load::Sample, //
@@ -112,6 +113,13 @@
         self.add(accepted, cause, &end.upstream, end.at);
     }
 
+    /// Adds a feed that has had no further notification at the end.
+    pub fn add_silent_feed(&mut self, feed: &FeedStats) {
+        let upstream = feed.upstream.as_deref().unwrap_or_default();
+        let at = feed.heard.unwrap_or_else(Instant::now);
+        self.add(false, "feed silent at the end", upstream, at);
+    }
+
     /// Sorts the end of a flow, if the request ended one.
     pub fn add_request(&mut self, sample: &Sample) {
         if sample.outcome != "given up" {
@@ -152,11 +160,11 @@
 
     /// Returns whether the upstream's zone was out between the flow's last answer and its end.
     fn went_with_zone(&self, upstream: &str, heard: Instant, at: Instant) -> bool {
-        let Some(place) = self.places.get(upstream) else {
-            return false;
-        };
+        let place = self.places.get(upstream);
         self.outages.iter().any(|outage| {
-            let same = outage.zone == place.zone && outage.service == place.service;
+            // A flow that ended before its first answer has not named its upstream.
+            let same = place
+                .is_none_or(|place| outage.zone == place.zone && outage.service == place.service);
             let before = outage.ended.is_none_or(|ended| heard < ended);
             same && outage.began <= at && before
         })
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -84,8 +84,10 @@
     pub registrations: u64,
     /// Registrations refused as not run.
     pub refused: u64,
-    /// Largest time between two notifications of an established feed.
+    /// Largest time between two notifications of an established feed, the time since the last one included.
     pub largest_gap: Duration,
+    /// When the last notification came.
+    pub heard: Option<Instant>,
     /// Breaks.
     pub breaks: Vec<Break>,
     /// Upstream that it reaches now.
@@ -125,7 +127,10 @@
 
     /// Returns what it saw so far.
     pub fn stats(&self) -> FeedStats {
-        self.inner.stats().clone()
+        let mut stats = self.inner.stats().clone();
+        let gap = stats.heard.map(|heard| heard.elapsed());
+        stats.largest_gap = stats.largest_gap.max(gap.unwrap_or_default());
+        stats
     }
 
     /// Waits until it has had at least `count` notifications; returns whether it did in time.
@@ -312,6 +317,7 @@
             }
             Some((at, _)) => stats.largest_gap = stats.largest_gap.max(now - at),
         }
+        stats.heard = Some(now);
         stats.upstream = upstream;
         drop(stats);
         self.last = Some((now, value));
@@ -323,7 +329,9 @@
         self.over = true;
         let mut stats = self.inner.stats();
         let upstream = stats.upstream.take();
+        stats.heard = None;
         if let Some((heard, _)) = self.last {
+            stats.largest_gap = stats.largest_gap.max(heard.elapsed());
             stats.breaks.push(Break {
                 reason,
                 at: Instant::now(),
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -529,10 +529,12 @@
         self.wait_for(within, Self::lacks_document)
     }
 
-    /// Waits until, besides, each running daemon serves and sees those that run, and no others, as live.
+    /// Waits until, besides, each running daemon serves, sees those that run, and no others, as live,
+    /// and holds the upstreams that it owns.
     pub fn wait_synced(&mut self, within: Duration) -> anyhow::Result<()> {
         self.wait_applied(within)?;
-        self.wait_for(within, Self::misjudges_member)
+        self.wait_for(within, Self::misjudges_member)?;
+        self.wait_for(within, Self::lacks_upstream)
     }
 
     /// Waits until a check finds nothing amiss with any running daemon's status.
@@ -599,6 +601,13 @@
         Some(format!("it sees {vm} as live: {seen}"))
     }
 
+    fn lacks_upstream(&self, status: &Status) -> Option<String> {
+        let own = |one: &&UpstreamStatus| one.owner.as_ref() == Some(&status.vm);
+        let mut owned = status.upstreams.iter().filter(own);
+        let lacking = owned.find(|one| one.owned.is_none())?;
+        Some(format!("it does not hold {} yet", lacking.upstream))
+    }
+
     fn number(&self, service: &str) -> usize {
         let services = self.deployment.services();
         let found = services.iter().position(|one| *one == service);
