Keep new flows away from an upstream that sheds, and move flows that it never answered

Cause: a new flow that met a shedding upstream stayed pinned to it and was refused for as long as it shed. Ruled out: the allowance (cut to the cold start, but one slot still admitted flows). Before: upstream_contract case shedding_though_healthy failed. After: upstream_contract 8 of 8, caller_contract 23 of 23.

--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -48,6 +48,8 @@
     pub caller: SocketAddr,
     /// When the caller was last heard.
     pub last_seen: Instant,
+    /// Whether the upstream has answered a request of the flow.
+    pub answered: bool,
     /// Set once the flow was given up; it then only answers copies.
     pub given_up: Option<Instant>,
     /// What makes requests that are not idempotent run at most once.
@@ -235,6 +237,7 @@
             name: start.name,
             caller: start.caller,
             last_seen: now,
+            answered: false,
             given_up: None,
             ledger,
         };
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -28,6 +28,9 @@
     },
 };
 
+/// Time for which new flows stay away from an upstream that has shed load.
+const SHED_PAUSE: Duration = Duration::from_secs(1);
+
 /// What documents declare about one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadSpec {
@@ -106,6 +109,8 @@
     comeback: Comeback,
     /// Slots that requests of the former owner still hold.
     elsewhere: u32,
+    /// Until when new flows stay away because the upstream has shed load.
+    shedding_until: Option<Instant>,
 }
 
 impl Load {
@@ -128,6 +133,7 @@
             health: Health::new(),
             comeback: Comeback::new(),
             elsewhere,
+            shedding_until: None,
         };
         load.refresh(now);
         load
@@ -161,6 +167,9 @@
         if self.is_down(now) && !entry.although_down {
             return Err(Refusal::Down);
         }
+        if self.is_shedding(now) {
+            return Err(Refusal::Shedding);
+        }
         let res = if entry.last {
             self.admission.open_last(now, entry.deadline)
         } else {
@@ -268,6 +277,7 @@
                 self.allowance.on_latency(now, latency);
             }
             Outcome::Shed => {
+                self.shedding_until = Some(now + SHED_PAUSE);
                 self.health.on_shed(now);
                 self.allowance.on_shed(now);
             }
@@ -310,6 +320,11 @@
         self.health.state(now) == HealthState::Down
     }
 
+    /// Whether the upstream has shed load lately.
+    pub fn is_shedding(&self, now: Instant) -> bool {
+        self.shedding_until.is_some_and(|until| now < until)
+    }
+
     /// State for reports.
     pub fn state(&self, now: Instant) -> LoadState {
         if self.is_down(now) {
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -71,6 +71,8 @@
     Answered(Datagram),
     /// It was not run.
     NotRun(Duration),
+    /// The upstream shed it, and nothing else of its flow was answered before.
+    ShedAtOnce(Duration),
     /// Whether it ran is unknown.
     Unknown,
     /// The upstream is gone and the request idempotent: another upstream should answer.
@@ -170,6 +172,9 @@
                     if !self.may_retry(job, SHED_PAUSE) {
                         return self.not_run(job);
                     }
+                    if !self.was_answered(job) {
+                        return Ending::ShedAtOnce(job.up.load_mut().come_back(Instant::now()));
+                    }
                     monoio::time::sleep(SHED_PAUSE).await;
                 }
                 Ok(rsp) => return Ending::Answered(rsp),
@@ -203,6 +208,12 @@
         allowed
     }
 
+    /// Whether the upstream has answered the flow before.
+    fn was_answered(&self, job: &Job) -> bool {
+        let mut flows = job.up.flows.borrow_mut();
+        flows.get_mut(job.flow).is_some_and(|flow| flow.answered)
+    }
+
     fn not_run(&self, job: &Job) -> Ending {
         Ending::NotRun(job.up.load_mut().come_back(Instant::now()))
     }
@@ -259,7 +270,7 @@
             }
             // An unanswered registration leaves an earlier one of the same feed in place.
             Ending::Unknown | Ending::NotRun(_) => {}
-            Ending::Answered(_) | Ending::Move => {
+            Ending::Answered(_) | Ending::Move | Ending::ShedAtOnce(_) => {
                 feeds.remove(token);
             }
         }
@@ -278,16 +289,30 @@
                 self.reopen(job);
                 return;
             }
+            Ending::ShedAtOnce(_) => {
+                self.drop_flow(job);
+                self.reopen(job);
+                return;
+            }
         };
         job.service.socket.send_to(&rsp.to_bytes(), job.caller);
     }
 
     /// Answers a request that must not run twice, and remembers the answer for its copies.
-    fn answer_once(&self, job: &Job, ending: Ending) {
+    fn answer_once(self: &Rc<Self>, job: &Job, ending: Ending) {
         let token = job.req.token();
+        if let Ending::ShedAtOnce(_) = ending {
+            if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
+                flow.ledger.moved(token);
+            }
+            self.reopen(job);
+            return;
+        }
         let (rsp, ran) = match ending {
             Ending::Answered(rsp) => (self.passed_on(job, rsp), true),
-            Ending::NotRun(after) => (self.own_answer(job, Notice::NotRun(after)), false),
+            Ending::NotRun(after) | Ending::ShedAtOnce(after) => {
+                (self.own_answer(job, Notice::NotRun(after)), false)
+            }
             Ending::Unknown | Ending::Move => {
                 let ticket = self.next_ticket(job, true);
                 (self.own_answer(job, Notice::Unknown(ticket)), true)
@@ -311,6 +336,9 @@
     /// The upstream's answer as the caller gets it.
     fn passed_on(&self, job: &Job, mut rsp: Datagram) -> Datagram {
         self.metrics.requests.inc(RequestOutcome::Answered);
+        if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
+            flow.answered = true;
+        }
         let once = !job.service.is_idempotent(&job.req);
         rsp.clear_upstream_incarnation();
         rsp.set_token(job.req.token());
@@ -349,14 +377,22 @@
 
     /// Ends a flow that its caller has released.
     fn release(&self, job: &Job) {
-        let released = job.up.flows.borrow_mut().remove(job.flow);
-        if released.is_some_and(|flow| flow.given_up.is_none()) {
-            job.up.load_mut().disconnect();
+        if self.drop_flow(job) {
             self.metrics.flows_ended.inc(FlowEnd::Released);
         }
     }
 
-    /// Begins a new flow for an idempotent request whose upstream is gone.
+    /// Ends a flow; false when it had ended before.
+    fn drop_flow(&self, job: &Job) -> bool {
+        let ended = job.up.flows.borrow_mut().remove(job.flow);
+        let held = ended.is_some_and(|flow| flow.given_up.is_none());
+        if held {
+            job.up.load_mut().disconnect();
+        }
+        held
+    }
+
+    /// Begins a new flow for a request whose upstream is gone or did not run it.
     fn reopen(self: &Rc<Self>, job: &Job) {
         let mut req = job.req.clone();
         let left = job.deadline.saturating_duration_since(Instant::now());
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -13,7 +13,6 @@
         timer::Timer, //
     },
     foxtailhinge_config::report::UpstreamState,
-    foxtailhinge_policy::health::HealthState,
     std::{
         collections::HashSet,
         net::SocketAddr,
@@ -182,9 +181,7 @@
 pub fn report_state(up: &Upstream, now: Instant) -> UpstreamState {
     let load = up.load();
     match load.state(now) {
-        LoadState::Warm if load.health(now).state == HealthState::Suspect => {
-            UpstreamState::Shedding
-        }
+        LoadState::Warm | LoadState::Cold if load.is_shedding(now) => UpstreamState::Shedding,
         LoadState::Warm => UpstreamState::Warm,
         LoadState::Cold => UpstreamState::Cold,
         LoadState::Draining => UpstreamState::Draining,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -75,6 +75,8 @@
     ColdStart,
     /// The upstream does not answer.
     Down,
+    /// The upstream has shed load lately.
+    Shedding,
 }
 
 /// What to do with a request.
