--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -2,7 +2,8 @@
 
 use {
     foxtailhinge_policy::admission::{
-        least_loaded, Admission, Limits, Offer, Refusal, Start, WaitingList, TENTATIVE,
+        least_connected, least_loaded, Admission, Limits, Offer, Refusal, Start, WaitingList,
+        TENTATIVE,
     },
     quickcheck::{Arbitrary, Gen, QuickCheck, Testable},
     rstest::rstest,
@@ -199,6 +200,24 @@
     assert_eq!(admission.start(now, deadline), expected);
 }
 
+/// After service times of 100 ms and 0 ms alternately, a new flow needs more time than a request.
+#[test]
+fn a_new_flow_leaves_more_room_before_its_deadline() {
+    let now = Instant::now();
+    let limits = Limits { slots: 1, ..LIMITS };
+    let mut admission = Admission::new(limits);
+    for i in 0..100 {
+        admission.start(now, now + LONG);
+        admission.finish(now, Duration::from_millis(100 * (i % 2)));
+    }
+    admission.start(now, now + LONG);
+    let deadline = now + Duration::from_millis(200);
+    let refused = Err(Refusal::Deadline);
+    assert_eq!(admission.open_last(now, deadline), refused);
+    assert_eq!(admission.open_last(now, now + LONG), Ok(()));
+    assert_eq!(admission.start(now, deadline), Start::Wait);
+}
+
 #[test]
 fn shrunk_limits_end_nothing() {
     let now = Instant::now();
@@ -224,6 +243,22 @@
     assert_eq!(least_loaded(offers), expected);
 }
 
+#[rstest]
+#[case::fewest(&[feeds(900, 2_000), feeds(800, 2_000)], Some(1))]
+#[case::relative_to_the_limit(&[feeds(90, 100), feeds(900, 2_000)], Some(1))]
+#[case::none(&[], None)]
+fn the_least_connected_offer(#[case] offers: &[Offer], #[case] expected: Option<usize>) {
+    assert_eq!(least_connected(offers), expected);
+}
+
+fn feeds(connections: u32, max_connections: u32) -> Offer {
+    Offer {
+        connections,
+        max_connections,
+        ..offer(true, 4, 0)
+    }
+}
+
 fn offer(open: bool, slots: u32, load: u32) -> Offer {
     Offer {
         open,
