--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -427,6 +427,14 @@
                 ..OURS
             },
         ),
+        (
+            "spread, bounces take places",
+            Options {
+                comeback: Some(true),
+                bounce_takes_place: true,
+                ..OURS
+            },
+        ),
         (
             "spread, no bounce",
             Options {
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -66,6 +66,8 @@
     pub(crate) allowance: bool,
     /// Refused callers come back, after a time that `Comeback` spreads, or after 1 s.
     pub(crate) comeback: Option<bool>,
+    /// Each bounce takes a place in the schedule of those who come back.
+    pub(crate) bounce_takes_place: bool,
     /// Retries of shed requests: none, without bound, or with a budget in percent.
     pub(crate) retry: Retry,
     /// Slots of each upstream kept free of all new flows but those given up by a zone.
@@ -91,6 +93,7 @@
         reserve: true,
         allowance: true,
         comeback: None,
+        bounce_takes_place: false,
         retry: Retry::None,
         headroom: 0,
     };
@@ -432,6 +435,9 @@
             return self.admit(flow, here, at);
         }
         if at < last {
+            if self.options.bounce_takes_place {
+                self.comeback[here].after(self.now, 0.0, &mut self.rng);
+            }
             self.push(
                 self.now + self.scenario.hop,
                 Event::Open(flow, at + 1, candidates),
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -5,7 +5,7 @@
 //! they only stop admission until enough has finished.
 
 use {
-    serde::{Deserialize, Serialize},
+    bincode::{Decode, Encode},
     smallvec::SmallVec,
     std::{
         collections::VecDeque,
@@ -42,7 +42,7 @@
 }
 
 /// What an owner that passes a new flow on tells of its upstream, for [`least_loaded`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Offer {
     /// Whether it could take the flow at all.
     pub open: bool,
@@ -83,7 +83,7 @@
 }
 
 /// Why a flow or request was not admitted. It was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
     /// All slots are taken, and the queue is full.
     Slots,
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,11 +3,7 @@
 //! The ingress draws a few distinct upstreams by capacity weight; their owners decide, by exact
 //! counts, which of them takes the flow.
 
-use {
-    rand::Rng,
-    serde::{Deserialize, Serialize},
-    smallvec::SmallVec,
-};
+use {rand::Rng, smallvec::SmallVec};
 
 /// Weights are kept as integers in units of 1 / `WEIGHT_UNITS`, so that sums stay exact.
 const WEIGHT_UNITS: f64 = 65_536.0;
@@ -15,13 +11,6 @@
 /// Largest weight; larger ones are cut to it.
 const MAX_WEIGHT: f64 = 1e9;
 
-/// One upstream offered for a new flow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Candidate {
-    /// Index into the list of upstreams that the weights were given in.
-    pub upstream: u32,
-}
-
 /// Weighted draw without replacement over the upstreams of a service.
 ///
 /// A Fenwick tree over integer weights: a draw and a change of weight each take O(log n).
