--- a/crates/policy/benches/placement/main.rs
+++ b/crates/policy/benches/placement/main.rs
@@ -6,6 +6,7 @@
 mod least_bad;
 mod report;
 mod scenarios;
+mod setup;
 mod sim;
 mod trace;
 mod truth;
--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         report::{percent, Span, Table},
-        sim::{run, Change, Options, Pick, Policy, Retry, Scenario},
+        setup::{Change, Options, Pick, Policy, Retry, Scenario},
+        sim::run,
         trace::{Burst, Flow, Load, Shape},
     },
     std::{thread, time::Duration},
