--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -2,12 +2,13 @@
 
 use {
     crate::{
-        report::Span,
-        trace::{Flow, Load},
+        report::{max_over_mean, Span},
+        setup::{Change, Options, Pick, Policy, Retry, Scenario},
+        trace::Flow,
         truth::{Outcome, Truth},
     },
     foxtailhinge_policy::{
-        admission::{least_loaded, Admission, Limits, Start, WaitingList},
+        admission::{least_connected, least_loaded, Admission, Limits, Start, WaitingList},
         allowance::{Allowance, AllowanceSpec, Capacity},
         budget::RetryBudget,
         comeback::Comeback,
@@ -22,123 +23,11 @@
     },
 };
 
-/// How an upstream is chosen for a new flow.
-#[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Policy {
-    Random,
-    RoundRobin,
-    /// Two random ones, by the ingress daemon's own unfinished requests.
-    OwnCounts,
-    /// Least loaded, by a view refreshed every 250 ms.
-    StaleLeast,
-    /// Two random ones, by a view refreshed every 250 ms.
-    StaleTwo,
-    /// Candidates, whose owners admit or bounce.
-    Owner,
-}
-
-/// What the owners of the candidates decide by.
-#[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Pick {
-    /// The first with a free slot; the last one queues.
-    FirstFree,
-    /// The first with a free slot; when none has one, the least loaded queues.
-    FirstFreeElseLeast,
-    /// All are asked, the least loaded takes it.
-    LeastLoad,
-}
-
-/// What is on in a run.
-#[derive(Clone, Copy)]
-pub(crate) struct Options {
-    pub(crate) policy: Policy,
-    pub(crate) candidates: usize,
-    pub(crate) pick: Pick,
-    /// First candidates from a low-discrepancy sequence.
-    pub(crate) sequence: bool,
-    pub(crate) queue: u32,
-    /// An admitted flow holds a slot against other new ones until its first request.
-    pub(crate) reserve: bool,
-    pub(crate) allowance: bool,
-    /// Refused callers come back, after a time that `Comeback` spreads, or after 1 s.
-    pub(crate) comeback: Option<bool>,
-    /// Retries of shed requests: none, without bound, or with a budget in percent.
-    pub(crate) retry: Retry,
-    /// Slots of each upstream kept free of all new flows but those given up by a zone.
-    pub(crate) headroom: u32,
-}
-
-/// Retries of requests that an upstream shed.
-#[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Retry {
-    None,
-    Unbounded,
-    Budget(u32),
-}
-
-impl Options {
-    pub(crate) const OURS: Self = Self {
-        policy: Policy::Owner,
-        candidates: 3,
-        pick: Pick::FirstFreeElseLeast,
-        sequence: true,
-        queue: 16,
-        reserve: true,
-        allowance: true,
-        comeback: None,
-        retry: Retry::None,
-        headroom: 0,
-    };
-
-    pub(crate) const fn baseline(policy: Policy) -> Self {
-        Self {
-            policy,
-            allowance: false,
-            ..Self::OURS
-        }
-    }
-}
-
-/// Something that happens to the fleet.
-#[derive(Clone, Copy)]
-pub(crate) enum Change {
-    /// Every upstream `i` with `i % zones == zone` goes out of service.
-    ZoneOut(usize),
-    /// The zone comes back, its upstreams cold.
-    ZoneIn(usize),
-    /// One upstream falls into a cold start without a word.
-    Chill(usize),
-    /// One upstream sheds this share of its requests, whatever its load.
-    Sick(usize, f64),
-}
-
-/// Sizes and events of a scenario.
-#[derive(Clone)]
-pub(crate) struct Scenario {
-    pub(crate) upstreams: usize,
-    pub(crate) slots: u32,
-    pub(crate) daemons: usize,
-    pub(crate) zones: usize,
-    pub(crate) load: Load,
-    /// One way between caller and daemon.
-    pub(crate) caller: Duration,
-    /// One way between daemons.
-    pub(crate) hop: Duration,
-    pub(crate) deadline: Duration,
-    /// Time after which a caller gives up coming back.
-    pub(crate) patience: Duration,
-    pub(crate) ramp: Duration,
-    pub(crate) changes: Vec<(Duration, Change)>,
-    /// Starts of the spans that are measured; what arrives before the first is not.
-    pub(crate) spans: Vec<Duration>,
-    pub(crate) connections: u32,
-    /// Traces that are run.
-    pub(crate) seeds: u64,
-}
-
 const VIEW_AGE: Duration = Duration::from_millis(250);
 const COLD_SLOTS: u32 = 1;
 const COLD_CONNECTIONS: u32 = 100;
+/// More than any wait.
+const FAR: Duration = Duration::from_secs(3_600);
 /// Time that a shed request keeps its slot.
 const SHED_TIME: Duration = Duration::from_millis(5);
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
@@ -151,6 +40,7 @@
     Expire(usize),
     Refresh(usize),
     Change(Change),
+    Sample(usize),
 }
 
 /// A request at its owner.
@@ -285,12 +175,15 @@
                 since: origin + flow.at,
             });
         }
-        for i in 0..flows.len() {
-            sim.push(origin + flows[i].at, Event::Arrive(i as u32));
+        for (i, flow) in flows.iter().enumerate() {
+            sim.push(origin + flow.at, Event::Arrive(i as u32));
         }
         for (at, change) in &scenario.changes {
             sim.push(origin + *at, Event::Change(*change));
         }
+        for (span, start) in scenario.spans.iter().enumerate() {
+            sim.push(origin + *start, Event::Sample(span));
+        }
         for daemon in 0..sim.views.len() {
             let phase = VIEW_AGE.mul_f64(daemon as f64 / scenario.daemons as f64);
             sim.push(origin + phase, Event::Refresh(daemon));
@@ -341,6 +234,7 @@
             Event::Expire(upstream) => self.expire(upstream),
             Event::Refresh(daemon) => self.refresh(daemon),
             Event::Change(change) => self.change(change),
+            Event::Sample(span) => self.sample(span),
         }
     }
 
@@ -413,13 +307,16 @@
             return self.open_last(flow, here, at, deadline);
         }
         let free = match self.options.pick {
-            Pick::LeastLoad => false,
+            Pick::LeastLoad | Pick::LeastConnected => false,
             Pick::FirstFree | Pick::FirstFreeElseLeast => self.try_open(flow, here),
         };
         if free {
             return self.admit(flow, here, at);
         }
         if at < last {
+            if self.options.bounce_takes_place {
+                self.comeback[here].after(self.now, 0.0, &mut self.rng);
+            }
             self.push(
                 self.now + self.scenario.hop,
                 Event::Open(flow, at + 1, candidates),
@@ -479,7 +376,11 @@
                 offer
             })
             .collect();
-        least_loaded(&offers).map_or(here, |index| candidates[index])
+        let best = match self.options.pick {
+            Pick::LeastConnected => least_connected(&offers),
+            _ => least_loaded(&offers),
+        };
+        best.map_or(here, |index| candidates[index])
     }
 
     fn admit(&mut self, flow: u32, upstream: usize, hops: usize) {
@@ -519,7 +420,7 @@
         }
         match self.come_back(since, upstream) {
             Some(at) => self.push(at, Event::Arrive(flow)),
-            None => self.fail(since),
+            None => self.lose(flow, since),
         }
     }
 
@@ -547,6 +448,16 @@
         (at < since + self.scenario.patience).then_some(at)
     }
 
+    /// A refused flow's requests are all lost.
+    fn lose(&mut self, flow: u32, since: Instant) {
+        let state = &self.states[flow as usize];
+        let requests = self.flows[flow as usize].requests.len() as u64;
+        let left = requests - u64::from(state.next);
+        if let Some(span) = self.span(since) {
+            span.failed += left;
+        }
+    }
+
     fn fail(&mut self, since: Instant) {
         if let Some(span) = self.span(since) {
             span.failed += 1;
@@ -571,9 +482,12 @@
             self.own_add(job);
         }
         job.deadline = self.now + self.scenario.deadline;
-        let start = self.upstreams[job.upstream]
-            .admission
-            .start(self.now, job.deadline);
+        let told = if self.options.early {
+            job.deadline
+        } else {
+            job.deadline + FAR
+        };
+        let start = self.upstreams[job.upstream].admission.start(self.now, told);
         match start {
             Start::Run => self.send(job),
             Start::Wait => {
@@ -765,6 +679,12 @@
         }
     }
 
+    fn sample(&mut self, span: usize) {
+        let flows = self.upstreams.iter().filter(|u| u.in_service);
+        let flows: Vec<u64> = flows.map(|u| u.admission.connections().into()).collect();
+        self.spans[span].flows_imbalance = max_over_mean(&flows);
+    }
+
     fn change(&mut self, change: Change) {
         match change {
             Change::ZoneOut(zone) => self.set_zone(zone, false),
