Compare at a glance first, and push to a successor besides random peers

Ten changes from one daemon of eight took up to 3.9 s to be in force everywhere: with four zones of two, each push went to one zone mate and one random peer, and who was missed waited for an exchange. An exchange in sync costs a glance instead of 2.6 KB of sums.

--- /dev/null
+++ b/crates/daemon/benches/control/spread.rs
@@ -0,0 +1,95 @@
+//! Time for a change to spread over a fleet, and for a dead daemon to be removed everywhere.
+
+use {
+    crate::{
+        documents::record,
+        fleet::{
+            block_on,
+            until,
+            until_all,
+            Fleet,
+            Node,
+            Start, //
+        },
+        meter::{
+            print,
+            us, //
+        },
+    },
+    foxtailhinge::members::{
+        ControlLimits,
+        Source, //
+    },
+    foxtailhinge_policy::members::{
+        MemberState,
+        MembersSpec, //
+    },
+    std::time::{
+        Duration,
+        Instant, //
+    },
+};
+
+const ZONES: [&str; 4] = ["windhoek-1", "windhoek-2", "windhoek-3", "windhoek-4"];
+
+const CHANGES: u32 = 10;
+
+pub(crate) fn run() {
+    for n in [8, 24, 72] {
+        block_on(measure(n, ControlLimits::default()));
+    }
+}
+
+async fn measure(n: usize, limits: ControlLimits) {
+    let zones: Vec<_> = (0..n).map(|i| ZONES[i % ZONES.len()]).collect();
+    let fleet = Fleet::new(&zones);
+    let start = |i: usize| Start {
+        limits,
+        members: MembersSpec::default(),
+        ..Start::new(i, (0..8.min(n)).filter(|p| *p != i))
+    };
+    let mut nodes: Vec<_> = (0..n).map(|i| fleet.start(&start(i))).collect();
+    until_all(&nodes, "all are live", |n| n.live() == nodes.len()).await;
+    spread(n, &nodes).await;
+    remove(n, &mut nodes).await;
+}
+
+async fn spread(n: usize, nodes: &[Node]) {
+    let service = record(1, 1).service;
+    let mut longest = Duration::ZERO;
+    for revision in 1..=u64::from(CHANGES) {
+        let began = Instant::now();
+        nodes[0]
+            .control
+            .apply_document(record(1, revision), &Source::Platform);
+        until_all(nodes, "the change is in force", |n| {
+            n.revision(&service) == revision
+        })
+        .await;
+        longest = longest.max(began.elapsed());
+    }
+    print(
+        "spread: a change from one daemon, longest of ten",
+        n,
+        us(longest),
+    );
+}
+
+async fn remove(n: usize, nodes: &mut Vec<Node>) {
+    let Some(mut killed) = nodes.pop() else {
+        return;
+    };
+    let vm = killed.control.settings().vm.clone();
+    let began = Instant::now();
+    killed.kill().await;
+    let gone = |n: &Node| n.state_of(&vm) == Some(MemberState::Dead);
+    until("one has removed it", || nodes.iter().any(gone)).await;
+    let first = began.elapsed();
+    until_all(nodes, "all have removed it", gone).await;
+    print("spread: a killed daemon removed by the first", n, us(first));
+    print(
+        "spread: a killed daemon removed by all",
+        n,
+        us(began.elapsed()),
+    );
+}
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -5,11 +5,14 @@
         budget::ByteBudget,
         client::LinkError,
         message::{
+            fold,
             from_bucket_sums,
             to_bucket_sums,
             to_digest,
             to_revisions,
             Difference,
+            Freshness,
+            Glance,
             LinkReply,
             LinkRequest,
             Revision,
@@ -127,6 +130,10 @@
     budget: &mut ByteBudget,
 ) -> Result<Outcome, LinkError> {
     let began = Instant::now();
+    if is_in_sync(control, peer).await? {
+        control.synced(began);
+        return Ok(Outcome::Complete);
+    }
     for _ in 0..PAGES {
         let request = LinkRequest::Compare(Box::new(sums(control)));
         let asked = Instant::now();
@@ -148,6 +155,31 @@
     Ok(Outcome::Complete)
 }
 
+/// Compares at a glance, which is all that most exchanges need.
+async fn is_in_sync(control: &Rc<Control>, peer: &Member) -> Result<bool, LinkError> {
+    let asked = Instant::now();
+    let request = LinkRequest::Glance(glance(control));
+    let reply = control.links().request(control, peer, &request).await?;
+    control.reached(Instant::now());
+    let LinkReply::Glance(theirs) = reply else {
+        return Err(LinkError::Garbled);
+    };
+    let ours = glance(control);
+    if theirs.documents == ours.documents {
+        refresh(control, &theirs.freshness, asked);
+    }
+    Ok(theirs.documents == ours.documents && theirs.members == ours.members)
+}
+
+/// Takes over how fresh equal documents of a peer are.
+fn refresh(control: &Control, freshness: &Freshness, asked: Instant) {
+    control.documents_mut().set_synced(freshness.synced);
+    let age = freshness.age_ms.map(Duration::from_millis);
+    if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
+        control.confirm(at);
+    }
+}
+
 async fn adopt(
     control: &Rc<Control>,
     peer: &Member,
@@ -176,11 +208,7 @@
     let newer = control.documents().newer_in(buckets, &digest);
     announce(control, peer, &newer).await?;
     if *control.documents().sums() == from_bucket_sums(&sums.documents) {
-        control.documents_mut().set_synced(sums.synced);
-        let age = sums.age_ms.map(Duration::from_millis);
-        if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
-            control.confirm(at);
-        }
+        refresh(control, &sums.freshness, asked);
     }
     Ok(Outcome::Complete)
 }
@@ -331,13 +359,27 @@
     known.collect()
 }
 
+/// Returns this daemon's view at a glance.
+pub(crate) fn glance(control: &Control) -> Glance {
+    Glance {
+        documents: fold(control.documents().sums()),
+        members: fold(control.members().sums()),
+        freshness: freshness(control),
+    }
+}
+
 fn sums(control: &Control) -> Sums {
-    let documents = control.documents();
-    let age = control.confirmed().map(|at| at.elapsed());
     Sums {
-        documents: to_bucket_sums(documents.sums()),
+        documents: to_bucket_sums(control.documents().sums()),
         members: to_bucket_sums(control.members().sums()),
-        synced: documents.synced(),
+        freshness: freshness(control),
+    }
+}
+
+fn freshness(control: &Control) -> Freshness {
+    let age = control.confirmed().map(|at| at.elapsed());
+    Freshness {
+        synced: control.documents().synced(),
         age_ms: age.map(|age| age.as_millis() as u64),
     }
 }
--- a/crates/daemon/src/links/message.rs
+++ b/crates/daemon/src/links/message.rs
@@ -48,6 +48,26 @@
     pub seen: u64,
 }
 
+/// What tells in a few bytes whether two views are equal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Glance {
+    /// Sum of all documents.
+    pub documents: u64,
+    /// Sum of all members.
+    pub members: u64,
+    /// How fresh the documents are.
+    pub freshness: Freshness,
+}
+
+/// How fresh the documents of a daemon are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Freshness {
+    /// Platform's revision up to which all documents are known.
+    pub synced: u64,
+    /// Milliseconds since the platform last confirmed the documents, if it ever did.
+    pub age_ms: Option<u64>,
+}
+
 /// The sum of one bucket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct BucketSum {
@@ -64,10 +84,8 @@
     pub documents: Vec<BucketSum>,
     /// Sums of the members, those of empty buckets left out.
     pub members: Vec<BucketSum>,
-    /// Platform's revision up to which all documents are known.
-    pub synced: u64,
-    /// Milliseconds since the platform last confirmed the documents, if it ever did.
-    pub age_ms: Option<u64>,
+    /// How fresh the documents are.
+    pub freshness: Freshness,
 }
 
 /// What differs between the views of two daemons.
@@ -92,6 +110,8 @@
 pub enum LinkRequest {
     /// Opens a link with the sender's own record.
     Hello(MemberUpdate),
+    /// Asks whether the views of both daemons differ.
+    Glance(Glance),
     /// Compares the views of both daemons.
     Compare(Box<Sums>),
     /// Tells of changed documents; the answer names those that are wanted.
@@ -113,6 +133,8 @@
     Ok,
     /// The answering daemon has spent its bytes for copies; ask again after this many milliseconds.
     Busy(u64),
+    /// The answering daemon's view at a glance.
+    Glance(Glance),
     /// What differs.
     Difference(Box<Difference>),
     /// Services whose announced documents are wanted.
@@ -155,6 +177,14 @@
         .collect()
 }
 
+/// Returns one sum over all buckets.
+pub fn fold(sums: &[u64; BUCKETS]) -> u64 {
+    let numbered = (1..).zip(sums);
+    numbered.fold(0, |all: u64, (bucket, sum)| {
+        all.rotate_left(5) ^ sum.wrapping_mul(2 * bucket + 1)
+    })
+}
+
 /// Returns sums that were received.
 pub fn from_bucket_sums(sums: &[BucketSum]) -> [u64; BUCKETS] {
     let mut all = [0; BUCKETS];
--- a/crates/daemon/src/links/push.rs
+++ b/crates/daemon/src/links/push.rs
@@ -9,9 +9,12 @@
         control::count,
         Control, //
     },
-    foxtailhinge_policy::members::{
-        Member,
-        MemberState, //
+    foxtailhinge_policy::{
+        members::{
+            Member,
+            MemberState, //
+        },
+        rendezvous::NameKey,
     },
     rand::seq::IteratorRandom,
     std::{
@@ -48,6 +51,9 @@
     }
 }
 
+/// Draws peers of the own zone and of others, and adds this daemon's successor in the fleet.
+///
+/// Each daemon is the successor of one other, so that no daemon is missed by chance alone.
 fn pick_peers(control: &Control) -> Vec<Member> {
     let limits = control.settings().limits;
     let members = control.members();
@@ -60,6 +66,19 @@
     let near = alive().filter(|m| m.zone == me.zone);
     let mut peers = near.choose_multiple(&mut *rng, limits.push_near);
     let far = alive().filter(|m| m.zone != me.zone);
-    peers.extend(far.choose_multiple(&mut *rng, limits.push_far));
+    let rest = limits.push_near + limits.push_far - peers.len();
+    peers.extend(far.choose_multiple(&mut *rng, rest));
+    if let Some(successor) = successor(me, alive()) {
+        if peers.iter().all(|m| m.vm != successor.vm) {
+            peers.push(successor);
+        }
+    }
     peers.into_iter().cloned().collect()
 }
+
+/// Returns the member that follows `me` in the order of the names' hashes.
+fn successor<'a>(me: &Member, others: impl Iterator<Item = &'a Member>) -> Option<&'a Member> {
+    let place = |m: &Member| NameKey::new(&m.vm).get();
+    let mine = place(me);
+    others.min_by_key(|m| place(m).wrapping_sub(mine))
+}
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -222,6 +222,7 @@
                 control.merge_members([record]);
                 LinkReply::Ok
             }
+            LinkRequest::Glance(_) => LinkReply::Glance(exchange::glance(control)),
             LinkRequest::Compare(sums) => exchange::difference(control, &sums),
             LinkRequest::Announce(revisions) => exchange::wanted(control, revisions),
             LinkRequest::Push(records) => {
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -52,7 +52,7 @@
     pub copy_burst: u64,
     /// Peers of the own zone that hear of a change at once.
     pub push_near: usize,
-    /// Peers of other zones that hear of a change at once.
+    /// Peers of other zones that hear of a change at once; more if the own zone has too few.
     pub push_far: usize,
     /// Readers of the platform in each zone.
     pub readers: usize,
@@ -78,16 +78,16 @@
             heard_fresh: Duration::from_millis(250),
             probe_timeout: Duration::from_millis(300),
             gossip: 6,
-            exchange_interval: Duration::from_secs(5),
+            exchange_interval: Duration::from_secs(2),
             retry_interval: Duration::from_millis(250),
             link_timeout: Duration::from_secs(3),
             link_idle: Duration::from_secs(60),
             links: 16,
             inbound_links: 48,
-            copy_rate: 12_000,
+            copy_rate: 10_000,
             copy_burst: 256_000,
-            push_near: 3,
-            push_far: 1,
+            push_near: 2,
+            push_far: 2,
             readers: 3,
             watch: Duration::from_secs(20),
             platform_timeout: Duration::from_secs(3),
--- a/crates/daemon/tests/control/messages.rs
+++ b/crates/daemon/tests/control/messages.rs
@@ -6,6 +6,7 @@
             decode,
             encode,
             to_bucket_sums,
+            Freshness,
             Revision,
             Sums, //
         },
@@ -58,8 +59,10 @@
     LinkRequest::Compare(Box::new(Sums {
         documents: to_bucket_sums(&sums),
         members: to_bucket_sums(&sums),
-        synced: 1,
-        age_ms: None,
+        freshness: Freshness {
+            synced: 1,
+            age_ms: None,
+        },
     }))
 }
 
