--- a/crates/daemon/benches/control/main.rs
+++ b/crates/daemon/benches/control/main.rs
@@ -14,9 +14,9 @@
 mod spread;
 
 fn main() {
-    //members::run();
-    //documents::run();
-    //probes::run();
-    //links::run();
+    members::run();
+    documents::run();
+    probes::run();
+    links::run();
     spread::run();
 }
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -135,6 +135,8 @@
 
     /// Sends one round of probes.
     pub fn round(&self) {
+        let fresh = self.control.settings().limits.heard_fresh;
+        self.heard.borrow_mut().retain(|_, at| at.elapsed() < fresh);
         let mut members = self.control.members_mut();
         let targets = members.probe_targets(&mut *self.control.rng());
         drop(members);
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -84,7 +84,7 @@
             link_idle: Duration::from_secs(60),
             links: 16,
             inbound_links: 48,
-            copy_rate: 10_000,
+            copy_rate: 8_000,
             copy_burst: 256_000,
             push_near: 2,
             push_far: 2,
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -404,12 +404,14 @@
     /// Returns the owner of `upstream` among the live members of `zone`.
     pub fn owner(&self, upstream: &str, zone: &str) -> Option<&Member> {
         let upstream = NameKey::new(upstream);
-        let live = &self.zones.get(zone)?.live;
-        let best = live.iter().max_by_key(|&&(key, slot)| {
-            let vm = &self.known(slot).member.vm;
-            (score_keys(upstream, key), Reverse(vm))
+        let live = self.zones.get(zone)?.live.iter();
+        let scored = live.map(|&(key, slot)| (score_keys(upstream, key), slot));
+        let name = |slot: usize| &self.known(slot).member.vm;
+        let best = scored.max_by(|a, b| {
+            let by_score = a.0.cmp(&b.0);
+            by_score.then_with(|| name(b.1).cmp(name(a.1)))
         });
-        best.map(|&(_, slot)| &self.known(slot).member)
+        best.map(|(_, slot)| &self.known(slot).member)
     }
 
     /// Returns the next owner of `upstream` in `zone` if `vm` were gone.
