Bound probes on use and pushes to joining daemons, and read the VM list first

Joining with 30 peers took 1.8 s, which their rate does not allow: peers that compared views pushed all 7,300 documents at once, outside of the budget for copies. A daemon that still copies announces nothing. At full size nearly each packet goes to a daemon not heard of for 250 ms, about 230 a second and 300 B each: probes on use are bounded to ten a second. A fresh daemon reads the VM list first and spreads its read of documents by the size of the fleet.

--- a/crates/daemon/benches/control/links.rs
+++ b/crates/daemon/benches/control/links.rs
@@ -87,6 +87,7 @@
     full.control.learn_members(records.collect());
     let joining = join(n, &fleet).await;
     compare(n, &full, &joining).await;
+    compare_on_new_links(n, &full, &joining).await;
 }
 
 async fn measure_push(n: usize) {
@@ -99,6 +100,7 @@
     })
     .await;
     until("both are known", || full.live() == 2).await;
+    until("both have synced", || full.control.is_synced()).await;
     push(n, &full, &joining).await;
 }
 
@@ -145,6 +147,32 @@
     print("links: exchange in sync: time of both ends", n, us(time));
 }
 
+/// Measures exchanges that open a link each, as most do in a zone of many daemons.
+async fn compare_on_new_links(n: usize, full: &Node, joining: &Node) {
+    let peer = full.control.members().me().clone();
+    let limits = joining.control.settings().limits;
+    let mut budget = ByteBudget::new(limits.copy_rate, limits.copy_burst, Instant::now());
+    let before = (bytes(joining), cpu());
+    for _ in 0..EXCHANGES {
+        joining.control.links().close_all();
+        exchange(&joining.control, &peer, &mut budget)
+            .await
+            .unwrap();
+    }
+    let used = (bytes(joining) - before.0) / u64::from(EXCHANGES);
+    print(
+        "links: exchange on a new link: bytes in bodies",
+        n,
+        format!("{used} B"),
+    );
+    let time = (cpu() - before.1) / EXCHANGES;
+    print(
+        "links: exchange on a new link: time of both ends",
+        n,
+        us(time),
+    );
+}
+
 async fn push(n: usize, full: &Node, joining: &Node) {
     let before = (bytes(full), cpu());
     let mut revision = n as u64;
--- a/crates/daemon/benches/control/spread.rs
+++ b/crates/daemon/benches/control/spread.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        documents::record,
+        documents::{
+            fill,
+            record, //
+        },
         fleet::{
             block_on,
             until,
@@ -34,12 +37,47 @@
 
 const CHANGES: u32 = 10;
 
+const SERVING: usize = 30;
+
+const DOCUMENTS: usize = 7_300;
+
 pub(crate) fn run() {
+    block_on(measure_join());
     for n in [8, 24, 72] {
         block_on(measure(n, ControlLimits::default()));
     }
 }
 
+/// Measures a join of all documents from peers that keep to their rate, the platform being down.
+async fn measure_join() {
+    let fleet = Fleet::new(&["windhoek-1"; SERVING + 1]);
+    let all = 0..SERVING;
+    let start = |i: usize| Start {
+        limits: ControlLimits::default(),
+        members: MembersSpec::default(),
+        ..Start::new(i, all.clone().filter(|p| *p != i))
+    };
+    let nodes: Vec<_> = all.clone().map(|i| fleet.start(&start(i))).collect();
+    for node in &nodes {
+        fill(&node.control, DOCUMENTS);
+    }
+    until_all(&nodes, "all are live", |n| n.live() == nodes.len()).await;
+    until_all(&nodes, "all have synced", |n| n.control.is_synced()).await;
+    let began = Instant::now();
+    let joining = fleet.start(&Start {
+        peers: vec![0, 1, 2],
+        ..start(SERVING)
+    });
+    joining.control.set_deny(["platform".into()]);
+    let complete = || joining.control.documents().len() == DOCUMENTS;
+    until("the joining daemon is complete", complete).await;
+    print(
+        "spread: join from 30 peers at their rate",
+        DOCUMENTS,
+        us(began.elapsed()),
+    );
+}
+
 async fn measure(n: usize, limits: ControlLimits) {
     let zones: Vec<_> = (0..n).map(|i| ZONES[i % ZONES.len()]).collect();
     let fleet = Fleet::new(&zones);
@@ -50,6 +88,7 @@
     };
     let mut nodes: Vec<_> = (0..n).map(|i| fleet.start(&start(i))).collect();
     until_all(&nodes, "all are live", |n| n.live() == nodes.len()).await;
+    until_all(&nodes, "all have synced", |n| n.control.is_synced()).await;
     spread(n, &nodes).await;
     remove(n, &mut nodes).await;
 }
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -22,7 +22,10 @@
         },
     },
     crate::members::{
-        control::count,
+        control::{
+            count,
+            NEWS_MAX, //
+        },
         record,
         Control,
         Source, //
@@ -206,7 +209,10 @@
     }
     let buckets = difference.document_buckets;
     let newer = control.documents().newer_in(buckets, &digest);
-    announce(control, peer, &newer).await?;
+    // Who lacks many documents fetches them at the rate of copies.
+    if newer.len() <= NEWS_MAX {
+        announce(control, peer, &newer).await?;
+    }
     if *control.documents().sums() == from_bucket_sums(&sums.documents) {
         refresh(control, &sums.freshness, asked);
     }
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -109,8 +109,8 @@
     counter.set(counter.get() + n);
 }
 
-/// Records in one copy of a view up to which they are passed on as news.
-const NEWS_MAX: usize = 32;
+/// Records or documents in one copy up to which they are passed on as news.
+pub(crate) const NEWS_MAX: usize = 32;
 
 type Listener = Rc<dyn Fn(&ControlEvent)>;
 
@@ -271,6 +271,8 @@
     }
 
     /// Takes a document, or a removal, from the platform or a peer.
+    ///
+    /// A change is told to peers, but not by a daemon that still copies what they have.
     pub fn apply_document(&self, record: DocumentRecord, source: &Source) -> Offer {
         let service: Rc<str> = record.service.into();
         let revision = record.revision;
@@ -426,8 +428,10 @@
     }
 
     fn announce(&self, service: &Rc<str>) {
-        self.fresh.borrow_mut().push(service.clone());
-        self.fresh_wake.set();
+        if self.is_synced() {
+            self.fresh.borrow_mut().push(service.clone());
+            self.fresh_wake.set();
+        }
     }
 
     async fn watch_pauses(&self) {
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -66,6 +66,7 @@
     next_seq: Cell<u32>,
     last_expiry: Cell<Instant>,
     heard: RefCell<HashMap<u32, Instant>>,
+    use_probes: Cell<u32>,
     pending: RefCell<HashMap<u32, Pending>>,
     on_behalf: RefCell<HashMap<u32, OnBehalf>>,
 }
@@ -77,6 +78,7 @@
             next_seq: Cell::new(control.settings().incarnation),
             last_expiry: Cell::new(Instant::now()),
             heard: RefCell::default(),
+            use_probes: Cell::new(control.settings().limits.use_probes),
             control,
             sender,
             pending: RefCell::default(),
@@ -108,26 +110,34 @@
     }
 
     /// Probes a daemon that a packet goes to, unless it was heard of lately or is probed already.
+    ///
+    /// In a large fleet nearly each packet goes to a daemon not heard of lately, hence the limit.
     pub fn on_use(&self, member: &Member) {
-        let now = Instant::now();
-        let fresh = self.control.settings().limits.heard_fresh;
-        let hash = name_hash(&member.vm);
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < fresh;
-        if self.heard.borrow().get(&hash).is_some_and(recent) {
+        let left = self.use_probes.get();
+        if left == 0 || self.is_heard(member) || self.is_probed(member) {
             return;
         }
-        let probed = self.pending.borrow().values().any(|p| p.vm == member.vm);
-        if !probed
-            && self
-                .control
-                .members()
-                .get(&member.vm)
-                .is_some_and(Member::is_live)
-        {
+        let members = self.control.members();
+        let live = members.get(&member.vm).is_some_and(Member::is_live);
+        drop(members);
+        if live {
+            self.use_probes.set(left - 1);
             self.ping(member);
         }
     }
 
+    fn is_heard(&self, member: &Member) -> bool {
+        let fresh = self.control.settings().limits.heard_fresh;
+        let heard = self.heard.borrow();
+        let at = heard.get(&name_hash(&member.vm));
+        at.is_some_and(|at| at.elapsed() < fresh)
+    }
+
+    fn is_probed(&self, member: &Member) -> bool {
+        let pending = self.pending.borrow();
+        pending.values().any(|p| p.vm == member.vm)
+    }
+
     /// Notes that a daemon was heard of.
     pub fn on_heard(&self, from: u32) {
         self.heard.borrow_mut().insert(from, Instant::now());
@@ -135,7 +145,9 @@
 
     /// Sends one round of probes.
     pub fn round(&self) {
-        let fresh = self.control.settings().limits.heard_fresh;
+        let limits = self.control.settings().limits;
+        let fresh = limits.heard_fresh;
+        self.use_probes.set(limits.use_probes);
         self.heard.borrow_mut().retain(|_, at| at.elapsed() < fresh);
         let mut members = self.control.members_mut();
         let targets = members.probe_targets(&mut *self.control.rng());
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -29,6 +29,8 @@
     pub probe_tick: Duration,
     /// Time for which a daemon that was heard of needs no probe before a packet goes to it.
     pub heard_fresh: Duration,
+    /// Probes in one interval of daemons that packets go to.
+    pub use_probes: u32,
     /// Time that an answer to a probe may take.
     pub probe_timeout: Duration,
     /// Gossiped records in one probe.
@@ -76,6 +78,7 @@
             probe_interval: Duration::from_secs(1),
             probe_tick: Duration::from_millis(100),
             heard_fresh: Duration::from_millis(250),
+            use_probes: 10,
             probe_timeout: Duration::from_millis(300),
             gossip: 6,
             exchange_interval: Duration::from_secs(2),
@@ -84,7 +87,7 @@
             link_idle: Duration::from_secs(60),
             links: 16,
             inbound_links: 48,
-            copy_rate: 8_000,
+            copy_rate: 6_000,
             copy_burst: 256_000,
             push_near: 2,
             push_far: 2,
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -28,6 +28,7 @@
     futures::join,
     rand::Rng,
     std::{
+        cell::Cell,
         rc::Rc,
         time::{
             Duration,
@@ -49,6 +50,7 @@
 pub struct Reader {
     control: Rc<Control>,
     client: Client,
+    vms_revision: Cell<Option<u64>>,
 }
 
 impl Reader {
@@ -57,6 +59,7 @@
         Self {
             client: Client::new(control.clone()),
             control,
+            vms_revision: Cell::new(None),
         }
     }
 
@@ -65,7 +68,7 @@
         if self.control.settings().platform.is_none() {
             return;
         }
-        self.start_delay().await;
+        self.start().await;
         join!(self.read_documents(), self.read_vms());
     }
 
@@ -105,18 +108,17 @@
 
     async fn read_vms(&self) {
         let mut backoff = Backoff::new(self.control.settings().limits.platform_backoff);
-        let mut since = None;
         loop {
             self.turn().await;
             let began = Instant::now();
             let wait = self.control.settings().limits.watch;
-            let result = match since {
+            let result = match self.vms_revision.get() {
                 Some(since) => self.client.watch_vms(since, wait).await,
                 None => self.client.vms().await,
             };
             match result {
                 Ok(list) => {
-                    let idle = !self.take_vms(list, &mut since) && began.elapsed() < wait / 2;
+                    let idle = !self.take_vms(list) && began.elapsed() < wait / 2;
                     self.pace(idle, &mut backoff).await;
                 }
                 Err(err) => self.fail("vms", &err, &mut backoff).await,
@@ -148,11 +150,12 @@
     }
 
     /// Returns whether the list is newer than the one known.
-    fn take_vms(&self, list: VmList, since: &mut Option<u64>) -> bool {
-        if since.is_some_and(|known| list.revision <= known) {
+    fn take_vms(&self, list: VmList) -> bool {
+        let known = self.vms_revision.get();
+        if known.is_some_and(|known| list.revision <= known) {
             return false;
         }
-        *since = Some(list.revision);
+        self.vms_revision.set(Some(list.revision));
         let listed = list.vms.into_iter().map(|vm| Listed {
             vm: vm.id,
             zone: vm.zone,
@@ -206,9 +209,16 @@
         members.iter().filter(|m| m.zone == *zone).count() <= 1
     }
 
-    async fn start_delay(&self) {
-        let delay = self.share_delay();
-        monoio::time::sleep(delay).await;
+    /// Reads the VM list first, which tells how many daemons share the platform's rate.
+    async fn start(&self) {
+        monoio::time::sleep(self.share_delay()).await;
+        match self.client.vms().await {
+            Ok(list) => {
+                self.take_vms(list);
+            }
+            Err(err) => log::info!("event=platform_call_failed call=vms cause=\"{err}\""),
+        }
+        monoio::time::sleep(self.share_delay()).await;
     }
 
     /// Draws a wait such that all daemons together stay within their share of calls.
