--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -5,6 +5,7 @@
         admission::{
             Admission,
             Limits,
+            Offer,
             Refusal,
             Start,
             WaitingList, //
@@ -67,10 +68,8 @@
 pub struct Entry {
     /// When its caller no longer waits.
     pub deadline: Instant,
-    /// Whether no other candidate is left.
-    pub last: bool,
-    /// Whether all candidates are down and this one is the least bad.
-    pub although_down: bool,
+    /// Whether the upstream was chosen among all candidates, so that the flow may wait or meet a down one.
+    pub chosen: bool,
 }
 
 /// How a request ended at the upstream.
@@ -164,13 +163,13 @@
     /// The reason for which the flow is not admitted.
     pub fn open(&mut self, now: Instant, entry: Entry) -> Result<(), Refusal> {
         self.refresh(now);
-        if self.is_down(now) && !entry.although_down {
+        if self.is_down(now) && !entry.chosen {
             return Err(Refusal::Down);
         }
         if self.is_shedding(now) {
             return Err(Refusal::Shedding);
         }
-        let res = if entry.last {
+        let res = if entry.chosen {
             self.admission.open_last(now, entry.deadline)
         } else {
             self.admission.open(now)
@@ -181,6 +180,14 @@
         res
     }
 
+    /// What to tell of the upstream when a flow goes on to the next candidate.
+    pub fn offer(&mut self, now: Instant) -> Offer {
+        self.refresh(now);
+        let mut offer = self.admission.offer(now);
+        offer.open &= !self.is_down(now) && !self.is_shedding(now);
+        offer
+    }
+
     /// Turns a reservation into a connection.
     ///
     /// # Errors
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -9,7 +9,10 @@
             load::Entry,
             owner::Holding,
             path::DataPath,
-            request::Job,
+            request::{
+                Job,
+                REGISTER, //
+            },
             service::Service,
             upstream::Upstream, //
         },
@@ -22,7 +25,7 @@
     foxtailhinge_wire::{
         coap::Datagram,
         message::{
-            DownCandidate,
+            CandidateOffer,
             Open,
             RelayMessage, //
         },
@@ -49,22 +52,29 @@
             candidates: candidates.to_vec(),
             next: 0,
             confirmed,
-            down: Vec::new(),
+            chosen: false,
+            offers: Vec::new(),
             datagram: arrived.buf.to_vec(),
         };
         self.offer(arrived.service, open);
     }
 
-    /// Asks the next candidate that has an owner; without one the caller is refused.
+    /// Asks the next candidate that has an owner; without one a candidate is chosen.
     fn offer(self: &Rc<Self>, service: &Rc<Service>, mut open: Open) {
         while let Some(name) = open.candidates.get(usize::from(open.next)) {
             if let Some(owner) = self.candidate_owner(service, *name) {
                 self.deliver(&owner, RelayMessage::Open(open));
                 return;
             }
+            if open.chosen {
+                break;
+            }
             open.next += 1;
         }
-        self.refuse_open(service, &open, service.come_back(Instant::now()));
+        let Ok(req) = Datagram::parse(&open.datagram) else {
+            return;
+        };
+        self.choose(service, open, is_registration(&req));
     }
 
     fn candidate_owner(&self, service: &Service, name: u32) -> Option<Member> {
@@ -80,55 +90,60 @@
         let Ok(req) = Datagram::parse(&open.datagram) else {
             return;
         };
-        let now = Instant::now();
+        let feed = is_registration(&req);
         let Some((up, name)) = self.candidate(&service, &open) else {
-            if open.is_last() && self.wait_for_claim(&service, &open) {
-                return;
+            let last = open.chosen || open.is_last();
+            if !(last && self.wait_for_claim(&service, &open)) {
+                self.ask_next(&service, open, feed);
             }
-            self.ask_next(&service, open, service.come_back(now));
             return;
         };
+        let now = Instant::now();
         let entry = Entry {
             deadline: service.deadline(&req, now),
-            last: open.is_last(),
-            although_down: open.all_down(),
+            chosen: open.chosen,
         };
-        let admitted = up.load_mut().open(now, entry);
-        match admitted {
-            Ok(()) => self.admit(&service, &up, name, &open, req),
-            Err(_) => {
-                if up.load().is_down(now) && !entry.although_down {
-                    let health = up.load().health(now);
-                    open.down.push(DownCandidate {
-                        index: open.next,
-                        health,
-                    });
-                }
-                let after = up.load_mut().come_back(now);
-                if entry.although_down {
-                    self.refuse_open(&service, &open, after);
-                } else {
-                    self.ask_next(&service, open, after);
-                }
-            }
+        // A feed lasts, so all candidates are asked before one of them gets it.
+        let ask_only = feed && !open.chosen;
+        if !ask_only && up.load_mut().open(now, entry).is_ok() {
+            self.admit(&service, &up, name, &open, req);
+            return;
+        }
+        if open.chosen {
+            let after = up.load_mut().come_back(now);
+            self.refuse_open(&service, &open, after);
+            return;
         }
+        let offer = up.load_mut().offer(now);
+        let health = up.load().health(now);
+        open.offers.push(CandidateOffer {
+            index: open.next,
+            offer,
+            health,
+        });
+        self.ask_next(&service, open, feed);
     }
 
-    /// Passes a flow that was not admitted to the next candidate. When all are down the least bad one
-    /// gets it; otherwise the last one refuses.
-    fn ask_next(self: &Rc<Self>, service: &Rc<Service>, mut open: Open, after: Duration) {
-        if !open.is_last() {
-            self.metrics.bounces.inc();
-            open.next += 1;
-            self.offer(service, open);
+    /// Passes a flow that was not admitted to the next candidate, after the last one to the best of them.
+    fn ask_next(self: &Rc<Self>, service: &Rc<Service>, mut open: Open, feed: bool) {
+        if open.chosen || open.is_last() {
+            self.choose(service, open, feed);
             return;
         }
-        match open.least_bad() {
-            Some(index) if open.all_down() => {
+        self.metrics.bounces.inc();
+        open.next += 1;
+        self.offer(service, open);
+    }
+
+    /// Sends a flow to the best of the candidates that were asked, or refuses it.
+    fn choose(self: &Rc<Self>, service: &Rc<Service>, mut open: Open, feed: bool) {
+        match open.choose(feed) {
+            Some(index) if !open.chosen => {
+                open.chosen = true;
                 open.next = index;
                 self.offer(service, open);
             }
-            _ => self.refuse_open(service, &open, after),
+            _ => self.refuse_open(service, &open, service.come_back(Instant::now())),
         }
     }
 
@@ -219,3 +234,8 @@
         service.socket.send_to(&rsp.to_bytes(), open.caller);
     }
 }
+
+/// Whether the request registers for a feed.
+fn is_registration(req: &Datagram) -> bool {
+    req.observe() == Some(REGISTER)
+}
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -45,7 +45,7 @@
 const SHED_PAUSE: Duration = Duration::from_millis(20);
 
 /// Observe value with which a caller registers for a feed (RFC 7641).
-const REGISTER: u32 = 0;
+pub const REGISTER: u32 = 0;
 
 /// A request that the upstream should answer.
 pub struct Job {
--- a/crates/daemon/tests/caller_contract.rs
+++ b/crates/daemon/tests/caller_contract.rs
@@ -49,7 +49,7 @@
     results.into_iter().filter_map(counter).sum()
 }
 
-fn flip(ticket: &mut Vec<u8>, place: usize) {
+fn flip(ticket: &mut [u8], place: usize) {
     ticket[place] ^= 1;
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,9 +5,16 @@
         Decode,
         Encode, //
     },
-    foxtailhinge_policy::health::{
-        self,
-        HealthView, //
+    foxtailhinge_policy::{
+        admission::{
+            self,
+            Offer, //
+        },
+        health::{
+            self,
+            HealthState,
+            HealthView, //
+        },
     },
     std::net::SocketAddr,
 };
@@ -66,8 +73,10 @@
     pub next: u8,
     /// Whether the caller's address is confirmed, so that the request is served at once.
     pub confirmed: bool,
-    /// Health of the candidates that refused because they are down, with their indices.
-    pub down: Vec<DownCandidate>,
+    /// Whether the candidate that is asked now was chosen among all of them.
+    pub chosen: bool,
+    /// What the candidates asked before have told.
+    pub offers: Vec<CandidateOffer>,
     /// The caller's datagram as it arrived.
     pub datagram: Vec<u8>,
 }
@@ -78,29 +87,42 @@
         usize::from(self.next) + 1 >= self.candidates.len()
     }
 
-    /// Whether every candidate has refused because it is down.
-    pub fn all_down(&self) -> bool {
-        !self.candidates.is_empty() && self.down.len() == self.candidates.len()
+    /// Index of the candidate that takes the flow after all were asked; `feed` when it will last.
+    ///
+    /// When all are down it is the least bad one.
+    pub fn choose(&self, feed: bool) -> Option<u8> {
+        let offers: Vec<Offer> = self.offers.iter().map(|one| one.offer).collect();
+        let best = if feed {
+            admission::least_connected(&offers)
+        } else {
+            admission::least_loaded(&offers)
+        };
+        let best = best.or_else(|| self.least_bad())?;
+        Some(self.offers[best].index)
     }
 
-    /// Index of the least bad among the candidates that are down.
-    pub fn least_bad(&self) -> Option<u8> {
-        let views: Vec<HealthView> = self.down.iter().map(|one| one.health).collect();
-        let best = health::least_bad(&views)?;
-        Some(self.down[best].index)
+    fn least_bad(&self) -> Option<usize> {
+        let views: Vec<HealthView> = self.offers.iter().map(|one| one.health).collect();
+        let down = views.iter().filter(|view| view.state == HealthState::Down);
+        if down.count() < self.candidates.len() {
+            return None;
+        }
+        health::least_bad(&views)
     }
 }
 
-/// A candidate that refused a flow because it is down.
+/// What a candidate's owner tells that has not taken a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
-pub struct DownCandidate {
+pub struct CandidateOffer {
     /// Index of the candidate.
     pub index: u8,
-    /// Its health as its owner sees it.
+    /// Its load.
+    pub offer: Offer,
+    /// Its health.
     pub health: HealthView,
 }
 
-impl Eq for DownCandidate {}
+impl Eq for CandidateOffer {}
 
 /// A request of a flow.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -109,7 +109,8 @@
             candidates: vec![2, 3, 4],
             next: 1,
             confirmed: false,
-            down: Vec::new(),
+            chosen: false,
+            offers: Vec::new(),
             datagram: datagram.clone(),
         }),
         RelayMessage::Forward(Forward {
