--- a/crates/daemon/src/data/feed.rs
+++ b/crates/daemon/src/data/feed.rs
@@ -68,7 +68,7 @@
             name,
             flow,
             request,
-            observe: 0,
+            observe: clock_value(),
             seen: None,
             lease: now + LEASE_MIN,
         }
@@ -104,13 +104,7 @@
 
     /// The next Observe value for the caller: it follows the clock, so that it grows from owner to owner.
     pub fn next_observe(&mut self) -> u32 {
-        let clock = clock_value();
-        let next = self.observe.wrapping_add(1) & OBSERVE_MASK;
-        self.observe = if is_newer(clock, self.observe) {
-            clock
-        } else {
-            next
-        };
+        self.observe = next_value(self.observe, clock_value());
         self.observe
     }
 
@@ -130,6 +124,15 @@
     }
 }
 
+/// The Observe value after `last`: the clock's unless that has not passed `last` yet.
+pub fn next_value(last: u32, clock: u32) -> u32 {
+    if is_newer(clock, last) {
+        clock
+    } else {
+        last.wrapping_add(1) & OBSERVE_MASK
+    }
+}
+
 fn is_newer(value: u32, than: u32) -> bool {
     let ahead = value.wrapping_sub(than) & OBSERVE_MASK;
     ahead != 0 && ahead < OBSERVE_HALF
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -240,6 +240,12 @@
         self.record_owner(addr, from, Some(&me));
         if let Some((member, state)) = former {
             self.metrics.hand_overs.inc(HandOverResult::Received);
+            Event::new("upstream_received")
+                .field("upstream", addr)
+                .field("from", &member.vm)
+                .field("flows", state.flows.len())
+                .field("feeds", state.feeds.len())
+                .info();
             self.take_flows(&up, member, state);
         }
         if let Some(Holding::Claiming(waiting)) = before {
@@ -301,6 +307,10 @@
                 path.take_feed(&up, record).await;
             }
             let upstream = up.addr();
+            Event::new("feeds_taken_up")
+                .field("upstream", upstream)
+                .field("feeds", up.feeds.borrow().len())
+                .info();
             path.tell(&former, OwnerRequest::Settled { upstream }).await;
         });
     }
@@ -345,6 +355,13 @@
         let me = Rc::clone(&self.control.settings().vm);
         self.record_owner(addr, Some(&me), Some(from));
         let state = export(&up);
+        Event::new("upstream_handed_over")
+            .field("upstream", addr)
+            .field("to", from)
+            .field("flows", state.flows.len())
+            .field("feeds", state.feeds.len())
+            .field("in_use", state.in_use)
+            .info();
         self.part(up, from, state.in_use);
         OwnerReply::HandOver(state)
     }
