--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -74,7 +74,7 @@
 /// What a feed saw.
 #[derive(Clone, Debug, Default)]
 pub struct FeedStats {
-    /// Notifications, answers to registrations included.
+    /// Notifications that were news, answers to registrations included.
     pub notifications: u64,
     /// Notifications older than one that came before.
     pub reordered: u64,
@@ -308,7 +308,6 @@
             self.renew = now + age.mul_f64(RENEW_SHARE);
         }
         let mut stats = self.inner.stats();
-        stats.notifications += 1;
         match self.last {
             None => stats.established += 1,
             Some((_, last)) if is_older(value, last) => {
@@ -317,6 +316,7 @@
             }
             Some((at, _)) => stats.largest_gap = stats.largest_gap.max(now - at),
         }
+        stats.notifications += 1;
         stats.heard = Some(now);
         stats.upstream = upstream;
         drop(stats);
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     caller::Counts,
+    load::Sample,
     scenario::{
         act::ZONE_QUIET_AFTER,
         tally::runs,
@@ -63,12 +64,19 @@
         ))
     }
 
+    /// Requests without a known outcome; each one's flow follows when there are any.
     fn report_lost(&self) -> String {
         let (unknown, silent) = (
             self.tally.outcomes("unknown"),
             self.tally.outcomes("timed out"),
         );
-        format!("unknown {unknown}, timed out {silent}")
+        let mut text = format!("unknown {unknown}, timed out {silent}");
+        for sample in &self.tally.samples {
+            if ["unknown", "timed out"].contains(&sample.outcome) {
+                text += &lost(sample);
+            }
+        }
+        text
     }
 
     fn report_wrong(&mut self) -> anyhow::Result<String> {
@@ -133,3 +141,10 @@
         counts
     }
 }
+
+fn lost(sample: &Sample) -> String {
+    let method = if sample.post.is_some() { "POST" } else { "GET" };
+    let upstream = sample.upstream.as_deref().unwrap_or("no upstream yet");
+    let (outcome, took) = (sample.outcome, sample.took);
+    format!("\n  {method} to {upstream}: {outcome} after {took:.1?}")
+}
