Count a pause once though both clocks show it

Packets move the monotonic mark between two ticks, so the wall clock seemed to have run ahead of it by the whole pause: the new test saw 2 pauses instead of 1.

--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -10,11 +10,18 @@
 
 use {
     crate::{
-        rendezvous::{mix, score_keys, NameKey},
+        rendezvous::{
+            mix,
+            score_keys,
+            NameKey, //
+        },
         revisions::BUCKETS,
     },
     rand::{
-        seq::{index, SliceRandom},
+        seq::{
+            index,
+            SliceRandom, //
+        },
         Rng,
     },
     smallvec::SmallVec,
@@ -23,7 +30,10 @@
         collections::HashMap,
         net::SocketAddr,
         rc::Rc,
-        time::{Duration, Instant},
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
--- a/crates/policy/src/pause.rs
+++ b/crates/policy/src/pause.rs
@@ -4,7 +4,10 @@
 //! peer or the platform it takes no new work. The bound on the fence lets a daemon that is cut
 //! off from everybody serve its own zone.
 
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Limits of the pause detector.
 #[derive(Clone, Copy, Debug)]
@@ -48,7 +51,7 @@
 pub struct PauseDetector {
     spec: PauseSpec,
     last: Instant,
-    wall: Option<Duration>,
+    clocks: Option<(Instant, Duration)>,
     fence: Fence,
     reached: Instant,
     pauses: u64,
@@ -61,7 +64,7 @@
         Self {
             spec,
             last: now,
-            wall: None,
+            clocks: None,
             fence: Fence::Closed(now),
             reached: now,
             pauses: 0,
@@ -83,14 +86,14 @@
     ///
     /// The monotonic clock stands still while a VM is suspended; the wall clock does not.
     pub fn tick_with_wall(&mut self, now: Instant, wall: Duration) -> Option<Pause> {
-        let elapsed = now.saturating_duration_since(self.last);
         let pause = self.tick(now);
-        let passed = self.wall.map(|last| wall.saturating_sub(last));
-        self.wall = Some(wall);
+        let before = self.clocks.replace((now, wall));
         if pause.is_some() {
             return pause;
         }
-        let hidden = passed?.saturating_sub(elapsed);
+        let (then, wall_then) = before?;
+        let elapsed = now.saturating_duration_since(then);
+        let hidden = wall.saturating_sub(wall_then).saturating_sub(elapsed);
         if hidden <= self.spec.pause {
             return None;
         }
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -10,7 +10,11 @@
         revisions::BUCKETS, //
     },
     smallvec::SmallVec,
-    std::{cmp::Reverse, collections::HashMap, rc::Rc},
+    std::{
+        cmp::Reverse,
+        collections::HashMap,
+        rc::Rc, //
+    },
 };
 
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -5,9 +5,19 @@
 //! findings is remembered with its revision while the last good one stays in force.
 
 use {
-    crate::rendezvous::{mix, NameKey},
-    serde::{Deserialize, Serialize},
-    std::{cmp::Ordering, collections::HashMap, rc::Rc},
+    crate::rendezvous::{
+        mix,
+        NameKey, //
+    },
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        cmp::Ordering,
+        collections::HashMap,
+        rc::Rc, //
+    },
 };
 
 /// Number of groups into which services are divided to compare two sets cheaply.
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -91,6 +91,19 @@
     assert_eq!(detector.fence(), Fence::Closed(woken));
 }
 
+#[test]
+fn a_pause_counts_once_though_both_clocks_show_it() {
+    let now = Instant::now();
+    let wall = Duration::from_secs(1_800_000_000);
+    let mut detector = synced(now);
+    detector.tick_with_wall(now, wall);
+    let woken = now + 10_000 * MS;
+    assert!(!detector.admits(woken));
+    detector.tick_with_wall(woken + MS, wall + 10_001 * MS);
+    assert_eq!(detector.pauses(), 1);
+    assert_eq!(detector.fence(), Fence::Closed(woken));
+}
+
 #[rstest]
 #[case::in_step(100, 100, false)]
 #[case::suspended(100, 60_000, true)]
