Let no fenced daemon vouch for another one alone

Two daemons that paused together synced with each other and took work on the same old view; the new test failed with both synced while the platform was down. A fenced peer now counts only together with the platform, and only answers of a peer in service put off the bound. The bound opens the fence for good, so that a fleet that starts while the platform is down announces its changes again.

--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -22,6 +22,7 @@
         },
     },
     crate::members::{
+        control::Voucher,
         control::{
             count,
             NEWS_MAX, //
@@ -112,7 +113,10 @@
     match exchange(control, peer, budget).await {
         Ok(Outcome::Complete) => {
             count(&control.counters().exchanges, 1);
-            limits.exchange_interval
+            match control.is_synced() {
+                true => limits.exchange_interval,
+                false => limits.retry_interval,
+            }
         }
         Ok(Outcome::Deferred(wait)) => {
             busy.0.insert(peer.vm.clone(), Instant::now() + wait);
@@ -133,15 +137,20 @@
     budget: &mut ByteBudget,
 ) -> Result<Outcome, LinkError> {
     let began = Instant::now();
-    if is_in_sync(control, peer).await? {
-        control.synced(began);
+    let glance = glance_at(control, peer).await?;
+    let by = match glance.freshness.in_service {
+        true => Voucher::Peer,
+        false => Voucher::FencedPeer,
+    };
+    if is_same(&glance, control) {
+        control.synced(by, began);
         return Ok(Outcome::Complete);
     }
     for _ in 0..PAGES {
         let request = LinkRequest::Compare(Box::new(sums(control)));
         let asked = Instant::now();
         let reply = control.links().request(control, peer, &request).await?;
-        control.reached(Instant::now());
+        note_reached(control, by);
         let LinkReply::Difference(difference) = reply else {
             return Err(LinkError::Garbled);
         };
@@ -151,7 +160,7 @@
             return Ok(outcome);
         }
         if !more {
-            control.synced(began);
+            control.synced(by, began);
             break;
         }
     }
@@ -159,19 +168,29 @@
 }
 
 /// Compares at a glance, which is all that most exchanges need.
-async fn is_in_sync(control: &Rc<Control>, peer: &Member) -> Result<bool, LinkError> {
+async fn glance_at(control: &Rc<Control>, peer: &Member) -> Result<Glance, LinkError> {
     let asked = Instant::now();
     let request = LinkRequest::Glance(glance(control));
     let reply = control.links().request(control, peer, &request).await?;
-    control.reached(Instant::now());
     let LinkReply::Glance(theirs) = reply else {
         return Err(LinkError::Garbled);
     };
-    let ours = glance(control);
-    if theirs.documents == ours.documents {
+    if theirs.documents == glance(control).documents {
         refresh(control, &theirs.freshness, asked);
     }
-    Ok(theirs.documents == ours.documents && theirs.members == ours.members)
+    Ok(theirs)
+}
+
+fn is_same(theirs: &Glance, control: &Control) -> bool {
+    let ours = glance(control);
+    theirs.documents == ours.documents && theirs.members == ours.members
+}
+
+/// A peer that is fenced itself is not worth waiting for.
+fn note_reached(control: &Control, by: Voucher) {
+    if by == Voucher::Peer {
+        control.reached(Instant::now());
+    }
 }
 
 /// Takes over how fresh equal documents of a peer are.
@@ -242,7 +261,6 @@
             }
             _ => return Err(LinkError::Garbled),
         };
-        control.reached(Instant::now());
         budget.spend(records.iter().map(length).sum());
         missing.retain(|s| !records.iter().any(|r| r.service == s.as_ref()));
         for record in records {
@@ -387,6 +405,7 @@
     Freshness {
         synced: control.documents().synced(),
         age_ms: age.map(|age| age.as_millis() as u64),
+        in_service: control.is_synced(),
     }
 }
 
--- a/crates/daemon/src/links/message.rs
+++ b/crates/daemon/src/links/message.rs
@@ -66,6 +66,8 @@
     pub synced: u64,
     /// Milliseconds since the platform last confirmed the documents, if it ever did.
     pub age_ms: Option<u64>,
+    /// Whether the daemon has synced since its start or its last pause.
+    pub in_service: bool,
 }
 
 /// The sum of one bucket.
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -79,6 +79,19 @@
     pub document: Rc<ServiceDocument>,
 }
 
+/// With whom a daemon synced, which decides whether it may take work again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Voucher {
+    /// A peer in service.
+    Peer,
+    /// A peer that is fenced too, as after a pause of both; counts together with the platform.
+    FencedPeer,
+    /// The platform, which does not tell who owns what; counts together with a fenced peer.
+    Platform,
+    /// The platform, when no other daemon of the zone is known.
+    PlatformAlone,
+}
+
 /// Numbers of what the control part did.
 #[derive(Debug, Default)]
 pub struct ControlCounters {
@@ -125,6 +138,8 @@
     listeners: RefCell<Vec<Listener>>,
     fresh: RefCell<Vec<Rc<str>>>,
     confirmed: Cell<Option<Instant>>,
+    vouched_by_peer: Cell<Option<Instant>>,
+    vouched_by_platform: Cell<Option<Instant>>,
     links: Rc<Links>,
     counters: ControlCounters,
     /// Set when there are changes to announce.
@@ -169,6 +184,8 @@
             listeners: RefCell::default(),
             fresh: RefCell::default(),
             confirmed: Cell::new(None),
+            vouched_by_peer: Cell::new(None),
+            vouched_by_platform: Cell::new(None),
             links: Rc::new(Links::new(settings.limits)),
             counters: ControlCounters::default(),
             fresh_wake: Wake::default(),
@@ -344,15 +361,28 @@
         }
     }
 
-    /// Records a sync with a peer or the platform that began at `began`.
-    pub(crate) fn synced(&self, began: Instant) {
+    /// Records a sync that began at `began`.
+    pub(crate) fn synced(&self, by: Voucher, began: Instant) {
         let Fence::Closed(since) = self.pause.borrow().fence() else {
             return;
         };
-        if began >= since {
-            self.pause.borrow_mut().synced();
-            self.notify(&ControlEvent::Synced);
+        if began < since {
+            return;
+        }
+        match by {
+            Voucher::Peer | Voucher::PlatformAlone => return self.open_fence(),
+            Voucher::FencedPeer => self.vouched_by_peer.set(Some(began)),
+            Voucher::Platform => self.vouched_by_platform.set(Some(began)),
         }
+        let fresh = |at: &Cell<Option<Instant>>| at.get().is_some_and(|at| at >= since);
+        if fresh(&self.vouched_by_peer) && fresh(&self.vouched_by_platform) {
+            self.open_fence();
+        }
+    }
+
+    fn open_fence(&self) {
+        self.pause.borrow_mut().synced();
+        self.notify(&ControlEvent::Synced);
     }
 
     /// Records that a peer answered, so that a sync is worth waiting for.
@@ -442,7 +472,11 @@
             let mut detector = self.pause.borrow_mut();
             detector.tick_with_wall(Instant::now(), wall);
             let pause = detector.take_pause();
+            let waited = detector.fence() != Fence::Open && detector.admits(Instant::now());
             drop(detector);
+            if waited {
+                self.open_fence();
+            }
             if let Some(pause) = pause {
                 self.exchange_wake.set();
                 self.notify(&ControlEvent::Paused(pause));
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -17,6 +17,7 @@
         },
     },
     crate::members::{
+        control::Voucher,
         Control,
         Source, //
     },
@@ -144,9 +145,11 @@
         }
         self.control.documents_mut().set_synced(list.revision);
         self.control.confirm(Instant::now());
-        if self.is_alone() {
-            self.control.synced(began);
-        }
+        let by = match self.is_alone() {
+            true => Voucher::PlatformAlone,
+            false => Voucher::Platform,
+        };
+        self.control.synced(by, began);
     }
 
     /// Returns whether the list is newer than the one known.
--- a/crates/daemon/tests/control/fence.rs
+++ b/crates/daemon/tests/control/fence.rs
@@ -6,6 +6,7 @@
         until,
         until_all,
         Fleet,
+        Node,
         Start, //
     },
     foxtailhinge::members::ControlEvent,
@@ -73,3 +74,38 @@
         until("it has synced after the pause", woke).await;
     });
 }
+
+#[test]
+fn daemons_that_paused_together_do_not_vouch_for_each_other() {
+    block_on(async {
+        let fleet = Fleet::new(&["a", "a"]);
+        let pause = PauseSpec {
+            pause: PAUSE,
+            bound: Duration::from_secs(3_600),
+            longest: Duration::from_secs(3_600),
+        };
+        let start = |i: usize| Start {
+            pause,
+            ..Start::new(i, [1 - i])
+        };
+        let nodes = [fleet.start(&start(0)), fleet.start(&start(1))];
+        until_all(&nodes, "all have synced", |n| n.control.is_synced()).await;
+        fleet.platform.stop();
+        thread::sleep(2 * PAUSE);
+        let paused = |n: &Node| {
+            let events = n.events.borrow();
+            events.iter().any(|e| matches!(e, ControlEvent::Paused(_)))
+        };
+        until_all(&nodes, "all know that they paused", paused).await;
+        let exchanges = |n: &Node| n.control.counters().exchanges.get();
+        let before = nodes.each_ref().map(exchanges);
+        until("they have exchanged", || {
+            let now = nodes.iter().map(exchanges);
+            now.zip(before).all(|(now, before)| now >= before + 3)
+        })
+        .await;
+        assert!(nodes.iter().all(|n| !n.control.is_synced()));
+        fleet.platform.resume();
+        until_all(&nodes, "all have synced again", |n| n.control.is_synced()).await;
+    });
+}
--- a/crates/daemon/tests/control/messages.rs
+++ b/crates/daemon/tests/control/messages.rs
@@ -62,6 +62,7 @@
         freshness: Freshness {
             synced: 1,
             age_ms: None,
+            in_service: true,
         },
     }))
 }
