--- a/crates/daemon/benches/control/links.rs
+++ b/crates/daemon/benches/control/links.rs
@@ -85,6 +85,7 @@
     let members = n.min(2_400);
     let records = (1..members).map(|i| to_wire(&member(i, 1)));
     full.control.learn_members(records.collect());
+    until("it is in service", || full.control.is_synced()).await;
     let joining = join(n, &fleet).await;
     compare(n, &full, &joining).await;
     compare_on_new_links(n, &full, &joining).await;
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -106,17 +106,15 @@
     busy: &mut BusyPeers,
 ) -> Duration {
     let limits = control.settings().limits;
-    let retry = match control.is_synced() {
+    let result = exchange(control, peer, budget).await;
+    let pause = match control.is_synced() {
         true => limits.exchange_interval,
         false => limits.retry_interval,
     };
-    match exchange(control, peer, budget).await {
+    match result {
         Ok(Outcome::Complete) => {
             count(&control.counters().exchanges, 1);
-            match control.is_synced() {
-                true => limits.exchange_interval,
-                false => limits.retry_interval,
-            }
+            pause
         }
         Ok(Outcome::Deferred(wait)) => {
             busy.0.insert(peer.vm.clone(), Instant::now() + wait);
@@ -125,7 +123,7 @@
         Err(err) => {
             let vm = &peer.vm;
             log::debug!("event=exchange_failed peer={vm} cause=\"{err}\"");
-            retry
+            pause
         }
     }
 }
