--- a/crates/policy/benches/placement/report.rs
+++ b/crates/policy/benches/placement/report.rs
@@ -29,9 +29,12 @@
     pub(crate) admitted: u64,
     /// Requests for each upstream.
     pub(crate) by_upstream: Vec<u64>,
+    /// Microseconds of service for each upstream.
+    pub(crate) busy_us: Vec<u64>,
     /// Most flows of an upstream over the mean, at the start of the span.
     pub(crate) flows_imbalance: f64,
     worst_imbalance: f64,
+    worst_busy: f64,
 }
 
 impl Span {
@@ -49,6 +52,8 @@
             bounces: 0,
             admitted: 0,
             by_upstream: vec![0; upstreams],
+            busy_us: vec![0; upstreams],
+            worst_busy: 0.0,
             flows_imbalance: 0.0,
             worst_imbalance: 0.0,
         }
@@ -111,6 +116,7 @@
         self.shed += other.shed;
         self.bounces += other.bounces;
         self.admitted += other.admitted;
+        self.worst_busy = self.worst_busy().max(other.worst_busy());
         self.flows_imbalance = self.flows_imbalance.max(other.flows_imbalance);
         self.worst_imbalance = self.worst_imbalance().max(other.worst_imbalance());
     }
@@ -120,6 +126,11 @@
         self.worst_imbalance.max(self.imbalance())
     }
 
+    /// Largest imbalance of the service time, of the runs merged.
+    pub(crate) fn worst_busy(&self) -> f64 {
+        self.worst_busy.max(max_over_mean(&self.busy_us))
+    }
+
     /// Requests never served, in percent.
     pub(crate) fn failed_percent(&self) -> f64 {
         percent(self.failed, self.requests())
--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -585,7 +585,7 @@
     }
 }
 
-/// The same load for a short time: how soon the spread is even.
+/// Short runs: how soon the spread is even, in requests and in time of service.
 fn few() {
     let policies = [
         ("random", Options::baseline(Policy::Random)),
@@ -599,12 +599,22 @@
         ),
         ("owner, 3, sequence", OURS),
     ];
-    for requests in [1_000, 4_000, 16_000] {
-        let mut scenario = network_base(Shape::Single, 1, 0.8);
+    for (busy, requests) in [(0.3, 4_000), (0.8, 1_000), (0.8, 4_000), (0.8, 16_000)] {
+        let mut scenario = network_base(Shape::Single, 1, busy);
         scenario.load.length = Duration::from_secs_f64(f64::from(requests) / scenario.load.rate);
         scenario.seeds = 10;
-        let title = format!("few: {requests} flows of one request in all, worst of 10 seeds");
-        place(&title, &scenario, &policies);
+        println!("few: {requests} flows of one request, {busy} busy, worst of 10 seeds\n");
+        let mut table = Table::new(&["policy", "p99 wait", "requests", "service time", "bounces"]);
+        for ((name, _), spans) in policies.iter().zip(measure(&scenario, &policies)) {
+            table.row(vec![
+                (*name).to_string(),
+                format!("{:.0} ms", spans[0].p99_wait_ms()),
+                format!("{:.3}", spans[0].worst_imbalance()),
+                format!("{:.3}", spans[0].worst_busy()),
+                format!("{:.2}", spans[0].bounces_per_flow()),
+            ]);
+        }
+        println!("{table}");
     }
 }
 
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -520,6 +520,9 @@
             Outcome::Answer(time) => (time, true),
             Outcome::Shed => (SHED_TIME, false),
         };
+        if let Some(span) = self.span(job.since) {
+            span.busy_us[job.upstream] += after.as_micros() as u64;
+        }
         let left = job.deadline.saturating_duration_since(self.now);
         let answered = answered && after <= left;
         let at = self.now + after.min(left);
