--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -21,7 +21,7 @@
 const RATE_MIN_S: f64 = 1.0;
 
 /// Share of the admitted rate that returning callers may add.
-const RETURN_SHARE: f64 = 0.2;
+const RETURN_SHARE: f64 = 0.1;
 
 /// Schedule of refused callers over the next seconds.
 #[derive(Clone, Debug, Default)]
