--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -25,6 +25,12 @@
 /// Mean deviations of the service time left before the deadline of a held flow's request.
 const REQUEST_DEVIATIONS: f64 = 1.5;
 
+/// Mean deviations above the mean service time after which a missing answer is overdue.
+const OVERDUE_DEVIATIONS: f64 = 8.0;
+
+/// Time after which a missing answer is overdue while no service time was observed.
+const OVERDUE_UNKNOWN: Duration = Duration::from_secs(1);
+
 /// Mean deviations of the service time left before the deadline of a new flow's first request.
 ///
 /// Larger: a flow that is not admitted costs less than its requests that come too late.
@@ -352,6 +358,18 @@
         self.service_s.map(Duration::from_secs_f64)
     }
 
+    /// Whether a request without an answer after `waited` says something about the upstream.
+    ///
+    /// A caller's own short deadline does not: counted as a timeout, it would let one caller cut
+    /// the upstream's allowance for all.
+    pub fn is_overdue(&self, waited: Duration) -> bool {
+        let Some(service_s) = self.service_s else {
+            return waited >= OVERDUE_UNKNOWN;
+        };
+        let longest_s = service_s + OVERDUE_DEVIATIONS * self.deviation_s.max(service_s / 4.0);
+        waited.as_secs_f64() >= longest_s
+    }
+
     /// Expected time from now until a request that joins the queue is answered, with a number of
     /// mean deviations of the service time besides.
     fn expected_answer(&self, deviations: f64) -> Duration {
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -163,8 +163,8 @@
 
     /// Counts a request that the upstream did not answer in time.
     ///
-    /// A request that was cut off by a deadline shorter than a few usual service times says
-    /// nothing about the upstream, and is not counted.
+    /// Not for a request that a short deadline of its own cut off, see
+    /// [`Admission::is_overdue`](crate::admission::Admission::is_overdue).
     pub fn on_timeout(&mut self, now: Instant) {
         self.fail(now);
     }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -218,6 +218,24 @@
     assert_eq!(admission.start(now, deadline), Start::Wait);
 }
 
+/// After service times of 100 ms, 300 ms without an answer mean something, 299 ms do not.
+#[rstest]
+#[case::unknown_short(0, 999, false)]
+#[case::unknown_long(0, 1_000, true)]
+#[case::callers_own_deadline(20, 5, false)]
+#[case::a_little_slow(20, 299, false)]
+#[case::overdue(20, 300, true)]
+fn a_short_deadline_says_nothing(#[case] runs: u32, #[case] waited_ms: u64, #[case] told: bool) {
+    let now = Instant::now();
+    let mut admission = Admission::new(LIMITS);
+    for _ in 0..runs {
+        admission.start(now, now + LONG);
+        admission.finish(now, Duration::from_millis(100));
+    }
+    let waited = Duration::from_millis(waited_ms);
+    assert_eq!(admission.is_overdue(waited), told);
+}
+
 #[test]
 fn shrunk_limits_end_nothing() {
     let now = Instant::now();
--- a/crates/policy/tests/allowance.rs
+++ b/crates/policy/tests/allowance.rs
@@ -204,3 +204,33 @@
     assert_eq!(stream.allowance.falls(), 1);
     assert_eq!(stream.limits(), FULL);
 }
+
+/// An upstream handed over with this many slots goes on from there, never above them.
+#[rstest]
+#[case::cold(1, 1)]
+#[case::half_way(2, 2)]
+#[case::full(4, 4)]
+#[case::more_than_the_document(9, 4)]
+#[case::less_than_cold(0, 1)]
+fn a_handed_over_upstream_resumes(#[case] slots: u32, #[case] expected: u32) {
+    let now = Instant::now();
+    let allowance = Allowance::resume(SPEC, slots, now);
+    assert_eq!(allowance.limits(now).0, expected);
+}
+
+/// An upstream known to be warm is full again within a second of successes, and falls as ever.
+#[test]
+fn a_recovering_upstream_ramps_quickly() {
+    let mut stream = Stream::new(Allowance::cold);
+    stream.allowance.recover();
+    assert_eq!(stream.limits(), COLD);
+    for _ in 0..100 {
+        stream.answer(20 * MS);
+    }
+    assert_eq!(stream.limits(), FULL);
+    stream.allowance.restart(stream.now);
+    for _ in 0..100 {
+        stream.answer(20 * MS);
+    }
+    assert_eq!(stream.limits(), COLD);
+}
