--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -367,7 +367,7 @@
             return waited >= OVERDUE_UNKNOWN;
         };
         let longest_s = service_s + OVERDUE_DEVIATIONS * self.deviation_s.max(service_s / 4.0);
-        waited.as_secs_f64() >= longest_s
+        waited >= Duration::from_secs_f64(longest_s)
     }
 
     /// Expected time from now until a request that joins the queue is answered, with a number of
