--- /dev/null
+++ b/crates/daemon/benches/services/main.rs
@@ -0,0 +1,251 @@
+//! Slopes of one daemon process by services in force and by upstreams owned.
+//!
+//! Run with `cargo bench -p foxtailhinge --bench services`. A platform stand-in publishes the documents,
+//! each with two upstreams; the daemon is a real process, read through `/proc`.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+use {
+    common::{
+        cpu_of,
+        serve,
+        us, //
+    },
+    foxtailhinge_standins::platform::Platform,
+    std::{
+        fs,
+        net::{
+            Ipv4Addr,
+            SocketAddr, //
+        },
+        path::PathBuf,
+        process::{
+            Child,
+            Command,
+            Stdio, //
+        },
+        thread,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+const SERVICES: [usize; 4] = [1, 500, 2_000, 7_300];
+const OWNED: [usize; 4] = [0, 25, 50, 100];
+const CHANGES: u32 = 20;
+const CALM: Duration = Duration::from_secs(5);
+const GIVE_UP: Duration = Duration::from_secs(150);
+const STEP: Duration = Duration::from_millis(20);
+const FIRST_PORT: u16 = 10_000;
+const UPSTREAM_PORT: u16 = 5683;
+
+/// Loopback block of one daemon.
+struct Block(u8);
+
+impl Block {
+    fn addr(&self, host: u8, port: u16) -> SocketAddr {
+        let third = (std::process::id() % 250) as u8;
+        (Ipv4Addr::new(127, 200 + self.0, third, host), port).into()
+    }
+}
+
+/// A daemon process that ends with this value.
+struct Daemon {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Daemon {
+    fn start(block: &Block, platform: SocketAddr) -> Daemon {
+        let text = format!(
+            r#"{{ "vm": "vm-1", "zone": "windhoek-1", "listen": "{}", "relay": "{}", "control": "{}",
+                "admin": "{}", "platform": "{platform}", "fleet": "bench",
+                "keys": [ {{ "slot": 0, "secret": "{}" }} ] }}"#,
+            block.addr(1, 0).ip(),
+            block.addr(1, 7000),
+            block.addr(1, 7001),
+            block.addr(1, 7002),
+            "07".repeat(32)
+        );
+        let name = format!("foxtailhinge-bench-{}-{}.json", std::process::id(), block.0);
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_foxtailhinge"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Daemon { child, settings }
+    }
+
+    fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn cpu(&self) -> Duration {
+        cpu_of(self.pid())
+    }
+
+    fn files(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.pid())).map_or(0, Iterator::count)
+    }
+
+    fn resident_kb(&self) -> u64 {
+        let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+        line.unwrap()
+            .split_whitespace()
+            .nth(1)
+            .unwrap()
+            .parse()
+            .unwrap()
+    }
+
+    /// Waits until the count of a metric is at least `n`.
+    fn wait(&self, block: &Block, metric: &str, n: usize) -> Option<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < GIVE_UP {
+            if read_metric(block, metric).is_some_and(|value| value >= n as f64) {
+                return Some(began.elapsed());
+            }
+            thread::sleep(STEP);
+        }
+        None
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Sum of the samples of a metric.
+fn read_metric(block: &Block, metric: &str) -> Option<f64> {
+    let url = format!("http://{}/metrics", block.addr(1, 7002));
+    let text = ureq::get(&url).call().ok()?.into_string().ok()?;
+    let lines = text.lines().filter(|line| line.starts_with(metric));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    Some(values.sum())
+}
+
+fn document(i: usize, note: u32, upstreams: &[(SocketAddr, &str)]) -> String {
+    let entries: Vec<_> = upstreams
+        .iter()
+        .enumerate()
+        .map(|(n, (addr, zone))| {
+            format!(
+                r#"    {{ "name": "syncdesk-{i:04}-{n}", "address": "{addr}", "zone": "{zone}", "slots": 4, "connections": 2000 }}"#
+            )
+        })
+        .collect();
+    let port = FIRST_PORT + i as u16;
+    format!(
+        r#"{{
+  // Clearance desk of agency {i}, note {note}.
+  "service": "syncdesk-api-{i:04}",
+  "address": "10.2.0.1:{port}",
+  "zones": {{ "windhoek-1": "in", "windhoek-2": "in" }},
+  "upstreams": [
+{}
+  ],
+  "cold_start": {{ "slots": 1, "connections": 100, "ramp_s": 30 }},
+  "defaults": {{ "deadline_ms": 2000, "queue": 4, "retry_budget_percent": 10, "idle_s": 3600 }},
+  "routes": [ {{ "path": "/clearances", "idempotent": false, "deadline_ms": 5000 }} ]
+}}"#,
+        entries.join(",\n")
+    )
+}
+
+/// Two upstreams in a zone without daemons, so that none is owned here.
+fn elsewhere(i: usize) -> [(SocketAddr, &'static str); 2] {
+    let ip = |n| Ipv4Addr::new(10, n, (i / 200) as u8, (i % 200) as u8);
+    [3, 4].map(|n| ((ip(n), UPSTREAM_PORT).into(), "windhoek-2"))
+}
+
+fn publish(platform: &Platform, i: usize, note: u32) -> u64 {
+    let text = document(i, note, &elsewhere(i));
+    platform.publish(&format!("syncdesk-api-{i:04}"), &text)
+}
+
+fn calm_share(daemon: &Daemon) -> f64 {
+    let before = daemon.cpu();
+    thread::sleep(CALM);
+    (daemon.cpu() - before).as_secs_f64() / CALM.as_secs_f64() * 100.0
+}
+
+fn services(block: &Block, n: usize) {
+    let platform = Platform::start(block.addr(250, 8080)).unwrap();
+    for i in 0..n {
+        publish(&platform, i, 0);
+    }
+    let daemon = Daemon::start(block, platform.addr());
+    let took = daemon.wait(block, "foxtailhinge_documents_applied_total", n);
+    let start = daemon.cpu();
+    let took = took.map_or(String::from("not all"), |took| {
+        format!("{:.2} s", took.as_secs_f64())
+    });
+    thread::sleep(Duration::from_secs(4));
+    let calm = calm_share(&daemon);
+    let before = daemon.cpu();
+    let pause = Duration::from_millis(150);
+    for note in 1..=CHANGES {
+        publish(&platform, note as usize % n, note);
+        thread::sleep(pause);
+    }
+    let changes = daemon.cpu() - before;
+    let idle = (pause * CHANGES).mul_f64(calm / 100.0);
+    let change = us(changes.saturating_sub(idle)) / f64::from(CHANGES);
+    println!(
+        "{n:>8} {took:>9} {:>9.2} s {:>8.1} MB {:>7} {calm:>8.2} % {change:>10.0} us",
+        start.as_secs_f64(),
+        daemon.resident_kb() as f64 / 1024.0,
+        daemon.files(),
+    );
+}
+
+fn owned(block: &Block, n: usize) {
+    let platform = Platform::start(block.addr(250, 8080)).unwrap();
+    let upstreams: Vec<_> = (0..n)
+        .map(|i| (block.addr(100 + i as u8, UPSTREAM_PORT), "windhoek-1"))
+        .collect();
+    for (addr, _) in &upstreams {
+        serve(*addr);
+    }
+    platform.publish("syncdesk-api-0000", &document(0, 0, &upstreams));
+    let daemon = Daemon::start(block, platform.addr());
+    let took = daemon.wait(block, "foxtailhinge_upstreams", n);
+    thread::sleep(Duration::from_secs(4));
+    let calm = calm_share(&daemon);
+    println!(
+        "{n:>8} {:>9} {:>8.1} MB {:>7} {calm:>8.2} %",
+        if took.is_some() { "yes" } else { "no" },
+        daemon.resident_kb() as f64 / 1024.0,
+        daemon.files(),
+    );
+}
+
+fn main() {
+    println!(
+        "{:>8} {:>9} {:>11} {:>11} {:>7} {:>10} {:>13}",
+        "services", "in force", "cpu of it", "resident", "files", "calm", "a change"
+    );
+    for (i, n) in SERVICES.into_iter().enumerate() {
+        services(&Block(i as u8), n);
+    }
+    println!();
+    println!(
+        "{:>8} {:>9} {:>11} {:>7} {:>10}",
+        "owned", "held", "resident", "files", "calm"
+    );
+    for (i, n) in OWNED.into_iter().enumerate() {
+        owned(&Block((SERVICES.len() + i) as u8), n);
+    }
+}
