Ask the issuer of a ticket about requests into a zone that is out

The issuer gives the flow up (4.01) or repeats the first answer; no packet goes to an upstream there.

--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -147,11 +147,15 @@
             return;
         };
         let out = service.zone_out_for(&named.spec.zone, Instant::now());
+        let issuer = self.incarnation_of(ticket.owner, ticket.owner_incarnation);
         if out.is_some_and(|time| time >= ZONE_OUT_GRACE) {
-            self.give_up(arrived, idempotent);
+            // Only the ticket's issuer knows whether a request that must not run twice has run.
+            match issuer {
+                Some(member) if !idempotent => self.forward(arrived, &member),
+                _ => self.give_up(arrived, idempotent),
+            }
             return;
         }
-        let issuer = self.incarnation_of(ticket.owner, ticket.owner_incarnation);
         let owner = || self.owner(named.key, &named.spec.zone);
         let target = if idempotent {
             owner()
