--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -125,7 +125,7 @@
     fn default() -> Self {
         Self {
             deadline: Duration::from_millis(2_000),
-            queue: 4,
+            queue: 16,
             retry_budget_percent: 10,
             idle: Duration::from_secs(3_600),
         }
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -211,6 +211,8 @@
     /// Decides whether a request runs, waits or is refused; `feed` when it registers for a feed.
     pub fn start(&mut self, now: Instant, deadline: Instant, feed: bool) -> Start {
         self.refresh(now);
+        // One request tries an upstream that was down; for others it is down until that one is answered.
+        self.health.begin_trial(now);
         let start = if feed {
             self.admission.start_feed(now, deadline)
         } else {
@@ -300,6 +302,20 @@
         self.refresh(now);
     }
 
+    /// Whether a request without an answer after `waited` says something about the upstream.
+    pub fn is_overdue(&self, waited: Duration) -> bool {
+        self.admission.is_overdue(waited)
+    }
+
+    /// Learns whether a probe was answered.
+    pub fn learn_probe(&mut self, answered: bool, now: Instant) {
+        if answered {
+            self.health.on_probe_answer(now);
+        } else {
+            self.health.on_probe_timeout(now);
+        }
+    }
+
     /// Learns what the upstream's own endpoint says.
     pub fn learn_report(&mut self, report: EndpointReport, now: Instant) {
         self.health.on_endpoint(now, report);
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -43,9 +43,8 @@
     /// Begins a flow for a request without a ticket, or moves one whose caller's address is confirmed.
     pub fn open(self: &Rc<Self>, arrived: &Arrived<'_>, confirmed: bool) {
         let reachable = |zone: &str| self.is_reachable(zone);
-        let candidates = arrived
-            .service
-            .draw(Instant::now(), reachable, &mut rand::rng());
+        let view = self.control.members().view_version();
+        let candidates = arrived.service.draw(view, reachable, &mut rand::rng());
         let open = Open {
             caller: arrived.caller,
             service: arrived.service.hash,
@@ -180,6 +179,7 @@
     ) {
         let now = Instant::now();
         self.metrics.flows_opened.inc();
+        service.on_admitted(now);
         let flow = up.flows.borrow_mut().open(now);
         // A copy of this message may reach another candidate, so only idempotent requests are served at once.
         if open.confirmed && service.is_idempotent(&req) {
--- a/crates/daemon/src/data/probe.rs
+++ b/crates/daemon/src/data/probe.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::data::{
-        load::Outcome,
         path::DataPath,
         upstream::Upstream, //
     },
@@ -44,13 +43,9 @@
         self.spawn("probe", async move {
             let res = up.probe(TIMEOUT).await;
             let now = Instant::now();
-            match res {
-                Ok(rsp) => {
-                    if let Some(report) = read_report(&rsp) {
-                        up.load_mut().learn_report(report, now);
-                    }
-                }
-                Err(_) => up.load_mut().learn(Outcome::TimedOut, now),
+            up.load_mut().learn_probe(res.is_ok(), now);
+            if let Some(report) = res.ok().as_ref().and_then(read_report) {
+                up.load_mut().learn_report(report, now);
             }
             monoio::time::sleep(QUIET).await;
             up.end_probe();
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -18,7 +18,10 @@
         },
         budget::RetryBudget,
         comeback::Comeback,
-        placement::Placement, //
+        placement::{
+            Placement,
+            Sequence, //
+        },
     },
     foxtailhinge_wire::{
         coap::{
@@ -66,6 +69,7 @@
     zones: HashMap<Rc<str>, ZoneState>,
     comeback: RefCell<Comeback>,
     notified: RefCell<HashMap<u16, Notified>>,
+    draw: RefCell<Draw>,
     /// Share of requests that may be sent again.
     pub budget: RefCell<RetryBudget>,
 }
@@ -103,8 +107,14 @@
 struct ZoneState {
     in_service: bool,
     since: Instant,
-    /// Whether the zone served before this state began; a returning zone ramps.
-    changed: bool,
+}
+
+/// The draw of candidates for one view of the members.
+#[derive(Debug)]
+struct Draw {
+    view: Option<u64>,
+    placement: Placement,
+    sequence: Sequence,
 }
 
 impl Service {
@@ -143,6 +153,11 @@
             zones,
             comeback: RefCell::default(),
             notified: RefCell::default(),
+            draw: RefCell::new(Draw {
+                view: None,
+                placement: Placement::default(),
+                sequence: Sequence::new(&mut rand::rng()),
+            }),
             budget: RefCell::new(budget),
             doc,
         }
@@ -210,6 +225,11 @@
         now + req.deadline().unwrap_or(usual).min(DEADLINE_MAX)
     }
 
+    /// Counts a flow that was admitted, by which refused callers are spread.
+    pub fn on_admitted(&self, now: Instant) {
+        self.comeback.borrow_mut().on_admitted(now);
+    }
+
     /// When a caller should come back that no upstream could take.
     pub fn come_back(&self, now: Instant) -> Duration {
         let mut comeback = self.comeback.borrow_mut();
@@ -245,56 +265,41 @@
         (!state.in_service).then(|| now.saturating_duration_since(state.since))
     }
 
-    /// Share of a zone's capacity that new flows may use: it ramps after the zone's return.
-    fn zone_share(&self, zone: &str, now: Instant) -> f64 {
-        let Some(state) = self.zones.get(zone) else {
-            return 0.0;
-        };
-        if !state.in_service {
-            return 0.0;
-        }
-        if !state.changed {
-            return 1.0;
-        }
-        let ramp = self.doc.cold_start.ramp.as_secs_f64();
-        let done = now.saturating_duration_since(state.since).as_secs_f64();
-        let floor = 1.0 / f64::from(self.max_slots().max(1));
-        if ramp <= 0.0 {
-            1.0
-        } else {
-            (done / ramp).clamp(floor, 1.0)
-        }
-    }
-
-    fn max_slots(&self) -> u32 {
-        self.doc
-            .upstreams
-            .iter()
-            .map(|spec| spec.slots)
-            .max()
-            .unwrap_or(1)
-    }
-
-    /// Draws candidate upstreams for a new flow, by hash of their names; `reachable` tells whether a
-    /// zone has a daemon that could own them.
+    /// Draws candidate upstreams for a new flow, by hash of their names.
+    ///
+    /// `reachable` tells whether a zone has a daemon that could own them; it is asked again when `view` changes.
     pub fn draw(
         &self,
-        now: Instant,
+        view: u64,
         reachable: impl Fn(&str) -> bool,
         rng: &mut impl Rng,
     ) -> SmallVec<[u32; 4]> {
-        let weights = self.doc.upstreams.iter().map(|spec| {
-            if spec.draining || !reachable(&spec.zone) {
-                return 0.0;
-            }
-            f64::from(spec.slots) * self.zone_share(&spec.zone, now)
-        });
-        Placement::new(weights)
-            .draw(CANDIDATES, rng)
+        let mut draw = self.draw.borrow_mut();
+        if draw.view != Some(view) {
+            draw.placement = Placement::new(self.weights(reachable));
+            draw.view = Some(view);
+        }
+        let point = draw.sequence.next_point();
+        draw.placement
+            .draw_at(point, CANDIDATES, rng)
             .into_iter()
-            .map(|i| name_hash(&self.doc.upstreams[i].name))
+            .map(|at| name_hash(&self.doc.upstreams[at].name))
             .collect()
     }
+
+    fn weights<'a>(
+        &'a self,
+        reachable: impl Fn(&str) -> bool + 'a,
+    ) -> impl Iterator<Item = f64> + 'a {
+        self.doc.upstreams.iter().map(move |spec| {
+            let open = !spec.draining && self.zone_in_service(&spec.zone);
+            if open && reachable(&spec.zone) {
+                f64::from(spec.slots)
+            } else {
+                0.0
+            }
+        })
+    }
 }
 
 impl Entry {
@@ -311,15 +316,9 @@
 fn zone_state(before: Option<&Service>, zone: &str, in_service: bool, now: Instant) -> ZoneState {
     match before.and_then(|service| service.zones.get(zone)) {
         Some(state) if state.in_service == in_service => *state,
-        Some(_) => ZoneState {
-            in_service,
-            since: now,
-            changed: true,
-        },
-        None => ZoneState {
+        _ => ZoneState {
             in_service,
             since: now,
-            changed: false,
         },
     }
 }
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -348,17 +348,20 @@
             Ok(Ok(rsp)) => Ok(rsp),
             Ok(Err(_)) => Err(ExchangeError::Refused),
             Err(_) => {
-                self.abandon(token);
+                self.abandon(token, timeout);
                 Err(ExchangeError::TimedOut)
             }
         }
     }
 
-    fn abandon(&self, token: UpstreamToken) {
+    fn abandon(&self, token: UpstreamToken, waited: Duration) {
         if let Some(pending) = self.pending.borrow_mut().get_mut(&token) {
             pending.answer = None;
         }
-        self.load_mut().learn(Outcome::TimedOut, Instant::now());
+        let mut load = self.load_mut();
+        if load.is_overdue(waited) {
+            load.learn(Outcome::TimedOut, Instant::now());
+        }
     }
 
     /// Takes in a datagram from the upstream.
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -233,7 +233,8 @@
         };
         let ticket = self.ticket(&service, query.ticket.as_deref())?;
         let reachable = |zone: &str| self.path.is_reachable(zone);
-        let drawn = service.draw(Instant::now(), reachable, &mut rand::rng());
+        let view = self.path.control.members().view_version();
+        let drawn = service.draw(view, reachable, &mut rand::rng());
         let mut candidates = Vec::new();
         for (hash, named) in service.upstreams() {
             let verdict = match &ticket {
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -195,7 +195,7 @@
             },
             defaults: Defaults {
                 deadline_ms: 2000,
-                queue: 4,
+                queue: 16,
                 retry_budget_percent: 10,
                 idle_s: 3600,
             },
