--- a/crates/standins/examples/local_fleet/run.rs
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -5,6 +5,7 @@
     DAEMON, //
 };
 use anyhow::Context;
+use foxtailhinge_config::report::UpstreamStatus;
 use foxtailhinge_standins::{
     breaks::Place,
     caller::{
@@ -263,9 +264,9 @@
         self.restart_upstreams(&zone);
         self.set_zone(&zone, true)?;
         let stop = self.until(STOP);
-        let stopped = self.stop("vm-2");
+        let stopped = self.stop_busiest()?;
         let kill = self.until(KILL);
-        self.kill("vm-3");
+        self.kill_busiest()?;
         let end = self.until(1.0);
         let times = Times {
             start: self.start,
@@ -325,17 +326,53 @@
             .for_each(|one| one.restart());
     }
 
-    fn stop(&mut self, vm: &str) -> Option<ExitStatus> {
-        self.fleet.stop(vm);
-        self.say(&format!("{vm} is asked to stop"));
-        let status = self.fleet.ended(vm, STOP_WITHIN);
+    fn stop_busiest(&mut self) -> anyhow::Result<Option<ExitStatus>> {
+        let (vm, feeds) = self.busiest()?;
+        self.fleet.stop(&vm);
+        self.say(&format!(
+            "{vm}, which holds {feeds} feeds, is asked to stop"
+        ));
+        let status = self.fleet.ended(&vm, STOP_WITHIN);
         self.say(&format!("{vm} has ended: {}", status.is_some()));
-        status
+        Ok(status)
     }
 
-    fn kill(&mut self, vm: &str) {
-        self.fleet.kill(vm);
-        self.say(&format!("{vm} is killed"));
+    fn kill_busiest(&mut self) -> anyhow::Result<()> {
+        let (vm, feeds) = self.busiest()?;
+        self.fleet.kill(&vm);
+        self.say(&format!("{vm}, which held {feeds} feeds, is killed"));
+        Ok(())
+    }
+
+    /// Returns the running daemon that owns the upstreams of most feeds, and their number.
+    ///
+    /// A zone's last daemon is left out, since nobody could take its upstreams over.
+    fn busiest(&self) -> anyhow::Result<(String, usize)> {
+        let running = self.fleet.running();
+        let first = running.first().context("no daemon runs")?;
+        let status = self.fleet.status(first)?;
+        let upstream = |feed: &Feed| feed.stats().upstream.unwrap_or_default();
+        let reached: Vec<String> = self.feeds.iter().map(|(_, feed)| upstream(feed)).collect();
+        let held = |vm: &str| {
+            let owner = |one: &&UpstreamStatus| one.owner.as_deref() == Some(vm);
+            let owned = status.upstreams.iter().filter(owner);
+            let feeds = |one: &UpstreamStatus| {
+                reached
+                    .iter()
+                    .filter(|&name| **name == *one.upstream)
+                    .count()
+            };
+            owned.map(feeds).sum::<usize>()
+        };
+        let zone = |vm: &str| self.fleet.zone_of(vm);
+        let spare = |vm: &&String| running.iter().filter(|one| zone(one) == zone(vm)).count() > 1;
+        let counts = running
+            .iter()
+            .filter(spare)
+            .map(|vm| (vm.clone(), held(vm)));
+        counts
+            .max_by_key(|one| one.1)
+            .context("each zone has one daemon left")
     }
 
     /// Stops the load, then the feeds, and collects all records.
