--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -64,7 +64,11 @@
 /// Time after which an outcome that does not come fails the test.
 const GIVE_UP: Duration = Duration::from_secs(30);
 
-const CLAIM_PORT: u16 = 7998;
+/// Address that marks a block as taken, the same as that of the stand-ins' fleets.
+const CLAIM: (u8, u16) = (254, 7999);
+
+/// Number of blocks: 127.1.0.* to 127.254.255.*.
+const BLOCKS: u32 = 254 * 256;
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
@@ -78,9 +82,9 @@
     fn claim() -> Self {
         let first = std::process::id().wrapping_mul(37);
         loop {
-            let n = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % (100 * 256);
-            let (x, y) = ((n / 256) as u8 + 100, (n % 256) as u8);
-            if let Ok(claim) = TcpListener::bind((Ipv4Addr::new(127, x, y, 253), CLAIM_PORT)) {
+            let n = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % BLOCKS;
+            let (x, y) = ((n / 256) as u8 + 1, (n % 256) as u8);
+            if let Ok(claim) = TcpListener::bind((Ipv4Addr::new(127, x, y, CLAIM.0), CLAIM.1)) {
                 // Held until the process ends, as are the sockets of its daemons.
                 std::mem::forget(claim);
                 return Self { x, y };
@@ -349,7 +353,8 @@
 }
 
 async fn run(control: Rc<Control>, end: impl Future<Output = ()>) {
-    let socket = std::net::UdpSocket::bind(control.settings().relay).unwrap();
+    let socket =
+        std::net::UdpSocket::bind(control.settings().relay).expect("The relay address is free.");
     socket.set_nonblocking(true).unwrap();
     let sender = UdpSender {
         control: control.clone(),
@@ -358,7 +363,9 @@
     let prober = Prober::new(control.clone(), sender);
     let socket = UdpSocket::from_std(socket).unwrap();
     monoio::select! {
-        result = control.clone().run(prober.clone(), Rc::new(NoHandler)) => result.unwrap(),
+        result = control.clone().run(prober.clone(), Rc::new(NoHandler)) => {
+            result.expect("The control address is free.");
+        }
         () = receive(&control, &prober, &socket) => {}
         () = end => {}
     }
