Keep the slots of requests that may run in a restarted upstream, and cap a former owner at what it handed over

Cause: a probe's answer told of a restart and freed the slot of a request that ran in the new incarnation already; the next one met a cold upstream that was full. A former owner's allowance could also go on rising after the hand-over.

--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -369,6 +369,7 @@
     /// Ends what is in progress at an upstream that was handed over, and reports it to the next owner.
     fn part(self: &Rc<Self>, up: Rc<Upstream>, next: &Rc<str>, in_use: u32) {
         up.part();
+        up.load_mut().part(in_use, Instant::now());
         let path = Rc::clone(self);
         let next = Rc::clone(next);
         self.parting.borrow_mut().insert(up.addr(), Rc::clone(&up));
@@ -398,6 +399,7 @@
             let runs = up.take_finished();
             if slots > 0 || !runs.is_empty() {
                 reported = reported.min(running);
+                up.load_mut().part(reported, Instant::now());
                 let finished = Finished {
                     upstream: up.addr(),
                     slots,
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -108,6 +108,8 @@
     comeback: Comeback,
     /// Slots that requests of the former owner still hold.
     elsewhere: u32,
+    /// Slots left to this owner after it handed the upstream over.
+    parting: Option<u32>,
     /// Until when new flows stay away because the upstream has shed load.
     shedding_until: Option<Instant>,
 }
@@ -132,6 +134,7 @@
             health: Health::new(),
             comeback: Comeback::new(),
             elsewhere,
+            parting: None,
             shedding_until: None,
         };
         load.refresh(now);
@@ -147,8 +150,9 @@
 
     fn refresh(&mut self, now: Instant) {
         let (slots, connections) = self.allowance.limits(now);
+        let slots = slots.saturating_sub(self.elsewhere);
         self.admission.set_limits(Limits {
-            slots: slots.saturating_sub(self.elsewhere),
+            slots: self.parting.map_or(slots, |left| left.min(slots)),
             connections,
             queue: self.spec.queue,
         });
@@ -271,6 +275,12 @@
         self.spec
     }
 
+    /// The upstream was handed over: no more than `slots` requests may still run from here.
+    pub fn part(&mut self, slots: u32, now: Instant) {
+        self.parting = Some(slots);
+        self.refresh(now);
+    }
+
     /// Requests of the former owner ended.
     pub fn finish_elsewhere(&mut self, slots: u32, now: Instant) {
         self.elsewhere = self.elsewhere.saturating_sub(slots);
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -50,6 +50,9 @@
 /// How long a request that was given up keeps its slot while the upstream may still run it.
 const ABANDONED_LEASE: Duration = Duration::from_secs(5);
 
+/// Shortest time that a restart of an upstream takes, as seen by what was sent before it.
+const RESTART_MIN: Duration = Duration::from_secs(1);
+
 /// Path of an upstream's own health endpoint.
 const HEALTH_PATH: &str = "/health";
 
@@ -470,19 +473,24 @@
 
     /// The upstream restarted: what ran there is lost, and it carries its cold-start allowance.
     pub fn restart(&self) {
-        self.load_mut().restart(Instant::now());
-        self.fail_pending();
+        let now = Instant::now();
+        self.load_mut().restart(now);
+        // What was sent lately may run in the new incarnation and still hold its slot there.
+        self.fail_pending(|pending| now.saturating_duration_since(pending.sent) >= RESTART_MIN);
     }
 
     /// The upstream's host says that nothing listens.
     pub fn on_refused(&self) {
         self.load_mut().learn(Outcome::Refused, Instant::now());
-        self.fail_pending();
+        self.fail_pending(|_| true);
     }
 
-    fn fail_pending(&self) {
-        let failed = std::mem::take(&mut *self.pending.borrow_mut());
-        drop(failed);
+    fn fail_pending(&self, is_lost: impl Fn(&Pending) -> bool) {
+        let mut pending = self.pending.borrow_mut();
+        let lost = pending.extract_if(|_, one| is_lost(one));
+        let lost: Vec<_> = lost.collect();
+        drop(pending);
+        drop(lost);
     }
 
     /// Marks the upstream as handed over: what runs still ends here, for the next owner to hear of.
--- a/crates/daemon/tests/caller_contract.rs
+++ b/crates/daemon/tests/caller_contract.rs
@@ -54,16 +54,19 @@
 }
 
 #[rstest]
-#[case::key_slot(|ticket: &mut Vec<u8>| flip(ticket, 0))]
-#[case::service(|ticket: &mut Vec<u8>| flip(ticket, 1))]
-#[case::upstream(|ticket: &mut Vec<u8>| flip(ticket, 5))]
-#[case::flow(|ticket: &mut Vec<u8>| flip(ticket, 21))]
-#[case::epoch(|ticket: &mut Vec<u8>| flip(ticket, 26))]
-#[case::mac(|ticket: &mut Vec<u8>| flip(ticket, TICKET - 1))]
-#[case::short(|ticket: &mut Vec<u8>| ticket.truncate(TICKET - 1))]
-#[case::one_byte(|ticket: &mut Vec<u8>| ticket.truncate(1))]
-#[case::zeros(|ticket: &mut Vec<u8>| ticket.fill(0))]
-fn a_ticket_that_was_changed_is_refused(#[case] change: fn(&mut Vec<u8>)) {
+#[case::key_slot(|ticket: &mut Vec<u8>| flip(ticket, 0), Outcome::Unknown)]
+#[case::service(|ticket: &mut Vec<u8>| flip(ticket, 1), Outcome::GivenUp)]
+#[case::upstream(|ticket: &mut Vec<u8>| flip(ticket, 5), Outcome::GivenUp)]
+#[case::flow(|ticket: &mut Vec<u8>| flip(ticket, 21), Outcome::GivenUp)]
+#[case::epoch(|ticket: &mut Vec<u8>| flip(ticket, 26), Outcome::GivenUp)]
+#[case::mac(|ticket: &mut Vec<u8>| flip(ticket, TICKET - 1), Outcome::GivenUp)]
+#[case::short(|ticket: &mut Vec<u8>| ticket.truncate(TICKET - 1), Outcome::GivenUp)]
+#[case::one_byte(|ticket: &mut Vec<u8>| ticket.truncate(1), Outcome::GivenUp)]
+#[case::zeros(|ticket: &mut Vec<u8>| ticket.fill(0), Outcome::GivenUp)]
+fn a_ticket_that_was_changed_is_refused(
+    #[case] change: fn(&mut Vec<u8>),
+    #[case] expected: Outcome,
+) {
     let mut fleet = fleet();
     let caller = established(&mut fleet, "syncdesk-api");
     let mut ticket = caller.ticket().unwrap();
@@ -71,11 +74,7 @@
     change(&mut ticket);
     caller.set_ticket(Some(ticket));
     let posted = caller.post("/clearances", b"one", REFUSED_WITHIN);
-    let refused = matches!(
-        posted,
-        Outcome::GivenUp | Outcome::Unknown | Outcome::TimedOut
-    );
-    assert!(refused, "{posted:?}");
+    assert_eq!(posted, expected);
     assert_eq!(fleet.upstreams()[0].runs("one"), 0);
     assert!(refused_tickets(&fleet) > 0);
     caller.release();
@@ -117,7 +116,7 @@
     socket.send_to(datagram, service).unwrap();
     let mut buf = [0; 65_536];
     let answer = socket.recv(&mut buf).unwrap_or(0);
-    assert!(answer <= datagram.len().max(4), "{answer} bytes");
+    assert!(answer <= datagram.len(), "{answer} bytes");
     assert!(caller.get("/cues", WITHIN).answer().is_some());
     assert_eq!(caller.counts().given_up, 0);
 }
--- a/crates/standins/examples/local_fleet/table.rs
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -139,6 +139,7 @@
         "requests beyond a cold start (must be 0)",
         figures.cold_overload,
     );
+    print_overloads(record);
     let shed = record.upstreams.iter().map(|one| one.records.shed);
     row("requests shed by upstreams", shed.sum::<u64>());
     row("calls to the platform", record.platform_calls);
@@ -223,3 +224,16 @@
 fn milliseconds(time: Duration) -> String {
     format!("{:.1} ms", time.as_secs_f64() * 1000.0)
 }
+
+fn print_overloads(record: &Record) {
+    for upstream in &record.upstreams {
+        for one in upstream.records.cold_overloads.iter().take(SHOWN) {
+            let at = seconds(one.at.saturating_duration_since(record.times.start));
+            let name = &upstream.name;
+            println!(
+                "    {name} at {at} from {}, {} running",
+                one.from, one.running
+            );
+        }
+    }
+}
--- a/crates/standins/src/upstream/records.rs
+++ b/crates/standins/src/upstream/records.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     time::Instant, //
 };
 
@@ -25,6 +26,17 @@
     pub kind: Kind,
 }
 
+/// A request that came while a cold start carried all it could.
+#[derive(Clone, Copy, Debug)]
+pub struct Overload {
+    /// When it came.
+    pub at: Instant,
+    /// The daemon's socket that sent it.
+    pub from: SocketAddr,
+    /// Requests that ran then.
+    pub running: usize,
+}
+
 /// What an upstream stand-in saw since its process began, restarts included.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -40,6 +52,8 @@
     pub shed: u64,
     /// Requests that came while a cold start carried all it could.
     pub cold_overload: u64,
+    /// When such requests came, and from which address.
+    pub cold_overloads: Vec<Overload>,
     /// Requests whose time was over before they ran.
     pub expired: u64,
     /// Requests that were meant for another service.
--- a/crates/standins/src/upstream/server.rs
+++ b/crates/standins/src/upstream/server.rs
@@ -13,6 +13,7 @@
         records::{
             Arrival,
             Kind,
+            Overload,
             Records, //
         },
         spec::Spec, //
@@ -285,6 +286,11 @@
         let queue = if cold { 0 } else { self.spec.queue };
         if busy && cold {
             self.records.cold_overload += 1;
+            self.records.cold_overloads.push(Overload {
+                at: now,
+                from,
+                running: self.running.len(),
+            });
         }
         if self.sheds || (busy && self.waiting.len() >= queue) {
             return vec![self.refuse(from, &req)];
