Read datagrams into a buffer on the stack of the reading call

A daemon with 7,300 services took 125.7 MB. Each reading task held two buffers of 2 KB, one on the heap and one in its future. It now waits until the socket is readable and reads the burst in a plain call with one buffer on the stack.

--- a/crates/daemon/src/data/socket.rs
+++ b/crates/daemon/src/data/socket.rs
@@ -118,23 +118,27 @@
         mut handle: impl FnMut(&[u8], SocketAddr),
         mut refused: impl FnMut(),
     ) -> io::Result<()> {
-        let mut buf = vec![0u8; DATAGRAM_MAX];
-        let mut burst = [0u8; DATAGRAM_MAX];
         loop {
-            let (res, b) = self.rx.recv_from(buf).await;
-            buf = b;
-            match res {
+            self.rx.readable(false).await?;
+            self.read_burst(&mut handle, &mut refused)?;
+        }
+    }
+
+    /// Reads what has arrived; its buffer is on the stack, so that a socket at rest holds none.
+    fn read_burst(
+        &self,
+        handle: &mut impl FnMut(&[u8], SocketAddr),
+        refused: &mut impl FnMut(),
+    ) -> io::Result<()> {
+        let mut buf = [0u8; DATAGRAM_MAX];
+        for _ in 0..BURST {
+            match self.tx.recv_from(&mut buf) {
                 Ok((len, from)) => handle(&buf[..len], from),
                 Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => refused(),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e),
             }
-            for _ in 0..BURST {
-                match self.tx.recv_from(&mut burst) {
-                    Ok((len, from)) => handle(&burst[..len], from),
-                    Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => refused(),
-                    Err(_) => break,
-                }
-            }
         }
+        Ok(())
     }
 }
