--- a/crates/daemon/src/links/client.rs
+++ b/crates/daemon/src/links/client.rs
@@ -9,7 +9,7 @@
         BODY_MAX, //
     },
     crate::members::{
-        control::count,
+        counters::count,
         settings::ControlLimits,
         Control, //
     },
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -22,11 +22,9 @@
         },
     },
     crate::members::{
-        control::Voucher,
-        control::{
-            count,
-            NEWS_MAX, //
-        },
+        control::NEWS_MAX,
+        counters::count,
+        fence::Voucher,
         record,
         Control,
         Source, //
--- a/crates/daemon/src/links/push.rs
+++ b/crates/daemon/src/links/push.rs
@@ -6,7 +6,7 @@
 use {
     super::exchange,
     crate::members::{
-        control::count,
+        counters::count,
         Control, //
     },
     foxtailhinge_policy::{
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -20,7 +20,7 @@
         },
     },
     crate::members::{
-        control::count,
+        counters::count,
         Control,
         ControlSettings,
         Source, //
--- /dev/null
+++ b/crates/daemon/src/members/apply.rs
@@ -0,0 +1,112 @@
+//! Documents from the platform and from peers come into force, or are refused with findings.
+
+use {
+    super::{
+        control::{
+            Accepted,
+            Control, //
+        },
+        event::{
+            ControlEvent,
+            Source, //
+        },
+    },
+    foxtailhinge_config::document::ServiceDocument,
+    foxtailhinge_policy::revisions::Offer,
+    foxtailhinge_wire::message::DocumentRecord,
+    std::rc::Rc,
+};
+
+impl Control {
+    /// Takes a document, or a removal, from the platform or a peer.
+    ///
+    /// A change is told to peers, but not by a daemon that still copies what they have.
+    pub fn apply_document(&self, record: DocumentRecord, source: &Source) -> Offer {
+        let service: Rc<str> = record.service.into();
+        let revision = record.revision;
+        let known = self.documents().known(&service, revision);
+        if let Some(offer) = known {
+            return offer;
+        }
+        let document = match record.text {
+            None => Ok(None),
+            Some(text) => read_document(&service, text.into()).map(Some),
+        };
+        match document {
+            Ok(document) => self.accept_document(service, revision, document, source),
+            Err((text, findings)) => {
+                self.refuse_document(service, revision, text, findings, source)
+            }
+        }
+    }
+
+    fn accept_document(
+        &self,
+        service: Rc<str>,
+        revision: u64,
+        document: Option<Accepted>,
+        source: &Source,
+    ) -> Offer {
+        let new = document.as_ref().map(|d| d.document.clone());
+        let old = self.documents().get(&service).map(|d| d.document.clone());
+        let offer = self.documents_mut().offer(&service, revision, document);
+        self.announce(&service);
+        self.notify(&ControlEvent::Document {
+            service,
+            revision,
+            old,
+            new,
+            source: source.clone(),
+        });
+        offer
+    }
+
+    fn refuse_document(
+        &self,
+        service: Rc<str>,
+        revision: u64,
+        text: Rc<str>,
+        findings: Vec<String>,
+        source: &Source,
+    ) -> Offer {
+        let mut documents = self.documents_mut();
+        let offer = documents.refuse(&service, revision, text, findings.clone());
+        drop(documents);
+        if offer == Offer::Refused {
+            self.announce(&service);
+            self.notify(&ControlEvent::Refused {
+                service,
+                revision,
+                findings,
+                source: source.clone(),
+            });
+        }
+        offer
+    }
+
+    fn announce(&self, service: &Rc<str>) {
+        if self.is_synced() {
+            self.push_fresh(service);
+        }
+    }
+}
+
+fn read_document(service: &str, text: Rc<str>) -> Result<Accepted, (Rc<str>, Vec<String>)> {
+    match ServiceDocument::parse(service, &text) {
+        Ok(document) if document.service.as_ref() == service => Ok(Accepted {
+            document: Rc::new(document),
+            text,
+        }),
+        Ok(document) => {
+            let finding = format!(
+                "Write \"{service}\" as the service; the document names \"{}\".",
+                document.service
+            );
+            Err((text, vec![finding]))
+        }
+        Err(findings) => {
+            let findings = findings.iter().map(ToString::to_string).collect();
+            Err((text, findings))
+        }
+    }
+}
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -2,11 +2,10 @@
 
 use {
     super::{
+        counters::ControlCounters,
         deny::Deny,
-        event::{
-            ControlEvent,
-            Source, //
-        },
+        event::ControlEvent,
+        fence::Vouched,
         prober::{
             Prober,
             RelaySender, //
@@ -39,15 +38,9 @@
             Fence,
             PauseDetector, //
         },
-        revisions::{
-            Documents,
-            Offer, //
-        },
-    },
-    foxtailhinge_wire::message::{
-        DocumentRecord,
-        MemberUpdate, //
+        revisions::Documents,
     },
+    foxtailhinge_wire::message::MemberUpdate,
     futures::join,
     rand::{
         rngs::SmallRng,
@@ -62,11 +55,7 @@
         },
         fmt, io,
         rc::Rc,
-        time::{
-            Instant,
-            SystemTime,
-            UNIX_EPOCH, //
-        },
+        time::Instant,
     },
 };
 
@@ -79,49 +68,6 @@
     pub document: Rc<ServiceDocument>,
 }
 
-/// With whom a daemon synced, which decides whether it may take work again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Voucher {
-    /// A peer in service.
-    Peer,
-    /// A peer that is fenced too, as after a pause of both; counts together with the platform.
-    FencedPeer,
-    /// The platform, which does not tell who owns what; counts together with a fenced peer.
-    Platform,
-    /// The platform, when no other daemon of the zone is known.
-    PlatformAlone,
-}
-
-/// Numbers of what the control part did.
-#[derive(Debug, Default)]
-pub struct ControlCounters {
-    /// Calls of the platform.
-    pub platform_calls: Cell<u64>,
-    /// Calls of the platform that failed.
-    pub platform_failures: Cell<u64>,
-    /// Messages refused because they could not be opened.
-    pub links_refused: Cell<u64>,
-    /// Bytes sent on links.
-    pub link_bytes_sent: Cell<u64>,
-    /// Bytes received on links.
-    pub link_bytes_received: Cell<u64>,
-    /// Probes sent.
-    pub probes_sent: Cell<u64>,
-    /// Probes that were not answered in time.
-    pub probes_missed: Cell<u64>,
-    /// Exchanges with a peer that ended well.
-    pub exchanges: Cell<u64>,
-    /// Changes announced to peers.
-    pub announcements: Cell<u64>,
-    /// Requests for copies that were put off because the bytes for copies were spent.
-    pub copies_deferred: Cell<u64>,
-}
-
-/// Adds to a counter.
-pub(crate) fn count(counter: &Cell<u64>, n: u64) {
-    counter.set(counter.get() + n);
-}
-
 /// Records or documents in one copy up to which they are passed on as news.
 pub(crate) const NEWS_MAX: usize = 32;
 
@@ -132,14 +78,14 @@
     settings: ControlSettings,
     members: RefCell<Members>,
     documents: RefCell<Documents<Accepted>>,
-    pause: RefCell<PauseDetector>,
+    pub(crate) pause: RefCell<PauseDetector>,
     deny: RefCell<Deny>,
     rng: RefCell<SmallRng>,
     listeners: RefCell<Vec<Listener>>,
     fresh: RefCell<Vec<Rc<str>>>,
     confirmed: Cell<Option<Instant>>,
-    vouched_by_peer: Cell<Option<Instant>>,
-    vouched_by_platform: Cell<Option<Instant>>,
+    /// Who vouched for this daemon so far.
+    pub(crate) vouched: Vouched,
     links: Rc<Links>,
     counters: ControlCounters,
     /// Set when there are changes to announce.
@@ -184,8 +130,7 @@
             listeners: RefCell::default(),
             fresh: RefCell::default(),
             confirmed: Cell::new(None),
-            vouched_by_peer: Cell::new(None),
-            vouched_by_platform: Cell::new(None),
+            vouched: Vouched::default(),
             links: Rc::new(Links::new(settings.limits)),
             counters: ControlCounters::default(),
             fresh_wake: Wake::default(),
@@ -287,28 +232,6 @@
         self.exchange_wake.set();
     }
 
-    /// Takes a document, or a removal, from the platform or a peer.
-    ///
-    /// A change is told to peers, but not by a daemon that still copies what they have.
-    pub fn apply_document(&self, record: DocumentRecord, source: &Source) -> Offer {
-        let service: Rc<str> = record.service.into();
-        let revision = record.revision;
-        let known = self.documents.borrow().known(&service, revision);
-        if let Some(offer) = known {
-            return offer;
-        }
-        let document = match record.text {
-            None => Ok(None),
-            Some(text) => read_document(&service, text.into()).map(Some),
-        };
-        match document {
-            Ok(document) => self.accept_document(service, revision, document, source),
-            Err((text, findings)) => {
-                self.refuse_document(service, revision, text, findings, source)
-            }
-        }
-    }
-
     /// Takes news about members from a peer.
     pub fn merge_members(&self, updates: impl IntoIterator<Item = MemberUpdate>) {
         let now = Instant::now();
@@ -349,6 +272,12 @@
         self.rng.borrow_mut()
     }
 
+    /// Adds a service to those that changed.
+    pub(crate) fn push_fresh(&self, service: &Rc<str>) {
+        self.fresh.borrow_mut().push(service.clone());
+        self.fresh_wake.set();
+    }
+
     /// Takes the services that changed since the last call.
     pub fn take_fresh(&self) -> Vec<Rc<str>> {
         self.fresh.take()
@@ -361,35 +290,6 @@
         }
     }
 
-    /// Records a sync that began at `began`.
-    pub(crate) fn synced(&self, by: Voucher, began: Instant) {
-        let Fence::Closed(since) = self.pause.borrow().fence() else {
-            return;
-        };
-        if began < since {
-            return;
-        }
-        match by {
-            Voucher::Peer | Voucher::PlatformAlone => return self.open_fence(),
-            Voucher::FencedPeer => self.vouched_by_peer.set(Some(began)),
-            Voucher::Platform => self.vouched_by_platform.set(Some(began)),
-        }
-        let fresh = |at: &Cell<Option<Instant>>| at.get().is_some_and(|at| at >= since);
-        if fresh(&self.vouched_by_peer) && fresh(&self.vouched_by_platform) {
-            self.open_fence();
-        }
-    }
-
-    fn open_fence(&self) {
-        self.pause.borrow_mut().synced();
-        self.notify(&ControlEvent::Synced);
-    }
-
-    /// Records that a peer answered, so that a sync is worth waiting for.
-    pub(crate) fn reached(&self, now: Instant) {
-        self.pause.borrow_mut().reached(now);
-    }
-
     pub(crate) fn notify_member(&self, change: impl IntoIterator<Item = Change>) {
         for change in change {
             if change.kind == ChangeKind::Refuted {
@@ -399,108 +299,11 @@
         }
     }
 
-    fn notify(&self, event: &ControlEvent) {
+    /// Tells all listeners.
+    pub(crate) fn notify(&self, event: &ControlEvent) {
         let listeners = self.listeners.borrow().clone();
         for listener in listeners {
             listener(event);
         }
     }
-
-    fn accept_document(
-        &self,
-        service: Rc<str>,
-        revision: u64,
-        document: Option<Accepted>,
-        source: &Source,
-    ) -> Offer {
-        let new = document.as_ref().map(|d| d.document.clone());
-        let old = self
-            .documents
-            .borrow()
-            .get(&service)
-            .map(|d| d.document.clone());
-        let offer = self
-            .documents
-            .borrow_mut()
-            .offer(&service, revision, document);
-        self.announce(&service);
-        self.notify(&ControlEvent::Document {
-            service,
-            revision,
-            old,
-            new,
-            source: source.clone(),
-        });
-        offer
-    }
-
-    fn refuse_document(
-        &self,
-        service: Rc<str>,
-        revision: u64,
-        text: Rc<str>,
-        findings: Vec<String>,
-        source: &Source,
-    ) -> Offer {
-        let mut documents = self.documents.borrow_mut();
-        let offer = documents.refuse(&service, revision, text, findings.clone());
-        drop(documents);
-        if offer == Offer::Refused {
-            self.announce(&service);
-            self.notify(&ControlEvent::Refused {
-                service,
-                revision,
-                findings,
-                source: source.clone(),
-            });
-        }
-        offer
-    }
-
-    fn announce(&self, service: &Rc<str>) {
-        if self.is_synced() {
-            self.fresh.borrow_mut().push(service.clone());
-            self.fresh_wake.set();
-        }
-    }
-
-    async fn watch_pauses(&self) {
-        loop {
-            monoio::time::sleep(self.settings.limits.tick).await;
-            let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-            let wall = wall.unwrap_or_default();
-            let mut detector = self.pause.borrow_mut();
-            detector.tick_with_wall(Instant::now(), wall);
-            let pause = detector.take_pause();
-            let waited = detector.fence() != Fence::Open && detector.admits(Instant::now());
-            drop(detector);
-            if waited {
-                self.open_fence();
-            }
-            if let Some(pause) = pause {
-                self.exchange_wake.set();
-                self.notify(&ControlEvent::Paused(pause));
-            }
-        }
-    }
-}
-
-fn read_document(service: &str, text: Rc<str>) -> Result<Accepted, (Rc<str>, Vec<String>)> {
-    match ServiceDocument::parse(service, &text) {
-        Ok(document) if document.service.as_ref() == service => Ok(Accepted {
-            document: Rc::new(document),
-            text,
-        }),
-        Ok(document) => {
-            let finding = format!(
-                "Write \"{service}\" as the service; the document names \"{}\".",
-                document.service
-            );
-            Err((text, vec![finding]))
-        }
-        Err(findings) => {
-            let findings = findings.iter().map(ToString::to_string).collect();
-            Err((text, findings))
-        }
-    }
 }
--- /dev/null
+++ b/crates/daemon/src/members/fence.rs
@@ -0,0 +1,89 @@
+//! When a daemon may take work: after a sync that followed its start or its last pause.
+
+use {
+    super::{
+        control::Control,
+        event::ControlEvent, //
+    },
+    foxtailhinge_policy::pause::Fence,
+    std::{
+        cell::Cell,
+        time::{
+            Instant,
+            SystemTime,
+            UNIX_EPOCH, //
+        },
+    },
+};
+
+/// With whom a daemon synced, which decides whether it may take work again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Voucher {
+    /// A peer in service.
+    Peer,
+    /// A peer that is fenced too, as after a pause of both; counts together with the platform.
+    FencedPeer,
+    /// The platform, which does not tell who owns what; counts together with a fenced peer.
+    Platform,
+    /// The platform, when no other daemon of the zone is known.
+    PlatformAlone,
+}
+
+/// When others last vouched for this daemon without being enough alone.
+#[derive(Debug, Default)]
+pub(crate) struct Vouched {
+    peer: Cell<Option<Instant>>,
+    platform: Cell<Option<Instant>>,
+}
+
+impl Control {
+    /// Records a sync that began at `began`.
+    pub(crate) fn synced(&self, by: Voucher, began: Instant) {
+        let Fence::Closed(since) = self.pause.borrow().fence() else {
+            return;
+        };
+        if began < since {
+            return;
+        }
+        match by {
+            Voucher::Peer | Voucher::PlatformAlone => return self.open_fence(),
+            Voucher::FencedPeer => self.vouched.peer.set(Some(began)),
+            Voucher::Platform => self.vouched.platform.set(Some(began)),
+        }
+        let fresh = |at: &Cell<Option<Instant>>| at.get().is_some_and(|at| at >= since);
+        if fresh(&self.vouched.peer) && fresh(&self.vouched.platform) {
+            self.open_fence();
+        }
+    }
+
+    fn open_fence(&self) {
+        self.pause.borrow_mut().synced();
+        self.notify(&ControlEvent::Synced);
+    }
+
+    /// Records that a peer answered, so that a sync is worth waiting for.
+    pub(crate) fn reached(&self, now: Instant) {
+        self.pause.borrow_mut().reached(now);
+    }
+
+    /// Looks for pauses in each tick, without end.
+    pub(crate) async fn watch_pauses(&self) {
+        loop {
+            monoio::time::sleep(self.settings().limits.tick).await;
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+            let wall = wall.unwrap_or_default();
+            let mut detector = self.pause.borrow_mut();
+            detector.tick_with_wall(Instant::now(), wall);
+            let pause = detector.take_pause();
+            let waited = detector.fence() != Fence::Open && detector.admits(Instant::now());
+            drop(detector);
+            if waited {
+                self.open_fence();
+            }
+            if let Some(pause) = pause {
+                self.exchange_wake.set();
+                self.notify(&ControlEvent::Paused(pause));
+            }
+        }
+    }
+}
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -1,13 +1,7 @@
 //! Liveness probes over the relay.
 
 use {
-    super::{
-        control::{
-            count,
-            Control, //
-        },
-        record,
-    },
+    super::{control::Control, counters::count, record},
     foxtailhinge_policy::members::{
         Member,
         MemberState, //
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -8,7 +8,7 @@
     crate::{
         links::client::read_body,
         members::{
-            control::count,
+            counters::count,
             deny::PLATFORM,
             Control, //
         },
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -17,7 +17,7 @@
         },
     },
     crate::members::{
-        control::Voucher,
+        fence::Voucher,
         Control,
         Source, //
     },
