--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -21,6 +21,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    end_with_the_reader();
     let command = match cli::parse() {
         Ok(command) => command,
         Err(code) => return code,
@@ -33,3 +34,11 @@
         }
     }
 }
+
+/// Lets the program end quietly when its reader does, as in `foxtailctl status | head`.
+fn end_with_the_reader() {
+    // SAFETY: no thread has been started and the default action runs no code of this program.
+    unsafe {
+        libc::signal(libc::SIGPIPE, libc::SIG_DFL);
+    }
+}
--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -95,6 +95,15 @@
     Unknown,
 }
 
+/// What a round of [`Flows::collect`] ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Collected {
+    /// Flows that held a connection and were idle for too long.
+    pub idle: usize,
+    /// Flows whose callers did not come back.
+    pub unconfirmed: usize,
+}
+
 /// The flows of one upstream.
 #[derive(Debug)]
 pub struct Flows {
@@ -310,8 +319,7 @@
 
     /// Ends flows that were idle longer than `idle` says for their service, and leases that ran out.
     ///
-    /// Gives the numbers of the flows that held a connection until now.
-    pub fn collect(&mut self, now: Instant, idle: impl Fn(u32) -> Duration) -> Vec<u32> {
+    pub fn collect(&mut self, now: Instant, idle: impl Fn(u32) -> Duration) -> Collected {
         let opened_before = self.opened.len();
         self.opened
             .retain(|_, at| now.saturating_duration_since(*at) < OPEN_LEASE);
@@ -337,7 +345,10 @@
                 held.contains_key(&alias.flow) || opened.contains_key(&alias.flow)
             });
         }
-        ended
+        Collected {
+            idle: ended.len(),
+            unconfirmed: opened_before - self.opened.len(),
+        }
     }
 
     /// The ticket's fields that name this owner's copy of `flow`.
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -37,6 +37,10 @@
 
     fn put(self: &Rc<Self>, name: &str, doc: Rc<ServiceDocument>) {
         let hash = name_hash(name);
+        if !self.win_address(name, doc.address) {
+            self.remove(name);
+            return;
+        }
         let before = self.service(hash);
         let addr = self.bind_address(&doc);
         let socket = match &before {
@@ -64,6 +68,56 @@
         self.note_zones(&service, before.as_deref());
     }
 
+    /// Puts documents in force that could not be served before, as their address was taken.
+    pub fn put_missing(self: &Rc<Self>) {
+        let missing: Vec<(Rc<str>, Rc<ServiceDocument>)> = self
+            .control
+            .documents()
+            .in_force()
+            .filter(|(name, _, _)| !self.serves(name))
+            .map(|(name, _, accepted)| (Rc::clone(name), Rc::clone(&accepted.document)))
+            .collect();
+        for (name, doc) in missing {
+            self.put(&name, doc);
+        }
+    }
+
+    fn serves(&self, name: &str) -> bool {
+        self.service(name_hash(name))
+            .is_some_and(|service| *service.name == *name)
+    }
+
+    /// Whether `name` may have its address: of two services with one address, or one hash, the first by name
+    /// has it, whatever came first. The other one is not served.
+    fn win_address(self: &Rc<Self>, name: &str, address: SocketAddr) -> bool {
+        let hash = name_hash(name);
+        let rivals: Vec<Rc<Service>> = self
+            .services
+            .borrow()
+            .values()
+            .filter(|other| *other.name != *name)
+            .filter(|other| other.doc().address == address || other.hash == hash)
+            .cloned()
+            .collect();
+        let wins = rivals.iter().all(|other| name < &*other.name);
+        for other in &rivals {
+            let (kept, lost) = if wins {
+                (name, &*other.name)
+            } else {
+                (&*other.name, name)
+            };
+            Event::new("service_address_taken")
+                .field("service", lost)
+                .field("by", kept)
+                .field("address", address)
+                .error();
+            if wins {
+                self.remove(&other.name);
+            }
+        }
+        wins
+    }
+
     fn bind_address(&self, doc: &ServiceDocument) -> SocketAddr {
         match self.listen {
             Some(ip) => SocketAddr::new(ip, doc.address.port()),
@@ -160,6 +214,9 @@
     }
 
     fn remove(self: &Rc<Self>, name: &str) {
+        if !self.serves(name) {
+            return;
+        }
         let removed = self.services.borrow_mut().remove(&name_hash(name));
         let Some(service) = removed else {
             return;
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -53,6 +53,7 @@
     fn upkeep(self: &Rc<Self>, now: Instant) {
         let full = self.is_ready(now) && self.is_full_round(now);
         if full {
+            self.put_missing();
             self.reconcile();
         }
         let held = self.all_held();
@@ -128,10 +129,12 @@
                 .map_or(IDLE_WITHOUT_SERVICE, |service| service.doc().defaults.idle)
         };
         let ended = up.flows.borrow_mut().collect(now, idle);
-        for _ in ended {
+        for _ in 0..ended.idle {
             up.load_mut().disconnect();
-            self.metrics.flows_ended.inc(FlowEnd::Idle);
         }
+        let ends = &self.metrics.flows_ended;
+        ends.inc_by(FlowEnd::Idle, ended.idle as u64);
+        ends.inc_by(FlowEnd::Unconfirmed, ended.unconfirmed as u64);
     }
 
     fn end_silent_feeds(&self, up: &Upstream, now: Instant) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -96,8 +96,6 @@
         Idle = "idle",
         /// Its availability zone was taken out of service.
         ZoneOut = "zone_out",
-        /// Its upstream does not answer.
-        UpstreamGone = "upstream_gone",
         /// Its upstream was removed from the document.
         UpstreamRemoved = "upstream_removed",
         /// Its service was removed.
@@ -120,18 +118,10 @@
 
     /// Result of a call to the platform.
     enum PlatformResult = "result" {
-        /// It answered with news.
-        Changed = "changed",
-        /// It answered without news.
-        Unchanged = "unchanged",
-        /// It answered with an error.
-        Refused = "refused",
-        /// Its answer could not be read.
-        Garbled = "garbled",
-        /// It did not answer in time.
-        TimedOut = "timed_out",
-        /// No connection was made.
-        Unreachable = "unreachable",
+        /// It answered.
+        Answered = "answered",
+        /// It could not be reached, did not answer in time, or its answer could not be read.
+        Failed = "failed",
     }
 
     /// Result of a hand-over of an upstream to its next owner.
@@ -140,10 +130,6 @@
         Confirmed = "confirmed",
         /// It was taken over from the owner before.
         Received = "received",
-        /// It was not confirmed in time.
-        TimedOut = "timed_out",
-        /// There was nobody to take it.
-        NoOwner = "no_owner",
     }
 }
 
@@ -190,6 +176,11 @@
         self.children[label.index()].inc_by(n);
     }
 
+    /// Raises one counter to a total that is counted elsewhere.
+    pub fn raise(&self, label: L, total: u64) {
+        raise(&self.children[label.index()], total);
+    }
+
     /// Reads one counter.
     pub fn get(&self, label: L) -> u64 {
         self.children[label.index()].get()
@@ -264,7 +255,9 @@
     pub late_answers: IntCounter,
     /// Requests that were tried again.
     pub retries: IntCounter,
-    /// Messages of peers dropped for a wrong key.
+    /// Messages on links dropped for a wrong key.
+    pub links_refused: IntCounter,
+    /// Datagrams of peers dropped for a wrong key.
     pub peers_refused: IntCounter,
     /// Documents put in force.
     pub documents_applied: IntCounter,
@@ -342,6 +335,11 @@
                 "Late answers of upstreams that were dropped.",
             ),
             retries: counter(r, "foxtailhinge_retries_total", "Requests tried again."),
+            links_refused: counter(
+                r,
+                "foxtailhinge_links_refused_total",
+                "Messages on links dropped for a wrong key.",
+            ),
             peers_refused: counter(
                 r,
                 "foxtailhinge_peers_refused_total",
@@ -421,3 +419,8 @@
         .expect("metric names are unique");
     collector
 }
+
+/// Raises a counter to a total that is counted elsewhere.
+pub fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -19,6 +19,10 @@
             upstream::Upstream, //
         },
         members::Accepted,
+        metrics::{
+            raise,
+            PlatformResult, //
+        },
         platform::reader::is_reader, //
     },
     foxtailhinge_config::{
@@ -170,7 +174,20 @@
 
 impl Operations for Desk {
     fn metrics(&self) -> String {
-        self.path.metrics.render()
+        let counters = self.path.control.counters();
+        let metrics = &self.path.metrics;
+        let (calls, failures) = (
+            counters.platform_calls.get(),
+            counters.platform_failures.get(),
+        );
+        metrics
+            .platform_calls
+            .raise(PlatformResult::Answered, calls.saturating_sub(failures));
+        metrics
+            .platform_calls
+            .raise(PlatformResult::Failed, failures);
+        raise(&metrics.links_refused, counters.links_refused.get());
+        metrics.render()
     }
 
     fn status(&self) -> Status {
--- /dev/null
+++ b/crates/standins/examples/edited_fleet/main.rs
@@ -0,0 +1,71 @@
+//! A small fleet whose documents are files: edit one, and it is published.
+
+use foxtailhinge_standins::fleet::Fleet;
+use std::{
+    fs,
+    path::PathBuf,
+    process::ExitCode,
+    thread,
+    time::Duration, //
+};
+
+/// First argument with which this program runs as a daemon.
+const DAEMON: &str = "daemon";
+/// Time between two looks at the files.
+const TICK: Duration = Duration::from_millis(200);
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.first().is_some_and(|arg| arg == DAEMON) {
+        return foxtailhinge::command::run(args.into_iter().skip(1));
+    }
+    let dir = PathBuf::from(args.first().map_or("documents", String::as_str));
+    match run(&dir) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(dir: &std::path::Path) -> anyhow::Result<()> {
+    let fleet = Fleet::builder()
+        .daemons(4)
+        .zones(2)
+        .upstreams(4, 2)
+        .binary(std::env::current_exe()?)
+        .args(&[DAEMON])
+        .start()?;
+    fs::create_dir_all(dir)?;
+    let mut files = Vec::new();
+    for service in fleet.deployment().services() {
+        let file = dir.join(format!("{service}.jsonc"));
+        let text = fleet.document_of(service).text();
+        fs::write(&file, &text)?;
+        println!(
+            "{service} at coap://{}, document {}",
+            fleet.document_of(service).address,
+            file.display()
+        );
+        files.push((service, file, text));
+    }
+    for vm in fleet.vms() {
+        println!(
+            "{vm} in {}: --admin {}:7002",
+            fleet.zone_of(&vm),
+            fleet.ip_of(&vm)
+        );
+    }
+    loop {
+        thread::sleep(TICK);
+        for (service, file, text) in &mut files {
+            let now = fs::read_to_string(&*file)?;
+            if now != *text {
+                let revision = fleet.platform().publish(service, &now);
+                println!("{service}: revision {revision} is published");
+                *text = now;
+            }
+        }
+    }
+}
