--- a/crates/daemon/benches/answer_time/main.rs
+++ b/crates/daemon/benches/answer_time/main.rs
@@ -5,15 +5,13 @@
 #[path = "../common/mod.rs"]
 mod common;
 
-use {
-    common::{
-        fleet,
-        us,
-        Caller,
-        Places, //
-    },
-    std::time::Duration,
+use common::{
+    fleet,
+    us,
+    Caller,
+    Places, //
 };
+use std::time::Duration;
 
 const REQUESTS: usize = 20_000;
 const FLOWS: usize = 16;
--- a/crates/daemon/benches/common/mod.rs
+++ b/crates/daemon/benches/common/mod.rs
@@ -1,28 +1,26 @@
 //! Two daemon processes in one zone, upstreams that answer at once, and a caller with many flows.
 #![allow(dead_code)]
 
-use {
-    foxtailhinge_standins::fleet::Fleet,
-    foxtailhinge_wire::coap::{
-        Datagram,
-        Kind,
-        Method,
-        Status, //
+use foxtailhinge_standins::fleet::Fleet;
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Kind,
+    Method,
+    Status, //
+};
+use std::{
+    collections::HashMap,
+    fs,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        UdpSocket, //
     },
-    std::{
-        collections::HashMap,
-        fs,
-        net::{
-            IpAddr,
-            Ipv4Addr,
-            SocketAddr,
-            UdpSocket, //
-        },
-        thread,
-        time::{
-            Duration,
-            Instant, //
-        },
+    thread,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/benches/control/documents.rs
+++ b/crates/daemon/benches/control/documents.rs
@@ -1,29 +1,27 @@
 //! Memory and time of the documents in force.
 
-use {
-    crate::{
-        fleet::{
-            Fleet,
-            Start, //
-        },
-        meter::{
-            live_bytes,
-            print,
-            time,
-            us, //
-        },
+use crate::{
+    fleet::{
+        Fleet,
+        Start, //
     },
-    foxtailhinge::members::{
-        Control,
-        Source, //
-    },
-    foxtailhinge_policy::revisions::BUCKETS,
-    foxtailhinge_wire::message::DocumentRecord,
-    std::{
-        hint::black_box,
-        rc::Rc, //
+    meter::{
+        live_bytes,
+        print,
+        time,
+        us, //
     },
 };
+use foxtailhinge::members::{
+    Control,
+    Source, //
+};
+use foxtailhinge_policy::revisions::BUCKETS;
+use foxtailhinge_wire::message::DocumentRecord;
+use std::{
+    hint::black_box,
+    rc::Rc, //
+};
 
 /// Returns a document of two upstreams, as 13,000 servers behind 7,300 addresses have on average.
 pub(crate) fn record(i: usize, revision: u64) -> DocumentRecord {
--- a/crates/daemon/benches/control/links.rs
+++ b/crates/daemon/benches/control/links.rs
@@ -1,43 +1,41 @@
 //! Bytes and time of exchanges, pushes and joins between two daemons over loopback.
 
-use {
-    crate::{
-        documents::{
-            fill,
-            record, //
-        },
-        fleet::{
-            block_on,
-            limits,
-            until,
-            Fleet,
-            Node,
-            Start, //
-        },
-        members::member,
-        meter::{
-            cpu,
-            live_bytes,
-            print,
-            us, //
-        },
+use crate::{
+    documents::{
+        fill,
+        record, //
     },
-    foxtailhinge::{
-        links::{
-            budget::ByteBudget,
-            exchange::exchange, //
-        },
-        members::{
-            record::to_wire,
-            ControlLimits,
-            Source, //
-        },
+    fleet::{
+        block_on,
+        limits,
+        until,
+        Fleet,
+        Node,
+        Start, //
     },
-    std::time::{
-        Duration,
-        Instant, //
+    members::member,
+    meter::{
+        cpu,
+        live_bytes,
+        print,
+        us, //
     },
 };
+use foxtailhinge::{
+    links::{
+        budget::ByteBudget,
+        exchange::exchange, //
+    },
+    members::{
+        record::to_wire,
+        ControlLimits,
+        Source, //
+    },
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const EXCHANGES: u32 = 200;
 
--- a/crates/daemon/benches/control/members.rs
+++ b/crates/daemon/benches/control/members.rs
@@ -1,30 +1,28 @@
 //! Memory and time of the view of members.
 
-use {
-    crate::meter::{
-        live_bytes,
-        print,
-        time,
-        us, //
-    },
-    foxtailhinge_policy::{
-        members::{
-            Member,
-            MemberState,
-            Members,
-            MembersSpec, //
-        },
-        rendezvous::OwnerCache,
-    },
-    rand::{
-        rngs::SmallRng,
-        SeedableRng, //
-    },
-    std::{
-        hint::black_box,
-        rc::Rc,
-        time::Instant, //
+use crate::meter::{
+    live_bytes,
+    print,
+    time,
+    us, //
+};
+use foxtailhinge_policy::{
+    members::{
+        Member,
+        MemberState,
+        Members,
+        MembersSpec, //
     },
+    rendezvous::OwnerCache,
+};
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use std::{
+    hint::black_box,
+    rc::Rc,
+    time::Instant, //
 };
 
 /// Members of one zone at the size of two years.
--- a/crates/daemon/benches/control/probes.rs
+++ b/crates/daemon/benches/control/probes.rs
@@ -1,34 +1,32 @@
 //! Bytes and time of a round of probes, datagrams sealed but not sent.
 
-use {
-    crate::{
-        fleet::{
-            Fleet,
-            Start, //
-        },
-        members::member,
-        meter::{
-            print,
-            time,
-            us, //
-        },
+use crate::{
+    fleet::{
+        Fleet,
+        Start, //
     },
-    foxtailhinge::members::{
-        record,
-        Control,
-        Prober,
-        RelaySender, //
-    },
-    foxtailhinge_wire::{
-        message::RelayMessage,
-        ticket::name_hash, //
-    },
-    std::{
-        cell::RefCell,
-        net::SocketAddr,
-        rc::Rc, //
+    members::member,
+    meter::{
+        print,
+        time,
+        us, //
     },
 };
+use foxtailhinge::members::{
+    record,
+    Control,
+    Prober,
+    RelaySender, //
+};
+use foxtailhinge_wire::{
+    message::RelayMessage,
+    ticket::name_hash, //
+};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc, //
+};
 
 /// Members whose records are news all the time.
 const CHANGING: usize = 12;
--- a/crates/daemon/benches/control/spread.rs
+++ b/crates/daemon/benches/control/spread.rs
@@ -1,37 +1,35 @@
 //! Time for a change to spread over a fleet, and for a dead daemon to be removed everywhere.
 
-use {
-    crate::{
-        documents::{
-            fill,
-            record, //
-        },
-        fleet::{
-            block_on,
-            until,
-            until_all,
-            Fleet,
-            Node,
-            Start, //
-        },
-        meter::{
-            print,
-            us, //
-        },
+use crate::{
+    documents::{
+        fill,
+        record, //
     },
-    foxtailhinge::members::{
-        ControlLimits,
-        Source, //
+    fleet::{
+        block_on,
+        until,
+        until_all,
+        Fleet,
+        Node,
+        Start, //
     },
-    foxtailhinge_policy::members::{
-        MemberState,
-        MembersSpec, //
-    },
-    std::time::{
-        Duration,
-        Instant, //
+    meter::{
+        print,
+        us, //
     },
 };
+use foxtailhinge::members::{
+    ControlLimits,
+    Source, //
+};
+use foxtailhinge_policy::members::{
+    MemberState,
+    MembersSpec, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const ZONES: [&str; 4] = ["windhoek-1", "windhoek-2", "windhoek-3", "windhoek-4"];
 
--- a/crates/daemon/benches/flows/main.rs
+++ b/crates/daemon/benches/flows/main.rs
@@ -7,42 +7,40 @@
 #[path = "../control/meter.rs"]
 mod meter;
 
-use {
-    foxtailhinge::data::{
-        feed::{
-            Feed,
-            Feeds, //
-        },
-        flow::{
-            FlowStart,
-            Flows, //
-        },
-        upstream::{
-            CallerToken,
-            Upstream, //
-        },
+use foxtailhinge::data::{
+    feed::{
+        Feed,
+        Feeds, //
     },
-    foxtailhinge_wire::coap::{
-        Datagram,
-        Method, //
+    flow::{
+        FlowStart,
+        Flows, //
     },
-    meter::{
-        cpu,
-        live_bytes,
-        us, //
+    upstream::{
+        CallerToken,
+        Upstream, //
     },
-    std::{
-        collections::HashMap,
-        fs,
-        net::{
-            Ipv4Addr,
-            SocketAddr, //
-        },
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+};
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Method, //
+};
+use meter::{
+    cpu,
+    live_bytes,
+    us, //
+};
+use std::{
+    collections::HashMap,
+    fs,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
@@ -136,15 +134,13 @@
 }
 
 fn upstream(addr: SocketAddr, now: Instant) -> Rc<Upstream> {
-    use {
-        foxtailhinge::data::load::{
-            Load,
-            LoadSpec, //
-        },
-        foxtailhinge_policy::allowance::{
-            AllowanceSpec,
-            Capacity, //
-        },
+    use foxtailhinge::data::load::{
+        Load,
+        LoadSpec, //
+    };
+    use foxtailhinge_policy::allowance::{
+        AllowanceSpec,
+        Capacity, //
     };
     let full = Capacity {
         slots: 4,
--- a/crates/daemon/benches/relay/main.rs
+++ b/crates/daemon/benches/relay/main.rs
@@ -7,30 +7,28 @@
 #[path = "../common/mod.rs"]
 mod common;
 
-use {
-    common::{
-        cpu_of,
-        fleet,
-        pid_of,
-        us,
-        Caller,
-        Places, //
-    },
-    monoio::{
-        net::udp::UdpSocket,
-        LegacyDriver,
-        RuntimeBuilder, //
-    },
-    std::{
-        net::{
-            SocketAddr,
-            UdpSocket as StdSocket, //
-        },
-        rc::Rc,
-        sync::mpsc,
-        thread,
-        time::Duration, //
+use common::{
+    cpu_of,
+    fleet,
+    pid_of,
+    us,
+    Caller,
+    Places, //
+};
+use monoio::{
+    net::udp::UdpSocket,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use std::{
+    net::{
+        SocketAddr,
+        UdpSocket as StdSocket, //
     },
+    rc::Rc,
+    sync::mpsc,
+    thread,
+    time::Duration, //
 };
 
 const ROUND: Duration = Duration::from_secs(3);
--- a/crates/daemon/benches/services/main.rs
+++ b/crates/daemon/benches/services/main.rs
@@ -6,30 +6,28 @@
 #[path = "../common/mod.rs"]
 mod common;
 
-use {
-    common::{
-        cpu_of,
-        serve,
-        us, //
+use common::{
+    cpu_of,
+    serve,
+    us, //
+};
+use foxtailhinge_standins::platform::Platform;
+use std::{
+    fs,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Stdio, //
     },
-    foxtailhinge_standins::platform::Platform,
-    std::{
-        fs,
-        net::{
-            Ipv4Addr,
-            SocketAddr, //
-        },
-        path::PathBuf,
-        process::{
-            Child,
-            Command,
-            Stdio, //
-        },
-        thread,
-        time::{
-            Duration,
-            Instant, //
-        },
+    thread,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -1,22 +1,20 @@
 //! The daemon's command: parses, runs and turns errors into exit codes.
 
-use {
-    crate::{
-        daemon,
-        error::Error,
-        options::{
-            options,
-            Options, //
-        },
-    },
-    bpaf::Args,
-    foxtailhinge_config::settings::Settings,
-    std::{
-        fs,
-        path::Path,
-        process::ExitCode, //
+use crate::{
+    daemon,
+    error::Error,
+    options::{
+        options,
+        Options, //
     },
 };
+use bpaf::Args;
+use foxtailhinge_config::settings::Settings;
+use std::{
+    fs,
+    path::Path,
+    process::ExitCode, //
+};
 
 /// Exit code for a command line that cannot be used.
 const EXIT_USAGE: u8 = 2;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,58 +1,56 @@
 //! The daemon: its parts, started and stopped together.
 
-use {
-    crate::{
-        admin,
-        audit::{
-            Audit,
-            AuditEvent, //
-        },
-        data::{
-            path::{
-                DataPath,
-                Parts, //
-            },
-            relay::Relay,
-        },
-        error::Error,
-        logging::{
-            self,
-            Event, //
-        },
-        members::{
-            Control,
-            ControlEvent,
-            ControlSettings, //
-        },
-        metrics::Metrics,
-        operations::Desk,
-        signal::Signals,
-        supervisor::{
-            Limits,
-            Restart,
-            Supervisor, //
+use crate::{
+    admin,
+    audit::{
+        Audit,
+        AuditEvent, //
+    },
+    data::{
+        path::{
+            DataPath,
+            Parts, //
         },
-        timer::Timer, //
+        relay::Relay,
     },
-    foxtailhinge_config::settings::Settings,
-    foxtailhinge_wire::ticket::TicketKeys,
-    futures::future::{
-        select,
-        Either, //
+    error::Error,
+    logging::{
+        self,
+        Event, //
     },
-    monoio::{
-        net::TcpListener,
-        LegacyDriver,
-        RuntimeBuilder, //
+    members::{
+        Control,
+        ControlEvent,
+        ControlSettings, //
     },
-    std::{
-        net::SocketAddr,
-        pin::pin,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    metrics::Metrics,
+    operations::Desk,
+    signal::Signals,
+    supervisor::{
+        Limits,
+        Restart,
+        Supervisor, //
+    },
+    timer::Timer, //
+};
+use foxtailhinge_config::settings::Settings;
+use foxtailhinge_wire::ticket::TicketKeys;
+use futures::future::{
+    select,
+    Either, //
+};
+use monoio::{
+    net::TcpListener,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use std::{
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/answer.rs
+++ b/crates/daemon/src/data/answer.rs
@@ -1,17 +1,15 @@
 //! Answers that the daemon itself gives to callers.
 
-use {
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            Status, //
-        },
-        ticket::TICKET_LEN,
-    },
-    std::{
-        cell::Cell,
-        time::Duration, //
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Status, //
     },
+    ticket::TICKET_LEN,
+};
+use std::{
+    cell::Cell,
+    time::Duration, //
 };
 
 /// Message ids for answers that are not piggybacked.
--- a/crates/daemon/src/data/feed.rs
+++ b/crates/daemon/src/data/feed.rs
@@ -1,18 +1,16 @@
 //! Feeds: observed resources (RFC 7641) that the owner keeps for callers.
 
-use {
-    crate::data::upstream::{
-        CallerToken,
-        UpstreamToken, //
-    },
-    foxtailhinge_wire::coap::Datagram,
-    std::{
-        collections::HashMap,
-        time::{
-            Duration,
-            Instant,
-            SystemTime, //
-        },
+use crate::data::upstream::{
+    CallerToken,
+    UpstreamToken, //
+};
+use foxtailhinge_wire::coap::Datagram;
+use std::{
+    collections::HashMap,
+    time::{
+        Duration,
+        Instant,
+        SystemTime, //
     },
 };
 
--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -1,20 +1,18 @@
 //! Flows that an owner holds for one upstream.
 
-use {
-    foxtailhinge_policy::ledger::FlowLedger,
-    foxtailhinge_wire::{
-        message::FlowKey,
-        ticket::Ticket, //
-    },
-    std::{
-        cell::Cell,
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+use foxtailhinge_policy::ledger::FlowLedger;
+use foxtailhinge_wire::{
+    message::FlowKey,
+    ticket::Ticket, //
+};
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -4,62 +4,60 @@
 //! state and ends what it has in progress. A former owner that is gone gives nothing: the upstream then
 //! starts at its cold-start allowance, and flows are learnt from their packets.
 
-use {
-    crate::{
-        data::{
-            feed::Feed,
-            flow::{
-                FlowStart,
-                Flows, //
-            },
-            load::{
-                Load,
-                LoadSpec, //
-            },
-            owner::Holding,
-            path::DataPath,
-            upstream::{
-                CallerToken,
-                Upstream, //
-            },
+use crate::{
+    data::{
+        feed::Feed,
+        flow::{
+            FlowStart,
+            Flows, //
         },
-        links::{
-            LinkHandler,
-            LinkReply,
-            LinkRequest, //
+        load::{
+            Load,
+            LoadSpec, //
         },
-        logging::Event,
-        metrics::HandOverResult,
-        supervisor::Restart, //
-    },
-    foxtailhinge_policy::{
-        ledger::FlowLedger,
-        members::{
-            Member,
-            MemberState, //
+        owner::Holding,
+        path::DataPath,
+        upstream::{
+            CallerToken,
+            Upstream, //
         },
-        rendezvous::score,
     },
-    foxtailhinge_wire::{
-        coap::Datagram,
-        message::{
-            AllowanceRecord,
-            FeedRecord,
-            Finished,
-            FlowRecord,
-            HandOver,
-            OwnerReply,
-            OwnerRequest, //
-        },
+    links::{
+        LinkHandler,
+        LinkReply,
+        LinkRequest, //
     },
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    logging::Event,
+    metrics::HandOverResult,
+    supervisor::Restart, //
+};
+use foxtailhinge_policy::{
+    ledger::FlowLedger,
+    members::{
+        Member,
+        MemberState, //
+    },
+    rendezvous::score,
+};
+use foxtailhinge_wire::{
+    coap::Datagram,
+    message::{
+        AllowanceRecord,
+        FeedRecord,
+        Finished,
+        FlowRecord,
+        HandOver,
+        OwnerReply,
+        OwnerRequest, //
+    },
+};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -1,44 +1,42 @@
 //! Ingress: datagrams of callers, routed by their tickets alone.
 
-use {
-    crate::{
-        data::{
-            answer::Notice,
-            path::{
-                DataPath,
-                Early, //
-            },
-            service::Service,
-            socket::Socket, //
-        },
-        metrics::{
-            DatagramResult,
-            RequestOutcome, //
+use crate::{
+    data::{
+        answer::Notice,
+        path::{
+            DataPath,
+            Early, //
         },
+        service::Service,
+        socket::Socket, //
     },
-    foxtailhinge_policy::members::Member,
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            Kind, //
-        },
-        message::{
-            Forward,
-            RelayMessage, //
-        },
-        ticket::{
-            Ticket,
-            TicketError, //
-        },
+    metrics::{
+        DatagramResult,
+        RequestOutcome, //
     },
-    std::{
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+};
+use foxtailhinge_policy::members::Member;
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Kind, //
+    },
+    message::{
+        Forward,
+        RelayMessage, //
+    },
+    ticket::{
+        Ticket,
+        TicketError, //
+    },
+};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -1,32 +1,30 @@
 //! Load of one upstream as its owner counts it: limits, allowance and health together.
 
-use {
-    foxtailhinge_policy::{
-        admission::{
-            Admission,
-            Limits,
-            Offer,
-            Refusal,
-            Start,
-            WaitingList, //
-        },
-        allowance::{
-            Allowance,
-            AllowanceSpec, //
-        },
-        comeback::Comeback,
-        health::{
-            EndpointReport,
-            Health,
-            HealthState,
-            HealthView, //
-        },
+use foxtailhinge_policy::{
+    admission::{
+        Admission,
+        Limits,
+        Offer,
+        Refusal,
+        Start,
+        WaitingList, //
     },
-    smallvec::SmallVec,
-    std::time::{
-        Duration,
-        Instant, //
+    allowance::{
+        Allowance,
+        AllowanceSpec, //
     },
+    comeback::Comeback,
+    health::{
+        EndpointReport,
+        Health,
+        HealthState,
+        HealthView, //
+    },
+};
+use smallvec::SmallVec;
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Time for which new flows stay away from an upstream that has shed load.
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -1,39 +1,37 @@
 //! Datagrams of upstreams: answers, notifications of feeds, and the end of feeds.
 
-use {
-    crate::{
-        data::{
-            answer::Notice,
-            feed::Feed,
-            ingress::Arrived,
-            path::DataPath,
-            request::Job,
-            service::{
-                Notified,
-                Service, //
-            },
-            upstream::{
-                Arrival,
-                Upstream,
-                UpstreamToken, //
-            },
+use crate::{
+    data::{
+        answer::Notice,
+        feed::Feed,
+        ingress::Arrived,
+        path::DataPath,
+        request::Job,
+        service::{
+            Notified,
+            Service, //
         },
-        metrics::RequestOutcome, //
-    },
-    foxtailhinge_wire::coap::{
-        Datagram,
-        Kind,
-        Status, //
-    },
-    std::{
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
+        upstream::{
+            Arrival,
+            Upstream,
+            UpstreamToken, //
         },
     },
+    metrics::RequestOutcome, //
+};
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Kind,
+    Status, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Time within which a feed should be taken up again.
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -1,41 +1,39 @@
 //! Opening of flows: candidates are asked in turn until an owner admits.
 
-use {
-    crate::{
-        data::{
-            answer::Notice,
-            flow::FlowStart,
-            ingress::Arrived,
-            load::Entry,
-            owner::Holding,
-            path::DataPath,
-            request::{
-                Job,
-                REGISTER, //
-            },
-            service::Service,
-            upstream::Upstream, //
+use crate::{
+    data::{
+        answer::Notice,
+        flow::FlowStart,
+        ingress::Arrived,
+        load::Entry,
+        owner::Holding,
+        path::DataPath,
+        request::{
+            Job,
+            REGISTER, //
         },
-        metrics::RequestOutcome,
+        service::Service,
+        upstream::Upstream, //
     },
-    foxtailhinge_policy::{
-        ledger::EPOCH_FIRST,
-        members::Member, //
-    },
-    foxtailhinge_wire::{
-        coap::Datagram,
-        message::{
-            CandidateOffer,
-            Open,
-            RelayMessage, //
-        },
+    metrics::RequestOutcome,
+};
+use foxtailhinge_policy::{
+    ledger::EPOCH_FIRST,
+    members::Member, //
+};
+use foxtailhinge_wire::{
+    coap::Datagram,
+    message::{
+        CandidateOffer,
+        Open,
+        RelayMessage, //
     },
-    std::{
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+};
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -1,42 +1,40 @@
 //! Ownership: requests of flows whose upstream this daemon owns.
 
-use {
-    crate::data::{
-        answer::Notice,
-        flow::{
-            FlowStart,
-            Found, //
-        },
-        ingress::Arrived,
-        path::DataPath,
-        request::Job,
-        service::Service,
-        upstream::{
-            CallerToken,
-            Upstream, //
-        },
+use crate::data::{
+    answer::Notice,
+    flow::{
+        FlowStart,
+        Found, //
     },
-    foxtailhinge_policy::ledger::{
-        Begin,
-        FlowLedger, //
+    ingress::Arrived,
+    path::DataPath,
+    request::Job,
+    service::Service,
+    upstream::{
+        CallerToken,
+        Upstream, //
     },
-    foxtailhinge_wire::{
-        coap::Datagram,
-        message::{
-            Forward,
-            RelayMessage, //
-        },
-        ticket::{
-            caller_tag,
-            Ticket, //
-        },
+};
+use foxtailhinge_policy::ledger::{
+    Begin,
+    FlowLedger, //
+};
+use foxtailhinge_wire::{
+    coap::Datagram,
+    message::{
+        Forward,
+        RelayMessage, //
     },
-    std::{
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    ticket::{
+        caller_tag,
+        Ticket, //
+    },
+};
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -1,65 +1,58 @@
 //! State that the tasks of the data path share.
 
-use {
-    crate::{
-        audit::Audit,
-        data::{
-            flow::FlowNumbers,
-            owner::Holding,
-            relay::Relay,
-            service::Service,
-            upstream::Upstream, //
-        },
-        logging::{
-            panic_message,
-            Event, //
-        },
-        members::{
-            prober::Prober,
-            Control, //
-        },
-        metrics::Metrics,
-        supervisor::Supervisor, //
+use crate::{
+    audit::Audit,
+    data::{
+        flow::FlowNumbers,
+        owner::Holding,
+        relay::Relay,
+        service::Service,
+        upstream::Upstream, //
     },
-    foxtailhinge_policy::{
-        members::{
-            Member, //
-        },
-        rendezvous::OwnerCache,
+    logging::{
+        panic_message,
+        Event, //
     },
-    foxtailhinge_wire::{
-        message::{
-            FlowKey,
-            RelayMessage, //
-        },
-        ticket::{
-            caller_tag,
-            name_hash,
-            zone_hash,
-            Ticket,
-            TicketKeys,
-            TICKET_LEN, //
-        },
+    members::{
+        prober::Prober,
+        Control, //
     },
-    futures::FutureExt,
-    std::{
-        cell::{
-            Cell,
-            OnceCell,
-            RefCell, //
-        },
-        collections::HashMap,
-        future::Future,
-        net::{
-            IpAddr,
-            SocketAddr, //
-        },
-        panic::AssertUnwindSafe,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    metrics::Metrics,
+    supervisor::Supervisor, //
+};
+use foxtailhinge_policy::{members::Member, rendezvous::OwnerCache};
+use foxtailhinge_wire::{
+    message::{
+        FlowKey,
+        RelayMessage, //
+    },
+    ticket::{
+        caller_tag,
+        name_hash,
+        zone_hash,
+        Ticket,
+        TicketKeys,
+        TICKET_LEN, //
+    },
+};
+use futures::FutureExt;
+use std::{
+    cell::{
+        Cell,
+        OnceCell,
+        RefCell, //
+    },
+    collections::HashMap,
+    future::Future,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    panic::AssertUnwindSafe,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/probe.rs
+++ b/crates/daemon/src/data/probe.rs
@@ -1,22 +1,20 @@
 //! Probes of the upstreams that this daemon owns: their silence counts, their reports come second.
 
-use {
-    crate::data::{
-        path::DataPath,
-        upstream::Upstream, //
-    },
-    foxtailhinge_policy::health::EndpointReport,
-    foxtailhinge_wire::coap::{
-        Datagram,
-        Status, //
-    },
-    serde::Deserialize,
-    std::{
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+use crate::data::{
+    path::DataPath,
+    upstream::Upstream, //
+};
+use foxtailhinge_policy::health::EndpointReport;
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Status, //
+};
+use serde::Deserialize;
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/record.rs
+++ b/crates/daemon/src/data/record.rs
@@ -1,20 +1,18 @@
 //! Records of changes in the audit trail and the metrics.
 
-use {
-    crate::{
-        audit::AuditEvent,
-        data::path::DataPath,
-        operations::{
-            findings,
-            member_status, //
-        },
-    },
-    foxtailhinge_policy::members::Member,
-    std::{
-        net::SocketAddr,
-        sync::Arc, //
+use crate::{
+    audit::AuditEvent,
+    data::path::DataPath,
+    operations::{
+        findings,
+        member_status, //
     },
 };
+use foxtailhinge_policy::members::Member;
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
 
 impl DataPath {
     /// Records that a document came into force, or that its service was removed.
--- a/crates/daemon/src/data/relay.rs
+++ b/crates/daemon/src/data/relay.rs
@@ -1,22 +1,20 @@
 //! The UDP relay between daemons.
 
-use {
-    crate::{
-        data::{
-            path::DataPath,
-            socket::Socket, //
-        },
-        members::prober::RelaySender, //
-    },
-    foxtailhinge_wire::{
-        envelope::PeerKeys,
-        message::RelayMessage, //
-    },
-    std::{
-        io,
-        net::SocketAddr,
-        rc::Rc, //
+use crate::{
+    data::{
+        path::DataPath,
+        socket::Socket, //
     },
+    members::prober::RelaySender, //
+};
+use foxtailhinge_wire::{
+    envelope::PeerKeys,
+    message::RelayMessage, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc, //
 };
 
 /// The relay's socket and the keys that seal its datagrams.
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -1,40 +1,38 @@
 //! One request at the owner, from its slot to its answer.
 
-use {
-    crate::{
-        data::{
-            answer::Notice,
-            feed::Feed,
-            path::DataPath,
-            service::Service,
-            upstream::{
-                CallerToken,
-                ExchangeError,
-                Upstream,
-                UpstreamToken, //
-            },
-        },
-        metrics::{
-            FlowEnd,
-            Metrics,
-            RequestOutcome, //
+use crate::{
+    data::{
+        answer::Notice,
+        feed::Feed,
+        path::DataPath,
+        service::Service,
+        upstream::{
+            CallerToken,
+            ExchangeError,
+            Upstream,
+            UpstreamToken, //
         },
     },
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            Kind,
-            Status, //
-        },
-        ticket::TICKET_LEN,
+    metrics::{
+        FlowEnd,
+        Metrics,
+        RequestOutcome, //
     },
-    std::{
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+};
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Kind,
+        Status, //
+    },
+    ticket::TICKET_LEN,
+};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -1,46 +1,44 @@
 //! A service as every daemon knows it: its document, its socket and the draw of candidates.
 
-use {
-    crate::data::{
-        answer::MessageIds,
-        load::LoadSpec,
-        socket::Socket,
-        upstream::UpstreamToken, //
-    },
-    foxtailhinge_config::document::{
-        ServiceDocument,
-        Upstream as UpstreamSpec, //
+use crate::data::{
+    answer::MessageIds,
+    load::LoadSpec,
+    socket::Socket,
+    upstream::UpstreamToken, //
+};
+use foxtailhinge_config::document::{
+    ServiceDocument,
+    Upstream as UpstreamSpec, //
+};
+use foxtailhinge_policy::{
+    allowance::{
+        AllowanceSpec,
+        Capacity, //
     },
-    foxtailhinge_policy::{
-        allowance::{
-            AllowanceSpec,
-            Capacity, //
-        },
-        budget::RetryBudget,
-        comeback::Comeback,
-        placement::{
-            Placement,
-            Sequence, //
-        },
+    budget::RetryBudget,
+    comeback::Comeback,
+    placement::{
+        Placement,
+        Sequence, //
     },
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            Method, //
-        },
-        ticket::name_hash, //
+};
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Method, //
     },
-    rand::Rng,
-    smallvec::SmallVec,
-    std::{
-        cell::RefCell,
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    ticket::name_hash, //
+};
+use rand::Rng;
+use smallvec::SmallVec;
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/socket.rs
+++ b/crates/daemon/src/data/socket.rs
@@ -1,18 +1,16 @@
 //! UDP sockets of the data path.
 
-use {
-    crate::supervisor::{
-        Stop,
-        Stopper, //
-    },
-    monoio::net::udp::UdpSocket,
-    std::{
-        cell::Cell,
-        io,
-        net::{
-            SocketAddr,
-            UdpSocket as StdSocket, //
-        },
+use crate::supervisor::{
+    Stop,
+    Stopper, //
+};
+use monoio::net::udp::UdpSocket;
+use std::{
+    cell::Cell,
+    io,
+    net::{
+        SocketAddr,
+        UdpSocket as StdSocket, //
     },
 };
 
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -1,28 +1,26 @@
 //! The services in force on this daemon, as the documents declare them.
 
-use {
-    crate::{
-        audit::AuditEvent,
-        data::{
-            owner::Holding,
-            path::DataPath,
-            service::Service,
-            socket::Socket,
-            upstream::Upstream, //
-        },
-        logging::Event,
-        metrics::FlowEnd,
-        supervisor::Restart, //
-    },
-    foxtailhinge_config::document::ServiceDocument,
-    foxtailhinge_wire::ticket::name_hash,
-    std::{
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        time::Instant, //
+use crate::{
+    audit::AuditEvent,
+    data::{
+        owner::Holding,
+        path::DataPath,
+        service::Service,
+        socket::Socket,
+        upstream::Upstream, //
     },
+    logging::Event,
+    metrics::FlowEnd,
+    supervisor::Restart, //
+};
+use foxtailhinge_config::document::ServiceDocument;
+use foxtailhinge_wire::ticket::name_hash;
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Instant, //
 };
 
 impl DataPath {
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -1,27 +1,25 @@
 //! Upkeep of the upstreams that this daemon owns: idle flows, feeds without a caller, moves and states.
 
-use {
-    crate::{
-        audit::AuditEvent,
-        data::{
-            load::LoadState,
-            path::DataPath,
-            service::Service,
-            upstream::Upstream, //
-        },
-        metrics::FlowEnd,
-        timer::Timer, //
+use crate::{
+    audit::AuditEvent,
+    data::{
+        load::LoadState,
+        path::DataPath,
+        service::Service,
+        upstream::Upstream, //
     },
-    foxtailhinge_config::report::UpstreamState,
-    std::{
-        collections::HashSet,
-        net::SocketAddr,
-        rc::Rc,
-        sync::Arc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    metrics::FlowEnd,
+    timer::Timer, //
+};
+use foxtailhinge_config::report::UpstreamState;
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -1,49 +1,47 @@
 //! One upstream that this daemon owns: its slots, its exchanges, its flows and its feeds.
 
-use {
-    crate::data::{
-        feed::Feeds,
-        flow::Flows,
-        load::{
-            Load,
-            Outcome, //
-        },
-        socket::Socket, //
+use crate::data::{
+    feed::Feeds,
+    flow::Flows,
+    load::{
+        Load,
+        Outcome, //
     },
-    foxtailhinge_config::report::UpstreamState,
-    foxtailhinge_policy::admission::{
-        Refusal,
-        Start,
-        WaitingList, //
+    socket::Socket, //
+};
+use foxtailhinge_config::report::UpstreamState;
+use foxtailhinge_policy::admission::{
+    Refusal,
+    Start,
+    WaitingList, //
+};
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Method,
+        Status, //
+    },
+    message::FinishedRun,
+};
+use local_sync::oneshot;
+use smallvec::SmallVec;
+use std::{
+    cell::{
+        Cell,
+        Ref,
+        RefCell,
+        RefMut, //
     },
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            Method,
-            Status, //
-        },
-        message::FinishedRun,
+    collections::{
+        HashMap,
+        HashSet, //
     },
-    local_sync::oneshot,
-    smallvec::SmallVec,
-    std::{
-        cell::{
-            Cell,
-            Ref,
-            RefCell,
-            RefMut, //
-        },
-        collections::{
-            HashMap,
-            HashSet, //
-        },
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,12 +1,10 @@
 //! Errors that end the daemon.
 
-use {
-    foxtailhinge_config::finding::Findings,
-    std::{
-        io,
-        net::SocketAddr,
-        path::PathBuf, //
-    },
+use foxtailhinge_config::finding::Findings;
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf, //
 };
 
 /// Why the daemon could not start or had to end.
--- a/crates/daemon/src/links/client.rs
+++ b/crates/daemon/src/links/client.rs
@@ -1,45 +1,43 @@
 //! The asking end of the links.
 
-use {
-    super::message::{
-        decode,
-        encode,
-        LinkReply,
-        LinkRequest,
-        BODY_MAX, //
-    },
-    crate::members::{
-        counters::count,
-        settings::ControlLimits,
-        Control, //
-    },
-    bytes::{
-        Bytes,
-        BytesMut, //
-    },
-    foxtailhinge_policy::members::Member,
-    foxtailhinge_wire::{
-        envelope::EnvelopeError,
-        ticket::name_hash, //
-    },
-    h2::{
-        client::SendRequest,
-        RecvStream, //
-    },
-    http::{
-        Request,
-        StatusCode, //
-    },
-    monoio::net::TcpStream,
-    monoio_compat::StreamWrapper,
-    std::{
-        cell::RefCell,
-        collections::HashMap,
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::Instant, //
-    },
+use super::message::{
+    decode,
+    encode,
+    LinkReply,
+    LinkRequest,
+    BODY_MAX, //
+};
+use crate::members::{
+    counters::count,
+    settings::ControlLimits,
+    Control, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use foxtailhinge_policy::members::Member;
+use foxtailhinge_wire::{
+    envelope::EnvelopeError,
+    ticket::name_hash, //
+};
+use h2::{
+    client::SendRequest,
+    RecvStream, //
+};
+use http::{
+    Request,
+    StatusCode, //
+};
+use monoio::net::TcpStream;
+use monoio_compat::StreamWrapper;
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Instant, //
 };
 
 /// Read and write buffer of one end of a link, in bytes.
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -1,56 +1,54 @@
 //! Periodic comparison with a random peer, after which both hold the newer of both views.
 
-use {
-    super::{
-        budget::ByteBudget,
-        client::LinkError,
-        message::{
-            fold,
-            from_bucket_sums,
-            to_bucket_sums,
-            to_digest,
-            to_revisions,
-            Difference,
-            Freshness,
-            Glance,
-            LinkReply,
-            LinkRequest,
-            Revision,
-            Sums,
-            DOCUMENTS_BYTES,
-            PAGE, //
-        },
+use super::{
+    budget::ByteBudget,
+    client::LinkError,
+    message::{
+        fold,
+        from_bucket_sums,
+        to_bucket_sums,
+        to_digest,
+        to_revisions,
+        Difference,
+        Freshness,
+        Glance,
+        LinkReply,
+        LinkRequest,
+        Revision,
+        Sums,
+        DOCUMENTS_BYTES,
+        PAGE, //
     },
-    crate::members::{
-        control::NEWS_MAX,
-        counters::count,
-        fence::Voucher,
-        record,
-        Control,
-        Source, //
-    },
-    foxtailhinge_policy::{
-        members::{
-            Member,
-            MemberState, //
-        },
-        revisions::differing,
-    },
-    foxtailhinge_wire::message::{
-        DocumentRecord,
-        MemberUpdate, //
-    },
-    rand::{
-        seq::IteratorRandom,
-        Rng, //
+};
+use crate::members::{
+    control::NEWS_MAX,
+    counters::count,
+    fence::Voucher,
+    record,
+    Control,
+    Source, //
+};
+use foxtailhinge_policy::{
+    members::{
+        Member,
+        MemberState, //
     },
-    std::{
-        collections::HashMap,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    revisions::differing,
+};
+use foxtailhinge_wire::message::{
+    DocumentRecord,
+    MemberUpdate, //
+};
+use rand::{
+    seq::IteratorRandom,
+    Rng, //
+};
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/links/message.rs
+++ b/crates/daemon/src/links/message.rs
@@ -1,22 +1,20 @@
 //! Messages on the links.
 
-use {
-    bincode::{
-        config,
-        Decode,
-        Encode, //
-    },
-    foxtailhinge_policy::revisions::{
-        Digest,
-        DigestEntry,
-        BUCKETS, //
-    },
-    foxtailhinge_wire::message::{
-        DocumentRecord,
-        MemberUpdate,
-        OwnerReply,
-        OwnerRequest, //
-    },
+use bincode::{
+    config,
+    Decode,
+    Encode, //
+};
+use foxtailhinge_policy::revisions::{
+    Digest,
+    DigestEntry,
+    BUCKETS, //
+};
+use foxtailhinge_wire::message::{
+    DocumentRecord,
+    MemberUpdate,
+    OwnerReply,
+    OwnerRequest, //
 };
 
 /// Longest body of a message from a peer that has shown the fleet's key, in bytes.
--- a/crates/daemon/src/links/push.rs
+++ b/crates/daemon/src/links/push.rs
@@ -3,24 +3,22 @@
 //! Each daemon announces a change once, when it learns of it. A peer asks for the documents that
 //! it lacks, so that a document crosses to each daemon about once.
 
-use {
-    super::exchange,
-    crate::members::{
-        counters::count,
-        Control, //
-    },
-    foxtailhinge_policy::{
-        members::{
-            Member,
-            MemberState, //
-        },
-        rendezvous::NameKey,
-    },
-    rand::seq::IteratorRandom,
-    std::{
-        rc::Rc,
-        time::Duration, //
+use super::exchange;
+use crate::members::{
+    counters::count,
+    Control, //
+};
+use foxtailhinge_policy::{
+    members::{
+        Member,
+        MemberState, //
     },
+    rendezvous::NameKey,
+};
+use rand::seq::IteratorRandom;
+use std::{
+    rc::Rc,
+    time::Duration, //
 };
 
 /// Time during which changes are gathered into one announcement.
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -1,66 +1,64 @@
 //! The answering end of the links.
 
-use {
-    super::{
-        budget::ByteBudget,
-        client::{
-            read_body,
-            LinkError,
-            BUFFER,
-            WINDOW, //
-        },
-        exchange,
-        message::{
-            decode,
-            encode,
-            LinkReply,
-            LinkRequest,
-            BODY_MAX,
-            FIRST_BODY_MAX, //
-        },
+use super::{
+    budget::ByteBudget,
+    client::{
+        read_body,
+        LinkError,
+        BUFFER,
+        WINDOW, //
     },
-    crate::members::{
-        counters::count,
-        Control,
-        ControlSettings,
-        Source, //
+    exchange,
+    message::{
+        decode,
+        encode,
+        LinkReply,
+        LinkRequest,
+        BODY_MAX,
+        FIRST_BODY_MAX, //
     },
-    bytes::Bytes,
-    foxtailhinge_wire::{
-        envelope::Opened,
-        message::{
-            OwnerReply,
-            OwnerRequest, //
-        },
-        ticket::name_hash, //
-    },
-    h2::{
-        server::SendResponse,
-        RecvStream, //
-    },
-    http::{
-        Request,
-        Response,
-        StatusCode, //
+};
+use crate::members::{
+    counters::count,
+    Control,
+    ControlSettings,
+    Source, //
+};
+use bytes::Bytes;
+use foxtailhinge_wire::{
+    envelope::Opened,
+    message::{
+        OwnerReply,
+        OwnerRequest, //
     },
-    monoio::net::{
-        ListenerOpts,
-        TcpListener,
-        TcpStream, //
+    ticket::name_hash, //
+};
+use h2::{
+    server::SendResponse,
+    RecvStream, //
+};
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use monoio::net::{
+    ListenerOpts,
+    TcpListener,
+    TcpStream, //
+};
+use monoio_compat::StreamWrapper;
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
     },
-    monoio_compat::StreamWrapper,
-    std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,30 +1,28 @@
 //! Structured logs, one line of key=value pairs for each event.
 
-use {
-    flexi_logger::{
-        DeferredNow,
-        FlexiLoggerError,
-        LogSpecification,
-        Logger,
-        LoggerHandle, //
-    },
-    log::{
-        Level,
-        LevelFilter,
-        Record, //
+use flexi_logger::{
+    DeferredNow,
+    FlexiLoggerError,
+    LogSpecification,
+    Logger,
+    LoggerHandle, //
+};
+use log::{
+    Level,
+    LevelFilter,
+    Record, //
+};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    fmt::{
+        Display,
+        Write as _, //
     },
-    std::{
-        cell::RefCell,
-        collections::HashMap,
-        fmt::{
-            Display,
-            Write as _, //
-        },
-        io, panic,
-        time::{
-            Duration,
-            Instant, //
-        },
+    io, panic,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/members/apply.rs
+++ b/crates/daemon/src/members/apply.rs
@@ -1,21 +1,19 @@
 //! Documents from the platform and from peers come into force, or are refused with findings.
 
-use {
-    super::{
-        control::{
-            Accepted,
-            Control, //
-        },
-        event::{
-            ControlEvent,
-            Source, //
-        },
+use super::{
+    control::{
+        Accepted,
+        Control, //
+    },
+    event::{
+        ControlEvent,
+        Source, //
     },
-    foxtailhinge_config::document::ServiceDocument,
-    foxtailhinge_policy::revisions::Offer,
-    foxtailhinge_wire::message::DocumentRecord,
-    std::rc::Rc,
 };
+use foxtailhinge_config::document::ServiceDocument;
+use foxtailhinge_policy::revisions::Offer;
+use foxtailhinge_wire::message::DocumentRecord;
+use std::rc::Rc;
 
 impl Control {
     /// Takes a document, or a removal, from the platform or a peer.
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -1,62 +1,60 @@
 //! Control state of one daemon: members, documents in force, and the fence.
 
-use {
-    super::{
-        counters::ControlCounters,
-        deny::Deny,
-        event::ControlEvent,
-        fence::Vouched,
-        prober::{
-            Prober,
-            RelaySender, //
-        },
-        record,
-        settings::ControlSettings,
-        wake::Wake,
+use super::{
+    counters::ControlCounters,
+    deny::Deny,
+    event::ControlEvent,
+    fence::Vouched,
+    prober::{
+        Prober,
+        RelaySender, //
     },
-    crate::{
-        links::{
-            exchange,
-            push,
-            server,
-            LinkHandler,
-            Links,
-            Server, //
-        },
-        platform::Reader,
+    record,
+    settings::ControlSettings,
+    wake::Wake,
+};
+use crate::{
+    links::{
+        exchange,
+        push,
+        server,
+        LinkHandler,
+        Links,
+        Server, //
     },
-    foxtailhinge_config::document::ServiceDocument,
-    foxtailhinge_policy::{
-        members::{
-            Change,
-            ChangeKind,
-            Member,
-            MemberState,
-            Members, //
-        },
-        pause::{
-            Fence,
-            PauseDetector, //
-        },
-        revisions::Documents,
+    platform::Reader,
+};
+use foxtailhinge_config::document::ServiceDocument;
+use foxtailhinge_policy::{
+    members::{
+        Change,
+        ChangeKind,
+        Member,
+        MemberState,
+        Members, //
     },
-    foxtailhinge_wire::message::MemberUpdate,
-    futures::join,
-    rand::{
-        rngs::SmallRng,
-        SeedableRng, //
+    pause::{
+        Fence,
+        PauseDetector, //
     },
-    std::{
-        cell::{
-            Cell,
-            Ref,
-            RefCell,
-            RefMut, //
-        },
-        fmt, io,
-        rc::Rc,
-        time::Instant,
+    revisions::Documents,
+};
+use foxtailhinge_wire::message::MemberUpdate;
+use futures::join;
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use std::{
+    cell::{
+        Cell,
+        Ref,
+        RefCell,
+        RefMut, //
     },
+    fmt, io,
+    rc::Rc,
+    time::Instant,
 };
 
 /// A document in force with its text, which is passed on to peers.
--- a/crates/daemon/src/members/deny.rs
+++ b/crates/daemon/src/members/deny.rs
@@ -1,11 +1,9 @@
 //! Peers whose traffic a test has cut off.
 
-use {
-    foxtailhinge_wire::ticket::name_hash,
-    std::{
-        collections::HashSet,
-        rc::Rc, //
-    },
+use foxtailhinge_wire::ticket::name_hash;
+use std::{
+    collections::HashSet,
+    rc::Rc, //
 };
 
 /// Name that stands for the platform.
--- a/crates/daemon/src/members/event.rs
+++ b/crates/daemon/src/members/event.rs
@@ -1,15 +1,13 @@
 //! Changes of the control state that other parts react to.
 
-use {
-    foxtailhinge_config::document::ServiceDocument,
-    foxtailhinge_policy::{
-        members::Change,
-        pause::Pause, //
-    },
-    std::{
-        fmt,
-        rc::Rc, //
-    },
+use foxtailhinge_config::document::ServiceDocument;
+use foxtailhinge_policy::{
+    members::Change,
+    pause::Pause, //
+};
+use std::{
+    fmt,
+    rc::Rc, //
 };
 
 /// Where a document came from.
--- a/crates/daemon/src/members/fence.rs
+++ b/crates/daemon/src/members/fence.rs
@@ -1,18 +1,16 @@
 //! When a daemon may take work: after a sync that followed its start or its last pause.
 
-use {
-    super::{
-        control::Control,
-        event::ControlEvent, //
-    },
-    foxtailhinge_policy::pause::Fence,
-    std::{
-        cell::Cell,
-        time::{
-            Instant,
-            SystemTime,
-            UNIX_EPOCH, //
-        },
+use super::{
+    control::Control,
+    event::ControlEvent, //
+};
+use foxtailhinge_policy::pause::Fence;
+use std::{
+    cell::Cell,
+    time::{
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
     },
 };
 
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -1,29 +1,31 @@
 //! Liveness probes over the relay.
 
-use {
-    super::{control::Control, counters::count, record},
-    foxtailhinge_policy::members::{
-        Member,
-        MemberState, //
-    },
-    foxtailhinge_wire::{
-        message::{
-            MemberUpdate,
-            RelayMessage, //
-        },
-        ticket::name_hash,
+use super::{
+    control::Control,
+    counters::count,
+    record, //
+};
+use foxtailhinge_policy::members::{
+    Member,
+    MemberState, //
+};
+use foxtailhinge_wire::{
+    message::{
+        MemberUpdate,
+        RelayMessage, //
     },
-    rand::seq::IteratorRandom,
-    std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::Instant, //
+    ticket::name_hash,
+};
+use rand::seq::IteratorRandom;
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
     },
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Instant, //
 };
 
 /// Members asked to probe a member that missed a probe.
--- a/crates/daemon/src/members/record.rs
+++ b/crates/daemon/src/members/record.rs
@@ -1,14 +1,12 @@
 //! Conversion of member records between decisions and wire.
 
-use {
-    foxtailhinge_policy::members::{
-        Member,
-        MemberState, //
-    },
-    foxtailhinge_wire::message::{
-        MemberState as WireState,
-        MemberUpdate, //
-    },
+use foxtailhinge_policy::members::{
+    Member,
+    MemberState, //
+};
+use foxtailhinge_wire::message::{
+    MemberState as WireState,
+    MemberUpdate, //
 };
 
 /// Returns the record as it is sent.
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -1,23 +1,21 @@
 //! Settings and limits of the control part.
 
-use {
-    foxtailhinge_config::settings::Settings,
-    foxtailhinge_policy::{
-        members::{
-            Listed,
-            MembersSpec, //
-        },
-        pause::PauseSpec,
-    },
-    foxtailhinge_wire::{
-        envelope::PeerKeys,
-        ticket::name_hash, //
-    },
-    std::{
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration, //
+use foxtailhinge_config::settings::Settings;
+use foxtailhinge_policy::{
+    members::{
+        Listed,
+        MembersSpec, //
     },
+    pause::PauseSpec,
+};
+use foxtailhinge_wire::{
+    envelope::PeerKeys,
+    ticket::name_hash, //
+};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
 };
 
 /// Times and sizes of the control part.
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -1,69 +1,67 @@
 //! What operators get to see of the daemon.
 
-use {
-    crate::{
-        admin::{
-            ExplainError,
-            ExplainQuery,
-            FaultsError,
-            Operations, //
-        },
-        audit::AuditQuery,
-        data::{
-            path::DataPath,
-            service::{
-                Named,
-                Service, //
-            },
-            upkeep::report_state,
-            upstream::Upstream, //
-        },
-        members::Accepted,
-        metrics::{
-            raise,
-            PlatformResult, //
-        },
-        platform::reader::is_reader, //
+use crate::{
+    admin::{
+        ExplainError,
+        ExplainQuery,
+        FaultsError,
+        Operations, //
     },
-    foxtailhinge_config::{
-        document::ServiceDocument,
-        finding::Finding,
-        report::{
-            AuditPage,
-            Candidate,
-            DaemonState,
-            DocumentStatus,
-            Explanation,
-            Faults,
-            MemberState,
-            MemberStatus,
-            OwnedUpstream,
-            PlatformStatus,
-            RefusedDocument,
-            Status,
-            TicketReport,
-            UpstreamStatus,
-            Usage,
-            Verdict,
-            ZoneStatus, //
+    audit::AuditQuery,
+    data::{
+        path::DataPath,
+        service::{
+            Named,
+            Service, //
         },
-        settings::Settings, //
+        upkeep::report_state,
+        upstream::Upstream, //
     },
-    foxtailhinge_policy::{
-        members,
-        revisions::Documents, //
+    members::Accepted,
+    metrics::{
+        raise,
+        PlatformResult, //
     },
-    foxtailhinge_wire::ticket::{
-        name_hash,
-        Ticket, //
+    platform::reader::is_reader, //
+};
+use foxtailhinge_config::{
+    document::ServiceDocument,
+    finding::Finding,
+    report::{
+        AuditPage,
+        Candidate,
+        DaemonState,
+        DocumentStatus,
+        Explanation,
+        Faults,
+        MemberState,
+        MemberStatus,
+        OwnedUpstream,
+        PlatformStatus,
+        RefusedDocument,
+        Status,
+        TicketReport,
+        UpstreamStatus,
+        Usage,
+        Verdict,
+        ZoneStatus, //
     },
-    std::{
-        rc::Rc,
-        sync::Arc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    settings::Settings, //
+};
+use foxtailhinge_policy::{
+    members,
+    revisions::Documents, //
+};
+use foxtailhinge_wire::ticket::{
+    name_hash,
+    Ticket, //
+};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,9 +1,7 @@
 //! Options of the command line.
 
-use {
-    bpaf::Bpaf,
-    std::path::PathBuf, //
-};
+use bpaf::Bpaf;
+use std::path::PathBuf;
 
 /// Serves as one daemon of the foxtailhinge fleet.
 #[derive(Debug, Clone, Bpaf)]
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -1,35 +1,33 @@
 //! Calls of the platform over HTTP/2.
 
-use {
-    super::message::{
-        DocumentList,
-        VmList, //
-    },
-    crate::{
-        links::client::read_body,
-        members::{
-            counters::count,
-            deny::PLATFORM,
-            Control, //
-        },
-    },
-    bytes::Bytes,
-    h2::client::SendRequest,
-    http::{
-        Request,
-        StatusCode, //
-    },
-    monoio::net::TcpStream,
-    monoio_compat::StreamWrapper,
-    serde::de::DeserializeOwned,
-    std::{
-        cell::RefCell,
-        io,
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration, //
+use super::message::{
+    DocumentList,
+    VmList, //
+};
+use crate::{
+    links::client::read_body,
+    members::{
+        counters::count,
+        deny::PLATFORM,
+        Control, //
     },
 };
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::{
+    Request,
+    StatusCode, //
+};
+use monoio::net::TcpStream;
+use monoio_compat::StreamWrapper;
+use serde::de::DeserializeOwned;
+use std::{
+    cell::RefCell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
 
 /// Longest answer that is read, in bytes.
 const ANSWER_MAX: usize = 64 << 20;
--- a/crates/daemon/src/platform/message.rs
+++ b/crates/daemon/src/platform/message.rs
@@ -1,11 +1,9 @@
 //! Answers of the platform.
 
-use {
-    serde::Deserialize,
-    std::{
-        net::SocketAddr,
-        rc::Rc, //
-    },
+use serde::Deserialize;
+use std::{
+    net::SocketAddr,
+    rc::Rc, //
 };
 
 /// All documents, or those changed since a revision.
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -4,37 +4,35 @@
 //! from peers. A daemon to which no news of the platform comes, not even through peers, reads for
 //! itself at a rate that all daemons together share.
 
-use {
-    super::{
-        client::{
-            Client,
-            PlatformError, //
-        },
-        message::{
-            DocumentList,
-            VmList,
-            VmState, //
-        },
+use super::{
+    client::{
+        Client,
+        PlatformError, //
     },
-    crate::members::{
-        fence::Voucher,
-        Control,
-        Source, //
+    message::{
+        DocumentList,
+        VmList,
+        VmState, //
     },
-    foxtailhinge_policy::{
-        members::Listed,
-        rendezvous, //
-    },
-    foxtailhinge_wire::message::DocumentRecord,
-    futures::join,
-    rand::Rng,
-    std::{
-        cell::Cell,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+};
+use crate::members::{
+    fence::Voucher,
+    Control,
+    Source, //
+};
+use foxtailhinge_policy::{
+    members::Listed,
+    rendezvous, //
+};
+use foxtailhinge_wire::message::DocumentRecord;
+use futures::join;
+use rand::Rng;
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/signal.rs
+++ b/crates/daemon/src/signal.rs
@@ -1,26 +1,24 @@
 //! Process signals: the first SIGTERM or SIGINT asks for a graceful stop, the second ends the
 //! process at once.
 
-use {
-    monoio::{
-        io::AsyncReadRent,
-        net::UnixStream, //
-    },
-    signal_hook::{
-        consts::{
-            SIGINT,
-            SIGTERM, //
-        },
-        flag,
-        low_level::pipe, //
+use monoio::{
+    io::AsyncReadRent,
+    net::UnixStream, //
+};
+use signal_hook::{
+    consts::{
+        SIGINT,
+        SIGTERM, //
     },
-    std::{
-        io,
-        os::unix::net::UnixStream as StdUnixStream,
-        sync::{
-            atomic::AtomicBool,
-            Arc, //
-        },
+    flag,
+    low_level::pipe, //
+};
+use std::{
+    io,
+    os::unix::net::UnixStream as StdUnixStream,
+    sync::{
+        atomic::AtomicBool,
+        Arc, //
     },
 };
 
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -4,44 +4,42 @@
 //! limit within its window end the supervisor, which is a failure of its parent or the end of the
 //! process.
 
-use {
-    crate::logging::{
-        panic_message,
-        Event, //
-    },
-    anyhow::anyhow,
-    futures::{
-        channel::{
-            mpsc::{
-                unbounded,
-                UnboundedReceiver,
-                UnboundedSender, //
-            },
-            oneshot,
-        },
-        future::{
-            select,
-            Either,
-            Shared, //
+use crate::logging::{
+    panic_message,
+    Event, //
+};
+use anyhow::anyhow;
+use futures::{
+    channel::{
+        mpsc::{
+            unbounded,
+            UnboundedReceiver,
+            UnboundedSender, //
         },
-        FutureExt,
-        StreamExt, //
+        oneshot,
     },
-    std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
-        collections::VecDeque,
-        fmt,
-        future::Future,
-        panic::AssertUnwindSafe,
-        pin::pin,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    future::{
+        select,
+        Either,
+        Shared, //
+    },
+    FutureExt,
+    StreamExt, //
+};
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::VecDeque,
+    fmt,
+    future::Future,
+    panic::AssertUnwindSafe,
+    pin::pin,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -3,34 +3,32 @@
 //! One task sleeps for all subscribers; due times are rounded up to [`GRAIN`], so that neighbours
 //! share a wake-up.
 
-use {
-    futures::future::poll_fn,
-    rand::{
-        rngs::SmallRng,
-        Rng,
-        SeedableRng, //
+use futures::future::poll_fn;
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    future::Future,
+    pin::{
+        pin,
+        Pin, //
+    },
+    rc::Rc,
+    task::{
+        Context,
+        Poll,
+        Waker, //
     },
-    std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
-        collections::BTreeMap,
-        future::Future,
-        pin::{
-            pin,
-            Pin, //
-        },
-        rc::Rc,
-        task::{
-            Context,
-            Poll,
-            Waker, //
-        },
-        time::{
-            Duration,
-            Instant, //
-        },
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/tests/control/copies.rs
+++ b/crates/daemon/tests/control/copies.rs
@@ -1,22 +1,20 @@
 //! Copies of all documents to a joining daemon, within a rate.
 
-use {
-    crate::fleet::{
-        block_on,
-        document,
-        until,
-        until_all,
-        Fleet,
-        Start, //
-    },
-    foxtailhinge::{
-        links::budget::ByteBudget,
-        members::ControlLimits, //
-    },
-    std::time::{
-        Duration,
-        Instant, //
-    },
+use crate::fleet::{
+    block_on,
+    document,
+    until,
+    until_all,
+    Fleet,
+    Start, //
+};
+use foxtailhinge::{
+    links::budget::ByteBudget,
+    members::ControlLimits, //
+};
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 const DOCUMENTS: usize = 300;
--- a/crates/daemon/tests/control/documents.rs
+++ b/crates/daemon/tests/control/documents.rs
@@ -1,15 +1,13 @@
 //! Documents come into force everywhere and never go back.
 
-use {
-    crate::fleet::{
-        block_on,
-        document,
-        until,
-        until_all,
-        Fleet, //
-    },
-    foxtailhinge::members::ControlEvent,
+use crate::fleet::{
+    block_on,
+    document,
+    until,
+    until_all,
+    Fleet, //
 };
+use foxtailhinge::members::ControlEvent;
 
 const SERVICE: &str = "syncdesk-api";
 
--- a/crates/daemon/tests/control/faults.rs
+++ b/crates/daemon/tests/control/faults.rs
@@ -1,17 +1,15 @@
 //! Faults of the platform and of the way between daemons, alone and in pairs.
 
-use {
-    crate::fleet::{
-        block_on,
-        document,
-        until_all,
-        vm,
-        Fleet,
-        Node,
-        Start, //
-    },
-    rstest::rstest,
+use crate::fleet::{
+    block_on,
+    document,
+    until_all,
+    vm,
+    Fleet,
+    Node,
+    Start, //
 };
+use rstest::rstest;
 
 const SERVICE: &str = "countkeeper";
 
--- a/crates/daemon/tests/control/fence.rs
+++ b/crates/daemon/tests/control/fence.rs
@@ -1,22 +1,20 @@
 //! A daemon that starts or wakes takes no new work before it has synced.
 
-use {
-    crate::fleet::{
-        block_on,
-        until,
-        until_all,
-        Fleet,
-        Node,
-        Start, //
-    },
-    foxtailhinge::members::ControlEvent,
-    foxtailhinge_policy::pause::PauseSpec,
-    std::{
-        thread,
-        time::{
-            Duration,
-            Instant, //
-        },
+use crate::fleet::{
+    block_on,
+    until,
+    until_all,
+    Fleet,
+    Node,
+    Start, //
+};
+use foxtailhinge::members::ControlEvent;
+use foxtailhinge_policy::pause::PauseSpec;
+use std::{
+    thread,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -1,63 +1,61 @@
 //! Control parts of several daemons on one thread, with a platform.
 
-use {
-    foxtailhinge::links::LinkHandler,
-    foxtailhinge::members::{
-        Control,
-        ControlEvent,
-        ControlLimits,
-        ControlSettings,
-        Prober,
-        RelaySender, //
+use foxtailhinge::links::LinkHandler;
+use foxtailhinge::members::{
+    Control,
+    ControlEvent,
+    ControlLimits,
+    ControlSettings,
+    Prober,
+    RelaySender, //
+};
+use foxtailhinge_policy::{
+    members::{
+        ChangeKind,
+        Listed,
+        MemberState,
+        MembersSpec, //
     },
-    foxtailhinge_policy::{
-        members::{
-            ChangeKind,
-            Listed,
-            MemberState,
-            MembersSpec, //
-        },
-        pause::PauseSpec,
+    pause::PauseSpec,
+};
+use foxtailhinge_standins::platform::{
+    Platform,
+    Vm,
+    VmState, //
+};
+use foxtailhinge_wire::{
+    envelope::PeerKeys,
+    message::{
+        OwnerReply,
+        OwnerRequest,
+        RelayMessage, //
     },
-    foxtailhinge_standins::platform::{
-        Platform,
-        Vm,
-        VmState, //
+    ticket::name_hash,
+};
+use monoio::{
+    net::udp::UdpSocket,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
     },
-    foxtailhinge_wire::{
-        envelope::PeerKeys,
-        message::{
-            OwnerReply,
-            OwnerRequest,
-            RelayMessage, //
-        },
-        ticket::name_hash,
+    future::Future,
+    net::{
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener, //
     },
-    monoio::{
-        net::udp::UdpSocket,
-        LegacyDriver,
-        RuntimeBuilder, //
+    rc::Rc,
+    sync::atomic::{
+        AtomicU32,
+        Ordering, //
     },
-    std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
-        future::Future,
-        net::{
-            Ipv4Addr,
-            SocketAddr,
-            TcpListener, //
-        },
-        rc::Rc,
-        sync::atomic::{
-            AtomicU32,
-            Ordering, //
-        },
-        time::{
-            Duration,
-            Instant, //
-        },
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/tests/control/members.rs
+++ b/crates/daemon/tests/control/members.rs
@@ -1,18 +1,16 @@
 //! Members join, leave, die and come back.
 
-use {
-    crate::fleet::{
-        block_on,
-        until,
-        until_all,
-        vm,
-        Fleet,
-        Start, //
-    },
-    foxtailhinge_policy::members::{
-        ChangeKind,
-        MemberState, //
-    },
+use crate::fleet::{
+    block_on,
+    until,
+    until_all,
+    vm,
+    Fleet,
+    Start, //
+};
+use foxtailhinge_policy::members::{
+    ChangeKind,
+    MemberState, //
 };
 
 #[test]
--- a/crates/daemon/tests/control/messages.rs
+++ b/crates/daemon/tests/control/messages.rs
@@ -1,29 +1,27 @@
 //! Messages on links pass through envelopes whatever their length and names.
 
-use {
-    foxtailhinge::links::{
-        message::{
-            decode,
-            encode,
-            to_bucket_sums,
-            Freshness,
-            Revision,
-            Sums, //
-        },
-        LinkReply,
-        LinkRequest, //
+use foxtailhinge::links::{
+    message::{
+        decode,
+        encode,
+        to_bucket_sums,
+        Freshness,
+        Revision,
+        Sums, //
     },
-    foxtailhinge_policy::revisions::BUCKETS,
-    foxtailhinge_wire::{
-        envelope::PeerKeys,
-        message::{
-            DocumentRecord,
-            MemberState,
-            MemberUpdate, //
-        },
+    LinkReply,
+    LinkRequest, //
+};
+use foxtailhinge_policy::revisions::BUCKETS;
+use foxtailhinge_wire::{
+    envelope::PeerKeys,
+    message::{
+        DocumentRecord,
+        MemberState,
+        MemberUpdate, //
     },
-    rstest::rstest,
 };
+use rstest::rstest;
 
 fn member(_: usize) -> MemberUpdate {
     MemberUpdate {
--- a/crates/daemon/tests/control/readers.rs
+++ b/crates/daemon/tests/control/readers.rs
@@ -1,22 +1,20 @@
 //! Few daemons read the platform, and others stand in for them.
 
-use {
-    crate::fleet::{
-        block_on,
-        document,
-        limits,
-        until,
-        until_all,
-        Fleet,
-        Node,
-        Start, //
-    },
-    foxtailhinge::{
-        members::ControlLimits,
-        platform::Reader, //
-    },
-    std::time::Duration,
+use crate::fleet::{
+    block_on,
+    document,
+    limits,
+    until,
+    until_all,
+    Fleet,
+    Node,
+    Start, //
+};
+use foxtailhinge::{
+    members::ControlLimits,
+    platform::Reader, //
 };
+use std::time::Duration;
 
 const SERVICE: &str = "layoutstore";
 
--- a/crates/daemon/tests/flows.rs
+++ b/crates/daemon/tests/flows.rs
@@ -1,24 +1,22 @@
 //! Flows that an owner holds, over their end and over hand-overs.
 
-use {
-    foxtailhinge::data::flow::{
-        ticket_key,
-        FlowNumbers,
-        FlowStart,
-        Flows,
-        Found, //
-    },
-    foxtailhinge_policy::ledger::{
-        Begin,
-        FlowLedger, //
-    },
-    foxtailhinge_wire::ticket::Ticket,
-    std::{
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+use foxtailhinge::data::flow::{
+    ticket_key,
+    FlowNumbers,
+    FlowStart,
+    Flows,
+    Found, //
+};
+use foxtailhinge_policy::ledger::{
+    Begin,
+    FlowLedger, //
+};
+use foxtailhinge_wire::ticket::Ticket;
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/daemon/tests/logging.rs
+++ b/crates/daemon/tests/logging.rs
@@ -1,20 +1,18 @@
 //! Log lines and their rate limit.
 
-use {
-    foxtailhinge::logging::{
-        self,
-        Admitted,
-        Event,
-        RateLimit,
-        RATE_LINES,
-        RATE_WINDOW, //
-    },
-    std::{
-        env,
-        panic,
-        process::Command,
-        time::Instant, //
-    },
+use foxtailhinge::logging::{
+    self,
+    Admitted,
+    Event,
+    RateLimit,
+    RATE_LINES,
+    RATE_WINDOW, //
+};
+use std::{
+    env,
+    panic,
+    process::Command,
+    time::Instant, //
 };
 
 const ROLE: &str = "FOXTAILHINGE_TEST_ROLE";
--- a/crates/daemon/tests/observe.rs
+++ b/crates/daemon/tests/observe.rs
@@ -1,20 +1,18 @@
 //! Observe values that callers get from one owner after another.
 
-use {
-    foxtailhinge::data::{
-        feed::{
-            next_value,
-            Feed, //
-        },
-        upstream::CallerToken,
+use foxtailhinge::data::{
+    feed::{
+        next_value,
+        Feed, //
     },
-    foxtailhinge_wire::coap::{
-        Datagram,
-        Method, //
-    },
-    rstest::rstest,
-    std::time::Instant,
+    upstream::CallerToken,
+};
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Method, //
 };
+use rstest::rstest;
+use std::time::Instant;
 
 /// Whether a caller takes `value` for newer than `than` (RFC 7641, section 3.4).
 fn is_newer(value: u32, than: u32) -> bool {
--- a/crates/daemon/tests/signal.rs
+++ b/crates/daemon/tests/signal.rs
@@ -1,27 +1,25 @@
 //! Signals of the operating system, tried in processes of their own.
 
-use {
-    foxtailhinge::signal::Signals,
-    monoio::{
-        LegacyDriver,
-        RuntimeBuilder, //
+use foxtailhinge::signal::Signals;
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use rstest::rstest;
+use std::{
+    env,
+    io::{
+        BufRead,
+        BufReader, //
     },
-    rstest::rstest,
-    std::{
-        env,
-        io::{
-            BufRead,
-            BufReader, //
-        },
-        process::{
-            Child,
-            ChildStdout,
-            Command,
-            Stdio, //
-        },
-        thread,
-        time::Duration,
+    process::{
+        Child,
+        ChildStdout,
+        Command,
+        Stdio, //
     },
+    thread,
+    time::Duration,
 };
 
 const ROLE: &str = "FOXTAILHINGE_TEST_ROLE";
--- a/crates/daemon/tests/supervisor.rs
+++ b/crates/daemon/tests/supervisor.rs
@@ -1,36 +1,34 @@
 //! The supervisor tree.
 
-use {
-    anyhow::bail,
-    foxtailhinge::supervisor::{
-        Cause,
-        Failure,
-        Limits,
-        Restart,
-        Supervisor, //
-    },
-    futures::{
-        future::{
-            join,
-            pending, //
-        },
-        FutureExt, //
-    },
-    monoio::{
-        time::sleep,
-        LegacyDriver,
-        RuntimeBuilder, //
+use anyhow::bail;
+use foxtailhinge::supervisor::{
+    Cause,
+    Failure,
+    Limits,
+    Restart,
+    Supervisor, //
+};
+use futures::{
+    future::{
+        join,
+        pending, //
     },
-    rstest::rstest,
-    std::{
-        cell::{
-            Cell,
-            RefCell, //
-        },
-        future::Future,
-        rc::Rc,
-        time::Duration, //
+    FutureExt, //
+};
+use monoio::{
+    time::sleep,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use rstest::rstest;
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
     },
+    future::Future,
+    rc::Rc,
+    time::Duration, //
 };
 
 const LIMITS: Limits = Limits {
--- a/crates/daemon/tests/timer.rs
+++ b/crates/daemon/tests/timer.rs
@@ -1,25 +1,23 @@
 //! The timer service.
 
-use {
-    foxtailhinge::timer::{
-        Timer,
-        GRAIN, //
-    },
-    futures::{
-        future::join_all,
-        FutureExt, //
-    },
-    monoio::{
-        LegacyDriver,
-        RuntimeBuilder, //
-    },
-    std::{
-        future::Future,
-        thread,
-        time::{
-            Duration,
-            Instant, //
-        },
+use foxtailhinge::timer::{
+    Timer,
+    GRAIN, //
+};
+use futures::{
+    future::join_all,
+    FutureExt, //
+};
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use std::{
+    future::Future,
+    thread,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/benches/draw.rs
+++ b/crates/policy/benches/draw.rs
@@ -1,11 +1,19 @@
 //! Time of a draw of three candidates, by number of upstreams.
 
-use {
-    criterion::{BenchmarkId, Criterion},
-    foxtailhinge_policy::placement::{Placement, Sequence},
-    rand::{rngs::SmallRng, Rng, SeedableRng},
-    std::hint::black_box,
+use criterion::{
+    BenchmarkId,
+    Criterion, //
 };
+use foxtailhinge_policy::placement::{
+    Placement,
+    Sequence, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use std::hint::black_box;
 
 const CANDIDATES: usize = 3;
 
--- a/crates/policy/benches/placement/least_bad.rs
+++ b/crates/policy/benches/placement/least_bad.rs
@@ -1,11 +1,24 @@
 //! Choice among upstreams that all seem down.
 
-use {
-    crate::report::{percent, Table},
-    foxtailhinge_policy::health::{least_bad, Health, HealthView},
-    rand::{rngs::SmallRng, seq::index, Rng, SeedableRng},
-    smallvec::SmallVec,
-    std::time::{Duration, Instant},
+use crate::report::{
+    percent,
+    Table, //
+};
+use foxtailhinge_policy::health::{
+    least_bad,
+    Health,
+    HealthView, //
+};
+use rand::{
+    rngs::SmallRng,
+    seq::index,
+    Rng,
+    SeedableRng, //
+};
+use smallvec::SmallVec;
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 const UPSTREAMS: usize = 14;
--- a/crates/policy/benches/placement/report.rs
+++ b/crates/policy/benches/placement/report.rs
@@ -1,8 +1,9 @@
 //! What a run is measured by, and its tables.
 
-use {
-    hdrhistogram::Histogram,
-    std::{fmt, time::Duration},
+use hdrhistogram::Histogram;
+use std::{
+    fmt,
+    time::Duration, //
 };
 
 const US_MAX: u64 = 3_600_000_000;
--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -1,13 +1,30 @@
 //! The scenarios and the policies that each compares.
 
-use {
-    crate::{
-        report::{percent, Span, Table},
-        setup::{Change, Options, Pick, Policy, Retry, Scenario},
-        sim::run,
-        trace::{Burst, Flow, Load, Shape},
+use crate::{
+    report::{
+        percent,
+        Span,
+        Table, //
     },
-    std::{thread, time::Duration},
+    setup::{
+        Change,
+        Options,
+        Pick,
+        Policy,
+        Retry,
+        Scenario, //
+    },
+    sim::run,
+    trace::{
+        Burst,
+        Flow,
+        Load,
+        Shape, //
+    },
+};
+use std::{
+    thread,
+    time::Duration, //
 };
 
 /// A table of the benchmark.
--- a/crates/policy/benches/placement/setup.rs
+++ b/crates/policy/benches/placement/setup.rs
@@ -1,6 +1,7 @@
 //! What a run is made of: policy, mechanisms, sizes and events.
 
-use {crate::trace::Load, std::time::Duration};
+use crate::trace::Load;
+use std::time::Duration;
 
 /// How an upstream is chosen for a new flow.
 #[derive(Clone, Copy, PartialEq)]
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -1,25 +1,57 @@
 //! Discrete-event simulation that drives the decisions of this package.
 
-use {
-    crate::{
-        report::{max_over_mean, Span},
-        setup::{Change, Options, Pick, Policy, Retry, Scenario},
-        trace::Flow,
-        truth::{Outcome, Truth},
+use crate::{
+    report::{
+        max_over_mean,
+        Span, //
     },
-    foxtailhinge_policy::{
-        admission::{least_connected, least_loaded, Admission, Limits, Start, WaitingList},
-        allowance::{Allowance, AllowanceSpec, Capacity},
-        budget::RetryBudget,
-        comeback::Comeback,
-        placement::{Placement, Sequence},
+    setup::{
+        Change,
+        Options,
+        Pick,
+        Policy,
+        Retry,
+        Scenario, //
     },
-    rand::{rngs::SmallRng, Rng, SeedableRng},
-    smallvec::SmallVec,
-    std::{
-        cmp::Reverse,
-        collections::BinaryHeap,
-        time::{Duration, Instant},
+    trace::Flow,
+    truth::{
+        Outcome,
+        Truth, //
+    },
+};
+use foxtailhinge_policy::{
+    admission::{
+        least_connected,
+        least_loaded,
+        Admission,
+        Limits,
+        Start,
+        WaitingList, //
+    },
+    allowance::{
+        Allowance,
+        AllowanceSpec,
+        Capacity, //
+    },
+    budget::RetryBudget,
+    comeback::Comeback,
+    placement::{
+        Placement,
+        Sequence, //
+    },
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use smallvec::SmallVec;
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/benches/placement/trace.rs
+++ b/crates/policy/benches/placement/trace.rs
@@ -1,10 +1,15 @@
 //! Arrivals that every policy of a scenario meets alike.
 
-use {
-    rand::{rngs::SmallRng, Rng, SeedableRng},
-    smallvec::{smallvec, SmallVec},
-    std::time::Duration,
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
 };
+use smallvec::{
+    smallvec,
+    SmallVec, //
+};
+use std::time::Duration;
 
 /// One request of a flow.
 #[derive(Clone)]
--- a/crates/policy/benches/placement/truth.rs
+++ b/crates/policy/benches/placement/truth.rs
@@ -1,6 +1,7 @@
 //! How a simulated upstream really behaves, unknown to the decisions.
 
-use {rand::Rng, std::time::Duration};
+use rand::Rng;
+use std::time::Duration;
 
 /// Successes that warm an upstream from cold.
 const WARM_SUCCESSES: f64 = 1_000.0;
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,12 +4,16 @@
 //! request. No sequence of calls admits more than the limits; limits that shrink end nothing,
 //! they only stop admission until enough has finished.
 
-use {
-    bincode::{Decode, Encode},
-    smallvec::SmallVec,
-    std::{
-        collections::VecDeque,
-        time::{Duration, Instant},
+use bincode::{
+    Decode,
+    Encode, //
+};
+use smallvec::SmallVec;
+use std::{
+    collections::VecDeque,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -4,7 +4,10 @@
 //! cold start, and more with each step of observed success. A fall back into a cold start is
 //! seen from load shed, timeouts or latency, and cuts the allowance at once.
 
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Steps from the cold allowance to the full one.
 const STEPS: u32 = 10;
--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -3,9 +3,10 @@
 //! Refused callers are given the next free places in a schedule that lets them return at a small
 //! share of the rate that is admitted, so that their return is not a surge.
 
-use {
-    rand::Rng,
-    std::time::{Duration, Instant},
+use rand::Rng;
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Longest time a caller is told to stay away, in seconds.
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -5,9 +5,13 @@
 //! shows that a process listens, not that it serves requests: it stands for traffic only where
 //! there is none.
 
-use {
-    bincode::{Decode, Encode},
-    std::time::{Duration, Instant},
+use bincode::{
+    Decode,
+    Encode, //
+};
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Requests unanswered in a row after which an upstream is down.
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -5,18 +5,16 @@
 //! its ticket, so that a late copy, which carries the same ticket, is refused instead of run.
 //! Correctness rests on epochs alone; the time only bounds memory.
 
-use {
-    bincode::{
-        Decode,
-        Encode, //
-    },
-    smallvec::SmallVec,
-    std::{
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+use bincode::{
+    Decode,
+    Encode, //
+};
+use smallvec::SmallVec;
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -8,31 +8,29 @@
 //! time would compare the clocks of two machines. A restarted VM starts at version 1, learns the
 //! record of its earlier life from the first peer that answers it, and takes the next version.
 
-use {
-    crate::{
-        rendezvous::{
-            mix,
-            score_keys,
-            NameKey, //
-        },
-        revisions::BUCKETS,
+use crate::{
+    rendezvous::{
+        mix,
+        score_keys,
+        NameKey, //
     },
-    rand::{
-        seq::{
-            index,
-            SliceRandom, //
-        },
-        Rng,
+    revisions::BUCKETS,
+};
+use rand::{
+    seq::{
+        index,
+        SliceRandom, //
     },
-    smallvec::SmallVec,
-    std::{
-        cmp::Reverse,
-        collections::HashMap,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    Rng,
+};
+use smallvec::SmallVec;
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,7 +3,8 @@
 //! The ingress draws a few distinct upstreams by capacity weight; their owners decide, by exact
 //! counts, which of them takes the flow.
 
-use {rand::Rng, smallvec::SmallVec};
+use rand::Rng;
+use smallvec::SmallVec;
 
 /// Weights are kept as integers in units of 1 / `WEIGHT_UNITS`, so that sums stay exact.
 const WEIGHT_UNITS: f64 = 65_536.0;
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -4,17 +4,15 @@
 //! member moves only the upstreams that it owned. The hash is fixed by this module (FNV-1a over
 //! the name, then the SplitMix64 finaliser), because daemons of different builds have to agree.
 
-use {
-    crate::{
-        members::Members,
-        revisions::BUCKETS, //
-    },
-    smallvec::SmallVec,
-    std::{
-        cmp::Reverse,
-        collections::HashMap,
-        rc::Rc, //
-    },
+use crate::{
+    members::Members,
+    revisions::BUCKETS, //
+};
+use smallvec::SmallVec;
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    rc::Rc, //
 };
 
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -4,20 +4,18 @@
 //! keep their revision, so that an old copy does not bring the document back. A document with
 //! findings is remembered with its revision while the last good one stays in force.
 
-use {
-    crate::rendezvous::{
-        mix,
-        NameKey, //
-    },
-    serde::{
-        Deserialize,
-        Serialize, //
-    },
-    std::{
-        cmp::Ordering,
-        collections::HashMap,
-        rc::Rc, //
-    },
+use crate::rendezvous::{
+    mix,
+    NameKey, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::{
+    cmp::Ordering,
+    collections::HashMap,
+    rc::Rc, //
 };
 
 /// Number of groups into which services are divided to compare two sets cheaply.
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -1,13 +1,18 @@
 //! Limits of an upstream are held by any sequence of calls.
 
-use {
-    foxtailhinge_policy::admission::{
-        least_connected, least_loaded, Admission, Limits, Offer, Refusal, Start, WaitingList,
-        TENTATIVE,
-    },
-    quickcheck::{Arbitrary, Gen, QuickCheck, Testable},
-    rstest::rstest,
-    std::time::{Duration, Instant},
+use foxtailhinge_policy::admission::{
+    least_connected, least_loaded, Admission, Limits, Offer, Refusal, Start, WaitingList, TENTATIVE,
+};
+use quickcheck::{
+    Arbitrary,
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use rstest::rstest;
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 const LIMITS: Limits = Limits {
--- a/crates/policy/tests/allowance.rs
+++ b/crates/policy/tests/allowance.rs
@@ -1,11 +1,24 @@
 //! Cold-start allowance: ramp on success, and falls seen without being told.
 
-use {
-    foxtailhinge_policy::allowance::{Allowance, AllowanceSpec, Capacity},
-    quickcheck::{Gen, QuickCheck, Testable},
-    rand::{rngs::SmallRng, Rng, SeedableRng},
-    rstest::rstest,
-    std::time::{Duration, Instant},
+use foxtailhinge_policy::allowance::{
+    Allowance,
+    AllowanceSpec,
+    Capacity, //
+};
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use rstest::rstest;
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 const SPEC: AllowanceSpec = AllowanceSpec {
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -1,9 +1,14 @@
 //! The retry budget stays within its share.
 
-use {
-    foxtailhinge_policy::budget::RetryBudget,
-    quickcheck::{Gen, QuickCheck, Testable},
-    std::time::{Duration, Instant},
+use foxtailhinge_policy::budget::RetryBudget;
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Checks a property on the same arguments every run.
--- a/crates/policy/tests/comeback.rs
+++ b/crates/policy/tests/comeback.rs
@@ -1,10 +1,21 @@
 //! Refused callers come back in whole seconds, spread out.
 
-use {
-    foxtailhinge_policy::comeback::{Comeback, MAX_COMEBACK_S},
-    quickcheck::{Gen, QuickCheck, Testable},
-    rand::{rngs::SmallRng, SeedableRng},
-    std::time::{Duration, Instant},
+use foxtailhinge_policy::comeback::{
+    Comeback,
+    MAX_COMEBACK_S, //
+};
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Checks a property on the same arguments every run.
--- a/crates/policy/tests/health.rs
+++ b/crates/policy/tests/health.rs
@@ -1,11 +1,18 @@
 //! Health from own traffic first, endpoints second.
 
-use {
-    foxtailhinge_policy::health::{least_bad, EndpointReport, Health, HealthState, HealthView},
-    rstest::rstest,
-    std::{
-        fmt::Write,
-        time::{Duration, Instant},
+use foxtailhinge_policy::health::{
+    least_bad,
+    EndpointReport,
+    Health,
+    HealthState,
+    HealthView, //
+};
+use rstest::rstest;
+use std::{
+    fmt::Write,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/tests/ledger.rs
+++ b/crates/policy/tests/ledger.rs
@@ -1,29 +1,27 @@
 //! At-most-once execution over copies, lost answers, forgetting and hand-over.
 
-use {
-    foxtailhinge_policy::ledger::{
-        Begin,
-        FlowLedger,
-        LedgerRecord,
-        RunOutcome,
-        RunRecord,
-        EPOCH_FIRST,
-        EPOCH_LAST,
-        MAX_RUNS,
-        RIGHT, //
-    },
-    quickcheck::{
-        Arbitrary,
-        Gen,
-        QuickCheck, //
-    },
-    rstest::rstest,
-    std::{
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+use foxtailhinge_policy::ledger::{
+    Begin,
+    FlowLedger,
+    LedgerRecord,
+    RunOutcome,
+    RunRecord,
+    EPOCH_FIRST,
+    EPOCH_LAST,
+    MAX_RUNS,
+    RIGHT, //
+};
+use quickcheck::{
+    Arbitrary,
+    Gen,
+    QuickCheck, //
+};
+use rstest::rstest;
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/tests/members.rs
+++ b/crates/policy/tests/members.rs
@@ -1,37 +1,35 @@
 //! Members: precedence of records, refutation, suspicion, lists and gossip.
 
-use {
-    foxtailhinge_policy::members::{
-        ChangeKind,
-        Listed,
-        Member,
-        MemberState::{
-            self,
-            Alive,
-            Dead,
-            Leaving,
-            Suspect, //
-        },
-        Members,
-        MembersSpec, //
+use foxtailhinge_policy::members::{
+    ChangeKind,
+    Listed,
+    Member,
+    MemberState::{
+        self,
+        Alive,
+        Dead,
+        Leaving,
+        Suspect, //
     },
-    quickcheck::{
-        Gen,
-        QuickCheck,
-        Testable, //
-    },
-    rand::{
-        rngs::SmallRng,
-        SeedableRng, //
-    },
-    rstest::rstest,
-    std::{
-        collections::HashSet,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    Members,
+    MembersSpec, //
+};
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use rstest::rstest;
+use std::{
+    collections::HashSet,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/policy/tests/pause.rs
+++ b/crates/policy/tests/pause.rs
@@ -1,17 +1,15 @@
 //! Pauses and the fence that follows them.
 
-use {
-    foxtailhinge_policy::pause::{
-        Fence,
-        Pause,
-        PauseDetector,
-        PauseSpec, //
-    },
-    rstest::rstest,
-    std::time::{
-        Duration,
-        Instant, //
-    },
+use foxtailhinge_policy::pause::{
+    Fence,
+    Pause,
+    PauseDetector,
+    PauseSpec, //
+};
+use rstest::rstest;
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -1,11 +1,19 @@
 //! Draw of candidates: distinct, eligible, by weight.
 
-use {
-    foxtailhinge_policy::placement::{Placement, Sequence},
-    quickcheck::{Gen, QuickCheck, Testable},
-    rand::{rngs::SmallRng, SeedableRng},
-    rstest::rstest,
+use foxtailhinge_policy::placement::{
+    Placement,
+    Sequence, //
 };
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use rand::{
+    rngs::SmallRng,
+    SeedableRng, //
+};
+use rstest::rstest;
 
 const DRAWS: u32 = 100_000;
 
--- a/crates/policy/tests/rendezvous.rs
+++ b/crates/policy/tests/rendezvous.rs
@@ -1,26 +1,24 @@
 //! Rendezvous hashing: stability, spread, and few moves when a member goes.
 
-use {
-    foxtailhinge_policy::{
-        members::{
-            Member,
-            MemberState,
-            Members,
-            MembersSpec, //
-        },
-        rendezvous::{
-            owner,
-            ranked,
-            score,
-            OwnerCache, //
-        },
+use foxtailhinge_policy::{
+    members::{
+        Member,
+        MemberState,
+        Members,
+        MembersSpec, //
     },
-    std::{
-        collections::HashMap,
-        rc::Rc,
-        time::Instant, //
+    rendezvous::{
+        owner,
+        ranked,
+        score,
+        OwnerCache, //
     },
 };
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    time::Instant, //
+};
 
 fn names(prefix: &str, n: usize) -> Vec<String> {
     (0..n).map(|i| format!("{prefix}-{i}")).collect()
--- a/crates/policy/tests/revisions.rs
+++ b/crates/policy/tests/revisions.rs
@@ -1,18 +1,16 @@
 //! Documents in force: they never go back, wherever copies come from.
 
-use {
-    foxtailhinge_policy::revisions::{
-        Documents,
-        Offer, //
-    },
-    quickcheck::{
-        Gen,
-        QuickCheck,
-        Testable, //
-    },
-    rstest::rstest,
-    std::rc::Rc,
+use foxtailhinge_policy::revisions::{
+    Documents,
+    Offer, //
 };
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
+};
+use rstest::rstest;
+use std::rc::Rc;
 
 const SEED: u64 = 1;
 
--- a/crates/standins/src/socket.rs
+++ b/crates/standins/src/socket.rs
@@ -32,7 +32,11 @@
 }
 
 fn is_transient(e: &io::Error) -> bool {
-    use io::ErrorKind::{ConnectionRefused, Interrupted, WouldBlock};
+    use io::ErrorKind::{
+        ConnectionRefused,
+        Interrupted,
+        WouldBlock, //
+    };
     matches!(e.kind(), ConnectionRefused | Interrupted | WouldBlock)
 }
 
--- a/crates/wire/benches/ticket.rs
+++ b/crates/wire/benches/ticket.rs
@@ -4,52 +4,50 @@
 
 #![allow(missing_docs)]
 
-#[allow(deprecated)]
-use {
-    criterion::{
-        criterion_group,
-        criterion_main,
-        Criterion, //
+use criterion::{
+    criterion_group,
+    criterion_main,
+    Criterion, //
+};
+use foxtailhinge_policy::{
+    members::{
+        Member,
+        MemberState,
+        Members,
+        MembersSpec, //
+    },
+    rendezvous::OwnerCache, //
+};
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Method, //
     },
-    foxtailhinge_policy::{
-        members::{
-            Member,
-            MemberState,
-            Members,
-            MembersSpec, //
-        },
-        rendezvous::OwnerCache, //
+    envelope::PeerKeys,
+    message::{
+        Forward,
+        RelayMessage, //
     },
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            Method, //
-        },
-        envelope::PeerKeys,
-        message::{
-            Forward,
-            RelayMessage, //
-        },
-        ticket::{
-            name_hash,
-            zone_hash,
-            Ticket,
-            TicketKeys,
-            TICKET_LEN, //
-        },
+    ticket::{
+        name_hash,
+        zone_hash,
+        Ticket,
+        TicketKeys,
+        TICKET_LEN, //
+    },
+};
+#[allow(deprecated)]
+use std::{
+    collections::HashMap,
+    hash::{
+        Hasher,
+        SipHasher, //
     },
-    std::{
-        collections::HashMap,
-        hash::{
-            Hasher,
-            SipHasher, //
-        },
-        hint::black_box,
-        rc::Rc,
-        time::{
-            Duration,
-            Instant, //
-        },
+    hint::black_box,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
     },
 };
 
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -2,20 +2,18 @@
 //!
 //! Options that are not interpreted here pass through unchanged.
 
-use {
-    coap_lite::{
-        CoapOption,
-        MessageClass,
-        MessageType,
-        Packet,
-        RequestType, //
-    },
-    std::{
-        collections::LinkedList,
-        time::Duration, //
-    },
-    thiserror::Error,
+use coap_lite::{
+    CoapOption,
+    MessageClass,
+    MessageType,
+    Packet,
+    RequestType, //
 };
+use std::{
+    collections::LinkedList,
+    time::Duration, //
+};
+use thiserror::Error;
 
 pub use coap_lite::{
     MessageClass as Code,
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -4,20 +4,18 @@
 //! sender hash 4, sender incarnation 4, receiver hash 4, the `bincode` body, then 16 bytes of keyed
 //! BLAKE3 over everything before them.
 
-use {
-    crate::keys::{
-        equal_in_constant_time,
-        KeyRing, //
-    },
-    bincode::{
-        config,
-        encode_into_std_write,
-        error::DecodeError,
-        Decode,
-        Encode, //
-    },
-    thiserror::Error,
+use crate::keys::{
+    equal_in_constant_time,
+    KeyRing, //
 };
+use bincode::{
+    config,
+    encode_into_std_write,
+    error::DecodeError,
+    Decode,
+    Encode, //
+};
+use thiserror::Error;
 
 const VERSION: u8 = 1;
 const HEAD_LEN: usize = 13;
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -1,12 +1,10 @@
 //! Keys for authentication, derived from the fleet's secrets and held by slot.
 
-use {
-    blake3::Hasher,
-    smallvec::SmallVec,
-    std::{
-        fmt,
-        hint::black_box, //
-    },
+use blake3::Hasher;
+use smallvec::SmallVec;
+use std::{
+    fmt,
+    hint::black_box, //
 };
 
 /// Number of key slots that a head byte can name.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,23 +1,21 @@
 //! Messages between daemons: datagrams of the relay and messages of the links.
 
-use {
-    bincode::{
-        Decode,
-        Encode, //
+use bincode::{
+    Decode,
+    Encode, //
+};
+use foxtailhinge_policy::{
+    admission::{
+        self,
+        Offer, //
     },
-    foxtailhinge_policy::{
-        admission::{
-            self,
-            Offer, //
-        },
-        health::{
-            self,
-            HealthState,
-            HealthView, //
-        },
+    health::{
+        self,
+        HealthState,
+        HealthView, //
     },
-    std::net::SocketAddr,
 };
+use std::net::SocketAddr;
 
 pub use foxtailhinge_policy::ledger::{
     LedgerRecord,
--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -5,21 +5,19 @@
 //! incarnation 4, flow 4, epoch 3, caller tag 2, then the first 10 bytes of keyed BLAKE3 over these
 //! 30 bytes and the name of the service.
 
-use {
-    crate::keys::{
-        equal_in_constant_time,
-        KeyRing, //
-    },
-    blake3::{
-        hash,
-        Hasher, //
-    },
-    std::net::{
-        IpAddr,
-        SocketAddr, //
-    },
-    thiserror::Error,
+use crate::keys::{
+    equal_in_constant_time,
+    KeyRing, //
 };
+use blake3::{
+    hash,
+    Hasher, //
+};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
+use thiserror::Error;
 
 /// Length of a sealed ticket in bytes, the longest value that the Echo option may hold (RFC 9175).
 pub const TICKET_LEN: usize = 40;
--- a/crates/wire/tests/allocation.rs
+++ b/crates/wire/tests/allocation.rs
@@ -2,29 +2,27 @@
 
 mod support;
 
-use {
-    foxtailhinge_wire::{
-        coap::{
-            Datagram,
-            OPTIONS_MAX, //
-        },
-        message::RelayMessage, //
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        OPTIONS_MAX, //
     },
-    std::{
-        alloc::{
-            GlobalAlloc,
-            Layout,
-            System, //
-        },
-        cell::Cell,
-    },
-    support::{
-        check,
-        peer_keys,
-        post,
-        ticket_keys,
-        SERVICE, //
+    message::RelayMessage, //
+};
+use std::{
+    alloc::{
+        GlobalAlloc,
+        Layout,
+        System, //
     },
+    cell::Cell,
+};
+use support::{
+    check,
+    peer_keys,
+    post,
+    ticket_keys,
+    SERVICE, //
 };
 
 /// Bytes that one node of the codec's option map takes, whatever the datagram's length.
--- a/crates/wire/tests/coap.rs
+++ b/crates/wire/tests/coap.rs
@@ -2,23 +2,21 @@
 
 mod support;
 
-use {
-    foxtailhinge_wire::coap::{
-        Block,
-        CoapError,
-        Code,
-        Datagram,
-        Kind,
-        Method,
-        Status,
-        OPTIONS_MAX, //
-    },
-    rstest::rstest,
-    std::time::Duration,
-    support::{
-        feed,
-        post, //
-    },
+use foxtailhinge_wire::coap::{
+    Block,
+    CoapError,
+    Code,
+    Datagram,
+    Kind,
+    Method,
+    Status,
+    OPTIONS_MAX, //
+};
+use rstest::rstest;
+use std::time::Duration;
+use support::{
+    feed,
+    post, //
 };
 
 fn hex(buf: &[u8]) -> String {
--- a/crates/wire/tests/envelope.rs
+++ b/crates/wire/tests/envelope.rs
@@ -2,38 +2,36 @@
 
 mod support;
 
-use {
-    bincode::{
-        Decode,
-        Encode, //
-    },
-    foxtailhinge_wire::{
-        envelope::{
-            EnvelopeError,
-            Opened,
-            PeerKeys,
-            ENVELOPE_OVERHEAD, //
-        },
-        message::{
-            Forward,
-            MemberUpdate,
-            OwnerReply,
-            RelayMessage, //
-        },
+use bincode::{
+    Decode,
+    Encode, //
+};
+use foxtailhinge_wire::{
+    envelope::{
+        EnvelopeError,
+        Opened,
+        PeerKeys,
+        ENVELOPE_OVERHEAD, //
     },
-    rstest::rstest,
-    std::fmt::Debug,
-    support::{
-        check,
-        member,
-        owner_replies,
-        owner_requests,
-        peer_keys,
-        relay_messages,
-        OTHER_SECRET,
-        SECRET, //
+    message::{
+        Forward,
+        MemberUpdate,
+        OwnerReply,
+        RelayMessage, //
     },
 };
+use rstest::rstest;
+use std::fmt::Debug;
+use support::{
+    check,
+    member,
+    owner_replies,
+    owner_requests,
+    peer_keys,
+    relay_messages,
+    OTHER_SECRET,
+    SECRET, //
+};
 
 const FROM: u32 = 11;
 const FROM_INCARNATION: u32 = 12;
--- a/crates/wire/tests/hostile.rs
+++ b/crates/wire/tests/hostile.rs
@@ -2,23 +2,21 @@
 
 mod support;
 
-use {
-    foxtailhinge_wire::{
-        coap::Datagram,
-        message::{
-            OwnerReply,
-            RelayMessage, //
-        },
-    },
-    quickcheck::TestResult,
-    rstest::rstest,
-    support::{
-        check,
-        peer_keys,
-        ticket_keys,
-        SERVICE, //
+use foxtailhinge_wire::{
+    coap::Datagram,
+    message::{
+        OwnerReply,
+        RelayMessage, //
     },
 };
+use quickcheck::TestResult;
+use rstest::rstest;
+use support::{
+    check,
+    peer_keys,
+    ticket_keys,
+    SERVICE, //
+};
 
 /// A datagram that is read is written back as it was.
 fn unchanged(buf: &[u8]) -> TestResult {
--- a/crates/wire/tests/mutation.rs
+++ b/crates/wire/tests/mutation.rs
@@ -2,39 +2,37 @@
 
 mod support;
 
-use {
-    foxtailhinge_wire::{
-        coap::Datagram,
-        envelope::EnvelopeError,
-        message::{
-            OwnerReply,
-            OwnerRequest,
-            RelayMessage, //
-        },
-        ticket::{
-            TicketError,
-            TICKET_LEN, //
-        },
+use foxtailhinge_wire::{
+    coap::Datagram,
+    envelope::EnvelopeError,
+    message::{
+        OwnerReply,
+        OwnerRequest,
+        RelayMessage, //
     },
-    quickcheck::{
-        Arbitrary,
-        Gen, //
-    },
-    std::time::Duration,
-    support::{
-        check,
-        feed,
-        owner_replies,
-        owner_requests,
-        peer_keys,
-        post,
-        relay_messages,
-        ticket,
-        ticket_keys,
-        Raw,
-        SERVICE, //
+    ticket::{
+        TicketError,
+        TICKET_LEN, //
     },
 };
+use quickcheck::{
+    Arbitrary,
+    Gen, //
+};
+use std::time::Duration;
+use support::{
+    check,
+    feed,
+    owner_replies,
+    owner_requests,
+    peer_keys,
+    post,
+    relay_messages,
+    ticket,
+    ticket_keys,
+    Raw,
+    SERVICE, //
+};
 
 const FROM: u32 = 11;
 const TO: u32 = 13;
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -2,49 +2,47 @@
 
 #![allow(dead_code)]
 
-use {
-    foxtailhinge_wire::{
-        coap::{
-            Block,
-            Datagram,
-            Kind,
-            Method, //
-        },
-        envelope::PeerKeys,
-        message::{
-            AllowanceRecord,
-            FeedRecord,
-            Finished,
-            FinishedRun,
-            FlowKey,
-            FlowRecord,
-            Forward,
-            HandOver,
-            LedgerRecord,
-            MemberState,
-            MemberUpdate,
-            Open,
-            OwnerReply,
-            OwnerRequest,
-            RelayMessage,
-            RunOutcome,
-            RunRecord, //
-        },
-        ticket::{
-            caller_tag,
-            name_hash,
-            zone_hash,
-            Ticket,
-            TicketKeys, //
-        },
+use foxtailhinge_wire::{
+    coap::{
+        Block,
+        Datagram,
+        Kind,
+        Method, //
     },
-    quickcheck::{
-        Gen,
-        QuickCheck,
-        Testable, //
+    envelope::PeerKeys,
+    message::{
+        AllowanceRecord,
+        FeedRecord,
+        Finished,
+        FinishedRun,
+        FlowKey,
+        FlowRecord,
+        Forward,
+        HandOver,
+        LedgerRecord,
+        MemberState,
+        MemberUpdate,
+        Open,
+        OwnerReply,
+        OwnerRequest,
+        RelayMessage,
+        RunOutcome,
+        RunRecord, //
     },
-    std::time::Duration,
+    ticket::{
+        caller_tag,
+        name_hash,
+        zone_hash,
+        Ticket,
+        TicketKeys, //
+    },
+};
+use quickcheck::{
+    Gen,
+    QuickCheck,
+    Testable, //
 };
+use std::time::Duration;
 
 pub(crate) const SECRET: [u8; 32] = [7; 32];
 pub(crate) const OTHER_SECRET: [u8; 32] = [8; 32];
--- a/crates/wire/tests/ticket.rs
+++ b/crates/wire/tests/ticket.rs
@@ -2,27 +2,25 @@
 
 mod support;
 
-use {
-    foxtailhinge_wire::ticket::{
-        caller_tag,
-        name_hash,
-        zone_hash,
-        Ticket,
-        TicketError,
-        TicketKeys,
-        EPOCH_MAX,
-        TICKET_LEN, //
-    },
-    rstest::rstest,
-    std::net::SocketAddr,
-    support::{
-        check,
-        ticket,
-        ticket_keys,
-        OTHER_SECRET,
-        SECRET,
-        SERVICE, //
-    },
+use foxtailhinge_wire::ticket::{
+    caller_tag,
+    name_hash,
+    zone_hash,
+    Ticket,
+    TicketError,
+    TicketKeys,
+    EPOCH_MAX,
+    TICKET_LEN, //
+};
+use rstest::rstest;
+use std::net::SocketAddr;
+use support::{
+    check,
+    ticket,
+    ticket_keys,
+    OTHER_SECRET,
+    SECRET,
+    SERVICE, //
 };
 
 fn hex(buf: &[u8]) -> String {
