--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,7 +24,7 @@
         ControlSettings, //
     },
     metrics::Metrics,
-    operations::Desk,
+    operations::AdminOperations,
     signal::Signals,
     supervisor::{
         Limits,
@@ -140,14 +140,14 @@
     settings: &Settings,
     supervisor: &Supervisor,
 ) -> Result<(), Error> {
-    let desk = Rc::new(Desk::new(Rc::clone(path), settings));
+    let operations = Rc::new(AdminOperations::new(Rc::clone(path), settings));
     let addr = settings.admin;
     let mut first = Some(bind_admin(addr)?);
     supervisor.child("admin", Restart::Always, move |_| {
-        let desk = Rc::clone(&desk);
+        let operations = Rc::clone(&operations);
         let listener = first.take().map_or_else(|| bind_admin(addr), Ok);
         async move {
-            admin::serve(listener?, desk).await;
+            admin::serve(listener?, operations).await;
             Ok(())
         }
     });
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -107,7 +107,7 @@
     /// Slots that requests of the former owner still hold.
     elsewhere: u32,
     /// Slots left to this owner after it handed the upstream over.
-    parting: Option<u32>,
+    slots_left: Option<u32>,
     /// Until when new flows stay away because the upstream has shed load.
     shedding_until: Option<Instant>,
 }
@@ -132,7 +132,7 @@
             health: Health::new(),
             comeback: Comeback::new(),
             elsewhere,
-            parting: None,
+            slots_left: None,
             shedding_until: None,
         };
         load.refresh(now);
@@ -150,7 +150,7 @@
         let (slots, connections) = self.allowance.limits(now);
         let slots = slots.saturating_sub(self.elsewhere);
         self.admission.set_limits(Limits {
-            slots: self.parting.map_or(slots, |left| left.min(slots)),
+            slots: self.slots_left.map_or(slots, |left| left.min(slots)),
             connections,
             queue: self.spec.queue,
         });
@@ -274,8 +274,8 @@
     }
 
     /// The upstream was handed over: no more than `slots` requests may still run from here.
-    pub fn part(&mut self, slots: u32, now: Instant) {
-        self.parting = Some(slots);
+    pub fn cap_slots(&mut self, slots: u32, now: Instant) {
+        self.slots_left = Some(slots);
         self.refresh(now);
     }
 
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -1,6 +1,7 @@
 //! Data path: ingress, relay, owner, requests and feeds.
 
 pub mod answer;
+pub mod claim;
 pub mod feed;
 pub mod flow;
 pub mod hand_over;
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -70,7 +70,7 @@
 }
 
 /// A request of a flow at its owner.
-struct Visit<'a> {
+struct FlowRequest<'a> {
     arrived: &'a Arrived<'a>,
     ticket: Ticket,
     up: &'a Rc<Upstream>,
@@ -80,9 +80,9 @@
     now: Instant,
 }
 
-impl Visit<'_> {
+impl FlowRequest<'_> {
     /// Whether the request comes from the address that the ticket was given to.
-    fn is_at_home(&self) -> bool {
+    fn is_from_ticket_address(&self) -> bool {
         caller_tag(self.arrived.caller) == self.ticket.caller_tag
     }
 
@@ -133,7 +133,7 @@
             bounces: forward.bounces,
         };
         match held {
-            Some(up) => self.visit(&arrived, ticket, &up),
+            Some(up) => self.serve_flow(&arrived, ticket, &up),
             None => self.bounce(arrived, &ticket),
         }
     }
@@ -173,9 +173,9 @@
         self.give_up(&arrived, service.is_idempotent(req));
     }
 
-    fn visit(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: Ticket, up: &Rc<Upstream>) {
+    fn serve_flow(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: Ticket, up: &Rc<Upstream>) {
         let found = up.flows.borrow().find(&ticket);
-        let visit = Visit {
+        let request = FlowRequest {
             arrived,
             ticket,
             up,
@@ -186,70 +186,70 @@
         let (flow, covered) = match found {
             Found::Held { flow, ledger } => (flow, ledger),
             Found::Opened { flow } => {
-                if !self.confirm(&visit, flow) {
+                if !self.confirm(&request, flow) {
                     return;
                 }
                 (flow, true)
             }
-            Found::Unknown => (self.take_over(&visit), false),
+            Found::Unknown => (self.take_over(&request), false),
         };
-        self.greet(&visit, flow);
-        if visit.idempotent {
-            self.visit_idempotent(&visit, flow);
+        self.note_caller(&request, flow);
+        if request.idempotent {
+            self.serve_idempotent(&request, flow);
         } else {
-            self.visit_once(&visit, flow, covered);
+            self.serve_once(&request, flow, covered);
         }
     }
 
     /// Turns an opened flow into a held one; false when no connection was left, and the caller was told.
-    fn confirm(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) -> bool {
-        let arrived = visit.arrived;
-        let confirmed = visit.up.load_mut().confirm(visit.now);
+    fn confirm(self: &Rc<Self>, request: &FlowRequest<'_>, flow: u32) -> bool {
+        let arrived = request.arrived;
+        let confirmed = request.up.load_mut().confirm(request.now);
         if confirmed.is_err() {
             // The request did not run; its ticket ends, so that no copy of it runs either.
-            if !visit.idempotent {
-                visit.up.flows.borrow_mut().end_opened(flow);
+            if !request.idempotent {
+                request.up.flows.borrow_mut().end_opened(flow);
             }
-            self.open(arrived, visit.idempotent);
+            self.open(arrived, request.idempotent);
             return false;
         }
-        let mut flows = visit.up.flows.borrow_mut();
-        flows.confirm(flow, visit.start(), visit.now);
+        let mut flows = request.up.flows.borrow_mut();
+        flows.confirm(flow, request.start(), request.now);
         true
     }
 
     /// Takes over a flow whose owner is gone, or that ended here for want of packets.
-    fn take_over(&self, visit: &Visit<'_>) -> u32 {
-        visit.up.load_mut().adopt();
-        if visit.ticket.warm {
-            visit.up.hint_warm(visit.ticket.upstream_incarnation);
+    fn take_over(&self, request: &FlowRequest<'_>) -> u32 {
+        request.up.load_mut().adopt();
+        if request.ticket.warm {
+            request.up.hint_warm(request.ticket.upstream_incarnation);
         }
-        let mut flows = visit.up.flows.borrow_mut();
-        flows.take_over(&visit.ticket, visit.start(), visit.now)
+        let mut flows = request.up.flows.borrow_mut();
+        flows.take_over(&request.ticket, request.start(), request.now)
     }
 
-    fn greet(&self, visit: &Visit<'_>, flow: u32) {
-        if let Some(entry) = visit.up.flows.borrow_mut().get_mut(flow) {
-            entry.last_seen = visit.now;
-            if visit.is_at_home() {
-                entry.caller = visit.arrived.caller;
+    fn note_caller(&self, request: &FlowRequest<'_>, flow: u32) {
+        if let Some(entry) = request.up.flows.borrow_mut().get_mut(flow) {
+            entry.last_seen = request.now;
+            if request.is_from_ticket_address() {
+                entry.caller = request.arrived.caller;
             }
         }
     }
 
     /// Whether the flow is over at this upstream: given up, or its zone is out of service.
-    fn is_over(&self, visit: &Visit<'_>, flow: u32) -> bool {
-        let mut flows = visit.up.flows.borrow_mut();
+    fn is_over(&self, request: &FlowRequest<'_>, flow: u32) -> bool {
+        let mut flows = request.up.flows.borrow_mut();
         let given_up = flows
             .get_mut(flow)
             .is_some_and(|entry| entry.given_up.is_some());
-        given_up || !visit.arrived.service.zone_in_service(visit.up.zone())
+        given_up || !request.arrived.service.zone_in_service(request.up.zone())
     }
 
     /// Whether a request should go to another upstream, for which its flow's first one is too early.
-    fn should_move(&self, visit: &Visit<'_>) -> bool {
-        let (service, name) = (visit.arrived.service, visit.ticket.upstream);
-        !visit.fresh && self.must_move(visit.up, service, name, visit.now)
+    fn should_move(&self, request: &FlowRequest<'_>) -> bool {
+        let (service, name) = (request.arrived.service, request.ticket.upstream);
+        !request.fresh && self.must_move(request.up, service, name, request.now)
     }
 
     /// Whether the upstream should not get requests of this service any more, so that its flows move.
@@ -260,57 +260,57 @@
         draining || up.load().is_down(now)
     }
 
-    fn visit_idempotent(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) {
-        let arrived = visit.arrived;
-        if self.is_over(visit, flow) {
+    fn serve_idempotent(self: &Rc<Self>, request: &FlowRequest<'_>, flow: u32) {
+        let arrived = request.arrived;
+        if self.is_over(request, flow) {
             self.notify(arrived, Notice::GivenUp);
             return;
         }
-        if !visit.is_at_home() {
+        if !request.is_from_ticket_address() {
             // The ticket came from another address, which is not confirmed yet.
-            if let Some(ticket) = self.renewed(visit, flow) {
+            if let Some(ticket) = self.renewed(request, flow) {
                 self.notify(arrived, Notice::Challenge(ticket));
             }
             return;
         }
-        if self.should_move(visit) {
+        if self.should_move(request) {
             self.open(arrived, true);
             return;
         }
         let key = CallerToken::of(arrived.caller, arrived.req);
-        if !visit.up.in_progress.borrow_mut().insert(key) {
+        if !request.up.in_progress.borrow_mut().insert(key) {
             self.metrics.copies_joined.inc();
             return;
         }
-        self.start(visit, flow);
+        self.start(request, flow);
     }
 
     /// A request that must not run twice.
-    fn visit_once(self: &Rc<Self>, visit: &Visit<'_>, flow: u32, covered: bool) {
-        let arrived = visit.arrived;
+    fn serve_once(self: &Rc<Self>, request: &FlowRequest<'_>, flow: u32, covered: bool) {
+        let arrived = request.arrived;
         let token = arrived.req.token();
         let begin = if covered {
-            let mut flows = visit.up.flows.borrow_mut();
+            let mut flows = request.up.flows.borrow_mut();
             flows.get_mut(flow).map_or(Begin::Expired, |entry| {
-                entry.ledger.begin(token, visit.ticket.epoch, visit.now)
+                entry.ledger.begin(token, request.ticket.epoch, request.now)
             })
         } else {
             Begin::Expired
         };
-        if !visit.is_at_home() {
-            self.visit_once_from_elsewhere(visit, flow, &begin);
+        if !request.is_from_ticket_address() {
+            self.refuse_once_from_elsewhere(request, flow, &begin);
             return;
         }
         match begin {
-            Begin::Run => self.run_once(visit, flow),
+            Begin::Run => self.run_once(request, flow),
             Begin::Join | Begin::Elsewhere => self.metrics.copies_joined.inc(),
             Begin::Answered(answer) => self.repeat(arrived, &answer),
             Begin::Refused | Begin::Full => {
-                let after = visit.up.load_mut().come_back(visit.now);
+                let after = request.up.load_mut().come_back(request.now);
                 self.notify(arrived, Notice::NotRun(after));
             }
             Begin::Expired => {
-                let ticket = self.renewed(visit, flow);
+                let ticket = self.renewed(request, flow);
                 self.notify(arrived, Notice::Unknown(ticket));
             }
         }
@@ -319,53 +319,53 @@
     /// A request that must not run twice, with a ticket that was given to another address.
     ///
     /// The present address is not confirmed, so no answer of the upstream goes there.
-    fn visit_once_from_elsewhere(&self, visit: &Visit<'_>, flow: u32, begin: &Begin) {
+    fn refuse_once_from_elsewhere(&self, request: &FlowRequest<'_>, flow: u32, begin: &Begin) {
         match begin {
             Begin::Run => {
-                self.with_ledger(visit, flow, |ledger, token| ledger.not_run(token));
-                if let Some(ticket) = self.renewed(visit, flow) {
-                    self.notify(visit.arrived, Notice::Challenge(ticket));
+                self.with_ledger(request, flow, |ledger, token| ledger.not_run(token));
+                if let Some(ticket) = self.renewed(request, flow) {
+                    self.notify(request.arrived, Notice::Challenge(ticket));
                 }
             }
             Begin::Join | Begin::Elsewhere => self.metrics.copies_joined.inc(),
-            _ => self.notify(visit.arrived, Notice::Unknown(None)),
+            _ => self.notify(request.arrived, Notice::Unknown(None)),
         }
     }
 
-    fn run_once(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) {
-        let arrived = visit.arrived;
-        if self.is_over(visit, flow) {
-            self.with_ledger(visit, flow, |ledger, token| ledger.not_run(token));
+    fn run_once(self: &Rc<Self>, request: &FlowRequest<'_>, flow: u32) {
+        let arrived = request.arrived;
+        if self.is_over(request, flow) {
+            self.with_ledger(request, flow, |ledger, token| ledger.not_run(token));
             self.notify(arrived, Notice::GivenUp);
             return;
         }
-        if self.should_move(visit) {
-            self.with_ledger(visit, flow, |ledger, token| ledger.moved(token));
+        if self.should_move(request) {
+            self.with_ledger(request, flow, |ledger, token| ledger.moved(token));
             self.open(arrived, false);
             return;
         }
-        self.start(visit, flow);
+        self.start(request, flow);
     }
 
     fn with_ledger(
         &self,
-        visit: &Visit<'_>,
+        request: &FlowRequest<'_>,
         flow: u32,
         change: impl FnOnce(&mut FlowLedger, &[u8]),
     ) {
-        if let Some(entry) = visit.up.flows.borrow_mut().get_mut(flow) {
-            change(&mut entry.ledger, visit.arrived.req.token());
+        if let Some(entry) = request.up.flows.borrow_mut().get_mut(flow) {
+            change(&mut entry.ledger, request.arrived.req.token());
         }
     }
 
-    fn start(self: &Rc<Self>, visit: &Visit<'_>, flow: u32) {
-        let arrived = visit.arrived;
+    fn start(self: &Rc<Self>, request: &FlowRequest<'_>, flow: u32) {
+        let arrived = request.arrived;
         let job = Job {
-            deadline: arrived.service.deadline(arrived.req, visit.now),
-            up: Rc::clone(visit.up),
+            deadline: arrived.service.deadline(arrived.req, request.now),
+            up: Rc::clone(request.up),
             service: Rc::clone(arrived.service),
             flow,
-            name: visit.ticket.upstream,
+            name: request.ticket.upstream,
             caller: arrived.caller,
             req: arrived.req.clone(),
         };
@@ -384,8 +384,8 @@
     }
 
     /// A ticket in this owner's name, with which the caller may go on.
-    fn renewed(&self, visit: &Visit<'_>, flow: u32) -> Option<[u8; 40]> {
-        let mut flows = visit.up.flows.borrow_mut();
+    fn renewed(&self, request: &FlowRequest<'_>, flow: u32) -> Option<[u8; 40]> {
+        let mut flows = request.up.flows.borrow_mut();
         let key = flows.name(flow);
         let entry = flows.get_mut(flow)?;
         if entry.given_up.is_some() {
@@ -393,11 +393,11 @@
         }
         let epoch = entry.ledger.epoch();
         Some(self.ticket(
-            visit.arrived.service,
-            visit.up,
-            visit.ticket.upstream,
+            request.arrived.service,
+            request.up,
+            request.ticket.upstream,
             key,
-            visit.arrived.caller,
+            request.arrived.caller,
             epoch,
         ))
     }
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -97,7 +97,7 @@
     /// Upstreams that this daemon owns, by their address.
     pub upstreams: RefCell<HashMap<SocketAddr, Holding>>,
     /// Upstreams that were handed over and still have requests in progress here.
-    pub parting: RefCell<HashMap<SocketAddr, Rc<Upstream>>>,
+    pub handed_over: RefCell<HashMap<SocketAddr, Rc<Upstream>>>,
     /// Supervisor of the long-lived tasks of the data path.
     pub supervisor: Supervisor,
     /// Set once the daemon stops.
@@ -149,7 +149,7 @@
             numbers: Rc::default(),
             services: RefCell::default(),
             upstreams: RefCell::default(),
-            parting: RefCell::default(),
+            handed_over: RefCell::default(),
             stopping: Cell::new(false),
             started: Instant::now(),
             full_round: Cell::new(Instant::now()),
@@ -281,7 +281,7 @@
     pub fn is_busy(&self) -> bool {
         let zone = &self.control.settings().zone;
         let held = self.is_reachable(zone) && !self.upstreams.borrow().is_empty();
-        held || !self.parting.borrow().is_empty() || self.metrics.requests_in_progress.get() > 0
+        held || !self.handed_over.borrow().is_empty() || self.metrics.requests_in_progress.get() > 0
     }
 
     /// A ticket for a flow of `up`, which `service` calls `name`.
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -91,15 +91,18 @@
     path: &'a Rc<DataPath>,
     job: &'a Job,
     idempotent: bool,
+    ending: Option<Ending>,
 }
 
 impl Unfinished<'_> {
-    fn finish(self, ending: Ending) {
-        self.end(ending);
-        std::mem::forget(self);
+    fn finish(mut self, ending: Ending) {
+        self.ending = Some(ending);
     }
+}
 
-    fn end(&self, ending: Ending) {
+impl Drop for Unfinished<'_> {
+    fn drop(&mut self) {
+        let ending = self.ending.take().unwrap_or(Ending::Unknown);
         if self.idempotent {
             let key = CallerToken::of(self.job.caller, &self.job.req);
             self.job.up.in_progress.borrow_mut().remove(&key);
@@ -110,12 +113,6 @@
     }
 }
 
-impl Drop for Unfinished<'_> {
-    fn drop(&mut self) {
-        self.end(Ending::Unknown);
-    }
-}
-
 impl DataPath {
     /// Starts a task that serves `job`.
     pub fn begin(self: &Rc<Self>, job: Job) {
@@ -135,6 +132,7 @@
             path: self,
             job,
             idempotent,
+            ending: None,
         };
         let ending = self.attempt(job, token, idempotent).await;
         self.settle_feed(job, token, &ending);
@@ -316,7 +314,7 @@
             }
         };
         let bytes = rsp.to_bytes();
-        if job.up.is_parted() && ran {
+        if job.up.is_handed_over() && ran {
             job.up.note_finished(job.flow, token, &bytes);
         }
         if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -153,7 +153,7 @@
     probing: Cell<bool>,
     foreign_since: Cell<Option<Instant>>,
     warm_hint: Cell<Option<u16>>,
-    parted: Cell<bool>,
+    handed_over: Cell<bool>,
     finished: RefCell<Vec<FinishedRun>>,
     /// Flows that are held.
     pub flows: RefCell<Flows>,
@@ -187,7 +187,7 @@
             probing: Cell::new(false),
             foreign_since: Cell::new(None),
             warm_hint: Cell::new(None),
-            parted: Cell::new(false),
+            handed_over: Cell::new(false),
             finished: RefCell::default(),
             flows: RefCell::new(flows),
             feeds: RefCell::default(),
@@ -492,13 +492,13 @@
     }
 
     /// Marks the upstream as handed over: what runs still ends here, for the next owner to hear of.
-    pub fn part(&self) {
-        self.parted.set(true);
+    pub fn set_handed_over(&self) {
+        self.handed_over.set(true);
     }
 
     /// Whether the upstream was handed over.
-    pub fn is_parted(&self) -> bool {
-        self.parted.get()
+    pub fn is_handed_over(&self) -> bool {
+        self.handed_over.get()
     }
 
     /// Keeps the answer of a run that ended after the hand-over.
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -69,16 +69,16 @@
 const CONFIRMED: Duration = Duration::from_secs(60);
 
 /// Answers operators.
-pub struct Desk {
+pub struct AdminOperations {
     path: Rc<DataPath>,
     fleet: Arc<str>,
     faults: bool,
 }
 
-impl Desk {
+impl AdminOperations {
     /// Answers for the daemon with these settings.
-    pub fn new(path: Rc<DataPath>, settings: &Settings) -> Desk {
-        Desk {
+    pub fn new(path: Rc<DataPath>, settings: &Settings) -> AdminOperations {
+        AdminOperations {
             path,
             fleet: Arc::clone(&settings.fleet),
             faults: settings.testing.faults,
@@ -170,7 +170,7 @@
     }
 }
 
-impl Operations for Desk {
+impl Operations for AdminOperations {
     fn metrics(&self) -> String {
         let counters = self.path.control.counters();
         let metrics = &self.path.metrics;
