--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -1,6 +1,9 @@
 //! Flows that an owner holds for one upstream.
 
-use foxtailhinge_policy::ledger::FlowLedger;
+use foxtailhinge_policy::{
+    ledger::FlowLedger,
+    seconds::Seconds, //
+};
 use foxtailhinge_wire::{
     message::FlowKey,
     ticket::Ticket, //
@@ -44,12 +47,12 @@
     pub name: u32,
     /// Address from which the caller was last heard.
     pub caller: SocketAddr,
-    /// When the caller was last heard.
-    pub last_seen: Instant,
+    /// When the caller was last heard, or the flow given up.
+    pub last_seen: Seconds,
     /// Whether the upstream has answered a request of the flow; taken for granted under another owner.
     pub answered: bool,
     /// Set once the flow was given up; it then only answers copies.
-    pub given_up: Option<Instant>,
+    pub given_up: bool,
     /// What makes requests that are not idempotent run at most once.
     pub ledger: FlowLedger,
 }
@@ -203,14 +206,14 @@
     /// Holds a flow that was opened here and whose caller came back.
     pub fn confirm(&mut self, flow: u32, start: FlowStart, now: Instant) {
         self.opened.remove(&flow);
-        self.insert(flow, start, FlowLedger::new(now), false, now);
+        self.insert(flow, start, FlowLedger::new(), false, now);
     }
 
     /// Holds a flow that an owner which is gone had opened; its ledger covers nothing sent before.
     pub fn take_over(&mut self, ticket: &Ticket, start: FlowStart, now: Instant) -> u32 {
         let key = ticket_key(ticket);
         let flow = self.numbers.next();
-        let ledger = FlowLedger::resume(ticket.epoch, now);
+        let ledger = FlowLedger::resume(ticket.epoch);
         self.insert(flow, start, ledger, true, now);
         self.aliases.insert(
             key,
@@ -250,9 +253,9 @@
             service: start.service,
             name: start.name,
             caller: start.caller,
-            last_seen: now,
+            last_seen: Seconds::at(now),
             answered,
-            given_up: None,
+            given_up: false,
             ledger,
         };
         self.held.insert(flow, entry);
@@ -294,8 +297,9 @@
     pub fn give_up(&mut self, service: u32, now: Instant) -> usize {
         let mut count = 0;
         for flow in self.held.values_mut() {
-            if flow.service == service && flow.given_up.is_none() {
-                flow.given_up = Some(now);
+            if flow.service == service && !flow.given_up {
+                flow.given_up = true;
+                flow.last_seen = Seconds::at(now);
                 count += 1;
             }
         }
@@ -305,8 +309,8 @@
     /// Takes up flows of `service` that were given up and not ended yet; gives their number.
     pub fn restore(&mut self, service: u32) -> usize {
         let flows = self.held.values_mut();
-        let given_up = flows.filter(|flow| flow.service == service && flow.given_up.is_some());
-        given_up.map(|flow| flow.given_up = None).count()
+        let given_up = flows.filter(|flow| flow.service == service && flow.given_up);
+        given_up.map(|flow| flow.given_up = false).count()
     }
 
     /// Ends a flow.
@@ -325,13 +329,12 @@
         let mut gone = Vec::new();
         for (number, flow) in &mut self.held {
             flow.ledger.collect(now);
-            let quiet = now.saturating_duration_since(flow.last_seen);
-            match flow.given_up {
-                Some(at) if now.saturating_duration_since(at) >= GIVEN_UP_LEASE => {
-                    gone.push(*number)
-                }
-                None if quiet >= idle(flow.service) => ended.push(*number),
-                _ => {}
+            let quiet = flow.last_seen.until(now);
+            if flow.given_up && quiet >= GIVEN_UP_LEASE {
+                gone.push(*number);
+            }
+            if !flow.given_up && quiet >= idle(flow.service) {
+                ended.push(*number);
             }
         }
         for number in ended.iter().chain(&gone) {
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -209,7 +209,7 @@
     let opened = flows.take_opened();
     let flows = flows
         .iter_mut()
-        .filter(|(_, entry)| entry.given_up.is_none())
+        .filter(|(_, entry)| !entry.given_up)
         .map(|(flow, entry)| FlowRecord {
             keys: keys.remove(&flow).unwrap_or_default(),
             service: entry.service,
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -15,9 +15,12 @@
         Upstream, //
     },
 };
-use foxtailhinge_policy::ledger::{
-    Begin,
-    FlowLedger, //
+use foxtailhinge_policy::{
+    ledger::{
+        Begin,
+        FlowLedger, //
+    },
+    seconds::Seconds, //
 };
 use foxtailhinge_wire::{
     coap::Datagram,
@@ -230,7 +233,9 @@
 
     fn note_caller(&self, request: &FlowRequest<'_>, flow: u32) {
         if let Some(entry) = request.up.flows.borrow_mut().get_mut(flow) {
-            entry.last_seen = request.now;
+            if !entry.given_up {
+                entry.last_seen = Seconds::at(request.now);
+            }
             if request.is_from_ticket_address() {
                 entry.caller = request.arrived.caller;
             }
@@ -240,9 +245,7 @@
     /// Whether the flow is over at this upstream: given up, or its zone is out of service.
     fn is_over(&self, request: &FlowRequest<'_>, flow: u32) -> bool {
         let mut flows = request.up.flows.borrow_mut();
-        let given_up = flows
-            .get_mut(flow)
-            .is_some_and(|entry| entry.given_up.is_some());
+        let given_up = flows.get_mut(flow).is_some_and(|entry| entry.given_up);
         given_up || !request.arrived.service.zone_in_service(request.up.zone())
     }
 
@@ -388,7 +391,7 @@
         let mut flows = request.up.flows.borrow_mut();
         let key = flows.name(flow);
         let entry = flows.get_mut(flow)?;
-        if entry.given_up.is_some() {
+        if entry.given_up {
             return None;
         }
         let epoch = entry.ledger.epoch();
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -359,7 +359,7 @@
         let mut flows = job.up.flows.borrow_mut();
         let key = flows.name(job.flow);
         let flow = flows.get_mut(job.flow)?;
-        if flow.given_up.is_some() {
+        if flow.given_up {
             return None;
         }
         let epoch = if once {
@@ -380,7 +380,7 @@
     /// Ends a flow; false when it had ended before.
     fn drop_flow(&self, job: &Job) -> bool {
         let ended = job.up.flows.borrow_mut().remove(job.flow);
-        let held = ended.is_some_and(|flow| flow.given_up.is_none());
+        let held = ended.is_some_and(|flow| !flow.given_up);
         if held {
             job.up.load_mut().disconnect();
         }
--- a/crates/daemon/tests/flows.rs
+++ b/crates/daemon/tests/flows.rs
@@ -75,7 +75,7 @@
     let first = ticket(OWNER, 7, 1);
     let numbers = Rc::default();
     let mut back = flows(OWNER, &numbers);
-    let mut ledger = FlowLedger::new(now);
+    let mut ledger = FlowLedger::new();
     assert_eq!(ledger.begin(b"a", 1, now), Begin::Run);
     ledger.finish(b"a", Rc::from([9]), now);
     let ledger = FlowLedger::import(ledger.export(), now);
@@ -94,7 +94,7 @@
     let numbers = Rc::default();
     let mut flows = flows(OWNER, &numbers);
     let handed_over = ticket(OWNER + 1, 7, 1);
-    let ledger = FlowLedger::new(now);
+    let ledger = FlowLedger::new();
     let one = flows.import(&[ticket_key(&handed_over)], start(), ledger, now);
     let other = flows.take_over(&ticket(OWNER + 2, 8, 1), start(), now);
     let answered = [one, other].map(|flow| flows.get_mut(flow).unwrap().answered);
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -5,6 +5,7 @@
 //! its ticket, so that a late copy, which carries the same ticket, is refused instead of run.
 //! Correctness rests on epochs alone; the time only bounds memory.
 
+use crate::seconds::Seconds;
 use bincode::{
     Decode,
     Encode, //
@@ -33,11 +34,11 @@
 /// Runs of one flow.
 #[derive(Clone, Debug)]
 pub struct FlowLedger {
-    started: Instant,
     epoch: u32,
     forgotten: u32,
     handed_over: bool,
-    runs: Vec<Run>,
+    /// Most flows have no runs most of the time, so they cost one pointer.
+    runs: Option<Box<RunList>>,
 }
 
 /// What to do with a request that is not idempotent.
@@ -94,12 +95,26 @@
     pub runs: Vec<RunRecord>,
 }
 
+#[derive(Clone, Debug, Default)]
+struct RunList {
+    runs: Vec<Run>,
+}
+
+impl RunList {
+    /// Runs that were handed over; their age counts from `now`.
+    fn of(records: Vec<RunRecord>, now: Instant) -> Option<Box<RunList>> {
+        let at = Seconds::at(now);
+        let runs: Vec<Run> = records.into_iter().map(|one| Run::of(one, at)).collect();
+        (!runs.is_empty()).then(|| Box::new(RunList { runs }))
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     token: SmallVec<[u8; 8]>,
     epoch: u32,
-    /// Seconds since the ledger's start: of the end for answered runs, of the beginning for others.
-    at: u32,
+    /// When: of the end for answered runs, of the beginning for others.
+    at: Seconds,
     state: RunState,
 }
 
@@ -121,15 +136,20 @@
     }
 }
 
+impl Default for FlowLedger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl FlowLedger {
     /// Begins the ledger of a new flow.
-    pub fn new(now: Instant) -> Self {
+    pub fn new() -> Self {
         Self {
-            started: now,
             epoch: EPOCH_FIRST,
             forgotten: 0,
             handed_over: false,
-            runs: Vec::new(),
+            runs: None,
         }
     }
 
@@ -160,7 +180,10 @@
 
     /// Number of runs in progress here.
     pub fn in_progress(&self) -> usize {
-        self.runs.iter().filter(|run| run.is_in_progress()).count()
+        self.runs()
+            .iter()
+            .filter(|run| run.is_in_progress())
+            .count()
     }
 
     /// Decides about a request by its token and the epoch of its ticket.
@@ -181,14 +204,14 @@
             return Begin::Expired;
         }
         self.epoch = self.epoch.max(ticket_epoch.min(EPOCH_LAST));
-        if self.runs.len() >= MAX_RUNS && !self.forget_oldest() {
+        if self.runs().len() >= MAX_RUNS && !self.forget_oldest() {
             self.forget_epoch(ticket_epoch);
             return Begin::Full;
         }
-        self.runs.push(Run {
+        self.runs_mut().push(Run {
             token: SmallVec::from_slice(token),
             epoch: ticket_epoch,
-            at: self.seconds(now),
+            at: Seconds::at(now),
             state: RunState::InProgress,
         });
         Begin::Run
@@ -199,7 +222,7 @@
     /// An unknown outcome is an answer too. A run that was refused or answered before keeps its
     /// first outcome.
     pub fn finish(&mut self, token: &[u8], answer: Rc<[u8]>, now: Instant) -> u32 {
-        let at = self.seconds(now);
+        let at = Seconds::at(now);
         if let Some(run) = self.find(token).filter(|run| run.is_pending()) {
             run.state = RunState::Answered(answer);
             run.at = at;
@@ -229,28 +252,29 @@
 
     /// Takes over a flow of which nothing is known but a ticket with this epoch; no run of that
     /// ticket is let through.
-    pub fn resume(ticket_epoch: u32, now: Instant) -> Self {
-        let mut ledger = Self::new(now);
+    pub fn resume(ticket_epoch: u32) -> Self {
+        let mut ledger = Self::new();
         ledger.forget_epoch(ticket_epoch.min(EPOCH_LAST));
         ledger
     }
 
     /// Forgets runs that ended more than [`RIGHT`] ago.
     pub fn collect(&mut self, now: Instant) {
-        let now = self.seconds(now);
-        let right = RIGHT.as_secs() as u32;
+        let Some(list) = &mut self.runs else {
+            return;
+        };
         let mut forgotten = 0;
-        self.runs.retain(|run| {
-            let keep = run.is_in_progress() || now.saturating_sub(run.at) <= right;
+        list.runs.retain(|run| {
+            let keep = run.is_in_progress() || run.at.until(now) <= RIGHT;
             if !keep {
                 forgotten = forgotten.max(run.epoch);
             }
             keep
         });
-        self.forget_epoch(forgotten);
-        if self.runs.is_empty() {
-            self.runs = Vec::new();
+        if list.runs.is_empty() {
+            self.runs = None;
         }
+        self.forget_epoch(forgotten);
     }
 
     /// Gives the ledger to another owner; from now on nothing new runs here, while runs in progress
@@ -260,7 +284,7 @@
         LedgerRecord {
             epoch: self.epoch,
             forgotten: self.forgotten,
-            runs: self.runs.iter().map(RunRecord::from).collect(),
+            runs: self.runs().iter().map(RunRecord::from).collect(),
         }
     }
 
@@ -269,27 +293,28 @@
         let mut ledger = Self {
             epoch: record.epoch.clamp(EPOCH_FIRST, EPOCH_LAST),
             forgotten: record.forgotten.min(EPOCH_LAST),
-            runs: record.runs.into_iter().map(Run::from).collect(),
-            ..Self::new(now)
+            runs: RunList::of(record.runs, now),
+            ..Self::new()
         };
-        while ledger.runs.len() > MAX_RUNS && ledger.forget_oldest() {}
+        while ledger.runs().len() > MAX_RUNS && ledger.forget_oldest() {}
         ledger
     }
 
     fn find(&mut self, token: &[u8]) -> Option<&mut Run> {
-        self.runs.iter_mut().find(|run| run.token[..] == *token)
+        let list = self.runs.as_mut()?;
+        list.runs.iter_mut().find(|run| run.token[..] == *token)
     }
 
     fn forget_oldest(&mut self) -> bool {
         let ended = self
-            .runs
+            .runs()
             .iter()
             .enumerate()
             .filter(|(_, run)| !run.is_in_progress());
         let Some((oldest, _)) = ended.min_by_key(|(_, run)| run.at) else {
             return false;
         };
-        let run = self.runs.remove(oldest);
+        let run = self.runs_mut().remove(oldest);
         self.forget_epoch(run.epoch);
         true
     }
@@ -303,9 +328,12 @@
         }
     }
 
-    fn seconds(&self, now: Instant) -> u32 {
-        let elapsed = now.saturating_duration_since(self.started);
-        u32::try_from(elapsed.as_secs()).unwrap_or(u32::MAX)
+    fn runs(&self) -> &[Run] {
+        self.runs.as_ref().map_or(&[], |list| &list.runs)
+    }
+
+    fn runs_mut(&mut self) -> &mut Vec<Run> {
+        &mut self.runs.get_or_insert_default().runs
     }
 }
 
@@ -328,8 +356,8 @@
     }
 }
 
-impl From<RunRecord> for Run {
-    fn from(record: RunRecord) -> Self {
+impl Run {
+    fn of(record: RunRecord, at: Seconds) -> Self {
         let state = match record.outcome {
             RunOutcome::Elsewhere => RunState::Elsewhere,
             RunOutcome::Answered(answer) => RunState::Answered(answer.into()),
@@ -338,7 +366,7 @@
         Self {
             token: SmallVec::from_vec(record.token),
             epoch: record.epoch,
-            at: 0,
+            at,
             state,
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod placement;
 pub mod rendezvous;
 pub mod revisions;
+pub mod seconds;
--- a/crates/policy/tests/ledger.rs
+++ b/crates/policy/tests/ledger.rs
@@ -35,7 +35,7 @@
 /// A flow with one run, and the time of its beginning.
 fn running() -> (FlowLedger, Instant) {
     let now = Instant::now();
-    let mut ledger = FlowLedger::new(now);
+    let mut ledger = FlowLedger::new();
     assert_eq!(ledger.begin(TOKEN, EPOCH_FIRST, now), Begin::Run);
     (ledger, now)
 }
@@ -110,7 +110,7 @@
 #[test]
 fn when_full_the_oldest_finished_run_is_forgotten() {
     let now = Instant::now();
-    let mut ledger = FlowLedger::new(now);
+    let mut ledger = FlowLedger::new();
     for token in 0..MAX_RUNS as u8 {
         let epoch = ledger.epoch();
         assert_eq!(ledger.begin(&[token], epoch, now), Begin::Run);
@@ -128,7 +128,7 @@
 #[test]
 fn when_all_are_in_progress_a_request_is_refused_and_never_runs() {
     let now = Instant::now();
-    let mut ledger = FlowLedger::new(now);
+    let mut ledger = FlowLedger::new();
     for token in 0..MAX_RUNS as u8 {
         assert_eq!(ledger.begin(&[token], EPOCH_FIRST, now), Begin::Run);
     }
@@ -198,7 +198,7 @@
 #[case::past_the_end(u32::MAX)]
 fn a_flow_resumed_from_a_ticket_runs_nothing_of_it(#[case] epoch: u32) {
     let now = Instant::now();
-    let mut ledger = FlowLedger::resume(epoch, now);
+    let mut ledger = FlowLedger::resume(epoch);
     assert_eq!(
         ledger.begin(TOKEN, epoch.min(EPOCH_LAST), now),
         Begin::Expired
