Drop copies of what moved to another upstream, and of answers that nobody waits for

Change in the daemon besides: for 2 s copies of a request or feed that moved are dropped, so that a copy does not register at a second upstream.

--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -168,6 +168,7 @@
             let Some(feed) = up.feeds.borrow_mut().remove(token) else {
                 continue;
             };
+            up.begin_move(feed.caller.clone(), Instant::now());
             let req = as_notified(&feed.request);
             self.reopen_with(service, feed.caller.caller, &req);
         }
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -276,11 +276,11 @@
             }
             return;
         }
+        let key = CallerToken::of(arrived.caller, arrived.req);
         if self.should_move(request) {
-            self.open(arrived, true);
+            self.move_request(request, key);
             return;
         }
-        let key = CallerToken::of(arrived.caller, arrived.req);
         if !request.up.in_progress.borrow_mut().insert(key) {
             self.metrics.copies_joined.inc();
             return;
@@ -288,6 +288,20 @@
         self.start(request, flow);
     }
 
+    /// Serves an idempotent request at another upstream, and ends the feed here that it registers for.
+    fn move_request(self: &Rc<Self>, request: &FlowRequest<'_>, key: CallerToken) {
+        if !request.up.begin_move(key.clone(), request.now) {
+            self.metrics.copies_joined.inc();
+            return;
+        }
+        let mut feeds = request.up.feeds.borrow_mut();
+        if let Some(token) = feeds.token(&key) {
+            feeds.remove(token);
+        }
+        drop(feeds);
+        self.open(request.arrived, true);
+    }
+
     /// A request that must not run twice.
     fn serve_once(self: &Rc<Self>, request: &FlowRequest<'_>, flow: u32, covered: bool) {
         let arrived = request.arrived;
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -389,6 +389,8 @@
 
     /// Begins a new flow for a request whose upstream is gone or did not run it.
     fn reopen(self: &Rc<Self>, job: &Job) {
+        let key = CallerToken::of(job.caller, &job.req);
+        job.up.begin_move(key, Instant::now());
         let mut req = job.req.clone();
         let left = job.deadline.saturating_duration_since(Instant::now());
         req.set_deadline(left);
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -48,6 +48,9 @@
 /// How long a request that was given up keeps its slot while the upstream may still run it.
 const ABANDONED_LEASE: Duration = Duration::from_secs(5);
 
+/// Time for which copies of a request that went to another upstream are dropped.
+const MOVE_LEASE: Duration = Duration::from_secs(2);
+
 /// Shortest time that a restart of an upstream takes, as seen by what was sent before it.
 const RESTART_MIN: Duration = Duration::from_secs(1);
 
@@ -161,6 +164,8 @@
     pub feeds: RefCell<Feeds>,
     /// Idempotent requests in progress, by which their copies are known.
     pub in_progress: RefCell<HashSet<CallerToken>>,
+    /// Requests and feeds that went to other upstreams lately.
+    moved: RefCell<HashMap<CallerToken, Instant>>,
 }
 
 impl Upstream {
@@ -192,6 +197,7 @@
             flows: RefCell::new(flows),
             feeds: RefCell::default(),
             in_progress: RefCell::default(),
+            moved: RefCell::default(),
         }))
     }
 
@@ -491,6 +497,19 @@
         drop(lost);
     }
 
+    /// Notes that a request or feed goes to another upstream; false when it went there lately, so that a copy
+    /// does not take up a second place.
+    pub fn begin_move(&self, key: CallerToken, now: Instant) -> bool {
+        let mut moved = self.moved.borrow_mut();
+        let lately = moved
+            .get(&key)
+            .is_some_and(|at| now.saturating_duration_since(*at) < MOVE_LEASE);
+        if !lately {
+            moved.insert(key, now);
+        }
+        !lately
+    }
+
     /// Marks the upstream as handed over: what runs still ends here, for the next owner to hear of.
     pub fn set_handed_over(&self) {
         self.handed_over.set(true);
@@ -528,6 +547,9 @@
             })
             .map(|(token, _)| *token)
             .collect();
+        self.moved
+            .borrow_mut()
+            .retain(|_, at| now.saturating_duration_since(*at) < MOVE_LEASE);
         for token in abandoned {
             let pending = self.pending.borrow_mut().remove(&token);
             drop(pending);
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -11,6 +11,7 @@
 };
 use coap_lite::{
     CoapOption,
+    MessageType,
     Packet,
     RequestType,
     ResponseType, //
@@ -278,6 +279,9 @@
         let answers = |pending: &Pending| pending.packet.header.message_id == id;
         if self.pending.as_ref().is_some_and(answers) {
             self.pending = None;
+        } else if packet.header.get_type() == MessageType::Acknowledgement {
+            // A copy of an answer to an earlier registration; its message id is not outstanding (RFC 7252, 4.2).
+            return;
         }
         self.caller.renew(packet, self.generation);
         match message::code(packet) {
