--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -34,6 +34,7 @@
     timer::Timer, //
 };
 use foxtailhinge_config::settings::Settings;
+use foxtailhinge_policy::members::ChangeKind;
 use foxtailhinge_wire::ticket::TicketKeys;
 use futures::future::{
     select,
@@ -213,6 +214,12 @@
         }
         ControlEvent::Member(change) => {
             path.record_member(&change.member);
+            if change.kind == ChangeKind::Superseded {
+                Event::new("vm_id_taken")
+                    .field("vm", &change.member.vm)
+                    .field("by", change.member.incarnation)
+                    .error();
+            }
             path.reconcile();
         }
         ControlEvent::Paused(_) => {
--- a/crates/daemon/src/data/answer.rs
+++ b/crates/daemon/src/data/answer.rs
@@ -39,6 +39,8 @@
     GivenUp,
     /// The request was not run; come back after this time: 5.03 with Max-Age.
     NotRun(Duration),
+    /// As [`Notice::NotRun`], but the caller should come back with this ticket.
+    NotRunRenewed(Duration, [u8; TICKET_LEN]),
     /// Whether the request ran is unknown: 5.04.
     Unknown(Option<[u8; TICKET_LEN]>),
 }
@@ -48,13 +50,17 @@
     pub fn answer(&self, req: &Datagram, ids: &MessageIds) -> Datagram {
         let status = match self {
             Notice::Challenge(_) | Notice::GivenUp => Status::Unauthorized,
-            Notice::NotRun(_) => Status::ServiceUnavailable,
+            Notice::NotRun(_) | Notice::NotRunRenewed(..) => Status::ServiceUnavailable,
             Notice::Unknown(_) => Status::GatewayTimeout,
         };
         let mut rsp = Datagram::response_to(req, status, ids.next());
         match self {
             Notice::Challenge(ticket) | Notice::Unknown(Some(ticket)) => rsp.set_echo(ticket),
             Notice::NotRun(after) => rsp.set_max_age(*after),
+            Notice::NotRunRenewed(after, ticket) => {
+                rsp.set_max_age(*after);
+                rsp.set_echo(ticket);
+            }
             Notice::GivenUp | Notice::Unknown(None) => {}
         }
         rsp
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -324,7 +324,12 @@
             Begin::Answered(answer) => self.repeat(arrived, &answer),
             Begin::Refused | Begin::Full => {
                 let after = request.up.load_mut().come_back(request.now);
-                self.notify(arrived, Notice::NotRun(after));
+                // A full ledger has ended the right of the caller's ticket, so it needs another one.
+                let notice = match self.renewed(request, flow) {
+                    Some(ticket) => Notice::NotRunRenewed(after, ticket),
+                    None => Notice::NotRun(after),
+                };
+                self.notify(arrived, notice);
             }
             Begin::Expired => {
                 let ticket = self.renewed(request, flow);
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -20,9 +20,26 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
+/// Time within which the task that reads a closed socket has ended.
+const SOCKET_CLOSES: Duration = Duration::from_millis(100);
+
+/// How a service fares with its address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Contest {
+    /// No other service has it.
+    Free,
+    /// Another service had it and has lost it now.
+    Won,
+    /// Another service keeps it.
+    Lost,
+}
+
 impl DataPath {
     /// Puts a document in force, or takes the service out when there is none.
     pub fn apply(self: &Rc<Self>, name: &str, doc: Option<Rc<ServiceDocument>>) {
@@ -35,9 +52,16 @@
 
     fn put(self: &Rc<Self>, name: &str, doc: Rc<ServiceDocument>) {
         let hash = name_hash(name);
-        if !self.win_address(name, doc.address) {
-            self.remove(name);
-            return;
+        match self.contest(name, doc.address) {
+            Contest::Free => {}
+            Contest::Won => {
+                self.put_later();
+                return;
+            }
+            Contest::Lost => {
+                self.remove(name);
+                return;
+            }
         }
         let before = self.service(hash);
         let addr = self.bind_address(&doc);
@@ -68,26 +92,38 @@
 
     /// Puts documents in force that could not be served before, as their address was taken.
     pub fn put_missing(self: &Rc<Self>) {
-        let missing: Vec<(Rc<str>, Rc<ServiceDocument>)> = self
+        let mut missing: Vec<(Rc<str>, Rc<ServiceDocument>)> = self
             .control
             .documents()
             .in_force()
             .filter(|(name, _, _)| !self.serves(name))
             .map(|(name, _, accepted)| (Rc::clone(name), Rc::clone(&accepted.document)))
             .collect();
+        // The first by name goes first, so that it finds its address free.
+        missing.sort_by(|(a, _), (b, _)| a.cmp(b));
         for (name, doc) in missing {
             self.put(&name, doc);
         }
     }
 
+    /// Puts documents in force once the socket of a service that lost its address is closed.
+    fn put_later(self: &Rc<Self>) {
+        let path = Rc::clone(self);
+        self.spawn("put_later", async move {
+            monoio::time::sleep(SOCKET_CLOSES).await;
+            path.put_missing();
+            path.reconcile();
+        });
+    }
+
     fn serves(&self, name: &str) -> bool {
         self.service(name_hash(name))
             .is_some_and(|service| *service.name == *name)
     }
 
-    /// Whether `name` may have its address: of two services with one address, or one hash, the first by name
+    /// Settles whether `name` may have its address: of two services with one address, or one hash, the first by name
     /// has it, whatever came first. The other one is not served.
-    fn win_address(self: &Rc<Self>, name: &str, address: SocketAddr) -> bool {
+    fn contest(self: &Rc<Self>, name: &str, address: SocketAddr) -> Contest {
         let hash = name_hash(name);
         let rivals: Vec<Rc<Service>> = self
             .services
@@ -113,7 +149,11 @@
                 self.remove(&other.name);
             }
         }
-        wins
+        match (rivals.is_empty(), wins) {
+            (true, _) => Contest::Free,
+            (false, true) => Contest::Won,
+            (false, false) => Contest::Lost,
+        }
     }
 
     fn bind_address(&self, doc: &ServiceDocument) -> SocketAddr {
