Leave the slot of a given up attempt in use when the request is tried again

Cause, found by reading: a second attempt used the first one's token, so its entry replaced the first, whose slot was freed while the upstream may still run it; five requests could meet four slots. Change: a new token for each attempt; a feed keeps its token, and replaced entries keep their slots until their lease ends. Test that failed first: slots a_second_attempt_leaves_the_first_its_slot (1 slot in use in place of 2).

--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -143,7 +143,7 @@
     }
 
     /// Tries the request until it is answered, refused, or its caller no longer waits.
-    async fn attempt(&self, job: &Job, token: UpstreamToken, idempotent: bool) -> Ending {
+    async fn attempt(&self, job: &Job, mut token: UpstreamToken, idempotent: bool) -> Ending {
         job.service.budget.borrow_mut().on_request(Instant::now());
         let feed = job.req.observe() == Some(REGISTER);
         // Once an attempt went unanswered it may have run, whatever becomes of the next one.
@@ -175,6 +175,10 @@
                         return Ending::Unknown;
                     }
                     unanswered = true;
+                    // A late answer then frees the slot of its own attempt; a feed keeps its token.
+                    if !feed {
+                        token = job.up.next_token();
+                    }
                 }
             }
         }
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -138,6 +138,13 @@
     sent: Instant,
 }
 
+impl Pending {
+    /// Whether the upstream no longer runs the request, had it been lost.
+    fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.sent) >= ABANDONED_LEASE
+    }
+}
+
 /// An upstream, by its address.
 #[derive(Debug)]
 pub struct Upstream {
@@ -148,6 +155,8 @@
     load: RefCell<Load>,
     waiting: RefCell<WaitingList<oneshot::Sender<Slot>>>,
     pending: RefCell<HashMap<UpstreamToken, Pending>>,
+    /// Given up exchanges whose tokens are in use again.
+    replaced: RefCell<Vec<Pending>>,
     tokens: Cell<u64>,
     message_ids: Cell<u16>,
     incarnation: Cell<Option<u16>>,
@@ -184,6 +193,7 @@
             load: RefCell::new(load),
             waiting: RefCell::default(),
             pending: RefCell::default(),
+            replaced: RefCell::default(),
             tokens: Cell::new(rand::random()),
             message_ids: Cell::new(rand::random()),
             incarnation: Cell::new(None),
@@ -348,7 +358,9 @@
             slot,
             sent: Instant::now(),
         };
-        self.pending.borrow_mut().insert(token, pending);
+        let before = self.pending.borrow_mut().insert(token, pending);
+        // The upstream may still run an earlier attempt with the same token.
+        self.replaced.borrow_mut().extend(before);
         // A refusal reported here belongs to an earlier datagram; the reading task sees it as well.
         let _ = self.socket.send(&req.to_bytes());
         match monoio::time::timeout(timeout, rx).await {
@@ -487,6 +499,7 @@
     pub fn on_refused(&self) {
         self.load_mut().learn(Outcome::Refused, Instant::now());
         self.fail_pending(|_| true);
+        drop(self.replaced.take());
     }
 
     fn fail_pending(&self, is_lost: impl Fn(&Pending) -> bool) {
@@ -541,12 +554,14 @@
             .pending
             .borrow()
             .iter()
-            .filter(|(_, pending)| {
-                let age = now.saturating_duration_since(pending.sent);
-                pending.answer.is_none() && age >= ABANDONED_LEASE
-            })
+            .filter(|(_, pending)| pending.answer.is_none() && pending.is_over(now))
             .map(|(token, _)| *token)
             .collect();
+        let mut replaced = self.replaced.borrow_mut();
+        let over = replaced.extract_if(.., |one| one.is_over(now));
+        let over: Vec<Pending> = over.collect();
+        drop(replaced);
+        drop(over);
         self.moved
             .borrow_mut()
             .retain(|_, at| now.saturating_duration_since(*at) < MOVE_LEASE);
--- /dev/null
+++ b/crates/daemon/tests/slots.rs
@@ -0,0 +1,87 @@
+//! Slots of requests that were given up: the upstream may still run them.
+
+use foxtailhinge::data::{
+    flow::{
+        FlowNumbers,
+        Flows, //
+    },
+    load::{
+        Load,
+        LoadSpec, //
+    },
+    upstream::{
+        ExchangeError,
+        Upstream, //
+    },
+};
+use foxtailhinge_policy::allowance::{
+    AllowanceSpec,
+    Capacity, //
+};
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Method, //
+};
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use std::{
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+const SLOTS: u32 = 4;
+const TIMEOUT: Duration = Duration::from_millis(10);
+
+/// An upstream of which nothing is known but its limits.
+fn upstream(addr: SocketAddr) -> Rc<Upstream> {
+    let spec = LoadSpec {
+        allowance: AllowanceSpec {
+            full: Capacity {
+                slots: SLOTS,
+                connections: 10,
+            },
+            cold_slots: SLOTS,
+            cold_connections: 10,
+            ramp: Duration::ZERO,
+        },
+        queue: 0,
+        draining: false,
+    };
+    let load = Load::cold(spec, Instant::now());
+    let flows = Flows::new(1, 2, Rc::new(FlowNumbers::default()));
+    Upstream::new(addr, "windhoek-1".into(), load, flows).unwrap()
+}
+
+/// A feed's registration is tried again with the same token.
+#[test]
+fn a_second_attempt_leaves_the_first_its_slot() {
+    let silent = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let addr = silent.local_addr().unwrap();
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .unwrap();
+    let in_use = runtime.block_on(async {
+        let up = upstream(addr);
+        let token = up.next_token();
+        let req = Datagram::request(Method::Get, "/cues").with_token(&token.bytes());
+        for _ in 0..2 {
+            let deadline = Instant::now() + Duration::from_secs(60);
+            let slot = up.acquire(deadline, true).await.unwrap();
+            let res = up.exchange(slot, token, &req, TIMEOUT).await;
+            assert_eq!(res, Err(ExchangeError::TimedOut));
+        }
+        let in_use = up.load().admission().in_use();
+        in_use
+    });
+    assert_eq!(in_use, 2);
+}
