Read published documents by the one function that checks their service

The control part and the status report each parsed a document and then compared its service's name, beside ServiceDocument::parse_published, which does both and gives the finding its place. Both call that one now; documents are accepted and refused as before, and the finding for a wrong name has its line and column.

--- a/crates/daemon/src/members/apply.rs
+++ b/crates/daemon/src/members/apply.rs
@@ -90,18 +90,11 @@
 }
 
 fn read_document(service: &str, text: Rc<str>) -> Result<Accepted, (Rc<str>, Vec<String>)> {
-    match ServiceDocument::parse(service, &text) {
-        Ok(document) if document.service.as_ref() == service => Ok(Accepted {
+    match ServiceDocument::parse_published(service, &text) {
+        Ok(document) => Ok(Accepted {
             document: Rc::new(document),
             text,
         }),
-        Ok(document) => {
-            let finding = format!(
-                "Write \"{service}\" as the service; the document names \"{}\".",
-                document.service
-            );
-            Err((text, vec![finding]))
-        }
         Err(findings) => {
             let findings = findings.iter().map(ToString::to_string).collect();
             Err((text, findings))
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -304,18 +304,8 @@
 
 /// Findings of a document that was refused for `service`.
 pub fn findings(service: &str, text: &str) -> Vec<Finding> {
-    match ServiceDocument::parse(service, text) {
-        Err(findings) => findings.iter().cloned().collect(),
-        Ok(document) => vec![Finding {
-            file: Arc::from(service),
-            line: 1,
-            column: 1,
-            message: format!(
-                "Write \"{service}\" as the service; the document names \"{}\".",
-                document.service
-            ),
-        }],
-    }
+    let refused = ServiceDocument::parse_published(service, text).err();
+    refused.map_or_else(Vec::new, |findings| findings.iter().cloned().collect())
 }
 
 /// Order of the candidates in an explanation: the chosen one first.
