Pass requests that wait for a slot on to the next owner

Cause: a hand-over leaves the former owner just the slots in use. A request that waited for a slot, or whose task had not begun yet, then waited there until its deadline, while the next owner took its copies for ones of a run elsewhere and dropped them.

Ruled out, by the logs of a failed run: a claim that failed (all five were handed over within 20 ms), a lost report (in_use=0), the fence, and packets sent to the daemon after its end.

Change: the ledger knows requests that were begun but not sent and does not hand them over; at a hand-over all waiting requests wake at once and are forwarded to the next owner with a ticket that it knows. Nothing is sent to the upstream for the first time after a hand-over.

--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -241,6 +241,11 @@
         expired
     }
 
+    /// Forgets a waiting request.
+    pub fn leave_queue(&mut self) {
+        self.admission.leave_queue();
+    }
+
     /// Gives a slot back; `service_time` when the request was answered.
     pub fn finish(&mut self, now: Instant, service_time: Option<Duration>) {
         match service_time {
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -9,6 +9,7 @@
         upstream::{
             CallerToken,
             ExchangeError,
+            SlotError,
             Upstream,
             UpstreamToken, //
         },
@@ -25,6 +26,10 @@
         Kind,
         Status, //
     },
+    message::{
+        Forward,
+        RelayMessage, //
+    },
     ticket::TICKET_LEN,
 };
 use std::{
@@ -75,6 +80,8 @@
     Unknown,
     /// The upstream is gone and the request idempotent: another upstream should answer.
     Move,
+    /// It was not sent before the upstream was handed over: the next owner should answer.
+    HandOn,
 }
 
 /// Counts a request as in progress until it is dropped, by a panic too.
@@ -136,8 +143,9 @@
         };
         let ending = self.attempt(job, token, idempotent).await;
         self.settle_feed(job, token, &ending);
+        let handed_on = matches!(ending, Ending::HandOn);
         unfinished.finish(ending);
-        if job.req.is_release() {
+        if job.req.is_release() && !handed_on {
             self.release(job);
         }
     }
@@ -148,14 +156,18 @@
         let feed = job.req.observe() == Some(REGISTER);
         // Once an attempt went unanswered it may have run, whatever becomes of the next one.
         let mut unanswered = false;
+        let mut sent = false;
         loop {
             let slot = job.up.acquire(job.deadline, feed).await;
             let left = job.deadline.saturating_duration_since(Instant::now());
             let slot = match slot {
                 Ok(slot) if !left.is_zero() && !self.is_zone_out(job) => slot,
+                Err(SlotError::HandedOver) if idempotent || !sent => return Ending::HandOn,
                 _ => return self.refused(job, unanswered),
             };
             let timeout = attempt_time(left, idempotent);
+            self.note_sent(job);
+            sent = true;
             let req = self.outgoing(job, token, left);
             match job.up.exchange(slot, token, &req, timeout).await {
                 Ok(rsp) if rsp.status() == Some(Status::ServiceUnavailable) => {
@@ -184,6 +196,13 @@
         }
     }
 
+    /// Notes in the flow's ledger that the request may run from now on.
+    fn note_sent(&self, job: &Job) {
+        if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
+            flow.ledger.sent(job.req.token());
+        }
+    }
+
     /// The end of a request that gets no further attempt.
     fn refused(&self, job: &Job, unanswered: bool) -> Ending {
         if unanswered {
@@ -268,7 +287,7 @@
                 }
             }
             // An unanswered registration leaves an earlier one of the same feed in place.
-            Ending::Unknown | Ending::NotRun(_) => {}
+            Ending::Unknown | Ending::NotRun(_) | Ending::HandOn => {}
             Ending::Answered(_) | Ending::Move | Ending::ShedAtOnce(_) => {
                 feeds.remove(token);
             }
@@ -293,6 +312,10 @@
                 self.reopen(job);
                 return;
             }
+            Ending::HandOn => {
+                self.hand_on(job);
+                return;
+            }
         };
         job.service.socket.send_to(&rsp.to_bytes(), job.caller);
     }
@@ -300,6 +323,10 @@
     /// Answers a request that must not run twice, and remembers the answer for its copies.
     fn answer_once(self: &Rc<Self>, job: &Job, ending: Ending) {
         let token = job.req.token();
+        if let Ending::HandOn = ending {
+            self.hand_on(job);
+            return;
+        }
         if let Ending::ShedAtOnce(_) = ending {
             if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
                 flow.ledger.moved(token);
@@ -312,7 +339,7 @@
             Ending::NotRun(after) | Ending::ShedAtOnce(after) => {
                 (self.own_answer(job, Notice::NotRun(after)), false)
             }
-            Ending::Unknown | Ending::Move => {
+            Ending::Unknown | Ending::Move | Ending::HandOn => {
                 let ticket = self.next_ticket(job, true);
                 (self.own_answer(job, Notice::Unknown(ticket)), true)
             }
@@ -391,6 +418,28 @@
         held
     }
 
+    /// Passes a request that was not sent on to the next owner of its upstream.
+    fn hand_on(self: &Rc<Self>, job: &Job) {
+        let owner = self.owner(job.up.key(), job.up.zone());
+        let ticket = self.next_ticket(job, false);
+        let (Some(owner), Some(ticket)) = (owner, ticket) else {
+            let after = job.up.load_mut().come_back(Instant::now());
+            let rsp = self.own_answer(job, Notice::NotRun(after));
+            job.service.socket.send_to(&rsp.to_bytes(), job.caller);
+            return;
+        };
+        let mut req = job.req.clone();
+        req.set_deadline(job.deadline.saturating_duration_since(Instant::now()));
+        req.set_echo(&ticket);
+        let forward = Forward {
+            caller: job.caller,
+            service: job.service.hash,
+            bounces: 0,
+            datagram: req.to_bytes(),
+        };
+        self.deliver(&owner, RelayMessage::Forward(forward));
+    }
+
     /// Begins a new flow for a request whose upstream is gone or did not run it.
     fn reopen(self: &Rc<Self>, job: &Job) {
         let key = CallerToken::of(job.caller, &job.req);
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -92,6 +92,15 @@
     }
 }
 
+/// Why a request got no slot; it was not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotError {
+    /// The upstream can not take it.
+    Refused(Refusal),
+    /// The upstream was handed over, so the request belongs to the next owner.
+    HandedOver,
+}
+
 /// Why an exchange with the upstream brought no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -275,22 +284,32 @@
     /// # Errors
     ///
     /// Why the request was not let through; it was not run.
-    pub async fn acquire(self: &Rc<Self>, deadline: Instant, feed: bool) -> Result<Slot, Refusal> {
+    pub async fn acquire(
+        self: &Rc<Self>,
+        deadline: Instant,
+        feed: bool,
+    ) -> Result<Slot, SlotError> {
+        if self.is_handed_over() {
+            return Err(SlotError::HandedOver);
+        }
         let now = Instant::now();
         let start = self.load_mut().start(now, deadline, feed);
         match start {
             Start::Run => return Ok(Slot::new(self)),
-            Start::Refuse(refusal) => return Err(refusal),
+            Start::Refuse(refusal) => return Err(SlotError::Refused(refusal)),
             Start::Wait => {}
         }
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().push(deadline, tx);
         let left = deadline.saturating_duration_since(now);
-        match monoio::time::timeout(left, rx).await {
+        let slot = monoio::time::timeout(left, rx).await;
+        match slot {
+            // A slot given just before the hand-over goes back, to be used by the next owner.
+            _ if self.is_handed_over() => Err(SlotError::HandedOver),
             Ok(Ok(slot)) => Ok(slot),
             _ => {
                 self.promote(Instant::now());
-                Err(Refusal::Deadline)
+                Err(SlotError::Refused(Refusal::Deadline))
             }
         }
     }
@@ -523,9 +542,15 @@
         !lately
     }
 
-    /// Marks the upstream as handed over: what runs still ends here, for the next owner to hear of.
+    /// Marks the upstream as handed over: what runs still ends here, for the next owner to hear of, and what
+    /// waits is passed on to it.
     pub fn set_handed_over(&self) {
         self.handed_over.set(true);
+        let waiting = self.waiting.take();
+        for _ in 0..waiting.len() {
+            self.load_mut().leave_queue();
+        }
+        drop(waiting);
     }
 
     /// Whether the upstream was handed over.
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -44,7 +44,8 @@
 /// What to do with a request that is not idempotent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Begin {
-    /// Send it to the upstream; [`FlowLedger::finish`] or [`FlowLedger::not_run`] must follow.
+    /// Send it to the upstream, after [`FlowLedger::sent`]; [`FlowLedger::finish`] or
+    /// [`FlowLedger::not_run`] must follow.
     Run,
     /// Drop it: the first copy is still in progress and its answer answers this copy too.
     Join,
@@ -120,6 +121,8 @@
 
 #[derive(Clone, Debug)]
 enum RunState {
+    /// Begun, but not sent to the upstream yet.
+    Waiting,
     InProgress,
     Elsewhere,
     Answered(Rc<[u8]>),
@@ -127,12 +130,16 @@
 }
 
 impl Run {
+    fn is_waiting(&self) -> bool {
+        matches!(self.state, RunState::Waiting)
+    }
+
     fn is_in_progress(&self) -> bool {
-        matches!(self.state, RunState::InProgress)
+        matches!(self.state, RunState::Waiting | RunState::InProgress)
     }
 
     fn is_pending(&self) -> bool {
-        matches!(self.state, RunState::InProgress | RunState::Elsewhere)
+        self.is_in_progress() || matches!(self.state, RunState::Elsewhere)
     }
 }
 
@@ -191,7 +198,7 @@
         if let Some(run) = self.find(token) {
             run.epoch = run.epoch.max(ticket_epoch);
             return match &run.state {
-                RunState::InProgress => Begin::Join,
+                RunState::Waiting | RunState::InProgress => Begin::Join,
                 RunState::Elsewhere => Begin::Elsewhere,
                 RunState::Answered(answer) => Begin::Answered(Rc::clone(answer)),
                 RunState::Refused => Begin::Refused,
@@ -212,11 +219,18 @@
             token: SmallVec::from_slice(token),
             epoch: ticket_epoch,
             at: Seconds::at(now),
-            state: RunState::InProgress,
+            state: RunState::Waiting,
         });
         Begin::Run
     }
 
+    /// Remembers that the request is sent to the upstream now, so that it may have run.
+    pub fn sent(&mut self, token: &[u8]) {
+        if let Some(run) = self.find(token).filter(|run| run.is_waiting()) {
+            run.state = RunState::InProgress;
+        }
+    }
+
     /// Remembers the answer of a run and advances the epoch, which it returns.
     ///
     /// An unknown outcome is an answer too. A run that was refused or answered before keeps its
@@ -279,8 +293,13 @@
 
     /// Gives the ledger to another owner; from now on nothing new runs here, while runs in progress
     /// still end here.
+    ///
+    /// Requests that were not sent yet are forgotten: they must be passed on to the other owner.
     pub fn export(&mut self) -> LedgerRecord {
         self.handed_over = true;
+        if let Some(list) = &mut self.runs {
+            list.runs.retain(|run| !run.is_waiting());
+        }
         LedgerRecord {
             epoch: self.epoch,
             forgotten: self.forgotten,
@@ -344,7 +363,7 @@
 impl From<&Run> for RunRecord {
     fn from(run: &Run) -> Self {
         let outcome = match &run.state {
-            RunState::InProgress | RunState::Elsewhere => RunOutcome::Elsewhere,
+            RunState::Waiting | RunState::InProgress | RunState::Elsewhere => RunOutcome::Elsewhere,
             RunState::Answered(answer) => RunOutcome::Answered(answer.to_vec()),
             RunState::Refused => RunOutcome::Refused,
         };
