Confirm the reports of a former owner, and free the slots of one that is gone

Cause, by the logs: owner_report_lost, "broken pipe". The former owner reported the slots that became free over a link that had been opened to an earlier incarnation of the next owner; the report was not sent again, so the next owner counted these slots as used for good, and a cold upstream has no others. By reading: a report also got lost when it came while the next owner still waited for the hand-over itself, and when the former owner was killed.

Change: reports have numbers, are confirmed, and sent again until they are (10 s at most); each former owner's slots are counted by themselves in policy/elsewhere and become free 5 s after the last word of one that is gone. A link is used only for the incarnation that it was opened to.

--- a/crates/daemon/src/data/claim.rs
+++ b/crates/daemon/src/data/claim.rs
@@ -30,6 +30,7 @@
     supervisor::Restart, //
 };
 use foxtailhinge_policy::{
+    elsewhere::FormerOwner,
     ledger::FlowLedger,
     members::{
         Member,
@@ -168,8 +169,7 @@
         let path = Rc::clone(self);
         self.spawn("join_holders", async move {
             if let Some((member, state)) = path.ask_former(up.addr(), &owned).await {
-                let (slots, in_use) = (state.allowance.slots, state.in_use);
-                up.load_mut().join(slots, in_use, Instant::now());
+                up.load_mut().join(state.allowance.slots, Instant::now());
                 path.take_flows(&up, member, state);
             }
         });
@@ -250,7 +250,7 @@
     ) -> std::io::Result<Rc<Upstream>> {
         let now = Instant::now();
         let load = match former {
-            Some(state) => Load::handed_over(owned.spec, state.allowance.slots, state.in_use, now),
+            Some(state) => Load::handed_over(owned.spec, state.allowance.slots, now),
             None => Load::cold(owned.spec, now),
         };
         let flows = Flows::new(self.me, self.incarnation, Rc::clone(&self.numbers));
@@ -272,6 +272,11 @@
 
     fn take_flows(self: &Rc<Self>, up: &Rc<Upstream>, former: Member, state: HandOver) {
         let now = Instant::now();
+        let owner = FormerOwner {
+            vm: Rc::clone(&former.vm),
+            incarnation: former.incarnation,
+        };
+        up.load_mut().run_elsewhere(owner, state.in_use, now);
         for record in state.flows {
             let start = FlowStart {
                 service: record.service,
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/data/hand_over.rs
@@ -8,16 +8,24 @@
     },
     links::{
         LinkHandler,
+        LinkReply,
         LinkRequest, //
     },
     logging::Event,
     metrics::HandOverResult, //
 };
-use foxtailhinge_policy::members::Member;
+use foxtailhinge_policy::{
+    elsewhere::FormerOwner,
+    members::{
+        Member,
+        MemberState, //
+    },
+};
 use foxtailhinge_wire::message::{
     AllowanceRecord,
     FeedRecord,
     Finished,
+    FinishedRun,
     FlowRecord,
     HandOver,
     OwnerReply,
@@ -35,6 +43,9 @@
 /// Time between two reports of what ended after a hand-over.
 const REPORT_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time after which a report that the next owner does not confirm is given up.
+const REPORT_LEASE: Duration = Duration::from_secs(10);
+
 /// Time for which a former owner passes notifications on while the next owner takes feeds up.
 const FEEDS_LEASE: Duration = Duration::from_secs(5);
 
@@ -92,43 +103,50 @@
 
     async fn report_finished(&self, up: &Rc<Upstream>, next: &str, in_use: u32) {
         let since = Instant::now();
-        let mut reported = in_use;
+        let mut reports = Reports::new(up.addr(), in_use);
         loop {
             monoio::time::sleep(REPORT_PERIOD).await;
             if since.elapsed() >= FEEDS_LEASE {
                 drop(up.feeds.borrow_mut().take());
             }
             let running = up.running();
-            let slots = reported.saturating_sub(running);
-            let runs = up.take_finished();
-            if slots > 0 || !runs.is_empty() {
-                reported = reported.min(running);
-                up.load_mut().cap_slots(reported, Instant::now());
-                let finished = Finished {
-                    upstream: up.addr(),
-                    slots,
-                    runs,
-                };
-                let member = self.control.members().get(next).cloned();
-                if let Some(member) = member {
-                    self.tell(&member, OwnerRequest::Finished(finished)).await;
+            if let Some(report) = reports.next(running, || up.take_finished()) {
+                up.load_mut().cap_slots(running, Instant::now());
+                if self.report(next, report).await {
+                    reports.confirm();
                 }
             }
-            if running == 0 && up.feeds.borrow().is_empty() {
+            if running == 0 && reports.is_done() && up.feeds.borrow().is_empty() {
                 return;
             }
         }
     }
 
-    /// Sends a request about ownership to another daemon.
-    pub async fn tell(&self, member: &Member, request: OwnerRequest) {
+    /// Sends a report to the next owner; false when it should be sent again.
+    async fn report(&self, next: &str, report: Finished) -> bool {
+        let member = self.control.members().get(next).cloned();
+        let live = member.filter(|member| member.state != MemberState::Dead);
+        let Some(member) = live else {
+            return true;
+        };
+        let reply = self.tell(&member, OwnerRequest::Finished(report)).await;
+        reply == Some(OwnerReply::Ok)
+    }
+
+    /// Sends a request about ownership to another daemon; nothing when the answer did not come.
+    pub async fn tell(&self, member: &Member, request: OwnerRequest) -> Option<OwnerReply> {
         let links = Rc::clone(self.control.links());
         let request = LinkRequest::Owner(request);
-        if let Err(err) = links.request(&self.control, member, &request).await {
-            Event::new("owner_report_lost")
-                .field("vm", &member.vm)
-                .field("cause", err)
-                .warn();
+        match links.request(&self.control, member, &request).await {
+            Ok(LinkReply::Owner(reply)) => Some(reply),
+            Ok(_) => None,
+            Err(err) => {
+                Event::new("owner_report_lost")
+                    .field("vm", &member.vm)
+                    .field("cause", err)
+                    .warn();
+                None
+            }
         }
     }
 
@@ -138,12 +156,14 @@
         }
     }
 
-    fn on_finished(&self, finished: Finished) {
+    fn on_finished(&self, owner: &FormerOwner, finished: Finished) -> OwnerReply {
+        // While the upstream is claimed, its former owner reports too early.
         let Some(up) = self.held(finished.upstream) else {
-            return;
+            return OwnerReply::NotHeld;
         };
         let now = Instant::now();
-        up.load_mut().finish_elsewhere(finished.slots, now);
+        let (seq, slots) = (finished.seq, finished.slots);
+        up.load_mut().finish_elsewhere(owner, seq, slots, now);
         up.promote(now);
         let mut flows = up.flows.borrow_mut();
         for run in finished.runs {
@@ -153,6 +173,7 @@
                 }
             }
         }
+        OwnerReply::Ok
     }
 
     /// The upstream with this address, if this daemon holds it.
@@ -168,7 +189,7 @@
     fn on_owner_request(
         &self,
         from: &Rc<str>,
-        _incarnation: u32,
+        incarnation: u32,
         request: OwnerRequest,
     ) -> OwnerReply {
         match request {
@@ -182,13 +203,69 @@
                 OwnerReply::Ok
             }
             OwnerRequest::Finished(finished) => {
-                self.on_finished(finished);
-                OwnerReply::Ok
+                let owner = FormerOwner {
+                    vm: Rc::clone(from),
+                    incarnation,
+                };
+                self.on_finished(&owner, finished)
             }
         }
     }
 }
 
+/// Reports of one hand-over: each is sent until the next owner has confirmed it.
+struct Reports {
+    upstream: SocketAddr,
+    /// Slots that the next owner counts as in use here.
+    counted: u32,
+    seq: u32,
+    open: Option<(Finished, Instant)>,
+}
+
+impl Reports {
+    fn new(upstream: SocketAddr, in_use: u32) -> Reports {
+        Reports {
+            upstream,
+            counted: in_use,
+            seq: 0,
+            open: None,
+        }
+    }
+
+    /// The report to send now, if there is anything to tell.
+    fn next(&mut self, running: u32, runs: impl FnOnce() -> Vec<FinishedRun>) -> Option<Finished> {
+        if self.open.is_none() {
+            let report = self.collect(running, runs());
+            self.open = report.map(|report| (report, Instant::now()));
+        }
+        self.open.as_ref().map(|(report, _)| report.clone())
+    }
+
+    fn collect(&mut self, running: u32, runs: Vec<FinishedRun>) -> Option<Finished> {
+        let slots = self.counted.saturating_sub(running);
+        if slots == 0 && runs.is_empty() {
+            return None;
+        }
+        self.counted -= slots;
+        self.seq += 1;
+        Some(Finished {
+            upstream: self.upstream,
+            seq: self.seq,
+            slots,
+            runs,
+        })
+    }
+
+    fn confirm(&mut self) {
+        self.open = None;
+    }
+
+    fn is_done(&self) -> bool {
+        let open = self.open.as_ref();
+        open.is_none_or(|(_, since)| since.elapsed() >= REPORT_LEASE)
+    }
+}
+
 /// The upstream's state for its next owner; nothing new runs here afterwards.
 fn export(up: &Rc<Upstream>) -> HandOver {
     let now = Instant::now();
--- a/crates/daemon/src/data/load.rs
+++ b/crates/daemon/src/data/load.rs
@@ -14,6 +14,10 @@
         AllowanceSpec, //
     },
     comeback::Comeback,
+    elsewhere::{
+        Elsewhere,
+        FormerOwner, //
+    },
     health::{
         EndpointReport,
         Health,
@@ -105,7 +109,7 @@
     health: Health,
     comeback: Comeback,
     /// Slots that requests of the former owner still hold.
-    elsewhere: u32,
+    elsewhere: Elsewhere,
     /// Slots left to this owner after it handed the upstream over.
     slots_left: Option<u32>,
     /// Until when new flows stay away because the upstream has shed load.
@@ -115,23 +119,23 @@
 impl Load {
     /// An upstream of which nothing is known: it starts at the cold-start allowance.
     pub fn cold(spec: LoadSpec, now: Instant) -> Load {
-        Load::with(spec, Allowance::cold(spec.allowance, now), 0, now)
+        Load::with(spec, Allowance::cold(spec.allowance, now), now)
     }
 
-    /// An upstream that the former owner handed over at this allowance, with requests still running there.
-    pub fn handed_over(spec: LoadSpec, slots: u32, elsewhere: u32, now: Instant) -> Load {
+    /// An upstream that the former owner handed over at this allowance.
+    pub fn handed_over(spec: LoadSpec, slots: u32, now: Instant) -> Load {
         let allowance = Allowance::resume(spec.allowance, slots, now);
-        Load::with(spec, allowance, elsewhere, now)
+        Load::with(spec, allowance, now)
     }
 
-    fn with(spec: LoadSpec, allowance: Allowance, elsewhere: u32, now: Instant) -> Load {
+    fn with(spec: LoadSpec, allowance: Allowance, now: Instant) -> Load {
         let mut load = Load {
             spec,
             admission: Admission::new(Limits::default()),
             allowance,
             health: Health::new(),
             comeback: Comeback::new(),
-            elsewhere,
+            elsewhere: Elsewhere::default(),
             slots_left: None,
             shedding_until: None,
         };
@@ -148,7 +152,7 @@
 
     fn refresh(&mut self, now: Instant) {
         let (slots, connections) = self.allowance.limits(now);
-        let slots = slots.saturating_sub(self.elsewhere);
+        let slots = slots.saturating_sub(self.elsewhere.slots());
         self.admission.set_limits(Limits {
             slots: self.slots_left.map_or(slots, |left| left.min(slots)),
             connections,
@@ -255,11 +259,10 @@
     }
 
     /// Takes over from another owner that served the upstream in the meantime.
-    pub fn join(&mut self, slots: u32, elsewhere: u32, now: Instant) {
+    pub fn join(&mut self, slots: u32, now: Instant) {
         if slots < self.allowance.limits(now).0 {
             self.allowance = Allowance::resume(self.spec.allowance, slots, now);
         }
-        self.elsewhere += elsewhere;
         self.refresh(now);
     }
 
@@ -284,9 +287,28 @@
         self.refresh(now);
     }
 
-    /// Requests of the former owner ended.
-    pub fn finish_elsewhere(&mut self, slots: u32, now: Instant) {
-        self.elsewhere = self.elsewhere.saturating_sub(slots);
+    /// Requests of a former owner hold `slots`.
+    pub fn run_elsewhere(&mut self, owner: FormerOwner, slots: u32, now: Instant) {
+        self.elsewhere.add(owner, slots, now);
+        self.refresh(now);
+    }
+
+    /// Requests of a former owner ended, by its report `seq`; false when the report is a copy.
+    pub fn finish_elsewhere(
+        &mut self,
+        owner: &FormerOwner,
+        seq: u32,
+        slots: u32,
+        now: Instant,
+    ) -> bool {
+        let counted = self.elsewhere.report(owner, seq, slots, now);
+        self.refresh(now);
+        counted
+    }
+
+    /// Frees the slots of former owners that are gone.
+    pub fn collect_elsewhere(&mut self, now: Instant, is_live: impl Fn(&FormerOwner) -> bool) {
+        self.elsewhere.collect(now, is_live);
         self.refresh(now);
     }
 
@@ -337,7 +359,7 @@
     /// The upstream restarted: back to the cold-start allowance.
     pub fn restart(&mut self, now: Instant) {
         self.allowance.restart(now);
-        self.elsewhere = 0;
+        self.elsewhere.clear();
         self.refresh(now);
     }
 
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -12,6 +12,7 @@
     timer::Timer, //
 };
 use foxtailhinge_config::report::UpstreamState;
+use foxtailhinge_policy::members::MemberState;
 use std::{
     collections::HashSet,
     net::SocketAddr,
@@ -60,6 +61,7 @@
             self.end_silent_feeds(up, now);
             self.move_on(up, now);
             up.collect(now);
+            self.free_slots_elsewhere(up, now);
             self.probe_quiet(up, now);
             self.note_state(up, now);
             self.offer_foreign(up, now);
@@ -75,6 +77,18 @@
         self.metrics.upstreams.count(states);
     }
 
+    /// Frees the slots that requests of former owners held which are gone.
+    fn free_slots_elsewhere(&self, up: &Rc<Upstream>, now: Instant) {
+        let members = self.control.members();
+        up.load_mut().collect_elsewhere(now, |owner| {
+            let member = members.get(&owner.vm);
+            member
+                .is_some_and(|m| m.incarnation == owner.incarnation && m.state != MemberState::Dead)
+        });
+        drop(members);
+        up.promote(now);
+    }
+
     /// Offers an upstream that another daemon should have claimed by now.
     fn offer_foreign(self: &Rc<Self>, up: &Rc<Upstream>, now: Instant) {
         let owner = self.owner(up.key(), up.zone());
--- a/crates/daemon/src/links/client.rs
+++ b/crates/daemon/src/links/client.rs
@@ -79,6 +79,7 @@
 struct Link {
     tx: SendRequest<Bytes>,
     addr: SocketAddr,
+    incarnation: u32,
     used: Instant,
 }
 
@@ -154,7 +155,8 @@
     fn reuse(&self, peer: &Member) -> Option<SendRequest<Bytes>> {
         let mut open = self.open.borrow_mut();
         let link = open.get_mut(&peer.vm)?;
-        if link.addr != peer.control {
+        // What an earlier incarnation accepted ended with it, though this end may not know yet.
+        if link.addr != peer.control || link.incarnation != peer.incarnation {
             return None;
         }
         link.used = Instant::now();
@@ -196,6 +198,7 @@
         let link = Link {
             tx,
             addr: peer.control,
+            incarnation: peer.incarnation,
             used: Instant::now(),
         };
         open.insert(peer.vm.clone(), link);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod comeback;
+pub mod elsewhere;
 pub mod health;
 pub mod ledger;
 pub mod members;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -246,6 +246,8 @@
 pub struct Finished {
     /// Address of the upstream.
     pub upstream: SocketAddr,
+    /// Number of the report, from 1; a report that was not confirmed is sent again.
+    pub seq: u32,
     /// Slots that became free.
     pub slots: u32,
     /// Outcomes of runs that were handed over while in progress.
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -140,6 +140,7 @@
         OwnerRequest::Settled { upstream },
         OwnerRequest::Finished(Finished {
             upstream,
+            seq: 2,
             slots: 1,
             runs: vec![FinishedRun {
                 flow: FLOW,
