Give the final answer before the caller's deadline, not at it

Cause: requests waited for a slot or an answer up to the very deadline of their callers, so that the 5.03 or 5.04 reached nobody.

Ruled out: that the answers were not sent (they were, some ms too late).

Change: the owner keeps 50 ms (at most an eighth of the time left) for the way of the last answer, and a request leaves the queue when it could no longer be answered in time, by the service time that was observed.

--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -48,6 +48,12 @@
 /// Longest time that a request may wait for its answer, whatever its caller says.
 const DEADLINE_MAX: Duration = Duration::from_secs(60);
 
+/// Time kept before a caller's deadline for the way of the last answer to it.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
+
+/// Largest part of a caller's time that is kept for the way of the answer.
+const ANSWER_SHARE: u32 = 8;
+
 /// Retries of a service that are always allowed, per second.
 const RETRIES_MIN_PER_S: u32 = 1;
 
@@ -220,7 +226,8 @@
         let usual = route
             .and_then(|route| route.deadline)
             .unwrap_or(self.doc.defaults.deadline);
-        now + req.deadline().unwrap_or(usual).min(DEADLINE_MAX)
+        let left = req.deadline().unwrap_or(usual).min(DEADLINE_MAX);
+        now + left - ANSWER_TIME.min(left / ANSWER_SHARE)
     }
 
     /// Counts a flow that was admitted, by which refused callers are spread.
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -300,8 +300,9 @@
             Start::Wait => {}
         }
         let (tx, rx) = oneshot::channel();
-        self.waiting.borrow_mut().push(deadline, tx);
-        let left = deadline.saturating_duration_since(now);
+        let latest = self.load().admission().latest_start(deadline);
+        self.waiting.borrow_mut().push(latest, tx);
+        let left = latest.saturating_duration_since(now);
         let slot = monoio::time::timeout(left, rx).await;
         match slot {
             // A slot given just before the hand-over goes back, to be used by the next owner.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -288,6 +288,12 @@
         Start::Wait
     }
 
+    /// When a waiting request must run at the latest to be answered before its deadline.
+    pub fn latest_start(&self, deadline: Instant) -> Instant {
+        let answer = self.answer_time(REQUEST_DEVIATIONS);
+        deadline.checked_sub(answer).unwrap_or(deadline)
+    }
+
     /// Frees the slot of a request that ran, and learns its service time.
     pub fn finish(&mut self, _now: Instant, service_time: Duration) {
         self.in_use = self.in_use.saturating_sub(1);
@@ -381,7 +387,13 @@
         let slots = f64::from(self.limits.slots.max(1));
         let ahead = f64::from(self.queued + 1);
         let wait_s = service_s * ahead / slots;
-        Duration::from_secs_f64(wait_s + service_s + deviations * self.deviation_s)
+        Duration::from_secs_f64(wait_s) + self.answer_time(deviations)
+    }
+
+    /// Expected time until a request that runs is answered, with a number of mean deviations besides.
+    fn answer_time(&self, deviations: f64) -> Duration {
+        let service_s = self.service_s.unwrap_or(0.0);
+        Duration::from_secs_f64(service_s + deviations * self.deviation_s)
     }
 
     fn reserved(&self) -> u32 {
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -23,6 +23,7 @@
             "broken" => self.report_broken(),
             "runs" => self.report_runs(),
             "lost" => Ok(self.report_lost()),
+            "silent" => Ok(self.report_silent()),
             "wrong" => self.report_wrong(),
             "zone-packets" => self.report_zone_packets(subject?),
             "cold" => self.report_cold(),
@@ -79,6 +80,16 @@
         text
     }
 
+    /// Requests that got no final answer; each one's flow follows when there are any.
+    fn report_silent(&self) -> String {
+        let mut text = format!("timed out {}", self.tally.outcomes("timed out"));
+        let silent = self.tally.samples.iter();
+        for sample in silent.filter(|one| one.outcome == "timed out") {
+            text += &lost(sample);
+        }
+        text
+    }
+
     fn report_wrong(&mut self) -> anyhow::Result<String> {
         let fleet = self.fleet.as_ref().context("no fleet")?;
         let foreign = fleet.upstreams().iter().map(|one| one.records().foreign);
