Send the caller of a moved POST to another upstream again when it asks again

Cause: a POST that left its draining or down upstream was remembered as run elsewhere; when the ticket for its next flow was lost, copies of the request were dropped until the caller's deadline.

--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -321,6 +321,7 @@
         match begin {
             Begin::Run => self.run_once(request, flow),
             Begin::Join | Begin::Elsewhere => self.metrics.copies_joined.inc(),
+            Begin::Moved => self.move_once(request),
             Begin::Answered(answer) => self.repeat(arrived, &answer),
             Begin::Refused | Begin::Full => {
                 let after = request.up.load_mut().come_back(request.now);
@@ -349,7 +350,7 @@
                     self.notify(request.arrived, Notice::Challenge(ticket));
                 }
             }
-            Begin::Join | Begin::Elsewhere => self.metrics.copies_joined.inc(),
+            Begin::Join | Begin::Elsewhere | Begin::Moved => self.metrics.copies_joined.inc(),
             _ => self.notify(request.arrived, Notice::Unknown(None)),
         }
     }
@@ -363,12 +364,25 @@
         }
         if self.should_move(request) {
             self.with_ledger(request, flow, |ledger, token| ledger.moved(token));
-            self.open(arrived, false);
+            self.move_once(request);
             return;
         }
         self.start(request, flow);
     }
 
+    /// Begins a flow at another upstream for a request that did not run; its caller asks there with a ticket.
+    ///
+    /// A later copy begins one again, since the ticket may have been lost.
+    fn move_once(self: &Rc<Self>, request: &FlowRequest<'_>) {
+        let arrived = request.arrived;
+        let key = CallerToken::of(arrived.caller, arrived.req);
+        if request.up.begin_move(key, request.now) {
+            self.open(arrived, false);
+        } else {
+            self.metrics.copies_joined.inc();
+        }
+    }
+
     fn with_ledger(
         &self,
         request: &FlowRequest<'_>,
--- /dev/null
+++ b/crates/daemon/tests/lost_challenge.rs
@@ -0,0 +1,53 @@
+//! A POST whose flow leaves its upstream, when the ticket for the next one is lost on its way.
+
+use foxtailhinge_standins::{
+    caller::Outcome,
+    fleet::Fleet, //
+};
+use std::{
+    thread,
+    time::Duration, //
+};
+
+/// Time that a request may take.
+const WITHIN: Duration = Duration::from_secs(5);
+/// Time by which a draining upstream gets no more requests.
+const DRAINED_WITHIN: Duration = Duration::from_secs(4);
+/// Time that a packet takes from the caller to the daemon.
+const LATENCY: Duration = Duration::from_millis(200);
+
+#[test]
+fn the_caller_gets_another_ticket() {
+    let mut fleet = Fleet::builder()
+        .daemons(1)
+        .zones(1)
+        .upstreams(2, 1)
+        .binary(env!("CARGO_BIN_EXE_foxtailhinge"))
+        .start()
+        .unwrap();
+    let caller = fleet.caller("syncdesk-api").unwrap();
+    assert!(caller.get("/cues", WITHIN).answer().is_some());
+    let before = caller.upstream().unwrap();
+    fleet.edit("syncdesk-api", |document| {
+        document.set_draining(&before, true)
+    });
+    thread::sleep(DRAINED_WITHIN);
+
+    let fabric = fleet.fabric("syncdesk-api");
+    fabric.set(|behaviour| behaviour.latency = LATENCY);
+    let posting = thread::spawn(move || {
+        let outcome = caller.post("/clearances", b"one", WITHIN);
+        (caller, outcome)
+    });
+    // The request is on its way; its answer comes to the fabric when the request has arrived.
+    thread::sleep(LATENCY / 2);
+    fabric.set(|behaviour| behaviour.loss = 1.0);
+    thread::sleep(LATENCY);
+    fabric.set(|behaviour| behaviour.loss = 0.0);
+    let (caller, outcome) = posting.join().unwrap();
+
+    assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    assert_ne!(caller.upstream().unwrap(), before);
+    let runs = fleet.upstreams().iter().map(|one| one.runs("one"));
+    assert_eq!(runs.sum::<u32>(), 1);
+}
--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -58,6 +58,8 @@
     /// Drop it or pass it to the other owner: a run at the previous owner, or a flow that was
     /// handed over.
     Elsewhere,
+    /// Ask another upstream again: the first copy went there to begin a flow, and did not run here.
+    Moved,
     /// Refuse it as not run: as many runs as can be remembered are in progress. Its copies will be
     /// [`Begin::Expired`].
     Full,
@@ -72,6 +74,8 @@
     Answered(Vec<u8>),
     /// Refused as not run.
     Refused,
+    /// Not run; its caller was sent to another upstream.
+    Moved,
 }
 
 /// A remembered run as it is handed over.
@@ -125,6 +129,7 @@
     Waiting,
     InProgress,
     Elsewhere,
+    Moved,
     Answered(Rc<[u8]>),
     Refused,
 }
@@ -139,7 +144,7 @@
     }
 
     fn is_pending(&self) -> bool {
-        self.is_in_progress() || matches!(self.state, RunState::Elsewhere)
+        self.is_in_progress() || matches!(self.state, RunState::Elsewhere | RunState::Moved)
     }
 }
 
@@ -200,6 +205,7 @@
             return match &run.state {
                 RunState::Waiting | RunState::InProgress => Begin::Join,
                 RunState::Elsewhere => Begin::Elsewhere,
+                RunState::Moved => Begin::Moved,
                 RunState::Answered(answer) => Begin::Answered(Rc::clone(answer)),
                 RunState::Refused => Begin::Refused,
             };
@@ -256,11 +262,11 @@
         }
     }
 
-    /// Remembers that another owner runs the request; copies that come here are
-    /// [`Begin::Elsewhere`].
+    /// Remembers that the request did not run and its caller was sent to another upstream; copies
+    /// that come here are [`Begin::Moved`].
     pub fn moved(&mut self, token: &[u8]) {
         if let Some(run) = self.find(token).filter(|run| run.is_pending()) {
-            run.state = RunState::Elsewhere;
+            run.state = RunState::Moved;
         }
     }
 
@@ -364,6 +370,7 @@
     fn from(run: &Run) -> Self {
         let outcome = match &run.state {
             RunState::Waiting | RunState::InProgress | RunState::Elsewhere => RunOutcome::Elsewhere,
+            RunState::Moved => RunOutcome::Moved,
             RunState::Answered(answer) => RunOutcome::Answered(answer.to_vec()),
             RunState::Refused => RunOutcome::Refused,
         };
@@ -379,6 +386,7 @@
     fn of(record: RunRecord, at: Seconds) -> Self {
         let state = match record.outcome {
             RunOutcome::Elsewhere => RunState::Elsewhere,
+            RunOutcome::Moved => RunState::Moved,
             RunOutcome::Answered(answer) => RunState::Answered(answer.into()),
             RunOutcome::Refused => RunState::Refused,
         };
