Count requests that are dropped without an answer, and show a failed fleet's logs

Change: foxtailhinge_requests_dropped_total by cause; a test that fails prints the last log lines of its daemons and these counters.

--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -12,6 +12,7 @@
     },
     metrics::{
         DatagramResult,
+        RequestDrop,
         RequestOutcome, //
     },
 };
@@ -79,6 +80,7 @@
             return;
         }
         if !self.control.admits(now) {
+            self.metrics.requests_dropped.inc(RequestDrop::Fenced);
             return;
         }
         let Ok(req) = Datagram::parse(buf) else {
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -1,19 +1,22 @@
 //! Ownership: requests of flows whose upstream this daemon owns.
 
-use crate::data::{
-    answer::Notice,
-    flow::{
-        FlowStart,
-        Found, //
-    },
-    ingress::Arrived,
-    path::DataPath,
-    request::Job,
-    service::Service,
-    upstream::{
-        CallerToken,
-        Upstream, //
+use crate::{
+    data::{
+        answer::Notice,
+        flow::{
+            FlowStart,
+            Found, //
+        },
+        ingress::Arrived,
+        path::DataPath,
+        request::Job,
+        service::Service,
+        upstream::{
+            CallerToken,
+            Upstream, //
+        },
     },
+    metrics::RequestDrop,
 };
 use foxtailhinge_policy::{
     ledger::{
@@ -101,17 +104,16 @@
 impl DataPath {
     /// Takes in a request that was passed on to this daemon.
     pub fn on_forward(self: &Rc<Self>, forward: Forward) {
+        let foreign = || self.metrics.requests_dropped.inc(RequestDrop::Foreign);
         let Some(service) = self.service(forward.service) else {
-            return;
+            return foreign();
         };
         let Ok(req) = Datagram::parse(&forward.datagram) else {
-            return;
+            return foreign();
         };
-        let Some(Ok(ticket)) = req
-            .echo()
-            .map(|value| self.tickets.open(value, &service.name))
-        else {
-            return;
+        let ticket = req.echo();
+        let Some(Ok(ticket)) = ticket.map(|value| self.tickets.open(value, &service.name)) else {
+            return foreign();
         };
         let Some(addr) = service
             .upstream(ticket.upstream)
@@ -123,7 +125,9 @@
         let held = match self.upstreams.borrow_mut().get_mut(&addr) {
             Some(Holding::Held(up)) => Some(Rc::clone(up)),
             Some(claiming) => {
-                claiming.keep(RelayMessage::Forward(forward));
+                if !claiming.keep(RelayMessage::Forward(forward)) {
+                    self.metrics.requests_dropped.inc(RequestDrop::Claiming);
+                }
                 return;
             }
             None => None,
@@ -144,18 +148,20 @@
     /// The upstream is not held here: its owner by this daemon's view gets the request.
     fn bounce(self: &Rc<Self>, mut arrived: Arrived<'_>, ticket: &Ticket) {
         if arrived.bounces >= BOUNCES_MAX {
+            self.metrics.requests_dropped.inc(RequestDrop::Bounced);
             return;
         }
         arrived.bounces += 1;
         let Some(named) = arrived.service.upstream(ticket.upstream) else {
             return;
         };
-        let Some(owner) = self.owner(named.key, &named.spec.zone) else {
-            return;
-        };
-        if !self.is_me(&owner) {
-            self.metrics.bounces.inc();
-            self.forward(&arrived, &owner);
+        let owner = self.owner(named.key, &named.spec.zone);
+        match owner.filter(|owner| !self.is_me(owner)) {
+            Some(owner) => {
+                self.metrics.bounces.inc();
+                self.forward(&arrived, &owner);
+            }
+            None => self.metrics.requests_dropped.inc(RequestDrop::NotHeld),
         }
     }
 
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -17,7 +17,10 @@
         prober::Prober,
         Control, //
     },
-    metrics::Metrics,
+    metrics::{
+        Metrics,
+        RequestDrop, //
+    },
     supervisor::Supervisor, //
 };
 use foxtailhinge_policy::{members::Member, rendezvous::OwnerCache};
@@ -263,16 +266,13 @@
     /// Takes in a message of a daemon.
     pub fn on_relay(self: &Rc<Self>, from: u32, addr: SocketAddr, msg: RelayMessage) {
         match msg {
-            RelayMessage::Open(open) => {
-                if self.control.admits(Instant::now()) {
-                    self.on_open(open);
-                }
-            }
-            RelayMessage::Forward(forward) => {
-                if self.control.admits(Instant::now()) {
-                    self.on_forward(forward);
-                }
+            RelayMessage::Open(_) | RelayMessage::Forward(_)
+                if !self.control.admits(Instant::now()) =>
+            {
+                self.metrics.requests_dropped.inc(RequestDrop::Fenced);
             }
+            RelayMessage::Open(open) => self.on_open(open),
+            RelayMessage::Forward(forward) => self.on_forward(forward),
             msg => self.prober().on_message(from, addr, msg),
         }
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -116,6 +116,20 @@
         Cancelled = "cancelled",
     }
 
+    /// Why a request was dropped without an answer; its caller sends it again.
+    enum RequestDrop = "cause" {
+        /// This daemon takes no new work until it has synced.
+        Fenced = "fenced",
+        /// Too many requests wait for an upstream that is claimed.
+        Claiming = "claiming",
+        /// Daemons with differing views passed it on too often.
+        Bounced = "bounced",
+        /// This daemon owns the upstream by its view, but does not hold it.
+        NotHeld = "not_held",
+        /// A daemon passed it on whose service is not known here, or with a ticket that is not good here.
+        Foreign = "foreign",
+    }
+
     /// Result of a call to the platform.
     enum PlatformResult = "result" {
         /// It answered.
@@ -241,6 +255,8 @@
     pub flows_held: IntGauge,
     /// Requests that ended.
     pub requests: Counters<RequestOutcome>,
+    /// Requests that were dropped without an answer.
+    pub requests_dropped: Counters<RequestDrop>,
     /// Requests in progress now.
     pub requests_in_progress: IntGauge,
     /// Copies of a request that got the answer of the first one.
@@ -304,6 +320,11 @@
                 "foxtailhinge_requests_total",
                 "Requests ended by outcome.",
             ),
+            requests_dropped: Counters::new(
+                r,
+                "foxtailhinge_requests_dropped_total",
+                "Requests dropped without an answer by cause.",
+            ),
             requests_in_progress: gauge(
                 r,
                 "foxtailhinge_requests_in_progress",
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod deployment;
 pub mod document;
+mod evidence;
 mod settings;
 
 use crate::{
@@ -631,6 +632,9 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!("{}", evidence::of(self));
+        }
         for daemon in &mut self.daemons {
             daemon.kill();
         }
