--- a/crates/standins/src/scenario/order.rs
+++ b/crates/standins/src/scenario/order.rs
@@ -155,7 +155,7 @@
     Sleep(u64),
     /// Reports what came of the script: `report broken`.
     Report {
-        /// `broken`, `runs`, `lost`, `silent`, `wrong`, `zone-packets`, `cold`, `refused` or `feeds`.
+        /// `broken`, `runs`, `lost`, `silent`, `wrong`, `zone-packets`, `cold`, `shed`, `refused` or `feeds`.
         what: String,
         /// The zone, service or upstream that is meant.
         subject: Option<String>,
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -27,6 +27,7 @@
             "wrong" => self.report_wrong(),
             "zone-packets" => self.report_zone_packets(subject?),
             "cold" => self.report_cold(),
+            "shed" => self.report_shed(),
             "refused" => self.report_refused(subject?),
             "feeds" => self.report_feeds(subject?),
             _ => bail!("there is no report of {what}"),
@@ -125,6 +126,13 @@
         Ok(format!("beyond the cold start {over}"))
     }
 
+    /// Requests that upstreams refused because they had more than they bear.
+    fn report_shed(&mut self) -> anyhow::Result<String> {
+        let upstreams = self.fleet()?.upstreams().iter();
+        let shed: u64 = upstreams.map(|one| one.records().shed).sum();
+        Ok(format!("shed {shed}"))
+    }
+
     /// Documents that each running daemon refused, of one service.
     fn report_refused(&mut self, service: &str) -> anyhow::Result<String> {
         let fleet = self.fleet()?;
