--- /dev/null
+++ b/crates/daemon/benches/services/heap.rs
@@ -0,0 +1,115 @@
+//! Heap of this process: live bytes, blocks by size, and what the kernel counts.
+
+use std::{
+    alloc::{
+        GlobalAlloc,
+        Layout,
+        System, //
+    },
+    fs,
+    sync::atomic::{
+        AtomicI64,
+        Ordering::Relaxed, //
+    },
+};
+
+/// Sizes that are counted one by one, in bytes; larger ones count as the last.
+const SIZES: usize = 4_096;
+
+/// Head that the system's allocator puts before each block, in bytes.
+const HEAD: i64 = 8;
+
+/// Least block that the system's allocator gives, in bytes with its head.
+const BLOCK_MIN: i64 = 32;
+
+/// Unit of blocks, in bytes.
+const BLOCK_UNIT: i64 = 16;
+
+static LIVE: AtomicI64 = AtomicI64::new(0);
+static TAKEN: AtomicI64 = AtomicI64::new(0);
+static BLOCKS: [AtomicI64; SIZES + 1] = [const { AtomicI64::new(0) }; SIZES + 1];
+
+/// The system's allocator, with counts of live blocks.
+struct Counting;
+
+fn count(size: usize, blocks: i64) {
+    let bytes = size as i64;
+    let taken = (bytes + HEAD + BLOCK_UNIT - 1) / BLOCK_UNIT * BLOCK_UNIT;
+    LIVE.fetch_add(bytes * blocks, Relaxed);
+    TAKEN.fetch_add(taken.max(BLOCK_MIN) * blocks, Relaxed);
+    BLOCKS[size.min(SIZES)].fetch_add(blocks, Relaxed);
+}
+
+// SAFETY: All calls are passed on unchanged to the system's allocator.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        count(layout.size(), 1);
+        // SAFETY: The caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        count(layout.size(), -1);
+        // SAFETY: The caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// State of the heap at one moment.
+pub(crate) struct Heap {
+    live: i64,
+    taken: i64,
+    resident_kb: i64,
+    blocks: Vec<i64>,
+}
+
+impl Heap {
+    /// The heap now.
+    pub(crate) fn now() -> Heap {
+        Heap {
+            live: LIVE.load(Relaxed),
+            taken: TAKEN.load(Relaxed),
+            resident_kb: resident_kb(),
+            blocks: BLOCKS.iter().map(|n| n.load(Relaxed)).collect(),
+        }
+    }
+
+    /// Prints what was added since then, for each of `n` services.
+    pub(crate) fn print(&self, what: &str, n: usize) {
+        let now = Heap::now();
+        let each = |bytes: i64| bytes as f64 / n as f64;
+        println!(
+            "{what:<44} {:>8.0} B {:>8.0} B {:>8.0} B",
+            each(now.live - self.live),
+            each(now.taken - self.taken),
+            each((now.resident_kb - self.resident_kb) * 1024),
+        );
+    }
+
+    /// Prints the sizes of which about as many blocks or more were added as there are services.
+    pub(crate) fn print_sizes(&self, n: usize) {
+        let now = Heap::now();
+        let added = now
+            .blocks
+            .iter()
+            .zip(&self.blocks)
+            .map(|(now, then)| now - then);
+        for (size, blocks) in added
+            .enumerate()
+            .filter(|(_, blocks)| *blocks * 2 > n as i64)
+        {
+            println!("    {size:>5} B x {:.2}", blocks as f64 / n as f64);
+        }
+    }
+}
+
+/// Resident size of this process, in KB.
+fn resident_kb() -> i64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let words = line.unwrap().split_whitespace().nth(1);
+    words.unwrap().parse().unwrap()
+}
--- a/crates/daemon/benches/services/main.rs
+++ b/crates/daemon/benches/services/main.rs
@@ -1,10 +1,13 @@
 //! Slopes of one daemon process by services in force and by upstreams owned.
 //!
 //! Run with `cargo bench -p foxtailhinge --bench services`. A platform stand-in publishes the documents,
-//! each with two upstreams; the daemon is a real process, read through `/proc`.
+//! each with two upstreams; the daemon is a real process, read through `/proc`. With `-- parts` only the
+//! memory of one service is broken down, within this process; with `-- services` only the services are run.
 
 #[path = "../common/mod.rs"]
 mod common;
+mod heap;
+mod parts;
 
 use common::{
     cpu_of,
@@ -37,6 +40,8 @@
 const CALM: Duration = Duration::from_secs(5);
 const GIVE_UP: Duration = Duration::from_secs(150);
 const STEP: Duration = Duration::from_millis(20);
+/// Loopback block of the breakdown.
+const PARTS_BLOCK: u8 = 20;
 const FIRST_PORT: u16 = 10_000;
 const UPSTREAM_PORT: u16 = 5683;
 
@@ -231,6 +236,22 @@
 }
 
 fn main() {
+    let only = std::env::args().nth(1).filter(|arg| !arg.starts_with('-'));
+    let wants = |what| only.as_deref().is_none_or(|only| only == what);
+    if wants("parts") {
+        parts::run(&Block(PARTS_BLOCK), SERVICES[3]);
+        println!();
+    }
+    if wants("services") {
+        all_services();
+        println!();
+    }
+    if wants("owned") {
+        all_owned();
+    }
+}
+
+fn all_services() {
     println!(
         "{:>8} {:>9} {:>11} {:>11} {:>7} {:>10} {:>13}",
         "services", "in force", "cpu of it", "resident", "files", "calm", "a change"
@@ -238,7 +259,9 @@
     for (i, n) in SERVICES.into_iter().enumerate() {
         services(&Block(i as u8), n);
     }
-    println!();
+}
+
+fn all_owned() {
     println!(
         "{:>8} {:>9} {:>11} {:>7} {:>10}",
         "owned", "held", "resident", "files", "calm"
