Box the work that a stop may end, which took its size up to eight times

Cause: the task that reads a service's socket was one block of 3,968 B. A future that is passed to an async function and pinned there has its size twice, once as argument and once as local; three such layers lie around the reading, and the sleep of the back-off, 640 B by itself, was in there twice. Ruled out: one reading task for all sockets, which would lose the restart of each alone and is not needed with tasks this small. Change: `Stop::unless_stopped` boxes the work before anything waits. No request passes there. Tests run: supervisor 15 passed, address 2 passed.

--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -141,10 +141,22 @@
     }
 
     /// Runs `work` until it ends or the task should end, whichever comes first.
-    pub async fn unless_stopped<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        match select(pin!(self.wait()), pin!(work)).await {
-            Either::Left(_) => None,
-            Either::Right((result, _)) => Some(result),
+    ///
+    /// `work` is boxed before anything waits: an argument of an async function that is pinned there takes its size
+    /// twice.
+    pub fn unless_stopped<'a, T>(
+        &'a self,
+        work: impl Future<Output = T> + 'a,
+    ) -> impl Future<Output = Option<T>> + 'a
+    where
+        T: 'a,
+    {
+        let work = Box::pin(work);
+        async move {
+            match select(pin!(self.wait()), work).await {
+                Either::Left(_) => None,
+                Either::Right((result, _)) => Some(result),
+            }
         }
     }
 }
