Keep a service's upstreams and zones in lists sorted or placed like the document's

Cause: a service took 1,053 B besides its document and socket: two hash tables of at least four places each (212 and 180 B for two upstreams and two zones), copies of the zones' names, and one of its own. Ruled out: making the names by which owners are drawn at first use, 96 B a service at rest: a service in use makes them.

--- a/crates/daemon/src/data/record.rs
+++ b/crates/daemon/src/data/record.rs
@@ -46,7 +46,7 @@
             for (_, named) in service.upstreams() {
                 if named.spec.address == addr {
                     self.audit.record(AuditEvent::OwnerMoved {
-                        service: Arc::from(&*service.name),
+                        service: Arc::clone(&service.name),
                         upstream: Arc::clone(&named.spec.name),
                         from: from.map(Arc::from),
                         to: to.map(Arc::from),
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -36,6 +36,7 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{
         Duration,
         Instant, //
@@ -55,7 +56,7 @@
 #[derive(Debug)]
 pub struct Service {
     /// The service's name.
-    pub name: Rc<str>,
+    pub name: Arc<str>,
     /// Hash of the name, as tickets and relayed datagrams carry it.
     pub hash: u32,
     /// The socket on which callers reach the service.
@@ -63,8 +64,10 @@
     /// Message ids of answers sent from the socket.
     pub ids: MessageIds,
     doc: Rc<ServiceDocument>,
-    index: HashMap<u32, Entry>,
-    zones: HashMap<Rc<str>, ZoneState>,
+    /// One entry for each upstream, sorted by hash; a table would take four times the room.
+    index: Box<[Entry]>,
+    /// One state for each zone, in the document's order.
+    zones: Box<[ZoneState]>,
     comeback: RefCell<Comeback>,
     notified: RefCell<HashMap<u16, Notified>>,
     draw: RefCell<Draw>,
@@ -86,7 +89,8 @@
 /// Where an upstream stands in the document.
 #[derive(Debug)]
 struct Entry {
-    at: usize,
+    hash: u32,
+    at: u32,
     key: Rc<str>,
     draining_since: Option<Instant>,
 }
@@ -123,27 +127,19 @@
         before: Option<&Service>,
         now: Instant,
     ) -> Service {
-        let index = doc
-            .upstreams
-            .iter()
-            .enumerate()
-            .map(|(at, spec)| {
-                let hash = name_hash(&spec.name);
-                let known = before.and_then(|service| service.index.get(&hash));
-                (hash, Entry::new(at, spec, known, now))
-            })
+        let mut index: Box<[Entry]> = (0..)
+            .zip(&doc.upstreams)
+            .map(|(at, spec)| Entry::new(at, spec, before, now))
             .collect();
+        index.sort_unstable_by_key(|entry| entry.hash);
         let zones = doc
             .zones
             .iter()
-            .map(|zone| {
-                let state = zone_state(before, &zone.name, zone.in_service, now);
-                (Rc::from(&*zone.name), state)
-            })
+            .map(|zone| zone_state(before, &zone.name, zone.in_service, now))
             .collect();
         let budget = RetryBudget::new(doc.defaults.retry_budget_percent, RETRIES_MIN_PER_S);
         Service {
-            name: Rc::from(&*doc.service),
+            name: Arc::clone(&doc.service),
             hash: name_hash(&doc.service),
             socket,
             ids: MessageIds::new(rand::random()),
@@ -168,19 +164,24 @@
 
     /// The upstream whose name has this hash.
     pub fn upstream(&self, hash: u32) -> Option<Named<'_>> {
-        self.index.get(&hash).map(|entry| self.named(entry))
+        self.entry(hash).map(|entry| self.named(entry))
+    }
+
+    fn entry(&self, hash: u32) -> Option<&Entry> {
+        let at = self.index.binary_search_by_key(&hash, |entry| entry.hash);
+        at.ok().map(|at| &self.index[at])
     }
 
     /// All upstreams with the hashes of their names.
     pub fn upstreams(&self) -> impl Iterator<Item = (u32, Named<'_>)> {
         self.index
             .iter()
-            .map(|(hash, entry)| (*hash, self.named(entry)))
+            .map(|entry| (entry.hash, self.named(entry)))
     }
 
     fn named<'a>(&'a self, entry: &'a Entry) -> Named<'a> {
         Named {
-            spec: &self.doc.upstreams[entry.at],
+            spec: &self.doc.upstreams[entry.at as usize],
             key: &entry.key,
         }
     }
@@ -200,7 +201,7 @@
 
     /// For how long the upstream has been draining; nothing when it serves.
     pub fn draining_for(&self, hash: u32, now: Instant) -> Option<Duration> {
-        let since = self.index.get(&hash)?.draining_since?;
+        let since = self.entry(hash)?.draining_since?;
         Some(now.saturating_duration_since(since))
     }
 
@@ -254,15 +255,20 @@
 
     /// Whether the document has the zone in service.
     pub fn zone_in_service(&self, zone: &str) -> bool {
-        self.zones.get(zone).is_some_and(|state| state.in_service)
+        self.zone(zone).is_some_and(|state| state.in_service)
     }
 
     /// For how long the zone has been out of service; nothing when it is in.
     pub fn zone_out_for(&self, zone: &str, now: Instant) -> Option<Duration> {
-        let state = self.zones.get(zone)?;
+        let state = self.zone(zone)?;
         (!state.in_service).then(|| now.saturating_duration_since(state.since))
     }
 
+    fn zone(&self, zone: &str) -> Option<&ZoneState> {
+        let at = self.doc.zones.iter().position(|known| *known.name == *zone);
+        at.map(|at| &self.zones[at])
+    }
+
     /// Draws candidate upstreams for a new flow, by hash of their names.
     ///
     /// `reachable` tells whether a zone has a daemon that could own them; it is asked again when `view` changes.
@@ -301,9 +307,12 @@
 }
 
 impl Entry {
-    fn new(at: usize, spec: &UpstreamSpec, known: Option<&Entry>, now: Instant) -> Entry {
+    fn new(at: u32, spec: &UpstreamSpec, before: Option<&Service>, now: Instant) -> Entry {
+        let hash = name_hash(&spec.name);
+        let known = before.and_then(|service| service.entry(hash));
         let since = known.and_then(|entry| entry.draining_since);
         Entry {
+            hash,
             at,
             key: Rc::from(spec.address.to_string()),
             draining_since: spec.draining.then(|| since.unwrap_or(now)),
@@ -312,7 +321,7 @@
 }
 
 fn zone_state(before: Option<&Service>, zone: &str, in_service: bool, now: Instant) -> ZoneState {
-    match before.and_then(|service| service.zones.get(zone)) {
+    match before.and_then(|service| service.zone(zone)) {
         Some(state) if state.in_service == in_service => *state,
         _ => ZoneState {
             in_service,
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -183,7 +183,7 @@
             if was == zone.in_service {
                 continue;
             }
-            let name = Arc::from(&*service.name);
+            let name = Arc::clone(&service.name);
             let event = if zone.in_service {
                 AuditEvent::ZoneIn {
                     service: name,
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/data/upkeep.rs
@@ -102,7 +102,7 @@
             for (_, named) in service.upstreams() {
                 if named.spec.address == up.addr() {
                     self.audit.record(AuditEvent::UpstreamState {
-                        service: Arc::from(&*service.name),
+                        service: Arc::clone(&service.name),
                         upstream: Arc::clone(&named.spec.name),
                         from,
                         to,
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -118,7 +118,7 @@
     fn upstream_status(&self, service: &Service, named: Named<'_>) -> UpstreamStatus {
         let held = self.path.held(named.spec.address);
         UpstreamStatus {
-            service: Arc::from(&*service.name),
+            service: Arc::clone(&service.name),
             upstream: Arc::clone(&named.spec.name),
             zone: Arc::clone(&named.spec.zone),
             address: named.spec.address,
@@ -198,7 +198,7 @@
         for service in &services {
             for zone in &service.doc().zones {
                 zones.push(ZoneStatus {
-                    service: Arc::from(&*service.name),
+                    service: Arc::clone(&service.name),
                     zone: Arc::clone(&zone.name),
                     in_service: zone.in_service,
                 });
@@ -269,7 +269,7 @@
             .sort_by_key(|candidate| (rank(candidate.verdict), Arc::clone(&candidate.upstream)));
         let first = candidates.first().filter(|first| rank(first.verdict) <= 1);
         Ok(Explanation {
-            service: Arc::from(&*service.name),
+            service: Arc::clone(&service.name),
             upstream: first.map(|first| Arc::clone(&first.upstream)),
             owner: first.and_then(|first| first.owner.clone()),
             ticket: ticket.map(|ticket| self.ticket_report(&ticket)),
