Read and write a socket by one descriptor

Cause: the runtime's socket does not write without waiting, so a second descriptor of the same socket was held for that: 14,614 open files with 7,300 services. Its reading task also held a one-time channel to be told of the end. Ruled out: the runtime's own reads and writes, which take a buffer over and so would allocate for each datagram. Change: the runtime's socket owns the descriptor; calls that don't wait go through a standard socket of the same number that is never dropped (one unsafe line). `Wake` ends the reading.

--- a/crates/daemon/src/data/socket.rs
+++ b/crates/daemon/src/data/socket.rs
@@ -1,17 +1,24 @@
 //! UDP sockets of the data path.
 
-use crate::supervisor::{
-    Stop,
-    Stopper, //
+use crate::members::wake::Wake;
+use futures::future::{
+    select,
+    Either, //
 };
 use monoio::net::udp::UdpSocket;
 use std::{
     cell::Cell,
     io,
+    mem::ManuallyDrop,
     net::{
         SocketAddr,
         UdpSocket as StdSocket, //
     },
+    os::fd::{
+        AsRawFd,
+        FromRawFd, //
+    },
+    pin::pin,
 };
 
 /// Largest datagram that is read, in bytes; what is longer is cut off and then malformed.
@@ -26,12 +33,13 @@
 /// network would.
 #[derive(Debug)]
 pub struct Socket {
+    /// Waits for datagrams, and owns the descriptor.
     rx: UdpSocket,
-    tx: StdSocket,
+    /// The same descriptor, for calls that do not wait; it is never dropped.
+    io: ManuallyDrop<StdSocket>,
     addr: SocketAddr,
     dropped: Cell<u64>,
-    closer: Stopper,
-    closed: Stop,
+    closed: Wake,
 }
 
 impl Socket {
@@ -52,18 +60,18 @@
         Socket::adopt(socket)
     }
 
-    fn adopt(tx: StdSocket) -> io::Result<Socket> {
-        tx.set_nonblocking(true)?;
-        let addr = tx.local_addr()?;
-        let rx = UdpSocket::from_std(tx.try_clone()?)?;
-        let (closer, closed) = Stop::new();
+    fn adopt(socket: StdSocket) -> io::Result<Socket> {
+        socket.set_nonblocking(true)?;
+        let addr = socket.local_addr()?;
+        let rx = UdpSocket::from_std(socket)?;
+        // SAFETY: `rx` owns the open descriptor, lives as long as `io`, and `io` never closes it.
+        let io = unsafe { StdSocket::from_raw_fd(rx.as_raw_fd()) };
         Ok(Socket {
             rx,
-            tx,
+            io: ManuallyDrop::new(io),
             addr,
             dropped: Cell::new(0),
-            closer,
-            closed,
+            closed: Wake::default(),
         })
     }
 
@@ -79,12 +87,12 @@
 
     /// Sends one datagram; false when it was dropped.
     pub fn send_to(&self, buf: &[u8], to: SocketAddr) -> bool {
-        self.count(self.tx.send_to(buf, to)).is_ok()
+        self.count(self.io.send_to(buf, to)).is_ok()
     }
 
     /// Sends one datagram to the connected peer.
     pub fn send(&self, buf: &[u8]) -> io::Result<()> {
-        self.count(self.tx.send(buf))
+        self.count(self.io.send(buf))
     }
 
     fn count(&self, res: io::Result<usize>) -> io::Result<()> {
@@ -96,7 +104,7 @@
 
     /// Ends the task that reads the socket.
     pub fn close(&self) {
-        self.closer.stop();
+        self.closed.set();
     }
 
     /// Reads datagrams until the socket is closed or fails, and gives each to `handle`.
@@ -107,8 +115,11 @@
         handle: impl FnMut(&[u8], SocketAddr),
         refused: impl FnMut(),
     ) -> io::Result<()> {
-        let reading = self.read_on(handle, refused);
-        self.closed.unless_stopped(reading).await.unwrap_or(Ok(()))
+        let reading = pin!(self.read_on(handle, refused));
+        match select(pin!(self.closed.wait()), reading).await {
+            Either::Left(((), _)) => Ok(()),
+            Either::Right((failed, _)) => failed,
+        }
     }
 
     async fn read_on(
@@ -130,7 +141,7 @@
     ) -> io::Result<()> {
         let mut buf = [0u8; DATAGRAM_MAX];
         for _ in 0..BURST {
-            match self.tx.recv_from(&mut buf) {
+            match self.io.recv_from(&mut buf) {
                 Ok((len, from)) => handle(&buf[..len], from),
                 Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => refused(),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
