--- a/crates/daemon/benches/services/main.rs
+++ b/crates/daemon/benches/services/main.rs
@@ -8,6 +8,8 @@
 mod common;
 mod heap;
 mod parts;
+#[path = "../../tests/memory/whole.rs"]
+mod whole;
 
 use common::{
     cpu_of,
@@ -33,6 +35,11 @@
         Instant, //
     },
 };
+use whole::{
+    document,
+    elsewhere,
+    name, //
+};
 
 const SERVICES: [usize; 4] = [1, 500, 2_000, 7_300];
 const OWNED: [usize; 4] = [0, 25, 50, 100];
@@ -42,16 +49,19 @@
 const STEP: Duration = Duration::from_millis(20);
 /// Loopback block of the breakdown.
 const PARTS_BLOCK: u8 = 20;
-const FIRST_PORT: u16 = 10_000;
 const UPSTREAM_PORT: u16 = 5683;
 
 /// Loopback block of one daemon.
 struct Block(u8);
 
 impl Block {
-    fn addr(&self, host: u8, port: u16) -> SocketAddr {
+    fn ip(&self, host: u8) -> Ipv4Addr {
         let third = (std::process::id() % 250) as u8;
-        (Ipv4Addr::new(127, 200 + self.0, third, host), port).into()
+        Ipv4Addr::new(127, 200 + self.0, third, host)
+    }
+
+    fn addr(&self, host: u8, port: u16) -> SocketAddr {
+        (self.ip(host), port).into()
     }
 }
 
@@ -98,15 +108,19 @@
         fs::read_dir(format!("/proc/{}/fd", self.pid())).map_or(0, Iterator::count)
     }
 
-    fn resident_kb(&self) -> u64 {
+    /// Reads a size that the kernel gives of the process, in MB.
+    fn size_mb(&self, what: &str) -> f64 {
         let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
-        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
-        line.unwrap()
-            .split_whitespace()
-            .nth(1)
-            .unwrap()
-            .parse()
-            .unwrap()
+        let line = text.lines().find(|line| line.starts_with(what)).unwrap();
+        let kb: f64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+        kb / 1024.0
+    }
+
+    /// Prints the size now, the part of it that is mapped files, and the most it has been.
+    fn sizes(&self) -> String {
+        let sizes = ["VmRSS:", "RssFile:", "VmHWM:"].map(|what| self.size_mb(what));
+        let [resident, files, peak] = sizes.map(|mb| format!("{mb:>8.1} MB"));
+        format!("{resident} {files} {peak}")
     }
 
     /// Waits until the count of a metric is at least `n`.
@@ -139,43 +153,9 @@
     Some(values.sum())
 }
 
-fn document(i: usize, note: u32, upstreams: &[(SocketAddr, &str)]) -> String {
-    let entries: Vec<_> = upstreams
-        .iter()
-        .enumerate()
-        .map(|(n, (addr, zone))| {
-            format!(
-                r#"    {{ "name": "syncdesk-{i:04}-{n}", "address": "{addr}", "zone": "{zone}", "slots": 4, "connections": 2000 }}"#
-            )
-        })
-        .collect();
-    let port = FIRST_PORT + i as u16;
-    format!(
-        r#"{{
-  // Clearance desk of agency {i}, note {note}.
-  "service": "syncdesk-api-{i:04}",
-  "address": "10.2.0.1:{port}",
-  "zones": {{ "windhoek-1": "in", "windhoek-2": "in" }},
-  "upstreams": [
-{}
-  ],
-  "cold_start": {{ "slots": 1, "connections": 100, "ramp_s": 30 }},
-  "defaults": {{ "deadline_ms": 2000, "queue": 4, "retry_budget_percent": 10, "idle_s": 3600 }},
-  "routes": [ {{ "path": "/clearances", "idempotent": false, "deadline_ms": 5000 }} ]
-}}"#,
-        entries.join(",\n")
-    )
-}
-
-/// Two upstreams in a zone without daemons, so that none is owned here.
-fn elsewhere(i: usize) -> [(SocketAddr, &'static str); 2] {
-    let ip = |n| Ipv4Addr::new(10, n, (i / 200) as u8, (i % 200) as u8);
-    [3, 4].map(|n| ((ip(n), UPSTREAM_PORT).into(), "windhoek-2"))
-}
-
 fn publish(platform: &Platform, i: usize, note: u32) -> u64 {
     let text = document(i, note, &elsewhere(i));
-    platform.publish(&format!("syncdesk-api-{i:04}"), &text)
+    platform.publish(&name(i), &text)
 }
 
 fn calm_share(daemon: &Daemon) -> f64 {
@@ -207,9 +187,9 @@
     let idle = (pause * CHANGES).mul_f64(calm / 100.0);
     let change = us(changes.saturating_sub(idle)) / f64::from(CHANGES);
     println!(
-        "{n:>8} {took:>9} {:>9.2} s {:>8.1} MB {:>7} {calm:>8.2} % {change:>10.0} us",
+        "{n:>8} {took:>9} {:>9.2} s {} {:>7} {calm:>8.2} % {change:>10.0} us",
         start.as_secs_f64(),
-        daemon.resident_kb() as f64 / 1024.0,
+        daemon.sizes(),
         daemon.files(),
     );
 }
@@ -228,9 +208,9 @@
     thread::sleep(Duration::from_secs(4));
     let calm = calm_share(&daemon);
     println!(
-        "{n:>8} {:>9} {:>8.1} MB {:>7} {calm:>8.2} %",
+        "{n:>8} {:>9} {} {:>7} {calm:>8.2} %",
         if took.is_some() { "yes" } else { "no" },
-        daemon.resident_kb() as f64 / 1024.0,
+        daemon.sizes(),
         daemon.files(),
     );
 }
@@ -253,8 +233,16 @@
 
 fn all_services() {
     println!(
-        "{:>8} {:>9} {:>11} {:>11} {:>7} {:>10} {:>13}",
-        "services", "in force", "cpu of it", "resident", "files", "calm", "a change"
+        "{:>8} {:>9} {:>11} {:>11} {:>11} {:>11} {:>7} {:>10} {:>13}",
+        "services",
+        "in force",
+        "cpu of it",
+        "resident",
+        "mapped",
+        "peak",
+        "files",
+        "calm",
+        "a change"
     );
     for (i, n) in SERVICES.into_iter().enumerate() {
         services(&Block(i as u8), n);
@@ -263,8 +251,8 @@
 
 fn all_owned() {
     println!(
-        "{:>8} {:>9} {:>11} {:>7} {:>10}",
-        "owned", "held", "resident", "files", "calm"
+        "{:>8} {:>9} {:>11} {:>11} {:>11} {:>7} {:>10}",
+        "owned", "held", "resident", "mapped", "peak", "files", "calm"
     );
     for (i, n) in OWNED.into_iter().enumerate() {
         owned(&Block((SERVICES.len() + i) as u8), n);
