Say that settings are good, and name the program in its help

Change: one line "FILE: good settings" on standard output, in the words of `foxtailctl check`; the usage names the program. Besides, the benchmark of services finds its part wherever cargo puts its own argument.

--- a/crates/daemon/benches/services/main.rs
+++ b/crates/daemon/benches/services/main.rs
@@ -216,7 +216,7 @@
 }
 
 fn main() {
-    let only = std::env::args().nth(1).filter(|arg| !arg.starts_with('-'));
+    let only = std::env::args().skip(1).find(|arg| !arg.starts_with('-'));
     let wants = |what| only.as_deref().is_none_or(|only| only == what);
     if wants("parts") {
         parts::run(&Block(PARTS_BLOCK), SERVICES[3]);
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -16,13 +16,17 @@
     process::ExitCode, //
 };
 
+/// Name of the program in its help.
+const PROGRAM: &str = "foxtailhinge";
+
 /// Exit code for a command line that cannot be used.
 const EXIT_USAGE: u8 = 2;
 
 /// Runs the daemon with the arguments after the program's name.
 pub fn run(args: impl Iterator<Item = String>) -> ExitCode {
     let args: Vec<String> = args.collect();
-    match options().run_inner(Args::from(&args[..])) {
+    let args = Args::from(&args[..]).set_name(PROGRAM);
+    match options().run_inner(args) {
         Ok(options) => match start(&options) {
             Ok(()) => ExitCode::SUCCESS,
             Err(err) => {
@@ -43,6 +47,7 @@
 fn start(options: &Options) -> Result<(), Error> {
     let settings = read_settings(&options.settings)?;
     if options.check {
+        println!("{}: good settings", options.settings.display());
         return Ok(());
     }
     daemon::run(settings)
