Log one line when a stop has ended

Cause: the trail says `stopping` when a stop begins, and nothing said that it ended, or what it left behind. Ruled out: a record in the audit trail, which goes with the process. Change: event `stopped` at level info, the last line of the process, with `took_ms`, `requests_cut` (requests still in progress) and `upstreams_kept` (not handed over, as by a daemon without peers). Test: `stop`, which failed first with no such line.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -103,9 +103,11 @@
         Either::Left((ended, _)) => Ok(ended?),
         Either::Right((stopped, running)) => {
             stopped.map_err(Error::Runtime)?;
-            leave(&path, settings.limits.drain).await;
+            let stopped = leave(&path, settings.limits.drain).await;
             supervisor.kill();
-            Ok(running.await?)
+            running.await?;
+            stopped.info();
+            Ok(())
         }
     }
 }
@@ -233,8 +235,8 @@
     }
 }
 
-/// Hands all upstreams over and ends what is in progress, for at most `drain`.
-async fn leave(path: &Rc<DataPath>, drain: Duration) {
+/// Hands all upstreams over and ends what is in progress, for at most `drain`; gives what is to be logged of it.
+async fn leave(path: &Rc<DataPath>, drain: Duration) -> Event {
     path.audit.record(AuditEvent::Stopping);
     path.stopping.set(true);
     path.control.leave();
@@ -242,4 +244,8 @@
     while began.elapsed() < drain && (path.is_busy() || began.elapsed() < LINGER) {
         monoio::time::sleep(STOP_PERIOD).await;
     }
+    Event::new("stopped")
+        .field("took_ms", began.elapsed().as_millis())
+        .field("requests_cut", path.metrics.requests_in_progress.get())
+        .field("upstreams_kept", path.upstreams.borrow().len())
 }
--- /dev/null
+++ b/crates/daemon/tests/stop.rs
@@ -0,0 +1,63 @@
+//! The log of a daemon that is told to stop.
+
+use std::{
+    fs,
+    io::{
+        BufRead,
+        BufReader,
+        Lines, //
+    },
+    net::Ipv4Addr,
+    process::{
+        ChildStderr,
+        Command,
+        Stdio, //
+    },
+};
+
+/// Settings of a daemon without platform and peers.
+fn settings() -> String {
+    let ip = Ipv4Addr::new(127, 197, (std::process::id() % 250) as u8, 1);
+    format!(
+        r#"{{ "vm": "vm-1", "zone": "windhoek-1", "listen": "{ip}", "relay": "{ip}:7000",
+            "control": "{ip}:7001", "admin": "{ip}:7002", "fleet": "test",
+            "keys": [ {{ "slot": 0, "secret": "{}" }} ] }}"#,
+        "07".repeat(32)
+    )
+}
+
+/// Values of the fields of the first line of `event`.
+fn fields(lines: &mut Lines<BufReader<ChildStderr>>, event: &str) -> Option<Vec<String>> {
+    let wanted = format!(" event={event}");
+    let line = lines.find_map(|line| line.ok().filter(|line| line.contains(&wanted)))?;
+    let (_, rest) = line.split_once(&wanted)?;
+    Some(rest.split_whitespace().map(String::from).collect())
+}
+
+#[test]
+fn a_stop_that_has_ended_is_logged_with_what_it_left() {
+    let name = format!("foxtailhinge-stop-{}.json", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    fs::write(&file, settings()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_foxtailhinge"))
+        .arg("--settings")
+        .arg(&file)
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let started = fields(&mut lines, "started");
+    let pid = libc::pid_t::try_from(child.id()).unwrap();
+    // SAFETY: The process is a child that was not waited for, so the id is still its own.
+    unsafe { libc::kill(pid, libc::SIGTERM) };
+    let stopped = fields(&mut lines, "stopped");
+    let after = lines.count();
+    let code = child.wait().unwrap().code();
+    fs::remove_file(&file).unwrap();
+    assert!(started.is_some());
+    let stopped = stopped.expect("a line says that the stop has ended");
+    assert!(stopped[0].starts_with("took_ms="));
+    assert_eq!(stopped[1..], ["requests_cut=0", "upstreams_kept=0"]);
+    assert_eq!((after, code), (0, Some(0)));
+}
