--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -34,7 +34,10 @@
     collections::VecDeque,
     fmt,
     future::Future,
-    panic::AssertUnwindSafe,
+    panic::{
+        catch_unwind,
+        AssertUnwindSafe, //
+    },
     pin::pin,
     rc::Rc,
     time::{
@@ -411,8 +414,11 @@
         Fut: Future<Output = anyhow::Result<()>>,
     {
         let stop = self.inner.stop.clone();
-        let run = async move { make(stop).await };
-        match AssertUnwindSafe(run).catch_unwind().await {
+        let ended = match catch_unwind(AssertUnwindSafe(|| make(stop))) {
+            Ok(run) => AssertUnwindSafe(run).catch_unwind().await,
+            Err(payload) => Err(payload),
+        };
+        match ended {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => Err(Cause::Error(format!("{error:#}"))),
             Err(payload) => Err(Cause::Panic(panic_message(&*payload).into())),
