--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/data/table.rs
@@ -15,7 +15,6 @@
 };
 use foxtailhinge_config::document::ServiceDocument;
 use foxtailhinge_wire::ticket::name_hash;
-use futures::TryFutureExt;
 use std::{
     io,
     net::SocketAddr,
@@ -170,8 +169,9 @@
         let reader = Rc::clone(&socket);
         let name = format!("service {addr}");
         self.supervisor.child(&name, Restart::OnFailure, move |_| {
-            let reading = Rc::clone(&path).read_service(hash, Rc::clone(&reader));
-            reading.map_err(anyhow::Error::from)
+            let path = Rc::clone(&path);
+            let reader = Rc::clone(&reader);
+            async move { Ok(path.read_service(hash, reader).await?) }
         });
         Ok(socket)
     }
--- a/crates/daemon/src/supervisor.rs
+++ b/crates/daemon/src/supervisor.rs
@@ -34,10 +34,7 @@
     collections::VecDeque,
     fmt,
     future::Future,
-    panic::{
-        catch_unwind,
-        AssertUnwindSafe, //
-    },
+    panic::AssertUnwindSafe,
     pin::pin,
     rc::Rc,
     time::{
@@ -414,11 +411,8 @@
         Fut: Future<Output = anyhow::Result<()>>,
     {
         let stop = self.inner.stop.clone();
-        let ended = match catch_unwind(AssertUnwindSafe(|| make(stop))) {
-            Ok(run) => AssertUnwindSafe(run).catch_unwind().await,
-            Err(payload) => Err(payload),
-        };
-        match ended {
+        let run = async move { make(stop).await };
+        match AssertUnwindSafe(run).catch_unwind().await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => Err(Cause::Error(format!("{error:#}"))),
             Err(payload) => Err(Cause::Panic(panic_message(&*payload).into())),
