--- /dev/null
+++ b/crates/daemon/benches/services/parts.rs
@@ -0,0 +1,124 @@
+//! Memory of one service, part by part, within this process.
+
+use crate::{
+    heap::Heap,
+    whole::{
+        daemon,
+        document,
+        elsewhere,
+        fill,
+        settings, //
+    },
+    Block, //
+};
+use foxtailhinge::{
+    data::{
+        path::DataPath,
+        service::Service,
+        socket::Socket, //
+    },
+    members::Control,
+};
+use foxtailhinge_config::document::ServiceDocument;
+use monoio::{
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Time that spawned tasks get to begin.
+const SETTLE: Duration = Duration::from_millis(500);
+
+fn text(i: usize) -> Rc<str> {
+    document(i, 0, &elsewhere(i)).into()
+}
+
+/// Prints the memory of each part for `n` services.
+pub(crate) fn run(block: &Block, n: usize) {
+    println!(
+        "{:<44} {:>10} {:>10} {:>10}",
+        format!("part of {n} services, each"),
+        "asked for",
+        "taken",
+        "resident"
+    );
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .unwrap();
+    runtime.block_on(measure(block, n));
+    // Tasks that wait are not to be woken by what is dropped.
+    std::mem::forget(runtime);
+}
+
+async fn measure(block: &Block, n: usize) {
+    let start = Heap::now();
+    let texts: Vec<_> = (0..n).map(text).collect();
+    start.print("text", n);
+    let start = Heap::now();
+    let parsed: Vec<Rc<ServiceDocument>> = texts
+        .iter()
+        .map(|text| Rc::new(ServiceDocument::parse("bench", text).unwrap()))
+        .collect();
+    start.print("parsed document", n);
+    start.print_sizes(n);
+    let start = Heap::now();
+    let sockets: Vec<_> = (0..n)
+        .map(|i| Rc::new(Socket::bind(block.addr(1, 10_000 + i as u16)).unwrap()))
+        .collect();
+    start.print("socket", n);
+    start.print_sizes(n);
+    let start = Heap::now();
+    let now = Instant::now();
+    let services: Vec<_> = parsed
+        .iter()
+        .map(|doc| Service::new(Rc::clone(doc), Rc::clone(&sockets[0]), None, now))
+        .collect();
+    start.print("service without its document and socket", n);
+    start.print_sizes(n);
+    drop((services, sockets, parsed, texts));
+    control(block, n);
+    whole(block, n).await;
+}
+
+fn control(block: &Block, n: usize) {
+    let start = Heap::now();
+    let control = Control::new(settings(block.ip(1)));
+    fill(&control, n);
+    start.print("control part, documents in force", n);
+    start.print_sizes(n);
+}
+
+async fn whole(block: &Block, n: usize) {
+    let start = Heap::now();
+    let path = daemon(block.ip(1));
+    fill(&path.control, n);
+    monoio::time::sleep(SETTLE).await;
+    start.print("whole daemon", n);
+    start.print_sizes(n);
+    use_all(&path, n);
+    std::mem::forget(path);
+}
+
+/// Opens a flow of each service as an ingress does: draws candidates and finds the owners of all upstreams.
+fn use_all(path: &DataPath, n: usize) {
+    let services: Vec<_> = path.services.borrow().values().cloned().collect();
+    let start = Heap::now();
+    for service in &services {
+        service.draw(1, |_| true, &mut rand::rng());
+    }
+    start.print("draw of candidates, once used", n);
+    let start = Heap::now();
+    for service in &services {
+        for (_, named) in service.upstreams() {
+            path.owner(named.key, &named.spec.zone);
+        }
+    }
+    start.print("owners of upstreams, once used", n);
+}
