Count what a draining upstream still gets

Cause: no test counted what an upstream gets after it began to drain; `upstream_drained` shows only that its feeds go on and requests are answered.

By the design nothing is allowed after some seconds: a draining upstream is drawn for no new flow, its feeds move 2 s after the edit, and requests of held flows move with the next one. A retried or fresh first request may come within the reservation only. So the count is exact: 0 requests, 0 open feeds.

`report held` counts the feeds that all upstreams hold together; `report broken` shows up to 20 broken flows one by one.

--- a/crates/standins/src/scenario/act.rs
+++ b/crates/standins/src/scenario/act.rs
@@ -46,6 +46,10 @@
 pub(super) const ZONE_QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Time in which packets into a quiet zone are counted.
 const ZONE_WATCHED: Duration = Duration::from_secs(2);
+/// Time after which an upstream that drains receives no more requests.
+pub(super) const DRAINED_AFTER: Duration = Duration::from_secs(5);
+/// Time in which requests to a drained upstream are counted.
+const DRAINED_WATCHED: Duration = Duration::from_secs(2);
 
 impl Scenario {
     /// Runs one command and returns its output.
@@ -318,6 +322,7 @@
             "quiet" => self.wait_quiet(),
             "warm" => self.wait_warm(),
             _ => bail!("a script can not wait for {what}"),
+            "drained" => self.wait_drained(),
         }
     }
 
@@ -346,6 +351,17 @@
     }
 
     /// Waits until the cold starts of all upstreams are over.
+    /// Waits until the upstreams that drain should receive nothing, and some time more.
+    fn wait_drained(&self) -> anyhow::Result<String> {
+        let open = self.tally.departures.iter();
+        let open = open.filter(|one| one.ended.is_none());
+        let last = open.map(|one| one.began).max();
+        let last = last.context("no upstream drains")?;
+        let end = last + DRAINED_AFTER + DRAINED_WATCHED;
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+        done()
+    }
+
     fn wait_warm(&mut self) -> anyhow::Result<String> {
         let upstreams = self.fleet()?.upstreams();
         let end = Instant::now() + WITHIN;
--- a/crates/standins/src/scenario/order.rs
+++ b/crates/standins/src/scenario/order.rs
@@ -149,13 +149,15 @@
         #[arg(key)]
         only: Option<String>,
     },
-    /// Waits: `wait applied`, `wait synced`, `wait feeds`, `wait quiet`, `wait warm`.
+    /// Waits: `wait applied`, `wait synced`, `wait feeds`, `wait quiet`, `wait warm`,
+    /// `wait drained`.
     Wait(String),
     /// Sleeps for milliseconds.
     Sleep(u64),
     /// Reports what came of the script: `report broken`.
     Report {
-        /// `broken`, `runs`, `lost`, `wrong`, `zone-packets`, `cold`, `refused` or `feeds`.
+        /// `broken`, `runs`, `lost`, `wrong`, `zone-packets`, `cold`, `refused`, `feeds`, `drained` or
+        /// `held`.
         what: String,
         /// The zone, service or upstream that is meant.
         subject: Option<String>,
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -4,10 +4,14 @@
     caller::Counts,
     load::Sample,
     scenario::{
-        act::ZONE_QUIET_AFTER,
+        act::{
+            DRAINED_AFTER,
+            ZONE_QUIET_AFTER, //
+        },
         tally::runs,
         Scenario, //
-    }, //
+    },
+    upstream::Upstream, //
 };
 use anyhow::{
     bail,
@@ -15,6 +19,9 @@
 };
 use std::time::Instant;
 
+/// Broken flows that are shown one by one.
+const SHOWN: usize = 20;
+
 impl Scenario {
     /// Reports one matter.
     pub(super) fn report(&mut self, what: &str, subject: Option<&str>) -> anyhow::Result<String> {
@@ -28,6 +35,8 @@
             "cold" => self.report_cold(),
             "refused" => self.report_refused(subject?),
             "feeds" => self.report_feeds(subject?),
+            "drained" => self.report_drained(subject?),
+            "held" => self.report_held(),
             _ => bail!("there is no report of {what}"),
         }
     }
@@ -47,6 +56,9 @@
         for (cause, count) in breaks.causes() {
             text += &format!("\n  {cause} {count}");
         }
+        for flow in breaks.broken.iter().take(SHOWN) {
+            text += &format!("\n    {}: {}", flow.upstream, flow.cause);
+        }
         Ok(text)
     }
 
@@ -133,6 +145,24 @@
         Ok(format!("feeds begun {}", found.records().feeds))
     }
 
+    /// Requests that reached a draining upstream from its quiet time on, and the feeds it holds.
+    fn report_drained(&mut self, upstream: &str) -> anyhow::Result<String> {
+        let departures = self.tally.departures.iter();
+        let mut drains = departures.filter(|one| one.upstream == upstream);
+        let drain = drains.next_back().context("the upstream does not drain")?;
+        let quiet = drain.began + DRAINED_AFTER;
+        let fleet = self.fleet.as_ref().context("no fleet")?;
+        let found = fleet.upstream(upstream).context("unknown upstream")?;
+        let (requests, feeds) = (found.records().requests_after(quiet), found.feeds());
+        Ok(format!("requests {requests}, open feeds {feeds}"))
+    }
+
+    /// Feeds that all upstreams hold together.
+    fn report_held(&mut self) -> anyhow::Result<String> {
+        let held = self.fleet()?.upstreams().iter().map(Upstream::feeds);
+        Ok(format!("feeds held {}", held.sum::<usize>()))
+    }
+
     fn counts(&self) -> Counts {
         let mut counts = self.tally.counts;
         let callers = self.callers.values().flatten().map(|one| one.counts());
