Delay packets between availability zones in the stand-ins' fabric

Weighed, by hop: - caller - entry VM, both ways: the fabric knows the zones of callers and daemons; done. - owner - upstream: crosses no zone by design, since the owner is a live daemon of the upstream's zone. A delay would never apply; besides, a daemon's socket towards upstreams is bound to the wildcard address, so that on loopback all daemons look alike to a stand-in. Nothing done. - daemon - daemon (relay, probes, links): not possible without changing the product or the machine. A proxy between two daemons needs an address that differs from the one that the peer binds, but a daemon announces the `relay` and `control` that it binds, and gossip overrides the platform's list. Traffic control and network namespaces are the machine's. Overriding `sendto` in the example's own executable was left out: it tests another program than the one that ships. So requests cross with 1.5 ms to the ingress and from the owner, not between.

Change: `Behaviour::zone_latency`, `Fabric::place` for the zone of an IP number, `Counts::crossed`; each fleet uses its deployment's figures, scenarios and `local_fleet` alike, and the latter's table shows them.

The test `packets_into_another_zone_take_longer` holds the lower bound 2 x 2.5 ms and the counter.

--- a/crates/standins/examples/local_fleet/run.rs
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -13,6 +13,7 @@
         Counts,
         Move, //
     },
+    fabric,
     feed::{
         Feed,
         FeedStats, //
@@ -108,6 +109,14 @@
     pub(crate) records: Records,
 }
 
+/// One-way latencies that the fabrics add.
+pub(crate) struct Latencies {
+    /// Between a caller and an entry VM.
+    pub(crate) caller: Duration,
+    /// Besides, when the two are in different availability zones.
+    pub(crate) zone: Duration,
+}
+
 /// All that the run led to.
 pub(crate) struct Record {
     /// When the events happened.
@@ -132,6 +141,10 @@
     pub(crate) upstreams: Vec<Seen>,
     /// Calls to the platform.
     pub(crate) platform_calls: u64,
+    /// One-way latencies of the deployment.
+    pub(crate) latencies: Latencies,
+    /// Counters of the fabrics before the two services.
+    pub(crate) fabrics: [fabric::Counts; 2],
 }
 
 impl Record {
@@ -392,10 +405,12 @@
             zone: one.zone(),
             records: one.records(),
         };
+        let deployment = self.fleet.deployment();
+        let services = deployment.services();
         Record {
             times,
             zone,
-            services: self.fleet.deployment().services(),
+            services,
             stopped,
             results,
             feeds,
@@ -404,6 +419,11 @@
             feed_moves,
             upstreams: self.fleet.upstreams().iter().map(seen).collect(),
             platform_calls: self.fleet.platform().calls(),
+            latencies: Latencies {
+                caller: deployment.caller_latency(),
+                zone: deployment.zone_latency(),
+            },
+            fabrics: services.map(|service| self.fleet.fabric(service).counts()),
         }
     }
 }
--- a/crates/standins/examples/local_fleet/table.rs
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -43,6 +43,7 @@
 pub(crate) fn print(record: &Record) -> ExitCode {
     let figures = Figures::of(record);
     println!();
+    print_latencies(record);
     print_flows(record, &figures);
     print_requests(record, &figures);
     print_upstreams(record, &figures);
@@ -63,6 +64,25 @@
     println!("{name:NAME$} {value}");
 }
 
+fn print_latencies(record: &Record) {
+    let latencies = &record.latencies;
+    row(
+        "one-way latency caller to entry VM",
+        milliseconds(latencies.caller),
+    );
+    row(
+        "  in another zone (none between daemons)",
+        milliseconds(latencies.caller + latencies.zone),
+    );
+    let crossed: u64 = record.fabrics.iter().map(|one| one.crossed).sum();
+    let packets = record.fabrics.iter();
+    let packets: u64 = packets.map(|one| one.to_daemons + one.to_callers).sum();
+    row(
+        "packets of callers between zones",
+        format!("{crossed} of {packets}"),
+    );
+}
+
 fn print_flows(record: &Record, figures: &Figures) {
     let mut counts = Counts::default();
     record.results.iter().for_each(|one| counts += one.counts);
--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -40,6 +40,8 @@
 pub struct Behaviour {
     /// One-way latency between a caller and the daemons.
     pub latency: Duration,
+    /// One-way latency besides, when caller and daemon are in different availability zones.
+    pub zone_latency: Duration,
     /// Upper bound of the extra delay drawn for each packet, which reorders packets.
     pub jitter: Duration,
     /// How many copies of each packet from a caller are delivered.
@@ -54,6 +56,7 @@
     fn default() -> Self {
         Behaviour {
             latency: Duration::from_millis(1),
+            zone_latency: Duration::ZERO,
             jitter: Duration::ZERO,
             copies: 1,
             loss: 0.0,
@@ -73,12 +76,15 @@
     pub lost: u64,
     /// Packets that found no daemon.
     pub undeliverable: u64,
+    /// Packets delivered from one availability zone into another, in both directions.
+    pub crossed: u64,
 }
 
 struct State {
     daemons: Vec<SocketAddr>,
     leaving: Vec<(SocketAddr, Instant)>,
     sites: HashMap<IpAddr, Vec<IpAddr>>,
+    zones: HashMap<IpAddr, usize>,
     behaviour: Behaviour,
     counts: Counts,
     rng: SmallRng,
@@ -107,14 +113,28 @@
             .retain(|daemon| gone.iter().all(|one| one.0 != *daemon));
     }
 
-    /// Draws the delay of one packet, or nothing when the packet is lost.
-    fn delay(&mut self) -> Option<Duration> {
-        if self.rng.random_bool(self.behaviour.loss) {
-            self.counts.lost += 1;
-            return None;
-        }
+    /// Draws whether one packet is lost, and counts it if so.
+    fn lose(&mut self) -> bool {
+        let lost = self.rng.random_bool(self.behaviour.loss);
+        self.counts.lost += u64::from(lost);
+        lost
+    }
+
+    /// Draws the delay of one packet between a caller and a daemon.
+    fn delay(&mut self, caller: IpAddr, daemon: IpAddr) -> Duration {
         let extra = self.behaviour.jitter.mul_f64(self.rng.random());
-        Some(self.behaviour.latency + extra)
+        let latency = self.behaviour.latency + extra;
+        if !self.crosses(caller, daemon) {
+            return latency;
+        }
+        self.counts.crossed += 1;
+        latency + self.behaviour.zone_latency
+    }
+
+    /// Whether both have a known availability zone, and not the same.
+    fn crosses(&self, caller: IpAddr, daemon: IpAddr) -> bool {
+        let zones = (self.zones.get(&caller), self.zones.get(&daemon));
+        matches!(zones, (Some(one), Some(other)) if one != other)
     }
 }
 
@@ -146,6 +166,7 @@
                 daemons: daemons.to_vec(),
                 leaving: Vec::new(),
                 sites: HashMap::new(),
+                zones: HashMap::new(),
                 behaviour: Behaviour::default(),
                 counts: Counts::default(),
                 rng: SmallRng::seed_from_u64(seed),
@@ -177,6 +198,11 @@
         state.leaving.push((daemon, Instant::now() + after));
     }
 
+    /// Tells the availability zone of callers or a daemon by their IP number; others count as near to all.
+    pub fn place(&self, ip: IpAddr, zone: usize) {
+        self.shared.state.lock().unwrap().zones.insert(ip, zone);
+    }
+
     /// Hands packets of the callers at one IP number only to the given daemons, as a cut-off zone does.
     pub fn confine(&self, caller: IpAddr, daemons: &[IpAddr]) {
         let mut state = self.shared.state.lock().unwrap();
@@ -228,13 +254,14 @@
 fn spray(shared: &Shared, socket: &Arc<UdpSocket>, caller: SocketAddr, payload: &[u8]) {
     let mut state = shared.state.lock().unwrap();
     for _ in 0..state.behaviour.copies {
-        let Some(delay) = state.delay() else {
+        if state.lose() {
             continue;
-        };
+        }
         let Some(daemon) = state.draw(caller) else {
             state.counts.undeliverable += 1;
             continue;
         };
+        let delay = state.delay(caller.ip(), daemon.ip());
         state.counts.to_daemons += 1;
         shared.line.send(socket, daemon, payload, delay);
     }
@@ -244,15 +271,16 @@
 fn give_back(shared: &Shared, socket: &UdpSocket, caller: SocketAddr) {
     let mut buf = vec![0; socket::DATAGRAM];
     while !shared.is_ended() {
-        let Ok(Some((len, _))) = socket::read(socket, &mut buf, TICK) else {
+        let Ok(Some((len, daemon))) = socket::read(socket, &mut buf, TICK) else {
             continue;
         };
         let mut state = shared.state.lock().unwrap();
-        if let Some(delay) = state.delay() {
-            state.counts.to_callers += 1;
-            shared
-                .line
-                .send(&shared.service, caller, &buf[..len], delay);
+        if state.lose() {
+            continue;
         }
+        let delay = state.delay(caller.ip(), daemon.ip());
+        state.counts.to_callers += 1;
+        let payload = &buf[..len];
+        shared.line.send(&shared.service, caller, payload, delay);
     }
 }
--- a/crates/standins/src/fleet/deployment.rs
+++ b/crates/standins/src/fleet/deployment.rs
@@ -1,6 +1,9 @@
 //! The two first users' deployments.
 
-use std::str::FromStr;
+use std::{
+    str::FromStr,
+    time::Duration, //
+};
 
 /// A deployment of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +31,19 @@
         }
     }
 
+    /// Returns the one-way latency between two availability zones.
+    pub fn zone_latency(self) -> Duration {
+        match self {
+            Deployment::Kalahari => Duration::from_micros(1500),
+            Deployment::SouthernCross => Duration::from_micros(500),
+        }
+    }
+
+    /// Returns the one-way latency between a caller and an entry VM.
+    pub fn caller_latency(self) -> Duration {
+        Duration::from_millis(1)
+    }
+
     /// Returns the two services, the one with feeds first.
     pub fn services(self) -> [&'static str; 2] {
         match self {
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -159,7 +159,7 @@
             let mut entries = Vec::new();
             for place in 0..plan.upstreams[number] {
                 let name = format!("{}-{}", plan.deployment.prefix(number), place + 1);
-                let zone = &self.zones[place % self.zones.len()];
+                let zone = &self.zones[self.zone_index(place)];
                 let mut spec = Spec::new(service, &name, zone);
                 spec.seed = plan.seed.wrapping_add(index as u64);
                 (plan.tune)(&mut spec);
@@ -213,14 +213,34 @@
             let daemons: Vec<_> = (0..plan.daemons).map(ingress).collect();
             let seed = plan.seed.wrapping_add(service as u64);
             let fabric = Fabric::start(self.block.service(service), &daemons, seed)?;
+            self.set_latencies(&fabric, plan.daemons);
             self.fabrics.push(fabric);
         }
         Ok(())
     }
 
+    /// Delays the packets of callers as in the deployment.
+    fn set_latencies(&self, fabric: &Fabric, daemons: usize) {
+        fabric.set(|behaviour| {
+            behaviour.latency = self.deployment.caller_latency();
+            behaviour.zone_latency = self.deployment.zone_latency();
+        });
+        for daemon in 0..daemons {
+            fabric.place(self.block.daemon(daemon), self.zone_index(daemon));
+        }
+        for zone in 0..self.zones.len() {
+            fabric.place(self.block.callers(zone), zone);
+        }
+    }
+
+    /// Returns the availability zone of a daemon or of a service's upstream, each counted from zero.
+    fn zone_index(&self, place: usize) -> usize {
+        place % self.zones.len()
+    }
+
     fn place_daemons(&mut self, count: usize) -> anyhow::Result<()> {
         for index in 0..count {
-            let zone = &self.zones[index % self.zones.len()];
+            let zone = &self.zones[self.zone_index(index)];
             let vm = format!("vm-{}", index + 1);
             let daemon = Daemon::new(&vm, zone, self.block.admin(index), &self.dir);
             self.daemons.push(daemon);
--- a/crates/standins/tests/direct.rs
+++ b/crates/standins/tests/direct.rs
@@ -14,6 +14,7 @@
         Upstream, //
     }, //
 };
+use rstest::rstest;
 use std::{
     net::SocketAddr,
     time::Duration, //
@@ -101,3 +102,27 @@
     assert!(matches!(slow.join().unwrap(), Outcome::Answered(_)));
     assert_eq!(upstream.records().cold_overload, 1);
 }
+
+#[rstest]
+#[case::same_zone(0, false, Duration::from_millis(1))]
+#[case::other_zone(1, true, Duration::from_micros(2500))]
+fn packets_into_another_zone_take_longer(
+    #[case] zone: usize,
+    #[case] crosses: bool,
+    #[case] one_way: Duration,
+) {
+    let service = addr(&format!("127.0.8.{}:5601", 20 + zone));
+    let upstream = Upstream::start(addr(&format!("127.0.8.{}:5683", 30 + zone)), spec()).unwrap();
+    let fabric = Fabric::start(service, &[upstream.addr()], 1).unwrap();
+    fabric.set(|behaviour| behaviour.zone_latency = Duration::from_micros(1500));
+    let caller = caller(service);
+    fabric.place(caller.addr().unwrap().ip(), 0);
+    fabric.place(upstream.addr().ip(), zone);
+    for _ in 0..2 {
+        let answer = caller.get("/cues", WITHIN).answer().unwrap();
+        assert!(answer.took >= 2 * one_way, "{:?}", answer.took);
+    }
+    let counts = fabric.counts();
+    let all = counts.to_daemons + counts.to_callers;
+    assert_eq!(counts.crossed, if crosses { all } else { 0 });
+}
