Rotate the key of a running fleet in a scenario

Cause: keys and tickets are tested in `wire`, but no test rotated a fleet.

Change: `keys VM KEY..` writes a daemon's settings with `old` and `new`, the first one signing, for its next start.

--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -27,7 +27,6 @@
             UpstreamEntry, //
         },
         settings::{
-            Key,
             Limits,
             Peer,
             Settings,
@@ -72,6 +71,7 @@
 pub use builder::Builder;
 pub use daemon::Program;
 pub use deployment::Deployment;
+pub use settings::KeyName;
 
 /// Longest wait until all daemons are in sync after their start.
 const START_WITHIN: Duration = Duration::from_secs(15);
@@ -246,14 +246,24 @@
             self.daemons.push(daemon);
         }
         for index in 0..count {
-            let settings = self.settings(index);
-            let text = serde_json::to_string_pretty(&settings)?;
-            fs::write(&self.daemons[index].settings, text)?;
+            self.write_settings(index, &[KeyName::Old])?;
         }
         Ok(())
     }
 
-    fn settings(&self, index: usize) -> Settings {
+    /// Gives a daemon the keys with which it starts the next time, the one that signs first.
+    pub fn set_keys(&self, vm: &str, keys: &[KeyName]) -> anyhow::Result<()> {
+        self.write_settings(self.index(vm), keys)
+    }
+
+    fn write_settings(&self, index: usize, keys: &[KeyName]) -> anyhow::Result<()> {
+        let settings = self.settings(index, keys);
+        let text = serde_json::to_string_pretty(&settings)?;
+        fs::write(&self.daemons[index].settings, text)?;
+        Ok(())
+    }
+
+    fn settings(&self, index: usize, keys: &[KeyName]) -> Settings {
         let others = (0..self.daemons.len()).filter(|&other| other != index);
         let peer = |other: usize| Peer {
             vm: self.daemons[other].vm.clone(),
@@ -270,7 +280,7 @@
             admin: self.block.admin(index),
             platform: self.block.platform(),
             fleet: self.deployment.name().into(),
-            keys: vec![Key::draw(0, self.seed)],
+            keys: keys.iter().map(|name| name.key(self.seed)).collect(),
             peers: others.map(peer).collect(),
             limits: Limits {
                 drain_s: DRAIN_S,
--- a/crates/standins/src/fleet/settings.rs
+++ b/crates/standins/src/fleet/settings.rs
@@ -6,9 +6,12 @@
     SeedableRng, //
 };
 use serde::Serialize;
-use std::net::{
-    IpAddr,
-    SocketAddr, //
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    str::FromStr, //
 };
 
 /// Length of a key, in bytes.
@@ -32,6 +35,37 @@
     pub(crate) testing: Testing,
 }
 
+/// A key that a script names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyName {
+    /// The key that the fleet begins with.
+    Old,
+    /// The key that replaces it.
+    New,
+}
+
+impl KeyName {
+    /// Draws the key itself; a fleet's seed gives the same one each time.
+    pub(crate) fn key(self, seed: u64) -> Key {
+        match self {
+            KeyName::Old => Key::draw(0, seed),
+            KeyName::New => Key::draw(1, !seed),
+        }
+    }
+}
+
+impl FromStr for KeyName {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        match name {
+            "old" => Ok(KeyName::Old),
+            "new" => Ok(KeyName::New),
+            _ => Err(format!("write old or new, not {name}")),
+        }
+    }
+}
+
 /// A key of the fleet.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Key {
--- a/crates/standins/src/scenario/act.rs
+++ b/crates/standins/src/scenario/act.rs
@@ -65,6 +65,7 @@
             Order::Kill(vms) => self.each_vm(vms, |fleet, vm| fleet.kill(vm)),
             Order::Stop(vms) => self.each_vm(vms, |fleet, vm| fleet.stop(vm)),
             Order::Start(vms) => self.start_daemons(vms),
+            Order::Keys { vm, keys } => quiet(self.fleet()?.set_keys(vm, keys)),
             Order::Freeze(vms) => self.each_vm(vms, |fleet, vm| fleet.freeze(vm)),
             Order::Wake(vms) => self.each_vm(vms, |fleet, vm| fleet.wake(vm)),
             Order::Ended(vm) => self.await_end(vm),
@@ -321,8 +322,8 @@
             "feeds" => self.wait_feeds(),
             "quiet" => self.wait_quiet(),
             "warm" => self.wait_warm(),
-            _ => bail!("a script can not wait for {what}"),
             "drained" => self.wait_drained(),
+            _ => bail!("a script can not wait for {what}"),
         }
     }
 
@@ -350,7 +351,6 @@
         done()
     }
 
-    /// Waits until the cold starts of all upstreams are over.
     /// Waits until the upstreams that drain should receive nothing, and some time more.
     fn wait_drained(&self) -> anyhow::Result<String> {
         let open = self.tally.departures.iter();
@@ -362,6 +362,7 @@
         done()
     }
 
+    /// Waits until the cold starts of all upstreams are over.
     fn wait_warm(&mut self) -> anyhow::Result<String> {
         let upstreams = self.fleet()?.upstreams();
         let end = Instant::now() + WITHIN;
--- a/crates/standins/src/scenario/order.rs
+++ b/crates/standins/src/scenario/order.rs
@@ -1,6 +1,9 @@
 //! The commands of a script.
 
-use crate::fleet::Deployment;
+use crate::fleet::{
+    Deployment,
+    KeyName, //
+};
 use goldenscript::Command;
 
 /// A command of a script.
@@ -83,6 +86,13 @@
     Stop(Vec<String>),
     /// Starts daemons that were killed or stopped.
     Start(Vec<String>),
+    /// Gives a daemon the keys of its next start, the one that signs first: `keys vm-2 new old`.
+    Keys {
+        /// The daemon.
+        vm: String,
+        /// `old` and `new`.
+        keys: Vec<KeyName>,
+    },
     /// Pauses daemons.
     Freeze(Vec<String>),
     /// Ends the pause of daemons.
