--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -17,7 +17,10 @@
     bail,
     Context, //
 };
-use std::time::Instant;
+use std::{
+    collections::BTreeMap,
+    time::Instant, //
+};
 
 /// Broken flows that are shown one by one.
 const SHOWN: usize = 20;
@@ -100,24 +103,29 @@
         Ok(format!("wrong service {service}, wrong answer {answer}"))
     }
 
-    /// Packets into a zone from its quiet time on, until it was taken in again.
+    /// Packets into a zone from its quiet time on, until it was taken in again; their kinds follow.
     fn report_zone_packets(&mut self, zone: &str) -> anyhow::Result<String> {
         let fleet = self.fleet.as_ref().context("no fleet")?;
-        let mut packets = 0;
+        let mut packets: BTreeMap<String, usize> = BTreeMap::new();
         for outage in self.tally.outages.iter().filter(|one| one.zone == zone) {
             let quiet = outage.began + ZONE_QUIET_AFTER;
             let times = quiet..outage.ended.unwrap_or_else(Instant::now);
             let inside = fleet.upstreams().iter();
             let inside = inside.filter(|one| one.zone() == zone && one.service() == outage.service);
             for upstream in inside {
-                let arrivals = upstream.records().arrivals;
-                packets += arrivals
-                    .iter()
-                    .filter(|one| times.contains(&one.at))
-                    .count();
+                let arrivals = upstream.records().arrivals.into_iter();
+                let late = arrivals.filter(|one| times.contains(&one.at));
+                for arrival in late {
+                    let name = format!("{:?} to {}", arrival.kind, upstream.name());
+                    *packets.entry(name).or_default() += 1;
+                }
             }
         }
-        Ok(format!("packets {packets}"))
+        let mut text = format!("packets {}", packets.values().sum::<usize>());
+        for (name, count) in packets {
+            text += &format!("\n  {name} {count}");
+        }
+        Ok(text)
     }
 
     fn report_cold(&mut self) -> anyhow::Result<String> {
