--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -28,7 +28,6 @@
             UpstreamEntry, //
         },
         settings::{
-            Key,
             Limits,
             Peer,
             Settings,
@@ -73,6 +72,7 @@
 pub use builder::Builder;
 pub use daemon::Program;
 pub use deployment::Deployment;
+pub use settings::KeyName;
 
 /// Longest wait until all daemons are in sync after their start.
 const START_WITHIN: Duration = Duration::from_secs(15);
@@ -160,7 +160,7 @@
             let mut entries = Vec::new();
             for place in 0..plan.upstreams[number] {
                 let name = format!("{}-{}", plan.deployment.prefix(number), place + 1);
-                let zone = &self.zones[place % self.zones.len()];
+                let zone = &self.zones[self.zone_index(place)];
                 let mut spec = Spec::new(service, &name, zone);
                 spec.seed = plan.seed.wrapping_add(index as u64);
                 (plan.tune)(&mut spec);
@@ -214,27 +214,57 @@
             let daemons: Vec<_> = (0..plan.daemons).map(ingress).collect();
             let seed = plan.seed.wrapping_add(service as u64);
             let fabric = Fabric::start(self.block.service(service), &daemons, seed)?;
+            self.set_latencies(&fabric, plan.daemons);
             self.fabrics.push(fabric);
         }
         Ok(())
     }
 
+    /// Delays the packets of callers as in the deployment.
+    fn set_latencies(&self, fabric: &Fabric, daemons: usize) {
+        fabric.set(|behaviour| {
+            behaviour.latency = self.deployment.caller_latency();
+            behaviour.zone_latency = self.deployment.zone_latency();
+        });
+        for daemon in 0..daemons {
+            fabric.place(self.block.daemon(daemon), self.zone_index(daemon));
+        }
+        for zone in 0..self.zones.len() {
+            fabric.place(self.block.callers(zone), zone);
+        }
+    }
+
+    /// Returns the availability zone of a daemon or of a service's upstream, each counted from zero.
+    fn zone_index(&self, place: usize) -> usize {
+        place % self.zones.len()
+    }
+
     fn place_daemons(&mut self, count: usize) -> anyhow::Result<()> {
         for index in 0..count {
-            let zone = &self.zones[index % self.zones.len()];
+            let zone = &self.zones[self.zone_index(index)];
             let vm = format!("vm-{}", index + 1);
             let daemon = Daemon::new(&vm, zone, self.block.admin(index), &self.dir);
             self.daemons.push(daemon);
         }
         for index in 0..count {
-            let settings = self.settings(index);
-            let text = serde_json::to_string_pretty(&settings)?;
-            fs::write(&self.daemons[index].settings, text)?;
+            self.write_settings(index, &[KeyName::Old])?;
         }
         Ok(())
     }
 
-    fn settings(&self, index: usize) -> Settings {
+    /// Gives a daemon the keys with which it starts the next time, the one that signs first.
+    pub fn set_keys(&self, vm: &str, keys: &[KeyName]) -> anyhow::Result<()> {
+        self.write_settings(self.index(vm), keys)
+    }
+
+    fn write_settings(&self, index: usize, keys: &[KeyName]) -> anyhow::Result<()> {
+        let settings = self.settings(index, keys);
+        let text = serde_json::to_string_pretty(&settings)?;
+        fs::write(&self.daemons[index].settings, text)?;
+        Ok(())
+    }
+
+    fn settings(&self, index: usize, keys: &[KeyName]) -> Settings {
         let others = (0..self.daemons.len()).filter(|&other| other != index);
         let peer = |other: usize| Peer {
             vm: self.daemons[other].vm.clone(),
@@ -251,7 +281,7 @@
             admin: self.block.admin(index),
             platform: self.block.platform(),
             fleet: self.deployment.name().into(),
-            keys: vec![Key::draw(0, self.seed)],
+            keys: keys.iter().map(|name| name.key(self.seed)).collect(),
             peers: others.map(peer).collect(),
             limits: Limits {
                 drain_s: DRAIN_S,
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -4,16 +4,26 @@
     caller::Counts,
     load::Sample,
     scenario::{
-        act::ZONE_QUIET_AFTER,
+        act::{
+            DRAINED_AFTER,
+            ZONE_QUIET_AFTER, //
+        },
         tally::runs,
         Scenario, //
-    }, //
+    },
+    upstream::Upstream, //
 };
 use anyhow::{
     bail,
     Context, //
 };
-use std::time::Instant;
+use std::{
+    collections::BTreeMap,
+    time::Instant, //
+};
+
+/// Broken flows that are shown one by one.
+const SHOWN: usize = 20;
 
 impl Scenario {
     /// Reports one matter.
@@ -30,6 +40,8 @@
             "shed" => self.report_shed(),
             "refused" => self.report_refused(subject?),
             "feeds" => self.report_feeds(subject?),
+            "drained" => self.report_drained(subject?),
+            "held" => self.report_held(),
             _ => bail!("there is no report of {what}"),
         }
     }
@@ -49,6 +61,9 @@
         for (cause, count) in breaks.causes() {
             text += &format!("\n  {cause} {count}");
         }
+        for flow in breaks.broken.iter().take(SHOWN) {
+            text += &format!("\n    {}: {}", flow.upstream, flow.cause);
+        }
         Ok(text)
     }
 
@@ -100,24 +115,29 @@
         Ok(format!("wrong service {service}, wrong answer {answer}"))
     }
 
-    /// Packets into a zone from its quiet time on, until it was taken in again.
+    /// Packets into a zone from its quiet time on, until it was taken in again; their kinds follow.
     fn report_zone_packets(&mut self, zone: &str) -> anyhow::Result<String> {
         let fleet = self.fleet.as_ref().context("no fleet")?;
-        let mut packets = 0;
+        let mut packets: BTreeMap<String, usize> = BTreeMap::new();
         for outage in self.tally.outages.iter().filter(|one| one.zone == zone) {
             let quiet = outage.began + ZONE_QUIET_AFTER;
             let times = quiet..outage.ended.unwrap_or_else(Instant::now);
             let inside = fleet.upstreams().iter();
             let inside = inside.filter(|one| one.zone() == zone && one.service() == outage.service);
             for upstream in inside {
-                let arrivals = upstream.records().arrivals;
-                packets += arrivals
-                    .iter()
-                    .filter(|one| times.contains(&one.at))
-                    .count();
+                let arrivals = upstream.records().arrivals.into_iter();
+                let late = arrivals.filter(|one| times.contains(&one.at));
+                for arrival in late {
+                    let name = format!("{:?} to {}", arrival.kind, upstream.name());
+                    *packets.entry(name).or_default() += 1;
+                }
             }
         }
-        Ok(format!("packets {packets}"))
+        let mut text = format!("packets {}", packets.values().sum::<usize>());
+        for (name, count) in packets {
+            text += &format!("\n  {name} {count}");
+        }
+        Ok(text)
     }
 
     fn report_cold(&mut self) -> anyhow::Result<String> {
@@ -152,6 +172,24 @@
         Ok(format!("feeds begun {}", found.records().feeds))
     }
 
+    /// Requests that reached a draining upstream from its quiet time on, and the feeds it holds.
+    fn report_drained(&mut self, upstream: &str) -> anyhow::Result<String> {
+        let departures = self.tally.departures.iter();
+        let mut drains = departures.filter(|one| one.upstream == upstream);
+        let drain = drains.next_back().context("the upstream does not drain")?;
+        let quiet = drain.began + DRAINED_AFTER;
+        let fleet = self.fleet.as_ref().context("no fleet")?;
+        let found = fleet.upstream(upstream).context("unknown upstream")?;
+        let (requests, feeds) = (found.records().requests_after(quiet), found.feeds());
+        Ok(format!("requests {requests}, open feeds {feeds}"))
+    }
+
+    /// Feeds that all upstreams hold together.
+    fn report_held(&mut self) -> anyhow::Result<String> {
+        let held = self.fleet()?.upstreams().iter().map(Upstream::feeds);
+        Ok(format!("feeds held {}", held.sum::<usize>()))
+    }
+
     fn counts(&self) -> Counts {
         let mut counts = self.tally.counts;
         let callers = self.callers.values().flatten().map(|one| one.counts());
