Let a late registration find its moved feed, and send nothing into a zone that went out in a pause

A copy of a registration that came later than 2 s after its feed had moved opened a feed at yet another upstream, for good. Candidates of a feed are now ranked by its caller and token (weighted rendezvous, placement.rs), so that a copy asks the same upstreams, and the one that has the feed takes it as a renewal. Ruled out: a longer lease for dropped copies, which would leave a caller whose move was lost without its feed for as long. A daemon that woke probed upstreams by its old documents, and refused queued notifications of feeds that had ended, into a zone that was long out. Probes now wait for the fence; a reset or acknowledgement is sent only to a zone that is in service or went out less than 3 s ago and not in a pause.

A request that a script's `get` leaves without an answer is shown with its upstream.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -230,6 +230,7 @@
         }
         ControlEvent::Synced => {
             path.audit.record(AuditEvent::FleetRejoined);
+            path.rejoined.set(Instant::now());
             path.claim_again();
         }
     }
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -49,7 +49,7 @@
         let Ok(rsp) = Datagram::parse(buf) else {
             return;
         };
-        if rsp.kind() == Kind::Con {
+        if rsp.kind() == Kind::Con && self.takes_packets(up) {
             let ack = Datagram::reset(rsp.message_id()).with_kind(Kind::Ack);
             let _ = up.socket().send(&ack.to_bytes());
         }
@@ -57,6 +57,10 @@
         match up.on_datagram(rsp) {
             Arrival::Notification(token, rsp) => self.on_notification(up, token, rsp),
             Arrival::Late => self.metrics.late_answers.inc(),
+            Arrival::Stray(message_id) => {
+                self.metrics.late_answers.inc();
+                self.refuse_stray(up, message_id);
+            }
             Arrival::Handled => {}
         }
         if restarted {
@@ -65,6 +69,14 @@
         }
     }
 
+    /// Ends a feed at the upstream that is not held here, unless its zone may get no packets.
+    fn refuse_stray(&self, up: &Upstream, message_id: u16) {
+        if self.takes_packets(up) {
+            let reset = Datagram::reset(message_id);
+            let _ = up.socket().send(&reset.to_bytes());
+        }
+    }
+
     fn on_upstream_refused(self: &Rc<Self>, up: &Rc<Upstream>) {
         up.on_refused();
     }
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -13,7 +13,10 @@
             REGISTER, //
         },
         service::Service,
-        upstream::Upstream, //
+        upstream::{
+            CallerToken,
+            Upstream, //
+        },
     },
     metrics::RequestOutcome,
 };
@@ -42,10 +45,16 @@
     pub fn open(self: &Rc<Self>, arrived: &Arrived<'_>, confirmed: bool) {
         let reachable = |zone: &str| self.is_reachable(zone);
         let view = self.control.members().view_version();
-        let candidates = arrived.service.draw(view, reachable, &mut rand::rng());
+        let service = arrived.service;
+        let candidates = if is_registration(arrived.req) {
+            let feed = CallerToken::of(arrived.caller, arrived.req).hash_value();
+            service.rank(view, reachable, feed)
+        } else {
+            service.draw(view, reachable, &mut rand::rng())
+        };
         let open = Open {
             caller: arrived.caller,
-            service: arrived.service.hash,
+            service: service.hash,
             candidates: candidates.to_vec(),
             next: 0,
             confirmed,
@@ -53,7 +62,7 @@
             offers: Vec::new(),
             datagram: arrived.buf.to_vec(),
         };
-        self.offer(arrived.service, open);
+        self.offer(service, open);
     }
 
     /// Asks the next candidate that has an owner; without one a candidate is chosen.
@@ -95,6 +104,9 @@
             }
             return;
         };
+        if feed && self.renew_feed(&service, &up, name, &open, &req) {
+            return;
+        }
         let now = Instant::now();
         let entry = Entry {
             deadline: service.deadline(&req, now),
@@ -223,6 +235,39 @@
         self.begin(job);
     }
 
+    /// Serves a copy of a feed's registration where the feed is held already; false when it is not.
+    fn renew_feed(
+        self: &Rc<Self>,
+        service: &Rc<Service>,
+        up: &Rc<Upstream>,
+        name: u32,
+        open: &Open,
+        req: &Datagram,
+    ) -> bool {
+        let key = CallerToken::of(open.caller, req);
+        let feeds = up.feeds.borrow();
+        let token = feeds.token(&key).filter(|_| open.confirmed);
+        let Some(feed) = token.and_then(|token| feeds.get(token)) else {
+            return false;
+        };
+        let flow = feed.flow;
+        drop(feeds);
+        if !up.in_progress.borrow_mut().insert(key) {
+            self.metrics.copies_joined.inc();
+            return true;
+        }
+        self.begin(Job {
+            deadline: service.deadline(req, Instant::now()),
+            up: Rc::clone(up),
+            service: Rc::clone(service),
+            flow,
+            name,
+            caller: open.caller,
+            req: req.clone(),
+        });
+        true
+    }
+
     fn refuse_open(&self, service: &Service, open: &Open, after: Duration) {
         let Ok(req) = Datagram::parse(&open.datagram) else {
             return;
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -106,6 +106,8 @@
     /// Set once the daemon stops.
     pub stopping: Cell<bool>,
     started: Instant,
+    /// When this daemon last synced after its start or a pause.
+    pub rejoined: Cell<Instant>,
     /// When upkeep last looked at all services.
     pub full_round: Cell<Instant>,
     ready: Cell<bool>,
@@ -155,6 +157,7 @@
             handed_over: RefCell::default(),
             stopping: Cell::new(false),
             started: Instant::now(),
+            rejoined: Cell::new(Instant::now()),
             full_round: Cell::new(Instant::now()),
             ready: Cell::new(false),
             early: RefCell::default(),
--- a/crates/daemon/src/data/probe.rs
+++ b/crates/daemon/src/data/probe.rs
@@ -2,6 +2,7 @@
 
 use crate::data::{
     path::DataPath,
+    service::Service,
     upstream::Upstream, //
 };
 use foxtailhinge_policy::health::EndpointReport;
@@ -24,6 +25,9 @@
 /// Time that a probe waits for its answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which feeds are still ended at upstreams whose zone went out of service.
+const LEAVE: Duration = Duration::from_secs(3);
+
 /// What an upstream's health endpoint says.
 #[derive(Debug, Deserialize)]
 struct HealthBody {
@@ -34,7 +38,9 @@
     /// Probes an upstream that has not answered a request for a while.
     pub fn probe_quiet(self: &Rc<Self>, up: &Rc<Upstream>, now: Instant) {
         let quiet = now.saturating_duration_since(up.last_answer()) >= QUIET;
-        if !quiet || !self.is_in_service(up) || !up.begin_probe() {
+        // After a pause the documents may be old, by which a zone looks in service.
+        let known = self.control.admits(now);
+        if !quiet || !known || !self.is_in_service(up) || !up.begin_probe() {
             return;
         }
         let up = Rc::clone(up);
@@ -54,10 +60,25 @@
 impl DataPath {
     /// Whether any service that names the upstream has its zone in service.
     fn is_in_service(&self, up: &Upstream) -> bool {
+        self.any_service(up, |service| service.zone_in_service(up.zone()))
+    }
+
+    /// Whether the upstream may be sent what concerns no request: its zone is in service, or went out just now and
+    /// not in a pause of this daemon.
+    pub fn takes_packets(&self, up: &Upstream) -> bool {
+        let now = Instant::now();
+        let awake = now.saturating_duration_since(self.rejoined.get());
+        let open = |service: &Service| {
+            let out = service.zone_out_for(up.zone(), now);
+            out.is_none_or(|time| time < LEAVE.min(awake))
+        };
+        self.control.admits(now) && self.any_service(up, open)
+    }
+
+    fn any_service(&self, up: &Upstream, is_so: impl Fn(&Service) -> bool) -> bool {
         self.services.borrow().values().any(|service| {
-            let named = service.upstreams();
-            let mut here = named.filter(|(_, named)| named.spec.address == up.addr());
-            service.zone_in_service(up.zone()) && here.next().is_some()
+            let mut named = service.upstreams();
+            is_so(service) && named.any(|(_, named)| named.spec.address == up.addr())
         })
     }
 }
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -286,16 +286,36 @@
         rng: &mut impl Rng,
     ) -> SmallVec<[u32; 4]> {
         let mut draw = self.draw.borrow_mut();
+        self.refresh(&mut draw, view, reachable);
+        let point = draw.sequence.next_point();
+        let drawn = draw.placement.draw_at(point, CANDIDATES, rng);
+        drawn.into_iter().map(|at| self.hash_at(at)).collect()
+    }
+
+    /// Candidate upstreams for a feed, by hash of their names: the same ones for each copy of its registration, so
+    /// that a late one finds the upstream that has the feed.
+    pub fn rank(
+        &self,
+        view: u64,
+        reachable: impl Fn(&str) -> bool,
+        feed: u64,
+    ) -> SmallVec<[u32; 4]> {
+        let mut draw = self.draw.borrow_mut();
+        self.refresh(&mut draw, view, reachable);
+        let name = |at| u64::from(self.hash_at(at));
+        let ranked = draw.placement.rank(feed, CANDIDATES, name);
+        ranked.into_iter().map(|at| self.hash_at(at)).collect()
+    }
+
+    fn refresh(&self, draw: &mut Draw, view: u64, reachable: impl Fn(&str) -> bool) {
         if draw.view != Some(view) {
             draw.placement = Placement::new(self.weights(reachable));
             draw.view = Some(view);
         }
-        let point = draw.sequence.next_point();
-        draw.placement
-            .draw_at(point, CANDIDATES, rng)
-            .into_iter()
-            .map(|at| name_hash(&self.doc.upstreams[at].name))
-            .collect()
+    }
+
+    fn hash_at(&self, at: usize) -> u32 {
+        name_hash(&self.doc.upstreams[at].name)
     }
 
     fn weights<'a>(
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -36,6 +36,11 @@
         HashMap,
         HashSet, //
     },
+    hash::{
+        DefaultHasher,
+        Hash,
+        Hasher, //
+    },
     io,
     net::SocketAddr,
     rc::Rc,
@@ -90,6 +95,13 @@
             token: SmallVec::from_slice(req.token()),
         }
     }
+
+    /// A hash that is the same on all daemons.
+    pub fn hash_value(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
 }
 
 /// Why a request got no slot; it was not sent.
@@ -117,6 +129,8 @@
     Notification(UpstreamToken, Datagram),
     /// An answer that nobody waits for any more.
     Late,
+    /// A notification with this message id of a feed that is not held.
+    Stray(u16),
     /// Nothing that concerns others.
     Handled,
 }
@@ -422,11 +436,10 @@
                 Arrival::Late
             };
         }
-        if rsp.observe().is_some() {
-            let reset = Datagram::reset(rsp.message_id());
-            let _ = self.socket.send(&reset.to_bytes());
+        match rsp.observe() {
+            Some(_) => Arrival::Stray(rsp.message_id()),
+            None => Arrival::Late,
         }
-        Arrival::Late
     }
 
     fn on_answer(&self, pending: Pending, rsp: Datagram) -> Arrival {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,6 +3,7 @@
 //! The ingress draws a few distinct upstreams by capacity weight; their owners decide, by exact
 //! counts, which of them takes the flow.
 
+use crate::rendezvous::mix;
 use rand::Rng;
 use smallvec::SmallVec;
 
@@ -100,6 +101,21 @@
         found
     }
 
+    /// Chooses up to `n` distinct upstreams by weight for `key`, always the same ones; `name` gives the hash of
+    /// an upstream's name.
+    ///
+    /// A change of other upstreams' weights leaves the order of the rest as it was. Takes O(n) of all upstreams,
+    /// where [`Placement::draw`] takes O(log n).
+    pub fn rank(&self, key: u64, n: usize, name: impl Fn(usize) -> u64) -> SmallVec<[usize; 4]> {
+        let weighted = self.weights.iter().enumerate();
+        let eligible = weighted.filter(|(_, weight)| **weight > 0);
+        let mut ranked: Vec<(f64, usize)> = eligible
+            .map(|(index, weight)| (arrival(mix(key ^ mix(name(index))), *weight), index))
+            .collect();
+        ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        ranked.iter().take(n).map(|(_, index)| *index).collect()
+    }
+
     /// Index whose interval of the cumulative weights holds `offset`, and that interval's start.
     fn find(&self, offset: u64) -> (usize, u64) {
         let mut index = 0;
@@ -144,6 +160,12 @@
     }
 }
 
+/// An exponential variate of rate `weight`: the least of several belongs to one by its weight.
+fn arrival(hash: u64, weight: u64) -> f64 {
+    let uniform = ((hash >> 11) + 1) as f64 / (1_u64 << 53) as f64;
+    -uniform.ln() / weight as f64
+}
+
 fn units(weight: f64) -> u64 {
     if !weight.is_finite() || weight <= 0.0 {
         return 0;
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -112,3 +112,24 @@
         .draw(3, &mut SmallRng::seed_from_u64(1))
         .is_empty());
 }
+
+/// The ranking follows the weights over many keys, and a change elsewhere moves no key.
+#[test]
+fn ranks_by_weight_and_key() {
+    let name = |index: usize| index as u64;
+    let placement = Placement::new([4.0, 0.0, 2.0, 2.0]);
+    let mut without_last = placement.clone();
+    without_last.set_weight(3, 0.0);
+    let mut first = [0_u32; 4];
+    for key in 0..u64::from(DRAWS) {
+        let ranked = placement.rank(key, 3, name);
+        assert_eq!(ranked.len(), 3);
+        first[ranked[0]] += 1;
+        let rest: Vec<_> = ranked.into_iter().filter(|at| *at != 3).collect();
+        assert_eq!(without_last.rank(key, 3, name)[..], rest[..]);
+    }
+    for (count, share) in first.into_iter().zip([0.5, 0.0, 0.25, 0.25]) {
+        let off = f64::from(count) / f64::from(DRAWS) - share;
+        assert!(off.abs() < 0.01, "{first:?}");
+    }
+}
--- a/crates/standins/src/scenario/errand.rs
+++ b/crates/standins/src/scenario/errand.rs
@@ -102,5 +102,16 @@
     if refused > 0 {
         text += &format!(", refused for good {refused}");
     }
+    for sample in samples.iter().filter(|one| one.outcome == "timed out") {
+        text += &lost(sample);
+    }
     text
 }
+
+/// One line on a request without a known outcome.
+pub(super) fn lost(sample: &Sample) -> String {
+    let method = if sample.post.is_some() { "POST" } else { "GET" };
+    let upstream = sample.upstream.as_deref().unwrap_or("no upstream yet");
+    let (outcome, took) = (sample.outcome, sample.took);
+    format!("\n  {method} to {upstream}: {outcome} after {took:.1?}")
+}
--- a/crates/standins/src/scenario/report.rs
+++ b/crates/standins/src/scenario/report.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     caller::Counts,
-    load::Sample,
     scenario::{
         act::{
             DRAINED_AFTER,
             ZONE_QUIET_AFTER, //
         },
+        errand::lost,
         tally::runs,
         Scenario, //
     },
@@ -198,10 +198,3 @@
         counts
     }
 }
-
-fn lost(sample: &Sample) -> String {
-    let method = if sample.post.is_some() { "POST" } else { "GET" };
-    let upstream = sample.upstream.as_deref().unwrap_or("no upstream yet");
-    let (outcome, took) = (sample.outcome, sample.took);
-    format!("\n  {method} to {upstream}: {outcome} after {took:.1?}")
-}
