Go around an owner that one daemon cannot reach

Cause, by a trace of all packets of these requests: each of the four copies came by chance to the daemon that was cut off from the owner. By the word of the other daemons the owner lives, so it was sent to directly, for nothing.

Ruled out: lost or refused answers, the ledger, the fence (no packet reached the owner, and requests_dropped counted none).

Change: a request for an owner that missed a direct probe and was not heard since, but lives by the word of others, is also sent by way of another live daemon, which passes it to the owner. Copies run once, as ever. foxtailhinge_relay_around_total counts them.

An Open is not sent around: its copy draws other candidates.

--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -264,6 +264,19 @@
         self.metrics.relay_sent.inc();
         self.prober().on_use(to);
         self.send_to(name_hash(&to.vm), to.relay, &msg);
+        if matches!(msg, RelayMessage::Forward(_)) {
+            self.send_around(to, &msg);
+        }
+    }
+
+    /// Sends a request by another daemon too when its owner is silent here and live by the word of others.
+    ///
+    /// Its copies run once, so that it does no harm when both arrive.
+    fn send_around(&self, to: &Member, msg: &RelayMessage) {
+        if let Some(other) = self.prober().way_around(to) {
+            self.metrics.relay_around.inc();
+            self.send_to(name_hash(&other.vm), other.relay, msg);
+        }
     }
 
     /// Takes in a message of a daemon.
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -22,7 +22,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     net::SocketAddr,
     rc::Rc,
     time::Instant, //
@@ -62,6 +65,8 @@
     next_seq: Cell<u32>,
     last_expiry: Cell<Instant>,
     heard: RefCell<HashMap<u32, Instant>>,
+    /// Members that missed a direct probe and were not heard since.
+    silent: RefCell<HashSet<u32>>,
     use_probes: Cell<u32>,
     pending: RefCell<HashMap<u32, Pending>>,
     on_behalf: RefCell<HashMap<u32, OnBehalf>>,
@@ -74,6 +79,7 @@
             next_seq: Cell::new(control.settings().incarnation),
             last_expiry: Cell::new(Instant::now()),
             heard: RefCell::default(),
+            silent: RefCell::default(),
             use_probes: Cell::new(control.settings().limits.use_probes),
             control,
             sender,
@@ -137,6 +143,21 @@
     /// Notes that a daemon was heard of.
     pub fn on_heard(&self, from: u32) {
         self.heard.borrow_mut().insert(from, Instant::now());
+        self.silent.borrow_mut().remove(&from);
+    }
+
+    /// A live member by which a silent one may still be reached; nothing when `to` is not silent.
+    pub fn way_around(&self, to: &Member) -> Option<Member> {
+        let silent = self.silent.borrow();
+        if !silent.contains(&name_hash(&to.vm)) {
+            return None;
+        }
+        let members = self.control.members();
+        let others = members.iter().skip(1).filter(|member| {
+            let heard = !silent.contains(&name_hash(&member.vm));
+            heard && member.vm != to.vm && member.state == MemberState::Alive
+        });
+        others.choose(&mut *self.control.rng()).cloned()
     }
 
     /// Sends one round of probes.
@@ -146,6 +167,8 @@
         self.use_probes.set(limits.use_probes);
         self.heard.borrow_mut().retain(|_, at| at.elapsed() < fresh);
         let mut members = self.control.members_mut();
+        let known = |vm: &u32| members.by_hash(*vm).is_some_and(Member::is_live);
+        self.silent.borrow_mut().retain(known);
         let targets = members.probe_targets(&mut *self.control.rng());
         drop(members);
         for target in targets {
@@ -213,6 +236,7 @@
 
     fn miss(&self, vm: &str, now: Instant) {
         count(&self.control.counters().probes_missed, 1);
+        self.silent.borrow_mut().insert(name_hash(vm));
         let change = self.control.members_mut().on_missed(vm, now);
         self.control.notify_member(change);
         if !self.control.members().is_doubted(vm) {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -265,6 +265,8 @@
     pub bounces: IntCounter,
     /// Datagrams relayed to another daemon.
     pub relay_sent: IntCounter,
+    /// Requests sent by another daemon too, since their owner is silent.
+    pub relay_around: IntCounter,
     /// Datagrams relayed from another daemon.
     pub relay_received: IntCounter,
     /// Answers of upstreams that came too late.
@@ -345,6 +347,11 @@
                 "foxtailhinge_relay_sent_total",
                 "Datagrams relayed to another daemon.",
             ),
+            relay_around: counter(
+                r,
+                "foxtailhinge_relay_around_total",
+                "Requests sent by another daemon too, since their owner is silent.",
+            ),
             relay_received: counter(
                 r,
                 "foxtailhinge_relay_received_total",
