Give the memory of a service as it is now, with all VMs listed and after changes

Change: the benchmark of services has two more tables: 7,300 services with 2,400 VMs listed (`-- full`), and all documents of 2,000 services replaced five times (`-- churn`).

--- a/crates/daemon/benches/services/main.rs
+++ b/crates/daemon/benches/services/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Run with `cargo bench -p foxtailhinge --bench services`. A platform stand-in publishes the documents,
 //! each with two upstreams; the daemon is a real process, read through `/proc`. With `-- parts` only the
-//! memory of one service is broken down, within this process; with `-- services` only the services are run.
+//! memory of one service is broken down, within this process; with `-- services`, `-- full`, `-- churn` or `-- owned` only
+//! that table is run.
 
 #[path = "../common/mod.rs"]
 mod common;
@@ -16,7 +17,11 @@
     serve,
     us, //
 };
-use foxtailhinge_standins::platform::Platform;
+use foxtailhinge_standins::platform::{
+    Platform,
+    Vm,
+    VmState, //
+};
 use std::{
     fs,
     net::{
@@ -44,11 +49,19 @@
 const SERVICES: [usize; 4] = [1, 500, 2_000, 7_300];
 const OWNED: [usize; 4] = [0, 25, 50, 100];
 const CHANGES: u32 = 20;
+/// VMs and zones at the size to design for.
+const VMS: usize = 2_400;
+const ZONES: usize = 7;
+/// Services whose documents are all replaced, and how often.
+const CHURNED: usize = 2_000;
+const ROUNDS: u32 = 5;
 const CALM: Duration = Duration::from_secs(5);
 const GIVE_UP: Duration = Duration::from_secs(150);
 const STEP: Duration = Duration::from_millis(20);
-/// Loopback block of the breakdown.
+/// Loopback blocks of the breakdown, of the changes, and of all at once.
 const PARTS_BLOCK: u8 = 20;
+const CHURN_BLOCK: u8 = 21;
+const FULL_BLOCK: u8 = 22;
 const UPSTREAM_PORT: u16 = 5683;
 
 /// Loopback block of one daemon.
@@ -158,6 +171,12 @@
     platform.publish(&name(i), &text)
 }
 
+fn publish_all(platform: &Platform, n: usize, note: u32) {
+    for i in 0..n {
+        publish(platform, i, note);
+    }
+}
+
 fn calm_share(daemon: &Daemon) -> f64 {
     let before = daemon.cpu();
     thread::sleep(CALM);
@@ -166,15 +185,11 @@
 
 fn services(block: &Block, n: usize) {
     let platform = Platform::start(block.addr(250, 8080)).unwrap();
-    for i in 0..n {
-        publish(&platform, i, 0);
-    }
+    publish_all(&platform, n, 0);
     let daemon = Daemon::start(block, platform.addr());
     let took = daemon.wait(block, "foxtailhinge_documents_applied_total", n);
     let start = daemon.cpu();
-    let took = took.map_or(String::from("not all"), |took| {
-        format!("{:.2} s", took.as_secs_f64())
-    });
+    let took = seconds(took);
     thread::sleep(Duration::from_secs(4));
     let calm = calm_share(&daemon);
     let before = daemon.cpu();
@@ -194,6 +209,57 @@
     );
 }
 
+fn seconds(took: Option<Duration>) -> String {
+    took.map_or(String::from("not all"), |took| {
+        format!("{:.2} s", took.as_secs_f64())
+    })
+}
+
+/// VMs of seven zones that the platform lists; none but the daemon's own answers.
+fn listed(block: &Block, n: usize) -> Vec<Vm> {
+    let third = |i: usize| (i / 200) as u8;
+    let ip = |i: usize| Ipv4Addr::new(127, 200 + block.0 + 1, third(i), (i % 200) as u8 + 1);
+    let vm = |i: usize| Vm {
+        id: format!("vm-{i}"),
+        zone: format!("windhoek-{}", i % ZONES + 1),
+        relay: (ip(i), 7000).into(),
+        control: (ip(i), 7001).into(),
+        state: VmState::Live,
+    };
+    (0..n).filter(|i| *i != 1).map(vm).collect()
+}
+
+/// All services and the platform's whole list of VMs at once.
+fn full(block: &Block, n: usize, vms: usize) {
+    let platform = Platform::start(block.addr(250, 8080)).unwrap();
+    platform.set_vms(listed(block, vms));
+    publish_all(&platform, n, 0);
+    let daemon = Daemon::start(block, platform.addr());
+    let took = daemon.wait(block, "foxtailhinge_documents_applied_total", n);
+    thread::sleep(Duration::from_secs(4));
+    let calm = calm_share(&daemon);
+    println!(
+        "{n:>8} {vms:>8} {:>9} {} {:>7} {calm:>8.2} %",
+        seconds(took),
+        daemon.sizes(),
+        daemon.files(),
+    );
+}
+
+/// Replaces all documents a few times, as a year of changes does, and prints what that leaves in use.
+fn churn(block: &Block, n: usize) {
+    let platform = Platform::start(block.addr(250, 8080)).unwrap();
+    publish_all(&platform, n, 0);
+    let daemon = Daemon::start(block, platform.addr());
+    for round in 0..=ROUNDS {
+        let applied = n * (round as usize + 1);
+        let took = daemon.wait(block, "foxtailhinge_documents_applied_total", applied);
+        thread::sleep(Duration::from_secs(2));
+        println!("{round:>8} {:>9} {}", seconds(took), daemon.sizes());
+        publish_all(&platform, n, round + 1);
+    }
+}
+
 fn owned(block: &Block, n: usize) {
     let platform = Platform::start(block.addr(250, 8080)).unwrap();
     let upstreams: Vec<_> = (0..n)
@@ -226,6 +292,22 @@
         all_services();
         println!();
     }
+    if wants("full") {
+        println!(
+            "{:>8} {:>8} {:>9} {:>11} {:>11} {:>11} {:>7} {:>10}",
+            "services", "VMs", "in force", "resident", "mapped", "peak", "files", "calm"
+        );
+        full(&Block(FULL_BLOCK), SERVICES[3], VMS);
+        println!();
+    }
+    if wants("churn") {
+        println!(
+            "{:>8} {:>9} {:>11} {:>11} {:>11}",
+            "replaced", "in force", "resident", "mapped", "peak"
+        );
+        churn(&Block(CHURN_BLOCK), CHURNED);
+        println!();
+    }
     if wants("owned") {
         all_owned();
     }
