Switch mechanisms off in local_fleet by the documents, and say what each one pays

Cause: mechanisms were compared on and off by the placement benchmark only, not on daemon processes.

The claim, admission by the owner, the allowance and the moves have no such field. Hand-over bound and probes were not compared.

--- a/crates/standins/examples/local_fleet/main.rs
+++ b/crates/standins/examples/local_fleet/main.rs
@@ -3,7 +3,9 @@
 mod promises;
 mod run;
 mod table;
+mod without;
 
+use crate::without::Without;
 use bpaf::Bpaf;
 use foxtailhinge_standins::fleet::Deployment;
 use std::process::ExitCode;
@@ -26,6 +28,9 @@
     /// Deployment: kalahari or southern-cross
     #[bpaf(argument("NAME"), fallback(Deployment::Kalahari))]
     deployment: Deployment,
+    /// Mechanism to switch off by the documents: ramp, retries or queue
+    #[bpaf(argument("NAME"), optional)]
+    without: Option<Without>,
 }
 
 fn main() -> ExitCode {
--- a/crates/standins/examples/local_fleet/run.rs
+++ b/crates/standins/examples/local_fleet/run.rs
@@ -181,6 +181,9 @@
     println!("{FEEDS} feeds are open");
     let load = start_load(&mut fleet, options.seed)?;
     wait_warm(&fleet);
+    if let Some(without) = options.without {
+        println!("without: {without}");
+    }
     let run = Run {
         start: Instant::now(),
         length: Duration::from_secs(options.seconds),
@@ -192,12 +195,18 @@
 }
 
 fn start_fleet(options: &Options) -> anyhow::Result<Fleet> {
+    let without = options.without;
     Fleet::builder()
         .deployment(options.deployment)
         .daemons(DAEMONS)
         .seed(options.seed)
         .binary(std::env::current_exe()?)
         .args(&[DAEMON])
+        .edit(move |document| {
+            if let Some(without) = without {
+                without.edit(document);
+            }
+        })
         .tune(|spec| spec.service_time = ServiceTime::Exponential(SERVICE_TIME))
         .start()
 }
