Print the relay benchmark's ratios as medians of seven rounds

Change: seven rounds of 2 s instead of three of 3 s; at the end each path's rate over the bare relay's of the same round and the processor time of the busiest process, as median (lowest to highest).

--- a/crates/daemon/benches/relay/main.rs
+++ b/crates/daemon/benches/relay/main.rs
@@ -31,8 +31,8 @@
     time::Duration, //
 };
 
-const ROUND: Duration = Duration::from_secs(3);
-const ROUNDS: usize = 3;
+const ROUND: Duration = Duration::from_secs(2);
+const ROUNDS: usize = 7;
 const FLOWS: usize = 64;
 const DATAGRAM_MAX: usize = 2048;
 
@@ -86,14 +86,50 @@
     }
 }
 
-fn row(path: &str, answers: u64, cpu: &[(&str, Duration)]) {
+/// What one round gave for one path.
+#[derive(Clone, Copy)]
+struct Measured {
+    /// Answers a second.
+    rate: f64,
+    /// Processor time of the busiest process for each answer, in microseconds.
+    busiest: f64,
+}
+
+/// Prints what one round gave for one path.
+fn row(path: &str, answers: u64, cpu: &[(&str, Duration)]) -> Measured {
     let rate = answers as f64 / ROUND.as_secs_f64();
+    let busiest = cpu.iter().map(|(_, time)| us(*time)).fold(0.0, f64::max);
     let each = cpu.iter().map(|(role, time)| {
         let one = us(*time) / answers.max(1) as f64;
         format!("{role} {one:.2} us, at most {:.0}/s of one core", 1e6 / one)
     });
     let each: Vec<_> = each.collect();
     println!("{path:<34} {rate:>8.0}/s  {}", each.join("; "));
+    Measured {
+        rate,
+        busiest: busiest / answers.max(1) as f64,
+    }
+}
+
+/// Median, lowest and highest of some values.
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let (low, high) = (values[0], values[values.len() - 1]);
+    let median = values[values.len() / 2];
+    format!("{median:.2} ({low:.2} to {high:.2})")
+}
+
+/// Prints a path's rate over that of the bare relay in the same round, and its processor time.
+fn ratio(path: &str, bare: &[Measured], measured: &[Measured]) {
+    let rates = bare.iter().zip(measured).map(|(b, m)| m.rate / b.rate);
+    let shares = bare.iter().zip(measured).map(|(b, m)| b.busiest / m.busiest);
+    let busiest = measured.iter().map(|m| m.busiest);
+    println!(
+        "{path:<34} rate over bare {}, by processor time {}, us {}",
+        spread(rates.collect()),
+        spread(shares.collect()),
+        spread(busiest.collect()),
+    );
 }
 
 fn main() {
@@ -106,10 +142,12 @@
     let mut plain = Caller::new();
     let mut flows = caller.open(FLOWS, ingress, owner);
     println!("{FLOWS} requests in progress, {} s a row", ROUND.as_secs());
+    let (mut bares, mut relayed, mut owned) = (Vec::new(), Vec::new(), Vec::new());
     for _ in 0..ROUNDS {
         let before = cpu_of(thread);
         let answers = plain.press_plain(FLOWS, bare, ROUND);
-        row("bare relay", answers, &[("relay", cpu_of(thread) - before)]);
+        let cpu = [("relay", cpu_of(thread) - before)];
+        bares.push(row("bare relay", answers, &cpu));
 
         let before = pids.map(cpu_of);
         let answers = caller.press(&mut flows, ingress, ROUND);
@@ -118,12 +156,13 @@
             ("ingress", after[0] - before[0]),
             ("owner", after[1] - before[1]),
         ];
-        row("ingress, other daemon owns", answers, &cpu);
+        relayed.push(row("ingress, other daemon owns", answers, &cpu));
 
         let before = pids.map(cpu_of);
         let answers = caller.press(&mut flows, owner, ROUND);
         let after = pids.map(cpu_of);
-        row("ingress owns", answers, &[("daemon", after[1] - before[1])]);
+        let cpu = [("daemon", after[1] - before[1])];
+        owned.push(row("ingress owns", answers, &cpu));
 
         let before = pids.map(cpu_of);
         let answers = plain.press_plain(FLOWS, ingress, ROUND);
@@ -134,4 +173,7 @@
         ];
         row("new flows (opened, not confirmed)", answers, &cpu);
     }
+    ratio("bare relay", &bares, &bares);
+    ratio("ingress, other daemon owns", &bares, &relayed);
+    ratio("ingress owns", &bares, &owned);
 }
