Take name hashes, copies of the request and SipHash out of the path of a datagram

Ruled out: another tag of the caller's address (cheaper, but what tickets carry would change); another hash for maps whose keys a caller chooses (tokens of callers): these keep SipHash; a codec of our own for CoAP.

Change: the service's hash is handed to the opening of its tickets, the zone's is kept with the upstream, the caller's tag with the request. Flows, exchanges, feeds and services are looked up by a small hash without a secret; their keys are drawn here or come from documents and other daemons. Clones of a datagram share the message until one is changed; what goes to the upstream is built without the ticket instead of copied and stripped. The zone in a ticket is now that of the upstream as its owner holds it, no longer looked up in the document.

--- a/crates/daemon/benches/relay/main.rs
+++ b/crates/daemon/benches/relay/main.rs
@@ -122,7 +122,10 @@
 /// Prints a path's rate over that of the bare relay in the same round, and its processor time.
 fn ratio(path: &str, bare: &[Measured], measured: &[Measured]) {
     let rates = bare.iter().zip(measured).map(|(b, m)| m.rate / b.rate);
-    let shares = bare.iter().zip(measured).map(|(b, m)| b.busiest / m.busiest);
+    let shares = bare
+        .iter()
+        .zip(measured)
+        .map(|(b, m)| b.busiest / m.busiest);
     let busiest = measured.iter().map(|m| m.busiest);
     println!(
         "{path:<34} rate over bare {}, by processor time {}, us {}",
--- a/crates/daemon/src/data/feed.rs
+++ b/crates/daemon/src/data/feed.rs
@@ -1,8 +1,11 @@
 //! Feeds: observed resources (RFC 7641) that the owner keeps for callers.
 
-use crate::data::upstream::{
-    CallerToken,
-    UpstreamToken, //
+use crate::data::{
+    number_hash::NumberState,
+    upstream::{
+        CallerToken,
+        UpstreamToken, //
+    },
 };
 use foxtailhinge_wire::coap::Datagram;
 use std::{
@@ -147,7 +150,7 @@
 /// The feeds of one upstream.
 #[derive(Debug, Default)]
 pub struct Feeds {
-    feeds: HashMap<UpstreamToken, Feed>,
+    feeds: HashMap<UpstreamToken, Feed, NumberState>,
     tokens: HashMap<CallerToken, UpstreamToken>,
 }
 
--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/data/flow.rs
@@ -1,5 +1,6 @@
 //! Flows that an owner holds for one upstream.
 
+use crate::data::number_hash::NumberState;
 use foxtailhinge_policy::{
     ledger::FlowLedger,
     seconds::Seconds, //
@@ -111,9 +112,9 @@
     owner: u32,
     incarnation: u32,
     numbers: Rc<FlowNumbers>,
-    held: HashMap<u32, Flow>,
-    aliases: HashMap<FlowKey, Alias>,
-    opened: HashMap<u32, Instant>,
+    held: HashMap<u32, Flow, NumberState>,
+    aliases: HashMap<FlowKey, Alias, NumberState>,
+    opened: HashMap<u32, Instant, NumberState>,
 }
 
 impl Flows {
@@ -123,9 +124,9 @@
             owner,
             incarnation,
             numbers,
-            held: HashMap::new(),
-            aliases: HashMap::new(),
-            opened: HashMap::new(),
+            held: HashMap::default(),
+            aliases: HashMap::default(),
+            opened: HashMap::default(),
         }
     }
 
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/data/ingress.rs
@@ -113,7 +113,7 @@
             self.open(&arrived, false);
             return;
         };
-        match self.tickets.open(value, &service.name) {
+        match self.tickets.open_for(value, service.hash, &service.name) {
             Ok(ticket) => {
                 self.metrics.datagrams.inc(DatagramResult::Accepted);
                 self.route(&arrived, &ticket);
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -8,6 +8,7 @@
 pub mod ingress;
 pub mod load;
 pub mod notification;
+pub mod number_hash;
 pub mod opening;
 pub mod owner;
 pub mod path;
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -19,10 +19,13 @@
     },
     metrics::RequestOutcome, //
 };
-use foxtailhinge_wire::coap::{
-    Datagram,
-    Kind,
-    Status, //
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Kind,
+        Status, //
+    },
+    ticket::caller_tag, //
 };
 use std::{
     io,
@@ -96,6 +99,7 @@
             flow: feed.flow,
             name: feed.name,
             caller: feed.caller.caller,
+            caller_tag: caller_tag(feed.caller.caller),
             req: as_notified(&feed.request),
             deadline: Instant::now() + REGISTER_TIMEOUT,
         })
@@ -139,7 +143,7 @@
         let flow = flows.get_mut(feed.flow)?;
         let epoch = flow.ledger.epoch();
         let caller = feed.caller.caller;
-        Some(self.ticket(service, up, feed.name, key, caller, epoch))
+        Some(self.ticket(service, up, feed.name, key, caller_tag(caller), epoch))
     }
 
     /// Tells the callers of a service's feeds that their flows are given up.
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -28,6 +28,7 @@
         Open,
         RelayMessage, //
     },
+    ticket::caller_tag, //
 };
 use std::{
     rc::Rc,
@@ -185,7 +186,8 @@
             return;
         }
         let key = up.flows.borrow().name(flow);
-        let ticket = self.ticket(service, up, name, key, open.caller, EPOCH_FIRST);
+        let tag = caller_tag(open.caller);
+        let ticket = self.ticket(service, up, name, key, tag, EPOCH_FIRST);
         let rsp = Notice::Challenge(ticket).answer(&req, &service.ids);
         service.socket.send_to(&rsp.to_bytes(), open.caller);
     }
@@ -218,6 +220,7 @@
             flow,
             name,
             caller: open.caller,
+            caller_tag: caller_tag(open.caller),
             req,
             idempotent: true,
         };
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -80,12 +80,17 @@
     idempotent: bool,
     /// Whether the flow begins with this request.
     fresh: bool,
-    /// Whether the request comes from the address that the ticket was given to.
-    from_ticket_address: bool,
+    /// Tag of the caller's address.
+    caller_tag: u16,
     now: Instant,
 }
 
 impl FlowRequest<'_> {
+    /// Whether the request comes from the address that the ticket was given to.
+    fn is_from_ticket_address(&self) -> bool {
+        self.caller_tag == self.ticket.caller_tag
+    }
+
     fn start(&self) -> FlowStart {
         FlowStart {
             service: self.arrived.service.hash,
@@ -106,7 +111,7 @@
         };
         let Some(Ok(ticket)) = req
             .echo()
-            .map(|value| self.tickets.open(value, &service.name))
+            .map(|value| self.tickets.open_for(value, service.hash, &service.name))
         else {
             return;
         };
@@ -169,7 +174,7 @@
             up,
             idempotent: arrived.service.is_idempotent(arrived.req),
             fresh: matches!(found, Found::Opened { .. }),
-            from_ticket_address: caller_tag(arrived.caller) == ticket.caller_tag,
+            caller_tag: caller_tag(arrived.caller),
             now: Instant::now(),
         };
         let (flow, covered) = match found {
@@ -222,7 +227,7 @@
             if !entry.given_up {
                 entry.last_seen = Seconds::at(request.now);
             }
-            if request.from_ticket_address {
+            if request.is_from_ticket_address() {
                 entry.caller = request.arrived.caller;
             }
         }
@@ -255,7 +260,7 @@
             self.notify(arrived, Notice::GivenUp);
             return;
         }
-        if !request.from_ticket_address {
+        if !request.is_from_ticket_address() {
             // The ticket came from another address, which is not confirmed yet.
             if let Some(ticket) = self.renewed(request, flow) {
                 self.notify(arrived, Notice::Challenge(ticket));
@@ -300,7 +305,7 @@
         } else {
             Begin::Expired
         };
-        if !request.from_ticket_address {
+        if !request.is_from_ticket_address() {
             self.refuse_once_from_elsewhere(request, flow, &begin);
             return;
         }
@@ -375,6 +380,7 @@
             flow,
             name: request.ticket.upstream,
             caller: arrived.caller,
+            caller_tag: request.caller_tag,
             req: arrived.req.clone(),
             idempotent: request.idempotent,
         };
@@ -406,7 +412,7 @@
             request.up,
             request.ticket.upstream,
             key,
-            request.arrived.caller,
+            request.caller_tag,
             epoch,
         ))
     }
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -4,6 +4,7 @@
     audit::Audit,
     data::{
         flow::FlowNumbers,
+        number_hash::NumberState,
         owner::Holding,
         relay::Relay,
         service::Service,
@@ -28,9 +29,7 @@
         RelayMessage, //
     },
     ticket::{
-        caller_tag,
         name_hash,
-        zone_hash,
         Ticket,
         TicketKeys,
         TICKET_LEN, //
@@ -94,7 +93,7 @@
     /// Numbers of the flows opened here.
     pub numbers: Rc<FlowNumbers>,
     /// Services in force, by the hash of their names.
-    pub services: RefCell<HashMap<u32, Rc<Service>>>,
+    pub services: RefCell<HashMap<u32, Rc<Service>, NumberState>>,
     /// Upstreams that this daemon owns, by their address.
     pub upstreams: RefCell<HashMap<SocketAddr, Holding>>,
     /// Upstreams that were handed over and still have requests in progress here.
@@ -299,23 +298,20 @@
         up: &Upstream,
         name: u32,
         flow: FlowKey,
-        caller: SocketAddr,
+        caller_tag: u16,
         epoch: u32,
     ) -> [u8; TICKET_LEN] {
-        let zone = service
-            .upstream(name)
-            .map_or(0, |named| zone_hash(&named.spec.zone));
         let ticket = Ticket {
             warm: up.load().is_full(),
             service: service.hash,
             upstream: name,
             upstream_incarnation: up.incarnation().unwrap_or(0),
-            zone,
+            zone: up.zone_hash(),
             owner: flow.owner,
             owner_incarnation: flow.owner_incarnation,
             flow: flow.flow,
             epoch,
-            caller_tag: caller_tag(caller),
+            caller_tag,
         };
         self.tickets.seal(&ticket, &service.name)
     }
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -57,6 +57,8 @@
     pub name: u32,
     /// The caller.
     pub caller: SocketAddr,
+    /// Tag of the caller's address, as tickets carry it.
+    pub caller_tag: u16,
     /// The request as the caller sent it.
     pub req: Datagram,
     /// Whether running it twice has the effect of running it once.
@@ -222,9 +224,7 @@
 
     /// The request as the upstream gets it.
     fn outgoing(&self, job: &Job, token: UpstreamToken, left: Duration) -> Datagram {
-        let mut req = job.req.clone();
-        req.remove_echo();
-        req.set_token(&token.bytes());
+        let mut req = job.req.without_echo(&token.bytes());
         req.set_kind(Kind::Non);
         req.set_message_id(job.up.next_message_id());
         req.set_deadline(left);
@@ -374,7 +374,7 @@
         } else {
             flow.ledger.epoch()
         };
-        Some(self.ticket(&job.service, &job.up, job.name, key, job.caller, epoch))
+        Some(self.ticket(&job.service, &job.up, job.name, key, job.caller_tag, epoch))
     }
 
     /// Ends a flow that its caller has released.
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -8,6 +8,7 @@
             Load,
             Outcome, //
         },
+        number_hash::NumberState,
         socket::Socket, //
     },
     timer::Timer,
@@ -25,6 +26,7 @@
         Status, //
     },
     message::FinishedRun,
+    ticket::zone_hash, //
 };
 use local_sync::oneshot;
 use smallvec::SmallVec;
@@ -154,10 +156,11 @@
     addr: SocketAddr,
     key: Rc<str>,
     zone: Rc<str>,
+    zone_hash: u16,
     socket: Socket,
     load: RefCell<Load>,
     waiting: RefCell<WaitingList<oneshot::Sender<Slot>>>,
-    pending: RefCell<HashMap<UpstreamToken, Pending>>,
+    pending: RefCell<HashMap<UpstreamToken, Pending, NumberState>>,
     /// Given up exchanges whose tokens are in use again.
     replaced: RefCell<Vec<Pending>>,
     tokens: Cell<u64>,
@@ -191,6 +194,7 @@
         Ok(Rc::new(Upstream {
             addr,
             key: Rc::from(addr.to_string()),
+            zone_hash: zone_hash(&zone),
             zone,
             socket: Socket::connect(addr)?,
             load: RefCell::new(load),
@@ -229,6 +233,11 @@
         &self.zone
     }
 
+    /// Hash of the zone's name, as tickets carry it.
+    pub fn zone_hash(&self) -> u16 {
+        self.zone_hash
+    }
+
     /// Incarnation that the upstream last told.
     pub fn incarnation(&self) -> Option<u16> {
         self.incarnation.get()
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -11,6 +11,7 @@
 };
 use std::{
     collections::LinkedList,
+    rc::Rc,
     time::Duration, //
 };
 use thiserror::Error;
@@ -42,9 +43,6 @@
 /// Most options in one datagram.
 pub const OPTIONS_MAX: usize = 64;
 
-/// Room for a usual path, in bytes.
-const PATH_USUAL: usize = 64;
-
 /// How long a response without Max-Age is fresh.
 const MAX_AGE_DEFAULT: Duration = Duration::from_secs(60);
 
@@ -118,7 +116,8 @@
 /// One CoAP message; two are equal when they are written as the same bytes.
 #[derive(Clone, Debug)]
 pub struct Datagram {
-    packet: Packet,
+    /// Shared by clones until one of them is changed.
+    packet: Rc<Packet>,
 }
 
 impl PartialEq for Datagram {
@@ -138,7 +137,7 @@
     pub fn parse(buf: &[u8]) -> Result<Self, CoapError> {
         check(buf)?;
         let packet = Packet::from_bytes(buf).map_err(|_| CoapError::Format)?;
-        Ok(Self { packet })
+        Ok(Self::of(packet))
     }
 
     /// Writes the datagram.
@@ -156,7 +155,7 @@
         for segment in path.split('/').filter(|segment| !segment.is_empty()) {
             packet.add_option(CoapOption::UriPath, segment.as_bytes().to_vec());
         }
-        Self { packet }
+        Self::of(packet)
     }
 
     /// A response with the request's token: an acknowledgement of a confirmable request, which
@@ -164,7 +163,7 @@
     pub fn response_to(req: &Self, status: Status, message_id: u16) -> Self {
         let mut packet = Packet::new();
         packet.header.code = MessageClass::Response(status);
-        let mut res = Self { packet };
+        let mut res = Self::of(packet);
         res.set_token(req.token());
         res.address_to(req, message_id);
         res
@@ -176,7 +175,7 @@
         packet.header.set_type(MessageType::Reset);
         packet.header.code = MessageClass::Empty;
         packet.header.message_id = message_id;
-        Self { packet }
+        Self::of(packet)
     }
 
     /// Gives a response the type and message id that answer `req`; see [`Datagram::response_to`].
@@ -226,7 +225,7 @@
 
     /// Sets the type of the message.
     pub fn set_kind(&mut self, kind: Kind) {
-        self.packet.header.set_type(match kind {
+        self.packet_mut().header.set_type(match kind {
             Kind::Con => MessageType::Confirmable,
             Kind::Non => MessageType::NonConfirmable,
             Kind::Ack => MessageType::Acknowledgement,
@@ -241,7 +240,7 @@
 
     /// Sets the message id.
     pub fn set_message_id(&mut self, message_id: u16) {
-        self.packet.header.message_id = message_id;
+        self.packet_mut().header.message_id = message_id;
     }
 
     /// Token that ties a response to its request.
@@ -252,7 +251,7 @@
     /// Sets the token; one over [`TOKEN_MAX`] bytes is cut to this length.
     pub fn set_token(&mut self, token: &[u8]) {
         let len = token.len().min(TOKEN_MAX);
-        self.packet.set_token(token[..len].to_vec());
+        self.packet_mut().set_token(token[..len].to_vec());
     }
 
     /// Method of a request, `None` for anything else.
@@ -291,7 +290,8 @@
         let Some(segments) = self.packet.get_option(CoapOption::UriPath) else {
             return String::from("/");
         };
-        let mut path = String::with_capacity(PATH_USUAL);
+        let len = segments.iter().map(|segment| segment.len() + 1).sum();
+        let mut path = String::with_capacity(len);
         for segment in segments {
             path.push('/');
             push_encoded(&mut path, &String::from_utf8_lossy(segment));
@@ -311,7 +311,22 @@
 
     /// Removes the Echo option.
     pub fn remove_echo(&mut self) {
-        self.packet.clear_option(CoapOption::from(ECHO));
+        self.packet_mut().clear_option(CoapOption::from(ECHO));
+    }
+
+    /// The datagram with another token and without the Echo option; see [`Datagram::set_token`].
+    pub fn without_echo(&self, token: &[u8]) -> Self {
+        let mut packet = Packet::new();
+        packet.header = self.packet.header.clone();
+        packet.payload.clone_from(&self.packet.payload);
+        for (number, values) in self.packet.options() {
+            if *number != ECHO {
+                packet.set_option(CoapOption::from(*number), values.clone());
+            }
+        }
+        let mut datagram = Self::of(packet);
+        datagram.set_token(token);
+        datagram
     }
 
     /// Value of the Observe option (RFC 7641): 0 registers and 1 cancels in a request, a sequence
@@ -327,7 +342,7 @@
 
     /// Removes the Observe option.
     pub fn clear_observe(&mut self) {
-        self.packet.clear_option(CoapOption::Observe);
+        self.packet_mut().clear_option(CoapOption::Observe);
     }
 
     /// Time that remains for a request.
@@ -368,7 +383,7 @@
 
     /// Removes the incarnation of the upstream.
     pub fn clear_upstream_incarnation(&mut self) {
-        self.packet
+        self.packet_mut()
             .clear_option(CoapOption::from(UPSTREAM_INCARNATION));
     }
 
@@ -381,7 +396,7 @@
     /// Ends the flow with this request.
     pub fn set_release(&mut self) {
         let option = CoapOption::from(RELEASE);
-        self.packet
+        self.packet_mut()
             .set_option(option, LinkedList::from([Vec::new()]));
     }
 
@@ -412,7 +427,17 @@
 
     /// Sets the payload.
     pub fn set_payload(&mut self, payload: Vec<u8>) {
-        self.packet.payload = payload;
+        self.packet_mut().payload = payload;
+    }
+
+    fn of(packet: Packet) -> Self {
+        let packet = Rc::new(packet);
+        Self { packet }
+    }
+
+    /// The message to change, apart from its clones.
+    fn packet_mut(&mut self) -> &mut Packet {
+        Rc::make_mut(&mut self.packet)
     }
 
     fn first(&self, option: CoapOption) -> Option<&[u8]> {
@@ -421,7 +446,8 @@
     }
 
     fn set(&mut self, option: CoapOption, value: Vec<u8>) {
-        self.packet.set_option(option, LinkedList::from([value]));
+        self.packet_mut()
+            .set_option(option, LinkedList::from([value]));
     }
 
     fn uint(&self, option: CoapOption) -> Option<u32> {
--- a/crates/wire/src/ticket.rs
+++ b/crates/wire/src/ticket.rs
@@ -127,6 +127,20 @@
     ///
     /// A ticket of another service is told from its service hash, before its MAC is looked at.
     pub fn open(&self, buf: &[u8], service_name: &str) -> Result<Ticket, TicketError> {
+        self.open_for(buf, name_hash(service_name), service_name)
+    }
+
+    /// As [`TicketKeys::open`], with the hash of the service's name, which the caller keeps.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`TicketKeys::open`].
+    pub fn open_for(
+        &self,
+        buf: &[u8],
+        service_hash: u32,
+        service_name: &str,
+    ) -> Result<Ticket, TicketError> {
         let buf: &[u8; TICKET_LEN] = buf.try_into().map_err(|_| TicketError::Length)?;
         if buf[0] & VERSION_MASK != VERSION << 4 {
             return Err(TicketError::Version);
@@ -136,7 +150,7 @@
             .accepted(buf[0] & 0x0f)
             .ok_or(TicketError::UnknownKey)?;
         let ticket = read(buf);
-        if ticket.service != name_hash(service_name) {
+        if ticket.service != service_hash {
             return Err(TicketError::ForeignService);
         }
         let mac = mac(key, &buf[..BODY_LEN], service_name);
--- a/crates/wire/tests/coap.rs
+++ b/crates/wire/tests/coap.rs
@@ -50,6 +50,32 @@
     assert_eq!(req.payload(), b"track 7");
 }
 
+/// Clones share their message until one of them is changed.
+#[test]
+fn a_changed_clone_leaves_its_original() {
+    let original = post();
+    let written = original.to_bytes();
+    let mut changed = original.clone();
+    changed.set_token(&[9, 9]);
+    changed.set_kind(Kind::Non);
+    changed.set_message_id(7);
+    changed.set_deadline(Duration::from_secs(1));
+    changed.set_payload(Vec::new());
+    changed.remove_echo();
+    assert_eq!(original.to_bytes(), written);
+    assert_ne!(changed, original);
+}
+
+#[test]
+fn without_echo_keeps_everything_else() {
+    let original = post();
+    let mut expected = Datagram::parse(&original.to_bytes()).unwrap();
+    expected.set_token(&[9, 9]);
+    expected.remove_echo();
+    assert_eq!(original.without_echo(&[9, 9]), expected);
+    assert_eq!(original.echo().map(<[u8]>::len), Some(40));
+}
+
 #[test]
 fn option_accessors() {
     let mut d = feed();
