--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -3,10 +3,13 @@
 //! One task sleeps for all subscribers; due times are rounded up to [`GRAIN`], so that neighbours
 //! share a wake-up.
 
-use futures::future::{
-    poll_fn,
-    select,
-    Either, //
+use futures::{
+    future::{
+        poll_fn,
+        select,
+        Either, //
+    },
+    FutureExt,
 };
 use rand::{
     rngs::SmallRng,
@@ -116,14 +119,19 @@
     }
 
     /// Waits for `work`, but not beyond `due`; gives nothing when that time came first.
-    pub async fn timeout_at<F>(self: &Rc<Self>, due: Instant, work: F) -> Option<F::Output>
+    pub fn timeout_at<F>(
+        self: &Rc<Self>,
+        due: Instant,
+        work: F,
+    ) -> impl Future<Output = Option<F::Output>>
     where
         F: Future + Unpin,
     {
-        match select(work, self.sleep_until(due)).await {
+        // Combinators hold the work once, an async function twice.
+        select(work, self.sleep_until(due)).map(|ended| match ended {
             Either::Left((output, _)) => Some(output),
             Either::Right(_) => None,
-        }
+        })
     }
 
     /// How often the driving task woke somebody.
--- a/crates/daemon/tests/timer.rs
+++ b/crates/daemon/tests/timer.rs
@@ -5,7 +5,11 @@
     GRAIN, //
 };
 use futures::{
-    future::join_all,
+    future::{
+        join_all,
+        pending,
+        ready, //
+    },
     FutureExt, //
 };
 use monoio::{
@@ -123,3 +127,16 @@
         assert!(tick.late >= PERIOD);
     });
 }
+
+#[test]
+fn work_is_waited_for_until_its_time() {
+    block_on(async {
+        let timer = Timer::start();
+        let due = Instant::now() + PERIOD;
+        assert_eq!(timer.timeout_at(due, ready(7)).await, Some(7));
+        assert_eq!(timer.waiting(), 0);
+        assert_eq!(timer.timeout_at(due, pending::<u32>()).await, None);
+        assert!(Instant::now() >= due);
+        assert_eq!(timer.waiting(), 0);
+    });
+}
