--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -19,10 +19,13 @@
     },
     metrics::RequestOutcome, //
 };
-use foxtailhinge_wire::coap::{
-    Datagram,
-    Kind,
-    Status, //
+use foxtailhinge_wire::{
+    coap::{
+        Datagram,
+        Kind,
+        Status, //
+    },
+    ticket::caller_tag, //
 };
 use std::{
     io,
@@ -100,12 +103,15 @@
         let mut feeds = up.feeds.borrow_mut();
         let feed = feeds.get_mut(token)?;
         feed.reset();
+        let service = self.service(feed.service)?;
         Some(Job {
             up: Rc::clone(up),
-            service: self.service(feed.service)?,
+            idempotent: service.is_idempotent(&feed.request),
+            service,
             flow: feed.flow,
             name: feed.name,
             caller: feed.caller.caller,
+            caller_tag: caller_tag(feed.caller.caller),
             req: as_notified(&feed.request),
             deadline: Instant::now() + REGISTER_TIMEOUT,
         })
@@ -149,7 +155,7 @@
         let flow = flows.get_mut(feed.flow)?;
         let epoch = flow.ledger.epoch();
         let caller = feed.caller.caller;
-        Some(self.ticket(service, up, feed.name, key, caller, epoch))
+        Some(self.ticket(service, up, feed.name, key, caller_tag(caller), epoch))
     }
 
     /// Tells the callers of a service's feeds that their flows are given up.
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -31,6 +31,7 @@
         Open,
         RelayMessage, //
     },
+    ticket::caller_tag, //
 };
 use std::{
     rc::Rc,
@@ -197,7 +198,8 @@
             return;
         }
         let key = up.flows.borrow().name(flow);
-        let ticket = self.ticket(service, up, name, key, open.caller, EPOCH_FIRST);
+        let tag = caller_tag(open.caller);
+        let ticket = self.ticket(service, up, name, key, tag, EPOCH_FIRST);
         let rsp = Notice::Challenge(ticket).answer(&req, &service.ids);
         service.socket.send_to(&rsp.to_bytes(), open.caller);
     }
@@ -223,16 +225,7 @@
             caller: open.caller,
         };
         up.flows.borrow_mut().confirm(flow, start, now);
-        let job = Job {
-            deadline: service.deadline(&req, now),
-            up: Rc::clone(up),
-            service: Rc::clone(service),
-            flow,
-            name,
-            caller: open.caller,
-            req,
-        };
-        self.begin(job);
+        self.begin(job_of(service, up, name, flow, open, req));
     }
 
     /// Serves a copy of a feed's registration where the feed is held already; false when it is not.
@@ -256,15 +249,7 @@
             self.metrics.copies_joined.inc();
             return true;
         }
-        self.begin(Job {
-            deadline: service.deadline(req, Instant::now()),
-            up: Rc::clone(up),
-            service: Rc::clone(service),
-            flow,
-            name,
-            caller: open.caller,
-            req: req.clone(),
-        });
+        self.begin(job_of(service, up, name, flow, open, req.clone()));
         true
     }
 
@@ -278,6 +263,28 @@
     }
 }
 
+/// The idempotent request that a flow was opened with.
+fn job_of(
+    service: &Rc<Service>,
+    up: &Rc<Upstream>,
+    name: u32,
+    flow: u32,
+    open: &Open,
+    req: Datagram,
+) -> Job {
+    Job {
+        deadline: service.deadline(&req, Instant::now()),
+        up: Rc::clone(up),
+        service: Rc::clone(service),
+        flow,
+        name,
+        caller: open.caller,
+        caller_tag: caller_tag(open.caller),
+        req,
+        idempotent: true,
+    }
+}
+
 /// Whether the request registers for a feed.
 fn is_registration(req: &Datagram) -> bool {
     req.observe() == Some(REGISTER)
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -83,13 +83,15 @@
     idempotent: bool,
     /// Whether the flow begins with this request.
     fresh: bool,
+    /// Tag of the caller's address.
+    caller_tag: u16,
     now: Instant,
 }
 
 impl FlowRequest<'_> {
     /// Whether the request comes from the address that the ticket was given to.
     fn is_from_ticket_address(&self) -> bool {
-        caller_tag(self.arrived.caller) == self.ticket.caller_tag
+        self.caller_tag == self.ticket.caller_tag
     }
 
     fn start(&self) -> FlowStart {
@@ -112,46 +114,50 @@
             return foreign();
         };
         let ticket = req.echo();
-        let Some(Ok(ticket)) = ticket.map(|value| self.tickets.open(value, &service.name)) else {
+        let open = |value| self.tickets.open_for(value, service.hash, &service.name);
+        let Some(Ok(ticket)) = ticket.map(open) else {
             return foreign();
         };
-        let Some(addr) = service
-            .upstream(ticket.upstream)
-            .map(|named| named.spec.address)
-        else {
-            self.on_removed_upstream(&service, forward, &req);
+        let arrived = Arrived {
+            service: &service,
+            caller: forward.caller,
+            req: &req,
+            buf: &forward.datagram,
+            bounces: forward.bounces,
+        };
+        self.serve_ticket(&arrived, &ticket);
+    }
+
+    /// Serves a request if its upstream is held here; `ticket` is the request's own.
+    pub fn serve_ticket(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: &Ticket) {
+        let service = arrived.service;
+        let Some(named) = service.upstream(ticket.upstream) else {
+            // What must not run twice may have run at the upstream while the document named it.
+            self.give_up(arrived, service.is_idempotent(arrived.req));
             return;
         };
-        let held = match self.upstreams.borrow_mut().get_mut(&addr) {
+        let held = match self.upstreams.borrow_mut().get_mut(&named.spec.address) {
             Some(Holding::Held(up)) => Some(Rc::clone(up)),
             Some(claiming) => {
-                if !claiming.keep(RelayMessage::Forward(forward)) {
+                if !claiming.keep(RelayMessage::Forward(arrived.to_forward())) {
                     self.metrics.requests_dropped.inc(RequestDrop::Claiming);
                 }
                 return;
             }
             None => None,
         };
-        let arrived = Arrived {
-            service: &service,
-            caller: forward.caller,
-            req: &req,
-            buf: &forward.datagram,
-            bounces: forward.bounces,
-        };
         match held {
-            Some(up) => self.serve_flow(&arrived, ticket, &up),
-            None => self.bounce(arrived, &ticket),
+            Some(up) => self.serve_flow(arrived, *ticket, &up),
+            None => self.bounce(arrived, ticket),
         }
     }
 
     /// The upstream is not held here: its owner by this daemon's view gets the request.
-    fn bounce(self: &Rc<Self>, mut arrived: Arrived<'_>, ticket: &Ticket) {
+    fn bounce(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: &Ticket) {
         if arrived.bounces >= BOUNCES_MAX {
             self.metrics.requests_dropped.inc(RequestDrop::Bounced);
             return;
         }
-        arrived.bounces += 1;
         let Some(named) = arrived.service.upstream(ticket.upstream) else {
             return;
         };
@@ -159,29 +165,14 @@
         match owner.filter(|owner| !self.is_me(owner)) {
             Some(owner) => {
                 self.metrics.bounces.inc();
-                self.forward(&arrived, &owner);
+                let mut forward = arrived.to_forward();
+                forward.bounces += 1;
+                self.deliver(&owner, RelayMessage::Forward(forward));
             }
             None => self.metrics.requests_dropped.inc(RequestDrop::NotHeld),
         }
     }
 
-    /// A request that is not idempotent, for an upstream that is not in the document any more.
-    fn on_removed_upstream(
-        self: &Rc<Self>,
-        service: &Rc<Service>,
-        forward: Forward,
-        req: &Datagram,
-    ) {
-        let arrived = Arrived {
-            service,
-            caller: forward.caller,
-            req,
-            buf: &forward.datagram,
-            bounces: forward.bounces,
-        };
-        self.give_up(&arrived, service.is_idempotent(req));
-    }
-
     fn serve_flow(self: &Rc<Self>, arrived: &Arrived<'_>, ticket: Ticket, up: &Rc<Upstream>) {
         let found = up.flows.borrow().find(&ticket);
         let request = FlowRequest {
@@ -190,6 +181,7 @@
             up,
             idempotent: arrived.service.is_idempotent(arrived.req),
             fresh: matches!(found, Found::Opened { .. }),
+            caller_tag: caller_tag(arrived.caller),
             now: Instant::now(),
         };
         let (flow, covered) = match found {
@@ -409,7 +401,9 @@
             flow,
             name: request.ticket.upstream,
             caller: arrived.caller,
+            caller_tag: request.caller_tag,
             req: arrived.req.clone(),
+            idempotent: request.idempotent,
         };
         self.begin(job);
     }
@@ -439,7 +433,7 @@
             request.up,
             request.ticket.upstream,
             key,
-            request.arrived.caller,
+            request.caller_tag,
             epoch,
         ))
     }
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -4,6 +4,7 @@
     audit::Audit,
     data::{
         flow::FlowNumbers,
+        number_hash::NumberState,
         owner::Holding,
         relay::Relay,
         service::Service,
@@ -21,7 +22,8 @@
         Metrics,
         RequestDrop, //
     },
-    supervisor::Supervisor, //
+    supervisor::Supervisor,
+    timer::Timer, //
 };
 use foxtailhinge_policy::{members::Member, rendezvous::OwnerCache};
 use foxtailhinge_wire::{
@@ -30,9 +32,7 @@
         RelayMessage, //
     },
     ticket::{
-        caller_tag,
         name_hash,
-        zone_hash,
         Ticket,
         TicketKeys,
         TICKET_LEN, //
@@ -96,13 +96,15 @@
     /// Numbers of the flows opened here.
     pub numbers: Rc<FlowNumbers>,
     /// Services in force, by the hash of their names.
-    pub services: RefCell<HashMap<u32, Rc<Service>>>,
+    pub services: RefCell<HashMap<u32, Rc<Service>, NumberState>>,
     /// Upstreams that this daemon owns, by their address.
     pub upstreams: RefCell<HashMap<SocketAddr, Holding>>,
     /// Upstreams that were handed over and still have requests in progress here.
     pub handed_over: RefCell<HashMap<SocketAddr, Rc<Upstream>>>,
     /// Supervisor of the long-lived tasks of the data path.
     pub supervisor: Supervisor,
+    /// Timer service.
+    pub timer: Rc<Timer>,
     /// Set once the daemon stops.
     pub stopping: Cell<bool>,
     started: Instant,
@@ -133,6 +135,8 @@
     pub relay: Relay,
     /// Supervisor of the long-lived tasks of the data path.
     pub supervisor: Supervisor,
+    /// Timer service.
+    pub timer: Rc<Timer>,
 }
 
 impl DataPath {
@@ -151,6 +155,7 @@
             listen: parts.listen,
             relay: parts.relay,
             supervisor: parts.supervisor,
+            timer: parts.timer,
             numbers: Rc::default(),
             services: RefCell::default(),
             upstreams: RefCell::default(),
@@ -245,14 +250,16 @@
 
     /// Starts a task that ends by itself; a panic in it is logged and ends it alone.
     pub fn spawn(&self, name: &'static str, task: impl Future<Output = ()> + 'static) {
-        monoio::spawn(async move {
-            if let Err(panic) = AssertUnwindSafe(task).catch_unwind().await {
+        // Combinators hold the task once; an async block would hold it a second time while it waits for it.
+        let guarded = AssertUnwindSafe(task).catch_unwind();
+        monoio::spawn(guarded.map(move |res| {
+            if let Err(panic) = res {
                 Event::new("task_panicked")
                     .field("task", name)
                     .field("cause", panic_message(&*panic))
                     .error();
             }
-        });
+        }));
     }
 
     /// Gives a message to a daemon, which may be this one.
@@ -307,23 +314,20 @@
         up: &Upstream,
         name: u32,
         flow: FlowKey,
-        caller: SocketAddr,
+        caller_tag: u16,
         epoch: u32,
     ) -> [u8; TICKET_LEN] {
-        let zone = service
-            .upstream(name)
-            .map_or(0, |named| zone_hash(&named.spec.zone));
         let ticket = Ticket {
             warm: up.load().is_full(),
             service: service.hash,
             upstream: name,
             upstream_incarnation: up.incarnation().unwrap_or(0),
-            zone,
+            zone: up.zone_hash(),
             owner: flow.owner,
             owner_incarnation: flow.owner_incarnation,
             flow: flow.flow,
             epoch,
-            caller_tag: caller_tag(caller),
+            caller_tag,
         };
         self.tickets.seal(&ticket, &service.name)
     }
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -62,8 +62,12 @@
     pub name: u32,
     /// The caller.
     pub caller: SocketAddr,
+    /// Tag of the caller's address, as tickets carry it.
+    pub caller_tag: u16,
     /// The request as the caller sent it.
     pub req: Datagram,
+    /// Whether running it twice has the effect of running it once.
+    pub idempotent: bool,
     /// When the caller no longer waits.
     pub deadline: Instant,
 }
@@ -133,7 +137,7 @@
 
     /// Serves `job` to its end.
     pub async fn serve(self: &Rc<Self>, job: &Job) {
-        let idempotent = job.service.is_idempotent(&job.req);
+        let idempotent = job.idempotent;
         let token = self.upstream_token(job, idempotent);
         let unfinished = Unfinished {
             path: self,
@@ -158,7 +162,7 @@
         let mut unanswered = false;
         let mut sent = false;
         loop {
-            let slot = job.up.acquire(job.deadline, feed).await;
+            let slot = job.up.acquire(&self.timer, job.deadline, feed).await;
             let left = job.deadline.saturating_duration_since(Instant::now());
             let slot = match slot {
                 Ok(slot) if !left.is_zero() && !self.is_zone_out(job) => slot,
@@ -169,7 +173,8 @@
             self.note_sent(job);
             sent = true;
             let req = self.outgoing(job, token, left);
-            match job.up.exchange(slot, token, &req, timeout).await {
+            let exchange = job.up.exchange(&self.timer, slot, token, &req, timeout);
+            match exchange.await {
                 Ok(rsp) if rsp.status() == Some(Status::ServiceUnavailable) => {
                     if unanswered || !self.may_retry(job, SHED_PAUSE) {
                         return self.refused(job, unanswered);
@@ -177,7 +182,7 @@
                     if !self.was_answered(job) {
                         return Ending::ShedAtOnce(job.up.load_mut().come_back(Instant::now()));
                     }
-                    monoio::time::sleep(SHED_PAUSE).await;
+                    self.timer.sleep(SHED_PAUSE).await;
                 }
                 Ok(rsp) => return Ending::Answered(rsp),
                 Err(_) if !idempotent => return Ending::Unknown,
@@ -238,9 +243,7 @@
 
     /// The request as the upstream gets it.
     fn outgoing(&self, job: &Job, token: UpstreamToken, left: Duration) -> Datagram {
-        let mut req = job.req.clone();
-        req.remove_echo();
-        req.set_token(&token.bytes());
+        let mut req = job.req.without_echo(&token.bytes());
         req.set_kind(Kind::Non);
         req.set_message_id(job.up.next_message_id());
         req.set_deadline(left);
@@ -365,7 +368,7 @@
         if let Some(flow) = job.up.flows.borrow_mut().get_mut(job.flow) {
             flow.answered = true;
         }
-        let once = !job.service.is_idempotent(&job.req);
+        let once = !job.idempotent;
         rsp.clear_upstream_incarnation();
         rsp.set_token(job.req.token());
         rsp.address_to(&job.req, job.service.ids.next());
@@ -398,7 +401,7 @@
         } else {
             flow.ledger.epoch()
         };
-        Some(self.ticket(&job.service, &job.up, job.name, key, job.caller, epoch))
+        Some(self.ticket(&job.service, &job.up, job.name, key, job.caller_tag, epoch))
     }
 
     /// Ends a flow that its caller has released.
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/data/upstream.rs
@@ -1,13 +1,17 @@
 //! One upstream that this daemon owns: its slots, its exchanges, its flows and its feeds.
 
-use crate::data::{
-    feed::Feeds,
-    flow::Flows,
-    load::{
-        Load,
-        Outcome, //
+use crate::{
+    data::{
+        feed::Feeds,
+        flow::Flows,
+        load::{
+            Load,
+            Outcome, //
+        },
+        number_hash::NumberState,
+        socket::Socket, //
     },
-    socket::Socket, //
+    timer::Timer,
 };
 use foxtailhinge_config::report::UpstreamState;
 use foxtailhinge_policy::admission::{
@@ -22,6 +26,7 @@
         Status, //
     },
     message::FinishedRun,
+    ticket::zone_hash, //
 };
 use local_sync::oneshot;
 use smallvec::SmallVec;
@@ -174,10 +179,11 @@
     addr: SocketAddr,
     key: Rc<str>,
     zone: Rc<str>,
+    zone_hash: u16,
     socket: Socket,
     load: RefCell<Load>,
     waiting: RefCell<WaitingList<oneshot::Sender<Slot>>>,
-    pending: RefCell<HashMap<UpstreamToken, Pending>>,
+    pending: RefCell<HashMap<UpstreamToken, Pending, NumberState>>,
     /// Given up exchanges whose tokens are in use again.
     replaced: RefCell<Vec<Pending>>,
     tokens: Cell<u64>,
@@ -211,6 +217,7 @@
         Ok(Rc::new(Upstream {
             addr,
             key: Rc::from(addr.to_string()),
+            zone_hash: zone_hash(&zone),
             zone,
             socket: Socket::connect(addr)?,
             load: RefCell::new(load),
@@ -249,6 +256,11 @@
         &self.zone
     }
 
+    /// Hash of the zone's name, as tickets carry it.
+    pub fn zone_hash(&self) -> u16 {
+        self.zone_hash
+    }
+
     /// Incarnation that the upstream last told.
     pub fn incarnation(&self) -> Option<u16> {
         self.incarnation.get()
@@ -300,6 +312,7 @@
     /// Why the request was not let through; it was not run.
     pub async fn acquire(
         self: &Rc<Self>,
+        timer: &Rc<Timer>,
         deadline: Instant,
         feed: bool,
     ) -> Result<Slot, SlotError> {
@@ -316,12 +329,10 @@
         let (tx, rx) = oneshot::channel();
         let latest = self.load().admission().latest_start(deadline);
         self.waiting.borrow_mut().push(latest, tx);
-        let left = latest.saturating_duration_since(now);
-        let slot = monoio::time::timeout(left, rx).await;
-        match slot {
+        match timer.timeout_at(latest, rx).await {
             // A slot given just before the hand-over goes back, to be used by the next owner.
             _ if self.is_handed_over() => Err(SlotError::HandedOver),
-            Ok(Ok(slot)) => Ok(slot),
+            Some(Ok(slot)) => Ok(slot),
             _ => {
                 self.promote(Instant::now());
                 Err(SlotError::Refused(Refusal::Deadline))
@@ -356,12 +367,14 @@
     /// Why no answer came; unless the request is idempotent its outcome is then unknown.
     pub async fn exchange(
         &self,
+        timer: &Rc<Timer>,
         slot: Slot,
         token: UpstreamToken,
         req: &Datagram,
         timeout: Duration,
     ) -> Result<Datagram, ExchangeError> {
-        self.send_and_wait(Some(slot), token, req, timeout).await
+        let answer = self.send(Some(slot), token, req);
+        self.wait(timer, answer, token, timeout).await
     }
 
     /// Asks the upstream's own endpoint for its health, without a slot.
@@ -369,23 +382,27 @@
     /// # Errors
     ///
     /// Why no answer came.
-    pub async fn probe(&self, timeout: Duration) -> Result<Datagram, ExchangeError> {
+    pub async fn probe(
+        &self,
+        timer: &Rc<Timer>,
+        timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
         let token = self.next_token();
         let req = Datagram::request(Method::Get, HEALTH_PATH)
             .with_token(&token.bytes())
             .with_message_id(self.next_message_id());
-        let res = self.send_and_wait(None, token, &req, timeout).await;
+        let answer = self.send(None, token, &req);
+        let res = self.wait(timer, answer, token, timeout).await;
         self.pending.borrow_mut().remove(&token);
         res
     }
 
-    async fn send_and_wait(
+    fn send(
         &self,
         slot: Option<Slot>,
         token: UpstreamToken,
         req: &Datagram,
-        timeout: Duration,
-    ) -> Result<Datagram, ExchangeError> {
+    ) -> oneshot::Receiver<Datagram> {
         let (tx, rx) = oneshot::channel();
         let pending = Pending {
             answer: Some(tx),
@@ -397,10 +414,21 @@
         self.replaced.borrow_mut().extend(before);
         // A refusal reported here belongs to an earlier datagram; the reading task sees it as well.
         let _ = self.socket.send(&req.to_bytes());
-        match monoio::time::timeout(timeout, rx).await {
-            Ok(Ok(rsp)) => Ok(rsp),
-            Ok(Err(_)) => Err(ExchangeError::Refused),
-            Err(_) => {
+        rx
+    }
+
+    async fn wait(
+        &self,
+        timer: &Rc<Timer>,
+        answer: oneshot::Receiver<Datagram>,
+        token: UpstreamToken,
+        timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
+        let due = Instant::now() + timeout;
+        match timer.timeout_at(due, answer).await {
+            Some(Ok(rsp)) => Ok(rsp),
+            Some(Err(_)) => Err(ExchangeError::Refused),
+            None => {
                 self.abandon(token, timeout);
                 Err(ExchangeError::TimedOut)
             }
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -3,7 +3,14 @@
 //! One task sleeps for all subscribers; due times are rounded up to [`GRAIN`], so that neighbours
 //! share a wake-up.
 
-use futures::future::poll_fn;
+use futures::{
+    future::{
+        poll_fn,
+        select,
+        Either, //
+    },
+    FutureExt,
+};
 use rand::{
     rngs::SmallRng,
     Rng,
@@ -111,6 +118,22 @@
         self.sleep_until(now + duration.min(SLEEP_MAX))
     }
 
+    /// Waits for `work`, but not beyond `due`; gives nothing when that time came first.
+    pub fn timeout_at<F>(
+        self: &Rc<Self>,
+        due: Instant,
+        work: F,
+    ) -> impl Future<Output = Option<F::Output>>
+    where
+        F: Future + Unpin,
+    {
+        // Combinators hold the work once, an async function twice.
+        select(work, self.sleep_until(due)).map(|ended| match ended {
+            Either::Left((output, _)) => Some(output),
+            Either::Right(_) => None,
+        })
+    }
+
     /// How often the driving task woke somebody.
     pub fn wakeups(&self) -> u64 {
         self.wakeups.get()
--- a/crates/daemon/tests/memory/whole.rs
+++ b/crates/daemon/tests/memory/whole.rs
@@ -20,6 +20,7 @@
         Limits,
         Supervisor, //
     },
+    timer::Timer,
 };
 use foxtailhinge_config::settings::Settings;
 use foxtailhinge_wire::{
@@ -113,6 +114,7 @@
         listen: Some(ip.into()),
         relay: relay.unwrap(),
         supervisor: Supervisor::new("daemon", Limits::default(), |_| {}),
+        timer: Timer::start(),
     });
     let weak = Rc::downgrade(&path);
     path.control.subscribe(move |event| {
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -11,6 +11,7 @@
 };
 use std::{
     collections::LinkedList,
+    rc::Rc,
     time::Duration, //
 };
 use thiserror::Error;
@@ -115,7 +116,8 @@
 /// One CoAP message; two are equal when they are written as the same bytes.
 #[derive(Clone, Debug)]
 pub struct Datagram {
-    packet: Packet,
+    /// Shared by clones until one of them is changed.
+    packet: Rc<Packet>,
 }
 
 impl PartialEq for Datagram {
@@ -135,7 +137,7 @@
     pub fn parse(buf: &[u8]) -> Result<Self, CoapError> {
         check(buf)?;
         let packet = Packet::from_bytes(buf).map_err(|_| CoapError::Format)?;
-        Ok(Self { packet })
+        Ok(Self::of(packet))
     }
 
     /// Writes the datagram.
@@ -153,7 +155,7 @@
         for segment in path.split('/').filter(|segment| !segment.is_empty()) {
             packet.add_option(CoapOption::UriPath, segment.as_bytes().to_vec());
         }
-        Self { packet }
+        Self::of(packet)
     }
 
     /// A response with the request's token: an acknowledgement of a confirmable request, which
@@ -161,7 +163,7 @@
     pub fn response_to(req: &Self, status: Status, message_id: u16) -> Self {
         let mut packet = Packet::new();
         packet.header.code = MessageClass::Response(status);
-        let mut res = Self { packet };
+        let mut res = Self::of(packet);
         res.set_token(req.token());
         res.address_to(req, message_id);
         res
@@ -173,7 +175,7 @@
         packet.header.set_type(MessageType::Reset);
         packet.header.code = MessageClass::Empty;
         packet.header.message_id = message_id;
-        Self { packet }
+        Self::of(packet)
     }
 
     /// Gives a response the type and message id that answer `req`; see [`Datagram::response_to`].
@@ -223,7 +225,7 @@
 
     /// Sets the type of the message.
     pub fn set_kind(&mut self, kind: Kind) {
-        self.packet.header.set_type(match kind {
+        self.packet_mut().header.set_type(match kind {
             Kind::Con => MessageType::Confirmable,
             Kind::Non => MessageType::NonConfirmable,
             Kind::Ack => MessageType::Acknowledgement,
@@ -238,7 +240,7 @@
 
     /// Sets the message id.
     pub fn set_message_id(&mut self, message_id: u16) {
-        self.packet.header.message_id = message_id;
+        self.packet_mut().header.message_id = message_id;
     }
 
     /// Token that ties a response to its request.
@@ -249,7 +251,7 @@
     /// Sets the token; one over [`TOKEN_MAX`] bytes is cut to this length.
     pub fn set_token(&mut self, token: &[u8]) {
         let len = token.len().min(TOKEN_MAX);
-        self.packet.set_token(token[..len].to_vec());
+        self.packet_mut().set_token(token[..len].to_vec());
     }
 
     /// Method of a request, `None` for anything else.
@@ -288,11 +290,11 @@
         let Some(segments) = self.packet.get_option(CoapOption::UriPath) else {
             return String::from("/");
         };
-        let mut path = String::new();
+        let len = segments.iter().map(|segment| segment.len() + 1).sum();
+        let mut path = String::with_capacity(len);
         for segment in segments {
-            let segment = String::from_utf8_lossy(segment);
             path.push('/');
-            path.push_str(&segment.replace('%', "%25").replace('/', "%2F"));
+            push_encoded(&mut path, &String::from_utf8_lossy(segment));
         }
         path
     }
@@ -309,7 +311,22 @@
 
     /// Removes the Echo option.
     pub fn remove_echo(&mut self) {
-        self.packet.clear_option(CoapOption::from(ECHO));
+        self.packet_mut().clear_option(CoapOption::from(ECHO));
+    }
+
+    /// The datagram with another token and without the Echo option; see [`Datagram::set_token`].
+    pub fn without_echo(&self, token: &[u8]) -> Self {
+        let mut packet = Packet::new();
+        packet.header = self.packet.header.clone();
+        packet.payload.clone_from(&self.packet.payload);
+        for (number, values) in self.packet.options() {
+            if *number != ECHO {
+                packet.set_option(CoapOption::from(*number), values.clone());
+            }
+        }
+        let mut datagram = Self::of(packet);
+        datagram.set_token(token);
+        datagram
     }
 
     /// Value of the Observe option (RFC 7641): 0 registers and 1 cancels in a request, a sequence
@@ -325,7 +342,7 @@
 
     /// Removes the Observe option.
     pub fn clear_observe(&mut self) {
-        self.packet.clear_option(CoapOption::Observe);
+        self.packet_mut().clear_option(CoapOption::Observe);
     }
 
     /// Time that remains for a request.
@@ -366,7 +383,7 @@
 
     /// Removes the incarnation of the upstream.
     pub fn clear_upstream_incarnation(&mut self) {
-        self.packet
+        self.packet_mut()
             .clear_option(CoapOption::from(UPSTREAM_INCARNATION));
     }
 
@@ -379,7 +396,7 @@
     /// Ends the flow with this request.
     pub fn set_release(&mut self) {
         let option = CoapOption::from(RELEASE);
-        self.packet
+        self.packet_mut()
             .set_option(option, LinkedList::from([Vec::new()]));
     }
 
@@ -410,7 +427,17 @@
 
     /// Sets the payload.
     pub fn set_payload(&mut self, payload: Vec<u8>) {
-        self.packet.payload = payload;
+        self.packet_mut().payload = payload;
+    }
+
+    fn of(packet: Packet) -> Self {
+        let packet = Rc::new(packet);
+        Self { packet }
+    }
+
+    /// The message to change, apart from its clones.
+    fn packet_mut(&mut self) -> &mut Packet {
+        Rc::make_mut(&mut self.packet)
     }
 
     fn first(&self, option: CoapOption) -> Option<&[u8]> {
@@ -419,7 +446,8 @@
     }
 
     fn set(&mut self, option: CoapOption, value: Vec<u8>) {
-        self.packet.set_option(option, LinkedList::from([value]));
+        self.packet_mut()
+            .set_option(option, LinkedList::from([value]));
     }
 
     fn uint(&self, option: CoapOption) -> Option<u32> {
@@ -436,6 +464,17 @@
     }
 }
 
+/// Appends a segment of a path, percent-encoding what would make it read as another one.
+fn push_encoded(path: &mut String, segment: &str) {
+    for c in segment.chars() {
+        match c {
+            '%' => path.push_str("%25"),
+            '/' => path.push_str("%2F"),
+            c => path.push(c),
+        }
+    }
+}
+
 /// Refuses what RFC 7252 forbids and the codec lets pass, and what would take much memory.
 fn check(buf: &[u8]) -> Result<(), CoapError> {
     let (head, rest) = buf.split_at_checked(HEAD_LEN).ok_or(CoapError::Format)?;
