--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -1,11 +1,17 @@
 //! Stand-in for a caller: a CoAP client that holds one flow.
 
+mod exchange;
+mod outcome;
+
+pub use outcome::{
+    Answer,
+    Outcome, //
+};
+
 use crate::{
+    caller::exchange::Exchange,
     feed::Feed,
-    message::{
-        self,
-        Block, //
-    },
+    message,
     socket,
     upstream::body::{
         self,
@@ -17,8 +23,7 @@
     MessageClass,
     MessageType,
     Packet,
-    RequestType,
-    ResponseType, //
+    RequestType, //
 };
 use rand::{
     rngs::SmallRng,
@@ -58,8 +63,6 @@
 
 /// Time between looks at whether the caller was dropped.
 const TICK: Duration = Duration::from_millis(50);
-/// Times that one request is repeated for a ticket or a changed ETag.
-const MAX_REPEATS: u32 = 8;
 /// Largest factor on the time before a first retransmission (RFC 7252, section 4.8).
 const ACK_RANDOM_FACTOR: f64 = 1.5;
 
@@ -94,70 +97,6 @@
     }
 }
 
-/// A whole answer.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Answer {
-    /// Its code.
-    pub code: ResponseType,
-    /// Its payload, put together from all blocks.
-    pub payload: Vec<u8>,
-    /// Number of blocks it came in.
-    pub blocks: u32,
-    /// Time from the first packet to the whole answer.
-    pub took: Duration,
-}
-
-impl Answer {
-    /// Reads who answered what.
-    pub fn headline(&self) -> Option<Headline> {
-        Headline::parse(&self.payload)
-    }
-
-    /// Returns the name of the upstream that answered.
-    pub fn upstream(&self) -> Option<String> {
-        self.headline().map(|line| line.upstream)
-    }
-}
-
-/// What became of a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Outcome {
-    /// The whole answer came.
-    Answered(Answer),
-    /// The request was not run (5.03).
-    NotRun {
-        /// When to come back.
-        come_back: Duration,
-    },
-    /// The request may have run or not (5.04).
-    Unknown,
-    /// The flow was given up (4.01 without a ticket); the next request begins a new one.
-    GivenUp,
-    /// No answer came in time.
-    TimedOut,
-}
-
-impl Outcome {
-    /// Returns the answer, if there is one.
-    pub fn answer(self) -> Option<Answer> {
-        match self {
-            Outcome::Answered(answer) => Some(answer),
-            _ => None,
-        }
-    }
-
-    /// Returns a word that names the outcome.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Outcome::Answered(_) => "answered",
-            Outcome::NotRun { .. } => "not run",
-            Outcome::Unknown => "unknown",
-            Outcome::GivenUp => "given up",
-            Outcome::TimedOut => "timed out",
-        }
-    }
-}
-
 /// What a caller saw that it should not see, and how often it sent again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -547,143 +486,6 @@
     }
 }
 
-/// One request with all its messages.
-struct Exchange<'a> {
-    shared: &'a Shared,
-    method: RequestType,
-    path: &'a str,
-    payload: &'a [u8],
-    began: Instant,
-    expires: Instant,
-}
-
-/// What one message of a request led to.
-enum Step {
-    Done(Outcome),
-    Repeat,
-    Content { packet: Packet, generation: u64 },
-}
-
-impl Exchange<'_> {
-    fn run(&self) -> Outcome {
-        for _ in 0..MAX_REPEATS {
-            match self.whole() {
-                Step::Done(outcome) => return outcome,
-                Step::Repeat => {}
-                Step::Content { .. } => unreachable!("a whole answer is done"),
-            }
-        }
-        Outcome::TimedOut
-    }
-
-    /// Fetches the answer with all its blocks.
-    fn whole(&self) -> Step {
-        let id = hex(&self.shared.new_token());
-        let (first, generation) = match self.step(None, &id) {
-            Step::Content { packet, generation } => (packet, generation),
-            other => return other,
-        };
-        let code = message::code(&first).unwrap_or(ResponseType::Content);
-        let tag = message::bytes(&first, CoapOption::ETag).map(<[u8]>::to_vec);
-        let mut block = Block::of(&first);
-        let mut payload = first.payload;
-        let mut blocks = 1;
-        while let Some(last) = block.filter(|block| block.more) {
-            let next = Block {
-                number: last.number + 1,
-                more: false,
-                ..last
-            };
-            let packet = match self.step(Some(next), &id) {
-                Step::Content { packet, .. } => packet,
-                other => return other,
-            };
-            if message::bytes(&packet, CoapOption::ETag) != tag.as_deref() {
-                self.shared.counts().changed += 1;
-                return Step::Repeat;
-            }
-            block = Block::of(&packet);
-            payload.extend_from_slice(&packet.payload);
-            blocks += 1;
-        }
-        self.shared.check(&payload, self.path, &id, generation);
-        Step::Done(Outcome::Answered(Answer {
-            code,
-            payload,
-            blocks,
-            took: self.began.elapsed(),
-        }))
-    }
-
-    /// Sends one message, opening the flow first when there is none.
-    fn step(&self, block: Option<Block>, id: &str) -> Step {
-        let opening = self.shared.opening.lock().unwrap();
-        if self.shared.flow().ticket.is_some() {
-            drop(opening);
-            return self.send(block, id);
-        }
-        self.send(block, id)
-    }
-
-    fn send(&self, block: Option<Block>, id: &str) -> Step {
-        let token = self.shared.new_token();
-        let Prepared {
-            mut packet,
-            generation,
-        } = self.shared.prepare(self.method, self.path, &token);
-        message::put_queries(&mut packet, &self.shared.spec.service, id);
-        packet.payload = self.payload.to_vec();
-        if let Some(block) = block {
-            block.put(&mut packet);
-        }
-        let rx = self.shared.wait_for(&token);
-        let answer = self.transmit(packet, &rx);
-        self.shared.forget(&token);
-        match answer {
-            Some(answer) => self.judge(answer, generation),
-            None => Step::Done(Outcome::TimedOut),
-        }
-    }
-
-    /// Sends a message until it is answered or out of time.
-    fn transmit(&self, mut packet: Packet, rx: &Receiver<Packet>) -> Option<Packet> {
-        let mut wait = self.shared.first_wait();
-        for sent in 0..=self.shared.spec.max_retransmit {
-            let left = self.left()?;
-            let option = CoapOption::Unknown(message::DEADLINE);
-            message::put_uint(&mut packet, option, left.as_millis() as u64);
-            self.shared.send(&packet);
-            self.shared.counts().retransmissions += u64::from(sent > 0);
-            if let Ok(answer) = rx.recv_timeout(wait.min(left)) {
-                return Some(answer);
-            }
-            wait *= 2;
-        }
-        rx.recv_timeout(self.left()?).ok()
-    }
-
-    fn left(&self) -> Option<Duration> {
-        let left = self.expires.checked_duration_since(Instant::now())?;
-        (!left.is_zero()).then_some(left)
-    }
-
-    fn judge(&self, packet: Packet, generation: u64) -> Step {
-        self.shared.renew(&packet, generation);
-        match message::code(&packet) {
-            Some(ResponseType::Unauthorized) if message::ticket(&packet).is_some() => Step::Repeat,
-            Some(ResponseType::Unauthorized) => {
-                self.shared.give_up(generation);
-                Step::Done(Outcome::GivenUp)
-            }
-            Some(ResponseType::ServiceUnavailable) => Step::Done(Outcome::NotRun {
-                come_back: message::max_age(&packet),
-            }),
-            Some(ResponseType::GatewayTimeout) => Step::Done(Outcome::Unknown),
-            _ => Step::Content { packet, generation },
-        }
-    }
-}
-
 /// Writes bytes as hexadecimal digits.
 pub fn hex(buf: &[u8]) -> String {
     buf.iter().map(|byte| format!("{byte:02x}")).collect()
