Fold the whole product in the hash of numbers

Only the upper half of the product's low word was folded in.

Ruled out: a turn of the product as its end (good for numbers in a row, 3,906 buckets, but 1 of 128 tags for numbers 2^40 apart).

Change: low and high word of the 128 bit product are joined.

--- a/crates/daemon/src/data/number_hash.rs
+++ b/crates/daemon/src/data/number_hash.rs
@@ -32,11 +32,12 @@
     }
 
     fn write_u64(&mut self, n: u64) {
-        self.0 = (self.0.rotate_left(TURN) ^ n).wrapping_mul(SPREAD);
+        let product = u128::from(self.0.rotate_left(TURN) ^ n) * u128::from(SPREAD);
+        // The low half depends on the number's low bits, the high half on all; maps use both ends.
+        self.0 = product as u64 ^ (product >> u64::BITS) as u64;
     }
 
     fn finish(&self) -> u64 {
-        // The low bits of a product depend on few bits of the number, and maps use both ends.
-        self.0 ^ (self.0 >> 32)
+        self.0
     }
 }
