Serve copies at a third of their rate while gossip is full

Ruled out: less gossip (the removal of dead daemons would take longer), a lower rate at all times (joining 7,300 documents would take three times 8 s).

Change: copies get 2 KB/s while there is more news of members than fits into one message.

Not run at 2,400 daemons.

--- a/crates/daemon/src/links/budget.rs
+++ b/crates/daemon/src/links/budget.rs
@@ -25,6 +25,12 @@
         }
     }
 
+    /// Refills by `rate` bytes a second from `now` on.
+    pub fn set_rate(&mut self, rate: u64, now: Instant) {
+        self.refill(now);
+        self.rate = rate.max(1);
+    }
+
     /// Returns how long to wait until something may be sent; zero for now.
     pub fn wait(&mut self, now: Instant) -> Duration {
         self.refill(now);
--- a/crates/daemon/src/links/exchange.rs
+++ b/crates/daemon/src/links/exchange.rs
@@ -241,7 +241,9 @@
 ) -> Result<Outcome, LinkError> {
     let source = Source::Peer(peer.vm.clone());
     while !missing.is_empty() {
-        let wait = budget.wait(Instant::now());
+        let now = Instant::now();
+        budget.set_rate(control.copy_rate(), now);
+        let wait = budget.wait(now);
         if !wait.is_zero() && control.is_synced() {
             monoio::time::sleep(wait).await;
         }
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -240,7 +240,11 @@
     }
 
     fn documents(&self, services: &[String]) -> LinkReply {
-        let wait = self.budget.borrow_mut().wait(Instant::now());
+        let now = Instant::now();
+        let mut budget = self.budget.borrow_mut();
+        budget.set_rate(self.control.copy_rate(), now);
+        let wait = budget.wait(now);
+        drop(budget);
         if !wait.is_zero() {
             count(&self.control.counters().copies_deferred, 1);
             return LinkReply::Busy(wait.as_millis() as u64 + 1);
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -259,6 +259,15 @@
         }
     }
 
+    /// Returns the bytes a second that copies may take now.
+    pub(crate) fn copy_rate(&self) -> u64 {
+        let limits = self.settings.limits;
+        match self.members.borrow().has_much_news(limits.gossip) {
+            true => limits.copy_rate_busy,
+            false => limits.copy_rate,
+        }
+    }
+
     /// Returns this daemon's own record as it is sent.
     pub(crate) fn my_record(&self) -> MemberUpdate {
         record::to_wire(self.members.borrow().me())
--- a/crates/daemon/src/members/settings.rs
+++ b/crates/daemon/src/members/settings.rs
@@ -47,6 +47,8 @@
     pub inbound_links: usize,
     /// Bytes a second for copies of documents and members, given and, once in service, taken.
     pub copy_rate: u64,
+    /// As `copy_rate`, while all room for gossip is taken, as after the loss of a rack.
+    pub copy_rate_busy: u64,
     /// Bytes that may be copied at once after a quiet time; a joining daemon takes as many from
     /// each of its peers.
     pub copy_burst: u64,
@@ -86,6 +88,7 @@
             links: 16,
             inbound_links: 48,
             copy_rate: 6_000,
+            copy_rate_busy: 2_000,
             copy_burst: 256_000,
             push_near: 2,
             push_far: 2,
--- a/crates/daemon/tests/control/copies.rs
+++ b/crates/daemon/tests/control/copies.rs
@@ -52,6 +52,19 @@
     });
 }
 
+#[test]
+fn a_budget_refills_by_the_rate_of_the_time() {
+    let now = Instant::now();
+    let mut budget = ByteBudget::new(100, 1_000, now);
+    budget.spend(1_999);
+    budget.set_rate(10, now + Duration::from_secs(5));
+    let wait = budget.wait(now + Duration::from_secs(5));
+    assert_eq!(wait, Duration::from_secs(50), "500 bytes are missing");
+    budget.set_rate(100, now + Duration::from_secs(25));
+    let wait = budget.wait(now + Duration::from_secs(25));
+    assert_eq!(wait, Duration::from_secs(3), "200 bytes came meanwhile");
+}
+
 #[test]
 fn a_budget_can_be_overdrawn_once_and_refills() {
     let now = Instant::now();
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -322,6 +322,11 @@
         taken
     }
 
+    /// Returns whether there is more news than fits into one message of `max` records.
+    pub fn has_much_news(&self, max: usize) -> bool {
+        self.news.len() > max
+    }
+
     /// Returns the live members of a zone, this daemon included.
     pub fn live_in_zone(&self, zone: &str) -> impl Iterator<Item = &Member> {
         let live = self.zones.get(zone).map_or(&[][..], |z| &z.live);
--- a/crates/policy/tests/members.rs
+++ b/crates/policy/tests/members.rs
@@ -275,6 +275,7 @@
     for vm in ["first", "second", "third"] {
         members.merge(member(vm, "a", Alive, 1, 5), now);
     }
+    assert!(members.has_much_news(1));
     let names: Vec<_> = members.gossip(2).iter().map(|m| m.vm.to_string()).collect();
     assert_eq!(names, ["third", "second"]);
     let rounds = (0..100)
@@ -290,6 +291,7 @@
     let change = members.learn(member("x", "a", Alive, 1, 5), now).unwrap();
     assert_eq!(change.kind, ChangeKind::Joined);
     assert!(members.gossip(8).is_empty());
+    assert!(!members.has_much_news(0));
     members.learn(member("me", "a", Suspect, 1, 1), now);
     assert_eq!(
         members.gossip(8),
