--- a/crates/daemon/benches/flows/main.rs
+++ b/crates/daemon/benches/flows/main.rs
@@ -16,10 +16,8 @@
         FlowStart,
         Flows, //
     },
-    upstream::{
-        CallerToken,
-        Upstream, //
-    },
+    token::CallerToken,
+    upstream::Upstream, //
 };
 use foxtailhinge_wire::coap::{
     Datagram,
--- a/crates/daemon/src/data/claim.rs
+++ b/crates/daemon/src/data/claim.rs
@@ -16,10 +16,8 @@
         },
         owner::Holding,
         path::DataPath,
-        upstream::{
-            CallerToken,
-            Upstream, //
-        },
+        token::CallerToken,
+        upstream::Upstream, //
     },
     links::{
         LinkReply,
--- /dev/null
+++ b/crates/daemon/src/data/exchange.rs
@@ -0,0 +1,242 @@
+//! Exchanges with an upstream: requests sent to it and their answers.
+
+use crate::{
+    data::{
+        load::Outcome,
+        slot::Slot,
+        token::UpstreamToken,
+        upstream::Upstream, //
+    },
+    timer::Timer,
+};
+use foxtailhinge_wire::coap::{
+    Datagram,
+    Method,
+    Status, //
+};
+use local_sync::oneshot;
+use smallvec::SmallVec;
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// How long a request that was given up keeps its slot while the upstream may still run it.
+const ABANDONED_LEASE: Duration = Duration::from_secs(5);
+
+/// Path of an upstream's own health endpoint.
+const HEALTH_PATH: &str = "/health";
+
+/// Why an exchange with the upstream brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// No answer came in time.
+    TimedOut,
+    /// The upstream's host refused the datagram, or the upstream restarted.
+    Refused,
+}
+
+/// What arrived from the upstream besides answers to exchanges.
+#[derive(Debug)]
+pub enum Arrival {
+    /// A notification of a feed.
+    Notification(UpstreamToken, Datagram),
+    /// An answer that nobody waits for any more.
+    Late,
+    /// A notification with this message id of a feed that is not held.
+    Stray(u16),
+    /// Nothing that concerns others.
+    Handled,
+}
+/// An exchange whose answer has not come.
+#[derive(Debug)]
+pub(super) struct Pending {
+    answer: Option<oneshot::Sender<Datagram>>,
+    /// The slot in use; probes use none.
+    slot: Option<Slot>,
+    pub(super) sent: Instant,
+}
+
+impl Pending {
+    /// Whether the upstream no longer runs the request, had it been lost.
+    fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.sent) >= ABANDONED_LEASE
+    }
+}
+impl Upstream {
+    /// Sends a request and waits for its answer; the slot stays in use until the upstream is done with it.
+    ///
+    /// # Errors
+    ///
+    /// Why no answer came; unless the request is idempotent its outcome is then unknown.
+    pub async fn exchange(
+        &self,
+        timer: &Rc<Timer>,
+        slot: Slot,
+        token: UpstreamToken,
+        req: &Datagram,
+        timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
+        let answer = self.send(Some(slot), token, req);
+        self.wait(timer, answer, token, timeout).await
+    }
+
+    /// Asks the upstream's own endpoint for its health, without a slot.
+    ///
+    /// # Errors
+    ///
+    /// Why no answer came.
+    pub async fn probe(
+        &self,
+        timer: &Rc<Timer>,
+        timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
+        let token = self.next_token();
+        let req = Datagram::request(Method::Get, HEALTH_PATH)
+            .with_token(&token.bytes())
+            .with_message_id(self.next_message_id());
+        let answer = self.send(None, token, &req);
+        let res = self.wait(timer, answer, token, timeout).await;
+        self.pending.borrow_mut().remove(&token);
+        res
+    }
+
+    fn send(
+        &self,
+        slot: Option<Slot>,
+        token: UpstreamToken,
+        req: &Datagram,
+    ) -> oneshot::Receiver<Datagram> {
+        let (tx, rx) = oneshot::channel();
+        let pending = Pending {
+            answer: Some(tx),
+            slot,
+            sent: Instant::now(),
+        };
+        let before = self.pending.borrow_mut().insert(token, pending);
+        // The upstream may still run an earlier attempt with the same token.
+        self.replaced.borrow_mut().extend(before);
+        // A refusal reported here belongs to an earlier datagram; the reading task sees it as well.
+        let _ = self.socket.send(&req.to_bytes());
+        rx
+    }
+
+    async fn wait(
+        &self,
+        timer: &Rc<Timer>,
+        answer: oneshot::Receiver<Datagram>,
+        token: UpstreamToken,
+        timeout: Duration,
+    ) -> Result<Datagram, ExchangeError> {
+        let due = Instant::now() + timeout;
+        match timer.timeout_at(due, answer).await {
+            Some(Ok(rsp)) => Ok(rsp),
+            Some(Err(_)) => Err(ExchangeError::Refused),
+            None => {
+                self.abandon(token, timeout);
+                Err(ExchangeError::TimedOut)
+            }
+        }
+    }
+
+    fn abandon(&self, token: UpstreamToken, waited: Duration) {
+        if let Some(pending) = self.pending.borrow_mut().get_mut(&token) {
+            pending.answer = None;
+        }
+        let mut load = self.load_mut();
+        if load.is_overdue(waited) {
+            load.learn(Outcome::TimedOut, Instant::now());
+        }
+    }
+
+    /// Takes in a datagram from the upstream.
+    pub fn on_datagram(&self, mut rsp: Datagram) -> Arrival {
+        let Some(token) = UpstreamToken::read(rsp.token()) else {
+            return Arrival::Handled;
+        };
+        let pending = self.pending.borrow_mut().remove(&token);
+        if let Some(pending) = pending {
+            if let Some(feed) = self.feeds.borrow_mut().get_mut(token) {
+                feed.stamp_answer(&mut rsp);
+            }
+            return self.on_answer(pending, rsp);
+        }
+        if let Some(feed) = self.feeds.borrow_mut().get_mut(token) {
+            return if feed.stamp(&mut rsp) {
+                Arrival::Notification(token, rsp)
+            } else {
+                Arrival::Late
+            };
+        }
+        match rsp.observe() {
+            Some(_) => Arrival::Stray(rsp.message_id()),
+            None => Arrival::Late,
+        }
+    }
+
+    fn on_answer(&self, pending: Pending, rsp: Datagram) -> Arrival {
+        let Pending { answer, slot, sent } = pending;
+        if let Some(slot) = slot {
+            self.learn_answer(&slot, sent, &rsp);
+            drop(slot);
+        }
+        match answer {
+            Some(tx) => {
+                let _ = tx.send(rsp);
+                Arrival::Handled
+            }
+            None => Arrival::Late,
+        }
+    }
+
+    fn learn_answer(&self, slot: &Slot, sent: Instant, rsp: &Datagram) {
+        let now = Instant::now();
+        let latency = now.saturating_duration_since(sent);
+        let outcome = if rsp.status() == Some(Status::ServiceUnavailable) {
+            Outcome::Shed
+        } else {
+            slot.service_time.set(Some(latency));
+            Outcome::Answered(latency)
+        };
+        self.last_answer.set(now);
+        self.load_mut().learn(outcome, now);
+    }
+
+    /// The upstream's host says that nothing listens.
+    pub fn on_refused(&self) {
+        self.load_mut().learn(Outcome::Refused, Instant::now());
+        self.fail_pending(|_| true);
+        drop(self.replaced.take());
+    }
+
+    /// Ends the exchanges that are lost, as if the upstream had refused them.
+    pub(super) fn fail_pending(&self, is_lost: impl Fn(&Pending) -> bool) {
+        let mut pending = self.pending.borrow_mut();
+        let lost = pending.extract_if(|_, one| is_lost(one));
+        let lost: Vec<_> = lost.collect();
+        drop(pending);
+        drop(lost);
+    }
+
+    /// Frees the slots of requests that were given up long ago.
+    pub(super) fn collect_abandoned(&self, now: Instant) {
+        let abandoned: SmallVec<[UpstreamToken; 4]> = self
+            .pending
+            .borrow()
+            .iter()
+            .filter(|(_, pending)| pending.answer.is_none() && pending.is_over(now))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in abandoned {
+            let pending = self.pending.borrow_mut().remove(&token);
+            drop(pending);
+        }
+        let mut replaced = self.replaced.borrow_mut();
+        let over: Vec<Pending> = replaced.extract_if(.., |one| one.is_over(now)).collect();
+        drop(replaced);
+        drop(over);
+    }
+}
--- a/crates/daemon/src/data/feed.rs
+++ b/crates/daemon/src/data/feed.rs
@@ -2,7 +2,7 @@
 
 use crate::data::{
     number_hash::NumberState,
-    upstream::{
+    token::{
         CallerToken,
         UpstreamToken, //
     },
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod claim;
+pub mod exchange;
 pub mod feed;
 pub mod flow;
 pub mod hand_over;
@@ -17,7 +18,9 @@
 pub mod relay;
 pub mod request;
 pub mod service;
+pub mod slot;
 pub mod socket;
 pub mod table;
+pub mod token;
 pub mod upkeep;
 pub mod upstream;
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/data/notification.rs
@@ -3,6 +3,7 @@
 use crate::{
     data::{
         answer::Notice,
+        exchange::Arrival,
         feed::Feed,
         ingress::Arrived,
         path::DataPath,
@@ -11,11 +12,8 @@
             Notified,
             Service, //
         },
-        upstream::{
-            Arrival,
-            Upstream,
-            UpstreamToken, //
-        },
+        token::UpstreamToken,
+        upstream::Upstream, //
     },
     metrics::RequestOutcome, //
 };
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/data/opening.rs
@@ -13,10 +13,8 @@
             REGISTER, //
         },
         service::Service,
-        upstream::{
-            CallerToken,
-            Upstream, //
-        },
+        token::CallerToken,
+        upstream::Upstream, //
     },
     metrics::RequestOutcome,
 };
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/data/owner.rs
@@ -11,10 +11,8 @@
         path::DataPath,
         request::Job,
         service::Service,
-        upstream::{
-            CallerToken,
-            Upstream, //
-        },
+        token::CallerToken,
+        upstream::Upstream, //
     },
     metrics::RequestDrop,
 };
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/data/request.rs
@@ -3,16 +3,16 @@
 use crate::{
     data::{
         answer::Notice,
+        exchange::ExchangeError,
         feed::Feed,
         path::DataPath,
         service::Service,
-        upstream::{
+        slot::SlotError,
+        token::{
             CallerToken,
-            ExchangeError,
-            SlotError,
-            Upstream,
             UpstreamToken, //
         },
+        upstream::Upstream, //
     },
     metrics::{
         FlowEnd,
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/data/service.rs
@@ -4,7 +4,7 @@
     answer::MessageIds,
     load::LoadSpec,
     socket::Socket,
-    upstream::UpstreamToken, //
+    token::UpstreamToken, //
 };
 use foxtailhinge_config::document::{
     ServiceDocument,
--- /dev/null
+++ b/crates/daemon/src/data/token.rs
@@ -0,0 +1,55 @@
+//! Tokens: those towards an upstream, and those of callers.
+
+use foxtailhinge_wire::coap::Datagram;
+use smallvec::SmallVec;
+use std::{
+    hash::{
+        DefaultHasher,
+        Hash,
+        Hasher, //
+    },
+    net::SocketAddr,
+};
+
+/// A token towards the upstream, never used twice by one daemon incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct UpstreamToken(pub(super) u64);
+
+impl UpstreamToken {
+    /// The token of an answer; nothing when it can not be one of this daemon.
+    pub(super) fn read(token: &[u8]) -> Option<UpstreamToken> {
+        let bytes = token.try_into().ok()?;
+        Some(UpstreamToken(u64::from_be_bytes(bytes)))
+    }
+
+    /// The token's bytes on the wire.
+    pub fn bytes(self) -> [u8; 8] {
+        self.0.to_be_bytes()
+    }
+}
+
+/// A caller's request, by which copies of it are known.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct CallerToken {
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// Token that the caller chose.
+    pub token: SmallVec<[u8; 8]>,
+}
+
+impl CallerToken {
+    /// The key of `req` from `caller`.
+    pub fn of(caller: SocketAddr, req: &Datagram) -> CallerToken {
+        CallerToken {
+            caller,
+            token: SmallVec::from_slice(req.token()),
+        }
+    }
+
+    /// A hash that is the same on all daemons.
+    pub fn hash_value(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
+}
--- a/crates/daemon/tests/observe.rs
+++ b/crates/daemon/tests/observe.rs
@@ -5,7 +5,7 @@
         next_value,
         Feed, //
     },
-    upstream::CallerToken,
+    token::CallerToken,
 };
 use foxtailhinge_wire::coap::{
     Datagram,
--- a/crates/daemon/tests/slots.rs
+++ b/crates/daemon/tests/slots.rs
@@ -2,6 +2,7 @@
 
 use foxtailhinge::{
     data::{
+        exchange::ExchangeError,
         flow::{
             FlowNumbers,
             Flows, //
@@ -10,10 +11,7 @@
             Load,
             LoadSpec, //
         },
-        upstream::{
-            ExchangeError,
-            Upstream, //
-        },
+        upstream::Upstream, //
     },
     timer::Timer,
 };
