Route what was sent to a dying owner again when it counts as dead

Cause: until an owner counts as dead (2.3 to 3.2 s), requests go to it; a caller whose copies all come in that time never hears of it again.

Ruled out: sending to the next owner on suspicion (two owners for each false alarm), and an answer at once (5.03 would be a guess for what may still run).

POSTs are answered there as unknown, like any other copy.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -34,7 +34,10 @@
     timer::Timer, //
 };
 use foxtailhinge_config::settings::Settings;
-use foxtailhinge_policy::members::ChangeKind;
+use foxtailhinge_policy::members::{
+    ChangeKind,
+    MemberState, //
+};
 use foxtailhinge_wire::ticket::TicketKeys;
 use futures::future::{
     select,
@@ -224,6 +227,9 @@
                     .error();
             }
             path.reconcile();
+            if change.member.state == MemberState::Dead {
+                path.route_unheard(&change.member);
+            }
         }
         ControlEvent::Paused(_) => {
             path.metrics.pauses_fenced.inc();
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/data/mod.rs
@@ -22,5 +22,6 @@
 pub mod socket;
 pub mod table;
 pub mod token;
+pub mod unheard;
 pub mod upkeep;
 pub mod upstream;
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/data/path.rs
@@ -8,6 +8,7 @@
         owner::Holding,
         relay::Relay,
         service::Service,
+        unheard::Unheard,
         upstream::Upstream, //
     },
     logging::{
@@ -25,10 +26,18 @@
     supervisor::Supervisor,
     timer::Timer, //
 };
-use foxtailhinge_policy::{members::Member, rendezvous::OwnerCache};
+use foxtailhinge_policy::{
+    members::{
+        Member,
+        MemberState, //
+    },
+    rendezvous::OwnerCache,
+};
 use foxtailhinge_wire::{
+    coap::Datagram,
     message::{
         FlowKey,
+        Forward,
         RelayMessage, //
     },
     ticket::{
@@ -116,6 +125,8 @@
     /// Datagrams of callers that arrived before this daemon knew its fleet.
     early: RefCell<Vec<Early>>,
     owners: RefCell<OwnerCache>,
+    /// Requests sent to owners that may be dead.
+    unheard: RefCell<Unheard>,
     prober: OnceCell<Rc<Prober<Rc<DataPath>>>>,
 }
 
@@ -167,6 +178,7 @@
             ready: Cell::new(false),
             early: RefCell::default(),
             owners: RefCell::default(),
+            unheard: RefCell::default(),
             prober: OnceCell::new(),
         });
         let prober = Prober::new(Rc::clone(&path.control), Rc::clone(&path));
@@ -274,6 +286,40 @@
         if matches!(msg, RelayMessage::Forward(_)) {
             self.send_around(to, &msg);
         }
+        if let RelayMessage::Forward(forward) = msg {
+            self.keep_unheard(to, forward);
+        }
+    }
+
+    /// Keeps a request that its owner may never get.
+    fn keep_unheard(&self, to: &Member, forward: Forward) {
+        if to.state == MemberState::Suspect || self.prober().is_silent(to) {
+            let mut unheard = self.unheard.borrow_mut();
+            unheard.keep(name_hash(&to.vm), forward, Instant::now());
+        }
+    }
+
+    /// Passes the requests that were sent to a daemon which is gone on to the next owners.
+    ///
+    /// Those that must not run twice are answered there as unknown, like any other copy of them.
+    pub fn route_unheard(self: &Rc<Self>, gone: &Member) {
+        let now = Instant::now();
+        let kept = self.unheard.borrow_mut().take(name_hash(&gone.vm), now);
+        for (age, mut forward) in kept {
+            let Some(service) = self.service(forward.service) else {
+                continue;
+            };
+            let Ok(mut req) = Datagram::parse(&forward.datagram) else {
+                continue;
+            };
+            let left = service.deadline(&req, now).saturating_duration_since(now);
+            if left <= age {
+                continue;
+            }
+            req.set_deadline(left - age);
+            forward.datagram = req.to_bytes();
+            self.on_forward(forward);
+        }
     }
 
     /// Sends a request by another daemon too when its owner is silent here and live by the word of others.
--- a/crates/daemon/src/members/prober.rs
+++ b/crates/daemon/src/members/prober.rs
@@ -146,12 +146,17 @@
         self.silent.borrow_mut().remove(&from);
     }
 
+    /// Whether a member missed a direct probe and was not heard since.
+    pub fn is_silent(&self, member: &Member) -> bool {
+        self.silent.borrow().contains(&name_hash(&member.vm))
+    }
+
     /// A live member by which a silent one may still be reached; nothing when `to` is not silent.
     pub fn way_around(&self, to: &Member) -> Option<Member> {
-        let silent = self.silent.borrow();
-        if !silent.contains(&name_hash(&to.vm)) {
+        if !self.is_silent(to) {
             return None;
         }
+        let silent = self.silent.borrow();
         let members = self.control.members();
         let others = members.iter().skip(1).filter(|member| {
             let heard = !silent.contains(&name_hash(&member.vm));
