--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -40,3 +40,9 @@
 pub const PAUSE_MS: RangeInclusive<u64> = 100..=60_000;
 /// Slot of a key in the ticket.
 pub const KEY_SLOT: RangeInclusive<u64> = 0..=15;
+/// Age from which a flow may be forgotten, in seconds.
+pub const FLOW_S: RangeInclusive<u64> = 1..=86_400;
+/// Time from the request to stop until the process is ended, in seconds.
+pub const GRACE_S: RangeInclusive<u64> = 1..=600;
+/// Time in which a lost answer of the store is to be noticed, in milliseconds.
+pub const NOTICE_MS: RangeInclusive<u64> = 1_000..=60_000;
--- /dev/null
+++ b/crates/config/src/packet_settings.rs
@@ -0,0 +1,205 @@
+//! Settings of a daemon that forwards packets.
+
+use crate::{
+    bounds,
+    finding::Findings,
+    reader::{
+        decode,
+        read_text,
+        start,
+        Fields,
+        Reader, //
+    },
+    settings::{
+        read_log,
+        LogLevel,
+        Settings, //
+    },
+};
+use jsonc_parser::ast::{
+    Object,
+    Value, //
+};
+use serde::Serialize;
+use serde_with::{
+    serde_as,
+    DurationMilliSeconds,
+    DurationSeconds, //
+};
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+/// Word that chooses the packet interface.
+const PACKETS: &str = "packets";
+
+/// Settings of a daemon that forwards packets between callers and upstreams that repeat a label.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PacketSettings {
+    /// Id of the VM, unique in the fleet.
+    pub vm: Arc<str>,
+    /// Availability zone of the VM.
+    pub zone: Arc<str>,
+    /// Address at which packets arrive (UDP); callers take packets at its port too.
+    pub listen: SocketAddrV4,
+    /// Address at which the fabric asks whether the daemon takes packets (TCP).
+    pub ready: SocketAddr,
+    /// Address for operators (TCP).
+    pub admin: SocketAddr,
+    /// Address of the store that lists upstreams, zones and routes (TCP).
+    pub store: SocketAddr,
+    /// Limits of the process and its flows.
+    pub limits: PacketLimits,
+    /// Least level of the lines in the log.
+    pub log: LogLevel,
+}
+
+/// Limits of a daemon that forwards packets.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PacketLimits {
+    /// Age from which a flow may be forgotten.
+    #[serde(rename = "flow_s")]
+    #[serde_as(as = "DurationSeconds<u64>")]
+    pub flow: Duration,
+    /// Time from the request to stop until the process is ended.
+    #[serde(rename = "grace_s")]
+    #[serde_as(as = "DurationSeconds<u64>")]
+    pub grace: Duration,
+    /// Time in which a lost answer of the store is to be noticed.
+    #[serde(rename = "notice_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub notice: Duration,
+}
+
+impl Default for PacketLimits {
+    fn default() -> Self {
+        Self {
+            flow: Duration::from_secs(60),
+            grace: Duration::from_secs(10),
+            notice: Duration::from_secs(4),
+        }
+    }
+}
+
+impl PacketSettings {
+    /// Reads settings; `file` names them in the findings.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        read_text(file, text, read_settings)
+    }
+}
+
+/// Settings of a daemon, whichever interface it serves.
+#[derive(Clone, Debug)]
+pub enum AnySettings {
+    /// Exchanges of a request and its response.
+    Exchange(Box<Settings>),
+    /// Packets of flows.
+    Packets(PacketSettings),
+}
+
+impl AnySettings {
+    /// Reads settings from bytes that may not be UTF-8; `file` names them in the findings.
+    pub fn parse_bytes(file: &str, bytes: &[u8]) -> Result<Self, Findings> {
+        let text = decode(file, bytes)?;
+        match chooses_packets(text) {
+            true => PacketSettings::parse(file, text).map(Self::Packets),
+            false => Settings::parse(file, text).map(|s| Self::Exchange(Box::new(s))),
+        }
+    }
+}
+
+/// Whether settings choose the packet interface.
+fn chooses_packets(text: &str) -> bool {
+    let found = read_text("", text, |reader, object| {
+        let chosen = reader.entries(object).optional("interface")?;
+        matches!(chosen, Value::StringLit(word) if word.value == PACKETS).then_some(())
+    });
+    found.is_ok()
+}
+
+const FIELDS: [&str; 9] = [
+    "interface",
+    "vm",
+    "zone",
+    "listen",
+    "ready",
+    "admin",
+    "store",
+    "limits",
+    "log",
+];
+const LIMITS_FIELDS: [&str; 3] = ["flow_s", "grace_s", "notice_ms"];
+
+fn read_settings(reader: &Reader<'_>, object: &Object<'_>) -> Option<PacketSettings> {
+    let fields = reader.fields(object, &FIELDS);
+    let interface = fields
+        .required("interface")
+        .and_then(|value| reader.word(value, &[(PACKETS, ())]));
+    let vm = fields.name("vm");
+    let zone = fields.name("zone");
+    let listen = read_listen(reader, &fields);
+    let ready = fields.address("ready");
+    let admin = fields.address("admin");
+    let store = fields.address("store");
+    let limits = read_limits(reader, &fields);
+    let log = read_log(reader, &fields);
+    check_distinct(reader, &fields, ready, admin);
+    interface?;
+    Some(PacketSettings {
+        vm: vm?,
+        zone: zone?,
+        listen: listen?,
+        ready: ready?,
+        admin: admin?,
+        store: store?,
+        limits: limits?,
+        log: log?,
+    })
+}
+
+fn read_listen(reader: &Reader<'_>, fields: &Fields<'_, '_, '_>) -> Option<SocketAddrV4> {
+    match fields.address("listen")? {
+        SocketAddr::V4(address) => Some(address),
+        SocketAddr::V6(_) => {
+            let at = fields.optional("listen").map_or(fields.start(), start);
+            reader.report(at, "Write an IPv4 address; packets carry no others.");
+            None
+        }
+    }
+}
+
+fn read_limits(reader: &Reader<'_>, fields: &Fields<'_, '_, '_>) -> Option<PacketLimits> {
+    let default = PacketLimits::default();
+    let Some(value) = fields.optional("limits") else {
+        return Some(default);
+    };
+    let fields = reader.fields(reader.object(value)?, &LIMITS_FIELDS);
+    let flow = fields.seconds_or("flow_s", &bounds::FLOW_S, default.flow);
+    let grace = fields.seconds_or("grace_s", &bounds::GRACE_S, default.grace);
+    let notice = fields.millis_or("notice_ms", &bounds::NOTICE_MS, default.notice);
+    Some(PacketLimits {
+        flow: flow?,
+        grace: grace?,
+        notice: notice?,
+    })
+}
+
+fn check_distinct(
+    reader: &Reader<'_>,
+    fields: &Fields<'_, '_, '_>,
+    ready: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
+) {
+    if let (Some(value), true) = (fields.optional("admin"), admin.is_some() && admin == ready) {
+        reader.report(
+            start(value),
+            "Write another port; \"ready\" has this address.",
+        );
+    }
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -232,10 +232,7 @@
     let keys = read_keys(reader, &fields);
     let peers = read_peers(reader, &fields, vm.as_ref());
     let limits = read_limits(reader, &fields);
-    let log = match fields.optional("log") {
-        Some(value) => reader.word(value, &LOG_LEVELS),
-        None => Some(LogLevel::default()),
-    };
+    let log = read_log(reader, &fields);
     let testing = read_testing(reader, &fields);
     check_distinct(reader, &fields, control, admin);
     Some(Settings {
@@ -379,6 +376,13 @@
     })
 }
 
+pub(crate) fn read_log(reader: &Reader<'_>, fields: &Fields<'_, '_, '_>) -> Option<LogLevel> {
+    match fields.optional("log") {
+        Some(value) => reader.word(value, &LOG_LEVELS),
+        None => Some(LogLevel::default()),
+    }
+}
+
 fn read_testing(reader: &Reader<'_>, fields: &Fields<'_, '_, '_>) -> Option<Testing> {
     let Some(value) = fields.optional("testing") else {
         return Some(Testing::default());
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -16,11 +16,20 @@
     connections::Connections,
     router::answer, //
 };
+use bytes::Bytes;
 use futures::future::{
     select,
     Either, //
 };
+use http::{
+    Request,
+    Response, //
+};
 use hyper::{
+    body::{
+        Body,
+        Incoming, //
+    },
     server::conn::http1,
     service::service_fn, //
 };
@@ -38,6 +47,8 @@
 };
 use std::{
     convert::Infallible,
+    error::Error,
+    future::Future,
     io,
     pin::pin,
     rc::Rc,
@@ -61,6 +72,21 @@
 ///
 /// A task per connection answers one request, so a slow client holds up nobody else.
 pub async fn serve<S: Operations + 'static>(listener: TcpListener, operations: Rc<S>) {
+    serve_with(listener, move |req| {
+        let operations = Rc::clone(&operations);
+        async move { answer(req, &*operations).await }
+    })
+    .await;
+}
+
+/// Serves HTTP for as long as `listener` works, with the answers of `respond`.
+pub async fn serve_with<F, Fut, B>(listener: TcpListener, respond: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     let connections = Connections::new(CONNECTIONS);
     loop {
         let stream = match listener.accept().await {
@@ -72,11 +98,11 @@
             }
         };
         let evicted = connections.admit();
-        let operations = operations.clone();
+        let respond = respond.clone();
         monoio::spawn(async move {
             let served = pin!(time::timeout(
                 CONNECTION_TIMEOUT,
-                answer_one(stream, operations)
+                answer_one(stream, respond)
             ));
             if let Either::Left((Ok(Err(e)), _)) = select(served, evicted).await {
                 log::debug!(target: "admin", "event=connection-failed error={:?}", e.to_string());
@@ -85,11 +111,17 @@
     }
 }
 
-async fn answer_one<S: Operations>(stream: TcpStream, operations: Rc<S>) -> io::Result<()> {
+async fn answer_one<F, Fut, B>(stream: TcpStream, respond: F) -> io::Result<()>
+where
+    F: Fn(Request<Incoming>) -> Fut,
+    Fut: Future<Output = Response<B>>,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     let io = MonoioIo::new(stream.into_poll_io()?);
     let service = service_fn(move |req| {
-        let operations = operations.clone();
-        async move { Ok::<_, Infallible>(answer(req, &*operations).await) }
+        let answered = respond(req);
+        async move { Ok::<_, Infallible>(answered.await) }
     });
     http1::Builder::new()
         .timer(MonoioTimer)
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -7,9 +7,10 @@
         options,
         Options, //
     },
+    packets,
 };
 use bpaf::Args;
-use foxtailhinge_config::settings::Settings;
+use foxtailhinge_config::packet_settings::AnySettings;
 use std::{
     fs,
     path::Path,
@@ -50,13 +51,19 @@
         println!("{}: good settings", options.settings.display());
         return Ok(());
     }
-    daemon::run(settings)
+    match settings {
+        AnySettings::Exchange(settings) => daemon::run(*settings),
+        AnySettings::Packets(settings) => packets::daemon::run(settings),
+    }
 }
 
-fn read_settings(path: &Path) -> Result<Settings, Error> {
+fn read_settings(path: &Path) -> Result<AnySettings, Error> {
     let bytes = fs::read(path).map_err(|source| Error::SettingsUnreadable {
         path: path.to_owned(),
         source,
     })?;
-    Ok(Settings::parse_bytes(&path.display().to_string(), &bytes)?)
+    Ok(AnySettings::parse_bytes(
+        &path.display().to_string(),
+        &bytes,
+    )?)
 }
--- /dev/null
+++ b/crates/daemon/src/packets/mod.rs
@@ -0,0 +1,6 @@
+//! The packet path: packets of flows whose ends repeat a label, forwarded by what the platform's store lists.
+
+pub mod daemon;
+pub mod path;
+pub mod ready;
+pub mod view;
--- /dev/null
+++ b/crates/policy/src/packets/directory.rs
@@ -0,0 +1,343 @@
+//! What a daemon knows of upstreams, zones and routes.
+
+use super::{
+    entry::{
+        Change,
+        Configuration,
+        Item,
+        Upstream,
+        UpstreamId,
+        UpstreamState, //
+    },
+    packet::Label,
+};
+use smallvec::SmallVec;
+use std::{
+    collections::{
+        HashMap,
+        HashSet, //
+    },
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// How long an entry that lapsed in an outage of the platform may take to return: the platform names two seconds,
+/// and a fifth of a second is for the way here.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+
+/// How long upstreams of a returned zone count as cold unless their entries say how they are: two heartbeats,
+/// the second of which shows a warm-up that began just before the return.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Fewest entries that must vanish together to be taken for a lapse.
+const LAPSE_MIN: usize = 2;
+
+/// An upstream with what is known of its entry.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The entry as it was last.
+    pub upstream: Upstream,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// When it will be warm.
+    pub warm_at: Instant,
+    /// When its entry went, if it did.
+    pub unlisted: Option<Instant>,
+    /// Until when an entry that vanished in an outage may still return.
+    pub lapses: Option<Instant>,
+}
+
+impl Known {
+    /// Whether new flows may go there by its own word.
+    pub fn serves(&self, now: Instant) -> bool {
+        let listed = self.unlisted.is_none() || self.lapses.is_some_and(|until| now < until);
+        listed && self.upstream.state == UpstreamState::Serving
+    }
+
+    /// Whether it is still cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.warm_at
+    }
+}
+
+/// What taking a change over did, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is in force.
+    Applied,
+    /// It is older than what is known.
+    Stale,
+    /// It cannot be used, for this reason.
+    Refused(Rc<str>),
+    /// It is not for the balancer.
+    Ignored,
+}
+
+#[derive(Clone, Debug)]
+struct Zone {
+    revision: u64,
+    out: bool,
+    /// When it was taken back.
+    returned: Option<Instant>,
+}
+
+/// Upstreams, zones and routes as published; nothing in it ever goes back to an older revision.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    revision: u64,
+    configuration: Option<(u64, Rc<Configuration>)>,
+    upstreams: HashMap<UpstreamId, Known>,
+    services: HashMap<Rc<str>, Vec<UpstreamId>>,
+    labels: HashMap<Label, SmallVec<[UpstreamId; 1]>>,
+    zones: HashMap<Rc<str>, Zone>,
+    regained: Option<Instant>,
+}
+
+impl Directory {
+    /// Revision up to which everything is known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether there is a configuration to serve by.
+    pub fn is_ready(&self) -> bool {
+        self.configuration.is_some()
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Rc<Configuration>> {
+        self.configuration.as_ref().map(|(_, cfg)| cfg)
+    }
+
+    /// One upstream, also one whose entry has gone.
+    pub fn get(&self, id: UpstreamId) -> Option<&Known> {
+        self.upstreams.get(&id)
+    }
+
+    /// All upstreams, also those whose entries have gone.
+    pub fn upstreams(&self) -> impl Iterator<Item = (UpstreamId, &Known)> {
+        self.upstreams.iter().map(|(id, known)| (*id, known))
+    }
+
+    /// Upstreams of a service.
+    pub fn of_service(&self, service: &str) -> &[UpstreamId] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Upstreams with a label, the one that takes the flows first.
+    pub fn with_label(&self, label: Label) -> &[UpstreamId] {
+        self.labels.get(&label).map_or(&[], SmallVec::as_slice)
+    }
+
+    /// Whether a zone is out of service.
+    pub fn is_out(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(|zone| zone.out)
+    }
+
+    /// Whether the upstreams of a zone may have become cold unseen, since it was taken back just now.
+    pub fn has_returned(&self, zone: &str, now: Instant) -> bool {
+        let returned = self.zones.get(zone).and_then(|zone| zone.returned);
+        returned.is_some_and(|at| now < at + RETURN_GRACE)
+    }
+
+    /// Notes that the platform answers again after an outage.
+    pub fn regain(&mut self, now: Instant) {
+        self.regained = Some(now);
+    }
+
+    /// Takes over changes up to `revision`.
+    pub fn apply(&mut self, revision: u64, items: &[Item], now: Instant) -> Vec<Outcome> {
+        self.note_mass_lapse(items, now);
+        let outcomes = items.iter().map(|item| self.take(item, now)).collect();
+        self.revision = self.revision.max(revision);
+        self.index(now);
+        outcomes
+    }
+
+    /// Takes over a full list whose first page has `revision`; what it lacks is gone.
+    ///
+    /// Returns nothing when the list is older than what is known.
+    pub fn replace(&mut self, revision: u64, items: &[Item], now: Instant) -> Option<Vec<Outcome>> {
+        if revision < self.revision {
+            return None;
+        }
+        let mut gone = self.missing(revision, items);
+        gone.extend_from_slice(items);
+        Some(self.apply(revision, &gone, now))
+    }
+
+    /// Forgets upstreams whose entries went longer than `keep` ago.
+    pub fn forget(&mut self, keep: Duration, now: Instant) {
+        self.upstreams
+            .retain(|_, known| known.unlisted.is_none_or(|at| now < at + keep));
+        self.index(now);
+    }
+
+    /// Removals that a full list implies.
+    fn missing(&self, revision: u64, items: &[Item]) -> Vec<Item> {
+        let mut upstreams = HashSet::new();
+        let mut zones: HashSet<&str> = HashSet::new();
+        for item in items {
+            match &item.change {
+                Change::Listed(id, _) | Change::Unlisted(id, _) => {
+                    upstreams.insert(*id);
+                }
+                Change::Zone { zone, .. } => {
+                    zones.insert(zone);
+                }
+                Change::Configured(_) | Change::Unusable(_) | Change::Foreign => (),
+            }
+        }
+        let item = |change| Item {
+            key: "".into(),
+            revision,
+            change,
+        };
+        let gone = self
+            .upstreams
+            .iter()
+            .filter(|(id, known)| known.unlisted.is_none() && !upstreams.contains(id))
+            .map(|(id, _)| item(Change::Unlisted(*id, None)));
+        let back = self
+            .zones
+            .iter()
+            .filter(|(name, zone)| zone.out && !zones.contains(name.as_ref()))
+            .map(|(name, _)| {
+                item(Change::Zone {
+                    zone: Rc::clone(name),
+                    out: false,
+                })
+            });
+        gone.chain(back).collect()
+    }
+
+    /// Takes entries that vanish together for a lapse, since servers do not crash together but their leases do end
+    /// together when the platform does not hear them.
+    fn note_mass_lapse(&mut self, items: &[Item], now: Instant) {
+        let mut gone: HashMap<&Rc<str>, usize> = HashMap::new();
+        for item in items {
+            let Change::Unlisted(id, None) = &item.change else {
+                continue;
+            };
+            let Some(known) = self.upstreams.get(id).filter(|k| k.serves(now)) else {
+                continue;
+            };
+            *gone.entry(&known.upstream.service).or_default() += 1;
+        }
+        let lapse = gone.iter().any(|(service, gone)| {
+            let all = self.of_service(service).iter();
+            let serving = all.filter(|id| self.upstreams[id].serves(now)).count();
+            *gone >= LAPSE_MIN && gone * 2 > serving
+        });
+        if lapse {
+            self.regained = Some(now);
+        }
+    }
+
+    fn take(&mut self, item: &Item, now: Instant) -> Outcome {
+        match &item.change {
+            Change::Listed(id, upstream) => self.list(*id, upstream, item.revision, now),
+            Change::Unlisted(id, reason) => {
+                let taken = self.unlist(*id, item.revision, now);
+                match reason {
+                    Some(reason) => Outcome::Refused(Rc::clone(reason)),
+                    None => taken,
+                }
+            }
+            Change::Configured(cfg) => self.configure(cfg, item.revision),
+            Change::Zone { zone, out } => self.set_zone(zone, *out, item.revision, now),
+            Change::Unusable(reason) => Outcome::Refused(Rc::clone(reason)),
+            Change::Foreign => Outcome::Ignored,
+        }
+    }
+
+    fn list(
+        &mut self,
+        id: UpstreamId,
+        upstream: &Upstream,
+        revision: u64,
+        now: Instant,
+    ) -> Outcome {
+        if let Some(known) = self.upstreams.get(&id) {
+            if revision <= known.revision {
+                return Outcome::Stale;
+            }
+        }
+        let known = Known {
+            upstream: upstream.clone(),
+            revision,
+            warm_at: now + upstream.warmup_left,
+            unlisted: None,
+            lapses: None,
+        };
+        self.upstreams.insert(id, known);
+        Outcome::Applied
+    }
+
+    fn unlist(&mut self, id: UpstreamId, revision: u64, now: Instant) -> Outcome {
+        let Some(known) = self.upstreams.get_mut(&id) else {
+            return Outcome::Ignored;
+        };
+        if revision < known.revision || known.unlisted.is_some() {
+            return Outcome::Stale;
+        }
+        let lapses = self.regained.map(|at| at + LAPSE_GRACE);
+        known.lapses = lapses.filter(|until| now < *until);
+        known.revision = revision;
+        known.unlisted = Some(now);
+        Outcome::Applied
+    }
+
+    fn configure(&mut self, cfg: &Configuration, revision: u64) -> Outcome {
+        if let Some((known, current)) = &self.configuration {
+            if revision <= *known || cfg.version < current.version {
+                return Outcome::Stale;
+            }
+        }
+        self.configuration = Some((revision, Rc::new(cfg.clone())));
+        Outcome::Applied
+    }
+
+    fn set_zone(&mut self, name: &Rc<str>, out: bool, revision: u64, now: Instant) -> Outcome {
+        let known = self.zones.get(name);
+        if known.is_some_and(|zone| revision < zone.revision) {
+            return Outcome::Stale;
+        }
+        let was_out = known.is_some_and(|zone| zone.out);
+        let returned = match was_out && !out {
+            true => Some(now),
+            false => known.and_then(|zone| zone.returned),
+        };
+        let zone = Zone {
+            revision,
+            out,
+            returned,
+        };
+        self.zones.insert(Rc::clone(name), zone);
+        Outcome::Applied
+    }
+
+    /// Rebuilds the indexes.
+    ///
+    /// Of two upstreams with one label the one with a live entry, then the older entry, comes first, so that all
+    /// daemons choose the same one.
+    fn index(&mut self, now: Instant) {
+        self.services.clear();
+        self.labels.clear();
+        let mut ids: Vec<_> = self.upstreams.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            let known = &self.upstreams[&id];
+            let service = Rc::clone(&known.upstream.service);
+            self.services.entry(service).or_default().push(id);
+            self.labels.entry(id.label()).or_default().push(id);
+        }
+        let upstreams = &self.upstreams;
+        for ids in self.labels.values_mut().filter(|ids| ids.len() > 1) {
+            ids.sort_by_key(|id| (!upstreams[id].serves(now), *id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/packets/mod.rs
@@ -0,0 +1,35 @@
+//! Decisions for packets whose ends repeat a label: which upstream takes a new flow, and where each later packet goes.
+//!
+//! The label in a packet names the flow's upstream, so any daemon can forward any packet from the directory alone.
+
+pub mod balancer;
+pub mod directory;
+pub mod entry;
+pub mod load;
+pub mod openings;
+pub mod packet;
+
+pub use self::{
+    balancer::{
+        Balancer,
+        DropReason,
+        ResetReason,
+        Verdict, //
+    },
+    directory::Directory,
+    entry::{
+        Change,
+        Configuration,
+        Item,
+        Route,
+        Service,
+        Target,
+        Upstream,
+        UpstreamId,
+        UpstreamState, //
+    },
+    packet::{
+        Kind,
+        Packet, //
+    },
+};
