Choose by requests in progress, and let hopeless openings wait in a rush after a start

Cause: the worst seconds are those after a final fault. New flows were spread by a fading count of openings, which does not see the requests of open feeds. Change: requests in progress told from headers; other zones behind by 0.75 a slot; openings that cannot be in time wait at most 0.7 s after a start when a quarter of the openings are such copies.

--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -157,6 +157,14 @@
         let path = Rc::clone(&path);
         async move { Ok(path.run().await?) }
     });
+    let held = Rc::clone(daemon);
+    supervisor.child("held", Restart::Always, move |_| {
+        let daemon = Rc::clone(&held);
+        async move {
+            daemon.path.run_held(&daemon.timer).await;
+            Ok(())
+        }
+    });
     let tidied = Rc::clone(daemon);
     supervisor.child("tidy", Restart::Always, move |_| {
         let daemon = Rc::clone(&tidied);
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -3,7 +3,9 @@
 use super::view::View;
 use crate::{
     data::socket::Socket,
-    logging::Event, //
+    logging::Event,
+    members::wake::Wake,
+    timer::Timer, //
 };
 use foxtailhinge_platform::packet::{
     decode,
@@ -16,11 +18,13 @@
 use foxtailhinge_policy::packets::{
     Balancer,
     Packet,
+    UpstreamId,
     Verdict, //
 };
 use rand::rngs::SmallRng;
 use std::{
     cell::RefCell,
+    collections::VecDeque,
     io,
     net::{
         SocketAddr,
@@ -33,6 +37,12 @@
     },
 };
 
+/// Time without a packet after which nothing is remembered of a flow; it is forwarded by its label all the same.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// Most packets that wait at a time.
+const HELD_MAX: usize = 4_096;
+
 /// Forwards packets.
 #[derive(Debug)]
 pub struct Path {
@@ -40,6 +50,8 @@
     callers_port: u16,
     balancer: RefCell<Balancer<SmallRng>>,
     view: Rc<View>,
+    held: RefCell<VecDeque<(Instant, Vec<u8>)>>,
+    wake: Wake,
 }
 
 impl Path {
@@ -55,6 +67,8 @@
             callers_port: listen.port(),
             balancer: RefCell::new(balancer),
             view,
+            held: RefCell::default(),
+            wake: Wake::default(),
         }
     }
 
@@ -69,9 +83,7 @@
     pub fn tidy(&self, keep: Duration) {
         let now = Instant::now();
         self.view.directory_mut().forget(keep, now);
-        self.balancer
-            .borrow_mut()
-            .forget(&self.view.directory(), now);
+        self.balancer.borrow_mut().forget(IDLE, now);
     }
 
     fn take(&self, datagram: &[u8]) {
@@ -89,7 +101,9 @@
             .borrow_mut()
             .decide(&packet, &directory, age, now);
         match verdict {
-            Verdict::Forward { id, to, label } => self.forward(datagram, id.0, to, label),
+            Verdict::Open(choice) => self.forward(datagram, choice.id, choice.to),
+            Verdict::Forward { id, to, .. } => self.forward(datagram, id, to),
+            Verdict::Wait { until } => self.hold(datagram, until),
             Verdict::Reset(reason) => {
                 self.reset(&packet);
                 log_packet("flow_reset", &packet)
@@ -104,12 +118,35 @@
         }
     }
 
-    fn forward(&self, datagram: &[u8], id: u64, to: SocketAddrV4, label: u32) {
+    /// Keeps a packet until its time has come; without room it is dropped, as the network would.
+    fn hold(&self, datagram: &[u8], until: Instant) {
+        let mut held = self.held.borrow_mut();
+        if held.len() < HELD_MAX {
+            held.push_back((until, datagram.to_vec()));
+            self.wake.set();
+        }
+    }
+
+    /// Looks again at packets that had to wait.
+    pub async fn run_held(&self, timer: &Rc<Timer>) {
+        loop {
+            let next = self.held.borrow_mut().pop_front();
+            match next {
+                Some((until, datagram)) => {
+                    timer.sleep_until(until).await;
+                    self.take(&datagram);
+                }
+                None => self.wake.wait().await,
+            }
+        }
+    }
+
+    fn forward(&self, datagram: &[u8], id: UpstreamId, to: SocketAddrV4) {
         let mut buf = [0; RECIPIENT + DATAGRAM_MAX];
         let end = RECIPIENT + datagram.len();
-        buf[..RECIPIENT].copy_from_slice(&recipient(id));
+        buf[..RECIPIENT].copy_from_slice(&recipient(id.0));
         buf[RECIPIENT..end].copy_from_slice(datagram);
-        set_label(&mut buf[RECIPIENT..end], label);
+        set_label(&mut buf[RECIPIENT..end], id.label());
         self.socket.send_to(&buf[..end], SocketAddr::V4(to));
     }
 
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -1,24 +1,27 @@
 //! Where a packet goes.
 
 use super::{
-    directory::{
-        Directory,
-        Known, //
+    choice::{
+        Choice,
+        Chooser, //
     },
+    directory::Directory,
     entry::{
         Route,
         UpstreamId, //
     },
-    load::Load,
-    openings::{
-        Openings,
-        Tried, //
+    flows::{
+        Flows,
+        Sign, //
     },
+    openings::Openings,
     packet::{
         Kind,
         Label,
         Packet, //
     },
+    silence::Silence,
+    thundering_herd::ThunderingHerd,
 };
 use rand::Rng;
 use std::{
@@ -30,11 +33,8 @@
     },
 };
 
-/// How much more load an upstream of the daemon's own zone may have before another zone's is taken.
-const ZONE_PREFERENCE: f64 = 4.0;
-
-/// Age of the view up to which a missing route is certain: the bound in which a configuration is to be in force, less
-/// a margin, so that a newer configuration cannot have been meant to be in force already.
+/// Age of the view up to which a missing route is certain: less than the time in which a configuration is to be in
+/// force.
 const CERTAIN: Duration = Duration::from_secs(2);
 
 /// Why a flow is reset.
@@ -58,16 +58,23 @@
 }
 
 /// What is done with a packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
-    /// It goes to an upstream.
+    /// It opens a flow at the upstream that was chosen, and gets its label.
+    Open(Choice),
+    /// It goes to the upstream of its flow.
     Forward {
         /// The upstream.
         id: UpstreamId,
         /// Its address.
         to: SocketAddrV4,
-        /// The label that the packet is to carry.
-        label: Label,
+        /// What it shows of the flow.
+        sign: Sign,
+    },
+    /// It is looked at again at this time.
+    Wait {
+        /// When.
+        until: Instant,
     },
     /// Its flow is reset.
     Reset(ResetReason),
@@ -75,13 +82,25 @@
     Drop(DropReason),
 }
 
+/// A change in what is believed of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// It left an opening packet unanswered.
+    Silent(UpstreamId),
+    /// It answers again.
+    Answers(UpstreamId),
+}
+
 /// Decides where packets go.
 #[derive(Clone, Debug)]
 pub struct Balancer<R> {
     zone: Rc<str>,
     rng: R,
     openings: Openings,
-    load: Load,
+    flows: Flows,
+    silence: Silence,
+    herd: ThunderingHerd,
+    beliefs: Vec<Belief>,
 }
 
 impl<R: Rng> Balancer<R> {
@@ -91,7 +110,10 @@
             zone,
             rng,
             openings: Openings::default(),
-            load: Load::default(),
+            flows: Flows::default(),
+            silence: Silence::default(),
+            herd: ThunderingHerd::default(),
+            beliefs: Vec::new(),
         }
     }
 
@@ -106,6 +128,7 @@
         let Some(cfg) = directory.configuration() else {
             return Verdict::Drop(DropReason::NoView);
         };
+        self.herd.begin(now);
         let route = cfg.routes.get(&packet.flow.route);
         match (packet.kind, route) {
             (Kind::Open, Some(route)) => self.open(packet, route, directory, now),
@@ -116,10 +139,21 @@
         }
     }
 
-    /// Forgets what is no longer of use.
-    pub fn forget(&mut self, directory: &Directory, now: Instant) {
+    /// Changes in what is believed of upstreams since the last call.
+    pub fn take_beliefs(&mut self) -> Vec<Belief> {
+        std::mem::take(&mut self.beliefs)
+    }
+
+    /// Number of flows that are remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Forgets what is no longer of use; a flow may be forgotten when it was idle for `idle`.
+    pub fn forget(&mut self, idle: Duration, now: Instant) {
         self.openings.forget(now);
-        self.load.forget(|id| directory.get(id).is_some());
+        self.silence.forget(now);
+        self.flows.forget(idle, now);
     }
 
     /// Chooses an upstream for a new flow.
@@ -131,20 +165,29 @@
         now: Instant,
     ) -> Verdict {
         let tried = self.openings.tried(packet.flow, now);
+        if tried.is_empty() {
+            if let Some(until) = self.herd.wait(packet.ack, route.aim, now) {
+                return Verdict::Wait { until };
+            }
+        }
         for id in &tried {
-            self.load.silent(*id, now);
+            if self.silence.note(*id, now) {
+                self.beliefs.push(Belief::Silent(*id));
+            }
         }
-        let service = self.draw_service(route);
-        let Some((id, to)) = self.choose(service, &tried, directory, now) else {
+        let chooser = Chooser {
+            zone: &self.zone,
+            directory,
+            flows: &self.flows,
+            silence: &self.silence,
+        };
+        let service = draw_service(route, &mut self.rng);
+        let Some(choice) = chooser.choose(service, &tried, &mut self.rng, now) else {
             return Verdict::Drop(DropReason::NoUpstream);
         };
-        self.openings.note(packet.flow, id, now);
-        self.load.open(id, now);
-        Verdict::Forward {
-            id,
-            to,
-            label: id.label(),
-        }
+        self.openings.note(packet.flow, choice.id, now);
+        self.flows.open(packet.flow, choice.id, now);
+        Verdict::Open(choice)
     }
 
     /// Sends a packet of an open flow to the upstream that its label names.
@@ -153,71 +196,40 @@
         let Some((id, known)) = ids.first().and_then(|id| Some((*id, directory.get(*id)?))) else {
             return Verdict::Drop(DropReason::UnknownLabel);
         };
-        if self.openings.opened(packet.flow).is_some() {
-            self.load.answered(id, now);
+        let sign = self.flows.note(packet, id, now);
+        let opened = self.openings.opened(packet.flow).is_some();
+        let answered = opened || matches!(sign, Sign::Answered(_));
+        if answered && self.silence.answered(id) {
+            self.beliefs.push(Belief::Answers(id));
         }
         Verdict::Forward {
             id,
             to: known.upstream.address,
-            label: packet.label,
+            sign,
         }
     }
+}
 
-    fn draw_service<'r>(&mut self, route: &'r Route) -> &'r str {
-        let total: u32 = route.targets.iter().map(|t| t.weight).sum();
-        let mut drawn = self.rng.random_range(0..total.max(1));
-        for target in &route.targets {
-            if drawn < target.weight {
-                return &target.service;
-            }
-            drawn -= target.weight;
+/// Draws a service of the route by weight.
+fn draw_service<'r>(route: &'r Route, rng: &mut impl Rng) -> &'r str {
+    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
+    let mut drawn = rng.random_range(0..total.max(1));
+    for target in &route.targets {
+        if drawn < target.weight {
+            return &target.service;
         }
-        route.targets.first().map_or("", |t| &t.service)
+        drawn -= target.weight;
     }
+    route.targets.first().map_or("", |t| &t.service)
+}
 
-    fn choose(
-        &mut self,
-        service: &str,
-        tried: &Tried,
-        directory: &Directory,
-        now: Instant,
-    ) -> Option<(UpstreamId, SocketAddrV4)> {
-        let mut best: Option<((u8, f64), UpstreamId, SocketAddrV4)> = None;
-        for id in directory.of_service(service) {
-            let Some(known) = directory.get(*id) else {
-                continue;
-            };
-            if !is_usable(*id, known, directory, now) {
-                continue;
-            }
-            let score = self.score(*id, known, tried, now);
-            if best.is_none_or(|(least, ..)| score < least) {
-                best = Some((score, *id, known.upstream.address));
-            }
+impl Verdict {
+    /// Label that the packet is to carry.
+    pub fn label(&self) -> Option<Label> {
+        match self {
+            Self::Open(choice) => Some(choice.id.label()),
+            Self::Forward { id, .. } => Some(id.label()),
+            Self::Wait { .. } | Self::Reset(_) | Self::Drop(_) => None,
         }
-        best.map(|(_, id, to)| (id, to))
     }
-
-    /// How bad an upstream is for a new flow; lower is better.
-    fn score(&mut self, id: UpstreamId, known: &Known, tried: &Tried, now: Instant) -> (u8, f64) {
-        let class = match (tried.contains(&id), self.load.is_silent(id, now)) {
-            (false, false) => 0,
-            (false, true) => 1,
-            (true, _) => 2,
-        };
-        let taken = self.load.openings(id, now) + self.rng.random::<f64>() * 0.1;
-        let per_slot = (taken + 1.0) / f64::from(known.upstream.slots.max(1));
-        let score = match known.upstream.zone == self.zone {
-            true => per_slot,
-            false => per_slot * ZONE_PREFERENCE,
-        };
-        (class, score)
-    }
-}
-
-fn is_usable(id: UpstreamId, known: &Known, directory: &Directory, now: Instant) -> bool {
-    let zone = &known.upstream.zone;
-    let cold = known.is_cold(now) || directory.has_returned(zone, now);
-    let first = directory.with_label(id.label()).first() == Some(&id);
-    known.serves(now) && !cold && !directory.is_out(zone) && first
 }
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -70,6 +70,8 @@
     pub name: Rc<str>,
     /// Services with their weights.
     pub targets: SmallVec<[Target; 2]>,
+    /// Time in which a request is to be answered.
+    pub aim: Duration,
 }
 
 /// What the configuration says of a service.
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -3,19 +3,27 @@
 //! The label in a packet names the flow's upstream, so any daemon can forward any packet from the directory alone.
 
 pub mod balancer;
+pub mod choice;
 pub mod directory;
 pub mod entry;
-pub mod load;
+pub mod flows;
 pub mod openings;
 pub mod packet;
+pub mod silence;
+pub mod thundering_herd;
 
 pub use self::{
     balancer::{
         Balancer,
+        Belief,
         DropReason,
         ResetReason,
         Verdict, //
     },
+    choice::{
+        Choice,
+        Standing, //
+    },
     directory::Directory,
     entry::{
         Change,
@@ -28,6 +36,7 @@
         UpstreamId,
         UpstreamState, //
     },
+    flows::Sign,
     packet::{
         Kind,
         Packet, //
