--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod finding;
 pub mod names;
+pub mod packet_report;
 pub mod packet_settings;
 pub mod reader;
 pub mod report;
--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -94,6 +94,33 @@
     }
 }
 
+impl PacketSettings {
+    /// Reads settings from bytes that may not be UTF-8.
+    pub fn parse_bytes(file: &str, bytes: &[u8]) -> Result<Self, Findings> {
+        Self::parse(file, decode(file, bytes)?)
+    }
+
+    /// Takes over of `new` what may change while the process runs, and names the changed fields that may not.
+    pub fn merge(&self, new: Self) -> (Self, Vec<&'static str>) {
+        let fixed = [
+            ("vm", self.vm != new.vm),
+            ("zone", self.zone != new.zone),
+            ("listen", self.listen != new.listen),
+            ("ready", self.ready != new.ready),
+            ("admin", self.admin != new.admin),
+        ];
+        let fixed = fixed.iter().filter(|(_, changed)| *changed);
+        let fixed = fixed.map(|(name, _)| *name).collect();
+        let merged = Self {
+            store: new.store,
+            limits: new.limits,
+            log: new.log,
+            ..self.clone()
+        };
+        (merged, fixed)
+    }
+}
+
 /// Settings of a daemon, whichever interface it serves.
 #[derive(Clone, Debug)]
 pub enum AnySettings {
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -9,12 +9,16 @@
     ExplainError,
     ExplainQuery,
     FaultsError,
-    Operations, //
+    Operations,
+    Reports, //
 };
 
 use crate::admin::{
     connections::Connections,
-    router::answer, //
+    router::{
+        answer,
+        answer_reports, //
+    },
 };
 use bytes::Bytes;
 use futures::future::{
@@ -79,6 +83,15 @@
     .await;
 }
 
+/// Serves reports to operators for as long as `listener` works.
+pub async fn serve_reports<R: Reports + 'static>(listener: TcpListener, reports: Rc<R>) {
+    serve_with(listener, move |req| {
+        let answer = answer_reports(&req, &*reports);
+        async move { answer }
+    })
+    .await;
+}
+
 /// Serves HTTP for as long as `listener` works, with the answers of `respond`.
 pub async fn serve_with<F, Fut, B>(listener: TcpListener, respond: F)
 where
--- a/crates/daemon/src/admin/operations.rs
+++ b/crates/daemon/src/admin/operations.rs
@@ -7,8 +7,33 @@
     Faults,
     Status, //
 };
+use serde::Serialize;
 use thiserror::Error;
 
+/// What every daemon reports, whichever interface it serves.
+pub trait Reports {
+    /// Everything that it knows.
+    type Status: Serialize;
+
+    /// All metrics in the text format of Prometheus.
+    fn metrics(&self) -> String;
+
+    /// Everything that the daemon knows.
+    fn status(&self) -> Self::Status;
+}
+
+impl<O: Operations> Reports for O {
+    type Status = Status;
+
+    fn metrics(&self) -> String {
+        Operations::metrics(self)
+    }
+
+    fn status(&self) -> Status {
+        Operations::status(self)
+    }
+}
+
 /// What the admin interface needs of the daemon.
 pub trait Operations {
     /// All metrics in the text format of Prometheus.
--- a/crates/daemon/src/admin/router.rs
+++ b/crates/daemon/src/admin/router.rs
@@ -4,7 +4,8 @@
     operations::{
         ExplainError,
         FaultsError,
-        Operations, //
+        Operations,
+        Reports, //
     },
     query::{
         self,
@@ -47,6 +48,8 @@
 enum RequestError {
     #[error("Ask for /metrics, /status, /audit or /explain; \"{0}\" is not served.")]
     Path(String),
+    #[error("Ask for /metrics or /status; \"{0}\" is not served.")]
+    ReportPath(String),
     #[error("Use the method {0} for this path.")]
     Method(&'static str),
     #[error(transparent)]
@@ -68,7 +71,7 @@
 impl RequestError {
     fn status(&self) -> StatusCode {
         match self {
-            Self::Path(_) => StatusCode::NOT_FOUND,
+            Self::Path(_) | Self::ReportPath(_) => StatusCode::NOT_FOUND,
             Self::Explain(ExplainError::UnknownService(_)) => StatusCode::NOT_FOUND,
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::FaultsRefused(FaultsError::NotEnabled) => StatusCode::FORBIDDEN,
@@ -100,6 +103,28 @@
     }
 }
 
+/// Answers one request for a report.
+pub(super) fn answer_reports<R: Reports>(req: &Request<Incoming>, reports: &R) -> Answer {
+    let path = req.uri().path();
+    let answered = match path {
+        "/metrics" => read(req, metrics, reports),
+        "/status" => read(req, status, reports),
+        _ => Err(RequestError::ReportPath(path.to_owned())),
+    };
+    answered.unwrap_or_else(RequestError::into_answer)
+}
+
+fn read<R>(
+    req: &Request<Incoming>,
+    report: fn(&R, &str) -> Result<Answer, RequestError>,
+    reports: &R,
+) -> Result<Answer, RequestError> {
+    if req.method() != Method::GET {
+        return Err(RequestError::Method("GET"));
+    }
+    report(reports, req.uri().query().unwrap_or_default())
+}
+
 async fn route<S: Operations>(
     req: Request<Incoming>,
     operations: &S,
@@ -108,31 +133,24 @@
     if path == "/faults" {
         return set_faults(req, operations).await;
     }
-    let read = match path {
+    let report = match path {
         "/metrics" => metrics,
         "/status" => status,
         "/audit" => audit,
         "/explain" => explain,
         _ => return Err(RequestError::Path(path.to_string())),
     };
-    if req.method() != Method::GET {
-        return Err(RequestError::Method("GET"));
-    }
-    read(operations, req.uri().query().unwrap_or_default())
+    read(&req, report, operations)
 }
 
-fn metrics<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
+fn metrics<R: Reports>(reports: &R, query: &str) -> Result<Answer, RequestError> {
     query::none(query)?;
-    Ok(respond(
-        StatusCode::OK,
-        PROMETHEUS_TEXT,
-        operations.metrics(),
-    ))
+    Ok(respond(StatusCode::OK, PROMETHEUS_TEXT, reports.metrics()))
 }
 
-fn status<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
+fn status<R: Reports>(reports: &R, query: &str) -> Result<Answer, RequestError> {
     query::none(query)?;
-    json(&operations.status())
+    json(&reports.status())
 }
 
 fn audit<S: Operations>(operations: &S, query: &str) -> Result<Answer, RequestError> {
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -7,13 +7,15 @@
         options,
         Options, //
     },
-    packets,
+    packets::{
+        self,
+        daemon::Source, //
+    },
 };
 use bpaf::Args;
 use foxtailhinge_config::packet_settings::AnySettings;
 use std::{
     fs,
-    path::Path,
     process::ExitCode, //
 };
 
@@ -46,24 +48,22 @@
 }
 
 fn start(options: &Options) -> Result<(), Error> {
-    let settings = read_settings(&options.settings)?;
+    let path = &options.settings;
+    let text = fs::read(path).map_err(|source| Error::SettingsUnreadable {
+        path: path.clone(),
+        source,
+    })?;
+    let settings = AnySettings::parse_bytes(&path.display().to_string(), &text)?;
     if options.check {
-        println!("{}: good settings", options.settings.display());
+        println!("{}: good settings", path.display());
         return Ok(());
     }
     match settings {
         AnySettings::Exchange(settings) => daemon::run(*settings),
-        AnySettings::Packets(settings) => packets::daemon::run(settings),
+        AnySettings::Packets(settings) => packets::daemon::run(Source {
+            path: path.clone(),
+            text,
+            settings,
+        }),
     }
 }
-
-fn read_settings(path: &Path) -> Result<AnySettings, Error> {
-    let bytes = fs::read(path).map_err(|source| Error::SettingsUnreadable {
-        path: path.to_owned(),
-        source,
-    })?;
-    Ok(AnySettings::parse_bytes(
-        &path.display().to_string(),
-        &bytes,
-    )?)
-}
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,6 +1,7 @@
 //! Structured logs, one line of key=value pairs for each event.
 
 use flexi_logger::{
+    writers::LogWriter,
     DeferredNow,
     FlexiLoggerError,
     LogSpecification,
@@ -12,6 +13,12 @@
     LevelFilter,
     Record, //
 };
+use rustix::event::{
+    poll,
+    PollFd,
+    PollFlags,
+    Timespec, //
+};
 use std::{
     cell::RefCell,
     collections::HashMap,
@@ -19,7 +26,15 @@
         Display,
         Write as _, //
     },
-    io, panic,
+    io::{
+        self,
+        Write as _, //
+    },
+    panic,
+    sync::atomic::{
+        AtomicU64,
+        Ordering, //
+    },
     time::{
         Duration,
         Instant, //
@@ -40,7 +55,53 @@
 /// Window of the rate limit.
 pub const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Starts logging to standard error; keep the handle as long as the process runs.
+/// Longest line; what a pipe takes at once, so that a write of a line never waits half way.
+const LINE_MAX: usize = 4_096;
+
+/// Lines that were lost since standard output had no room.
+static LINES_LOST: AtomicU64 = AtomicU64::new(0);
+
+/// Number of lines that were lost since nobody read standard output.
+pub fn lines_lost() -> u64 {
+    LINES_LOST.load(Ordering::Relaxed)
+}
+
+/// Standard output, which is written only when that does not wait.
+struct Output;
+
+impl LogWriter for Output {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut line = Vec::with_capacity(256);
+        write_line(&mut line, now, record)?;
+        line.truncate(LINE_MAX - 1);
+        line.push(b'\n');
+        let out = io::stdout();
+        let mut ready = [PollFd::new(&out, PollFlags::OUT)];
+        match poll(&mut ready, Some(&Timespec::default())) {
+            Ok(1..) => out.lock().write_all(&line),
+            _ => {
+                LINES_LOST.fetch_add(1, Ordering::Relaxed);
+                Ok(())
+            }
+        }
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Levels of the program's own lines and of libraries.
+pub fn spec(level: LevelFilter) -> LogSpecification {
+    let mut spec = LogSpecification::builder();
+    spec.default(level.min(LevelFilter::Warn));
+    for target in OWN_TARGETS {
+        spec.module(target, level);
+    }
+    spec.build()
+}
+
+/// Starts logging to standard output; keep the handle as long as the process runs.
 ///
 /// The program's own lines are written from `level` on, those of libraries from warnings on.
 /// Panics and messages that are not key=value pairs become one line each too.
@@ -50,14 +111,8 @@
 /// Fails when a logger was started before.
 pub fn start(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
     DeferredNow::force_utc();
-    let mut spec = LogSpecification::builder();
-    spec.default(level.min(LevelFilter::Warn));
-    for target in OWN_TARGETS {
-        spec.module(target, level);
-    }
-    let handle = Logger::with(spec.build())
-        .format(write_line)
-        .log_to_stderr()
+    let handle = Logger::with(spec(level))
+        .log_to_writer(Box::new(Output))
         .start()?;
     panic::set_hook(Box::new(|info| {
         let mut event = Event::new("panic").field("message", panic_message(info.payload()));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,6 +9,8 @@
 
 use prometheus::{
     core::Collector,
+    Histogram,
+    HistogramOpts,
     IntCounter,
     IntCounterVec,
     IntGauge,
@@ -170,7 +172,7 @@
 }
 
 impl<L: Label> Counters<L> {
-    fn new(registry: &Registry, name: &str, help: &str) -> Self {
+    pub(crate) fn new(registry: &Registry, name: &str, help: &str) -> Self {
         let opts = Opts::new(name, help);
         let family = register(registry, IntCounterVec::new(opts, &[L::NAME]));
         let children = L::ALL.iter().map(|l| family.with_label_values(&[l.word()]));
@@ -209,7 +211,7 @@
 }
 
 impl<L: Label> Gauges<L> {
-    fn new(registry: &Registry, name: &str, help: &str) -> Self {
+    pub(crate) fn new(registry: &Registry, name: &str, help: &str) -> Self {
         let opts = Opts::new(name, help);
         let family = register(registry, IntGaugeVec::new(opts, &[L::NAME]));
         let children = L::ALL.iter().map(|l| family.with_label_values(&[l.word()]));
@@ -415,10 +417,7 @@
 
     /// Writes all metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
-        let families = self.registry.gather();
-        TextEncoder::new()
-            .encode_to_string(&families)
-            .unwrap_or_default()
+        render(&self.registry)
     }
 }
 
@@ -428,11 +427,26 @@
     }
 }
 
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+/// Writes all metrics of a registry in the text format of Prometheus.
+pub(crate) fn render(registry: &Registry) -> String {
+    TextEncoder::new()
+        .encode_to_string(&registry.gather())
+        .unwrap_or_else(|err| {
+            log::error!("event=metrics_unwritten cause=\"{err}\"");
+            String::new()
+        })
+}
+
+pub(crate) fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    register(registry, Histogram::with_opts(opts))
+}
+
+pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     register(registry, IntCounter::new(name, help))
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     register(registry, IntGauge::new(name, help))
 }
 
--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -1,23 +1,28 @@
 //! A daemon that forwards packets: its parts, started and stopped together.
 
 use super::{
+    metrics::PacketMetrics,
     path::Path,
     ready,
+    reload::LiveSettings,
     view::View, //
 };
 use crate::{
-    admin::serve_with,
+    admin::{
+        serve_reports,
+        serve_with, //
+    },
     data::socket::Socket,
     error::Error,
     logging::{
         self,
         Event, //
     },
-    signal::Signals,
-    store::{
-        follow::follow,
-        Client, //
+    signal::{
+        Hangup,
+        Signals, //
     },
+    store::follow,
     supervisor::{
         Limits,
         Restart,
@@ -25,7 +30,11 @@
     },
     timer::Timer,
 };
-use foxtailhinge_config::packet_settings::PacketSettings;
+use flexi_logger::LoggerHandle;
+use foxtailhinge_config::{
+    packet_settings::PacketSettings,
+    settings::LogLevel, //
+};
 use foxtailhinge_policy::packets::Balancer;
 use futures::future::{
     select,
@@ -43,6 +52,7 @@
 use std::{
     cell::Cell,
     net::SocketAddr,
+    path::PathBuf,
     pin::pin,
     rc::Rc,
     time::{
@@ -54,6 +64,9 @@
 /// Time between two rounds of tidying up.
 const TIDY_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
 /// Time for which packets are still forwarded after the fabric was told to send no more: it asks twice a second and
 /// believes the second refusal.
 const LINGER: Duration = Duration::from_millis(2_500);
@@ -61,12 +74,26 @@
 /// Part of the grace period that is kept for the end of the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
-struct Daemon {
-    settings: PacketSettings,
-    view: Rc<View>,
-    path: Rc<Path>,
+/// The parts of the daemon.
+pub struct Daemon {
+    pub(super) settings: LiveSettings,
+    pub(super) view: Rc<View>,
+    pub(super) path: Rc<Path>,
+    pub(super) metrics: Rc<PacketMetrics>,
     timer: Rc<Timer>,
     stopping: Cell<bool>,
+    logger: LoggerHandle,
+}
+
+/// Settings with the file that they were read from.
+#[derive(Debug)]
+pub struct Source {
+    /// The file.
+    pub path: PathBuf,
+    /// What it held.
+    pub text: Vec<u8>,
+    /// The settings.
+    pub settings: PacketSettings,
 }
 
 /// Runs the daemon until it is told to stop.
@@ -74,29 +101,40 @@
 /// # Errors
 ///
 /// Why it could not start, or had to end.
-pub fn run(settings: PacketSettings) -> Result<(), Error> {
-    let level = settings.log.as_str().parse();
-    let _logger = logging::start(level.unwrap_or(log::LevelFilter::Info))
-        .map_err(|err| Error::Failed(err.into()))?;
+pub fn run(source: Source) -> Result<(), Error> {
+    let logger =
+        logging::start(level(source.settings.log)).map_err(|err| Error::Failed(err.into()))?;
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .map_err(Error::Runtime)?;
-    let ended = runtime.block_on(serve(settings));
+    let ended = runtime.block_on(serve(source, logger));
     // Connections that are open while the runtime is dropped wake their tasks across threads, which monoio refuses.
     std::mem::forget(runtime);
     ended
 }
 
-async fn serve(settings: PacketSettings) -> Result<(), Error> {
+fn level(level: LogLevel) -> log::LevelFilter {
+    level.as_str().parse().unwrap_or(log::LevelFilter::Info)
+}
+
+async fn serve(source: Source, logger: LoggerHandle) -> Result<(), Error> {
     let began = Instant::now();
     let mut signals = Signals::register().map_err(Error::Runtime)?;
-    let supervisor = Supervisor::new("daemon", Limits::default(), |_| ());
-    let daemon = Rc::new(build(settings)?);
-    start(&daemon, &supervisor)?;
+    let hangup = Hangup::register().map_err(Error::Runtime)?;
+    let metrics = Rc::new(PacketMetrics::new());
+    let restarts = Rc::clone(&metrics);
+    let supervisor = Supervisor::new("daemon", Limits::default(), move |_| {
+        restarts.task_restarts.inc();
+    });
+    let daemon = Rc::new(build(source, logger, metrics)?);
+    start(&daemon, hangup, &supervisor)?;
+    let settings = daemon.settings.get();
     Event::new("started")
-        .field("vm", &daemon.settings.vm)
-        .field("zone", &daemon.settings.zone)
+        .field("vm", &settings.vm)
+        .field("zone", &settings.zone)
+        .field("listen", settings.listen)
+        .field("store", settings.store)
         .field("took_ms", began.elapsed().as_millis())
         .info();
     let running = pin!(supervisor.run());
@@ -108,7 +146,9 @@
             leave(&daemon).await;
             supervisor.kill();
             running.await?;
-            Event::new("stopped").info();
+            Event::new("stopped")
+                .field("flows", daemon.path.balancer().flows())
+                .info();
             Ok(())
         }
     }
@@ -116,34 +156,45 @@
 
 /// Leaves the fabric's rotation and forwards what still comes.
 async fn leave(daemon: &Daemon) {
-    Event::new("stopping").info();
+    let grace = daemon.settings.get().limits.grace;
+    let linger = LINGER.min(grace.saturating_sub(GRACE_MARGIN));
+    Event::new("stopping")
+        .field("flows", daemon.path.balancer().flows())
+        .field("linger_ms", linger.as_millis())
+        .info();
     daemon.stopping.set(true);
-    let grace = daemon.settings.limits.grace.saturating_sub(GRACE_MARGIN);
-    daemon.timer.sleep(LINGER.min(grace)).await;
+    daemon.timer.sleep(linger).await;
 }
 
-fn build(settings: PacketSettings) -> Result<Daemon, Error> {
-    let view = Rc::new(View::new(
-        Client::new(settings.store),
-        settings.limits.notice,
-    ));
-    let socket = Socket::bind(SocketAddr::V4(settings.listen)).map_err(|source| Error::Bind {
+fn build(
+    source: Source,
+    logger: LoggerHandle,
+    metrics: Rc<PacketMetrics>,
+) -> Result<Daemon, Error> {
+    let settings = &source.settings;
+    let view = View::new(settings.store, settings.limits.notice, Rc::clone(&metrics));
+    let view = Rc::new(view);
+    let listen = SocketAddr::V4(settings.listen);
+    let socket = Socket::bind(listen).map_err(|source| Error::Bind {
         role: "listen",
-        addr: SocketAddr::V4(settings.listen),
+        addr: listen,
         source,
     })?;
     let balancer = Balancer::new(Rc::from(&*settings.zone), SmallRng::from_os_rng());
-    let path = Path::new(socket, settings.listen, balancer, Rc::clone(&view));
+    let path = Path::new(socket, balancer, Rc::clone(&view), Rc::clone(&metrics));
     Ok(Daemon {
+        settings: LiveSettings::new(source.path, source.text, source.settings),
         view,
         path: Rc::new(path),
+        metrics,
         timer: Timer::start(),
         stopping: Cell::new(false),
-        settings,
+        logger,
     })
 }
 
-fn start(daemon: &Rc<Daemon>, supervisor: &Supervisor) -> Result<(), Error> {
+/// Starts the long-lived tasks.
+fn start(daemon: &Rc<Daemon>, hangup: Hangup, supervisor: &Supervisor) -> Result<(), Error> {
     let view = Rc::clone(&daemon.view);
     supervisor.child("view", Restart::Always, move |_| {
         let view = Rc::clone(&view);
@@ -168,19 +219,38 @@
     let tidied = Rc::clone(daemon);
     supervisor.child("tidy", Restart::Always, move |_| {
         let daemon = Rc::clone(&tidied);
+        async move { daemon.tidy().await }
+    });
+    start_reload(daemon, hangup, supervisor);
+    start_ready(daemon, supervisor)?;
+    start_admin(daemon, supervisor)
+}
+
+fn start_reload(daemon: &Rc<Daemon>, hangup: Hangup, supervisor: &Supervisor) {
+    let looking = Rc::clone(daemon);
+    supervisor.child("settings", Restart::Always, move |_| {
+        let daemon = Rc::clone(&looking);
+        async move { daemon.watch_settings().await }
+    });
+    let told = Rc::clone(daemon);
+    let mut hangup = Some(hangup);
+    supervisor.child("hangup", Restart::OnFailure, move |_| {
+        let daemon = Rc::clone(&told);
+        let hangup = hangup.take();
         async move {
-            let mut ticks = daemon.timer.subscribe(TIDY_PERIOD);
+            let Some(mut hangup) = hangup else {
+                return Ok(());
+            };
             loop {
-                ticks.tick().await;
-                daemon.path.tidy(daemon.settings.limits.flow);
+                hangup.wait().await?;
+                daemon.reload("signal");
             }
         }
     });
-    start_ready(daemon, supervisor)
 }
 
 fn start_ready(daemon: &Rc<Daemon>, supervisor: &Supervisor) -> Result<(), Error> {
-    let addr = daemon.settings.ready;
+    let addr = daemon.settings.get().ready;
     let mut first = Some(bind("ready", addr)?);
     let daemon = Rc::clone(daemon);
     supervisor.child("ready", Restart::Always, move |_| {
@@ -198,10 +268,51 @@
     Ok(())
 }
 
+fn start_admin(daemon: &Rc<Daemon>, supervisor: &Supervisor) -> Result<(), Error> {
+    let addr = daemon.settings.get().admin;
+    let mut first = Some(bind("admin", addr)?);
+    let daemon = Rc::clone(daemon);
+    supervisor.child("admin", Restart::Always, move |_| {
+        let listener = first.take().map_or_else(|| bind("admin", addr), Ok);
+        let daemon = Rc::clone(&daemon);
+        async move {
+            serve_reports(listener?, daemon).await;
+            Ok(())
+        }
+    });
+    Ok(())
+}
+
 impl Daemon {
-    fn is_ready(&self) -> bool {
+    /// Whether the fabric is to send packets here.
+    pub(super) fn is_ready(&self) -> bool {
         !self.stopping.get() && self.view.directory().is_ready()
     }
+
+    async fn tidy(&self) -> anyhow::Result<()> {
+        let mut ticks = self.timer.subscribe(TIDY_PERIOD);
+        loop {
+            ticks.tick().await;
+            self.path.tidy(self.settings.get().limits.flow);
+        }
+    }
+
+    async fn watch_settings(&self) -> anyhow::Result<()> {
+        let mut ticks = self.timer.subscribe(SETTINGS_PERIOD);
+        loop {
+            ticks.tick().await;
+            self.reload("file");
+        }
+    }
+
+    fn reload(&self, cause: &'static str) {
+        let Some(settings) = self.settings.reload(cause) else {
+            return;
+        };
+        self.view
+            .reconfigure(settings.store, settings.limits.notice);
+        self.logger.set_new_spec(logging::spec(level(settings.log)));
+    }
 }
 
 fn bind(role: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
--- /dev/null
+++ b/crates/daemon/src/packets/metrics.rs
@@ -0,0 +1,228 @@
+//! Metrics of a daemon that forwards packets.
+
+use crate::metrics::{
+    counter,
+    gauge,
+    histogram,
+    render,
+    Counters,
+    Gauges,
+    Label,
+    PlatformResult, //
+};
+use foxtailhinge_config::packet_report::StandingWord;
+use foxtailhinge_policy::packets::{
+    DropReason,
+    ResetReason,
+    Verdict, //
+};
+use prometheus::{
+    Histogram,
+    IntCounter,
+    IntGauge,
+    Registry, //
+};
+
+/// Bounds of the histogram of answer times, in seconds: from an ordinary request to the longest time budgets.
+const ANSWER_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0];
+
+/// Bounds of the histogram of list calls, in seconds.
+const LIST_BUCKETS: [f64; 8] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0];
+
+/// What became of a packet from a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PacketResult {
+    /// It opened a flow.
+    Opened,
+    /// It went to the upstream of its flow.
+    Forwarded,
+    /// It waits until the return of all callers is over.
+    Waits,
+    /// Its flow was reset since it has no route.
+    ResetNoRoute,
+    /// Nothing was known yet.
+    DroppedNoView,
+    /// No route was known, and the view was too old to be sure.
+    DroppedUncertainRoute,
+    /// Its label names no upstream.
+    DroppedUnknownLabel,
+    /// Its service has no upstream that can take it.
+    DroppedNoUpstream,
+    /// It is no packet.
+    Malformed,
+    /// The kernel had no room to send it on.
+    Unsent,
+}
+
+impl Label for PacketResult {
+    const NAME: &'static str = "result";
+    const ALL: &'static [Self] = &[
+        Self::Opened,
+        Self::Forwarded,
+        Self::Waits,
+        Self::ResetNoRoute,
+        Self::DroppedNoView,
+        Self::DroppedUncertainRoute,
+        Self::DroppedUnknownLabel,
+        Self::DroppedNoUpstream,
+        Self::Malformed,
+        Self::Unsent,
+    ];
+
+    fn index(self) -> usize {
+        self as usize
+    }
+
+    fn word(self) -> &'static str {
+        match self {
+            Self::Opened => "opened",
+            Self::Forwarded => "forwarded",
+            Self::Waits => "waits",
+            Self::ResetNoRoute => "reset_no_route",
+            Self::DroppedNoView => "dropped_no_view",
+            Self::DroppedUncertainRoute => "dropped_uncertain_route",
+            Self::DroppedUnknownLabel => "dropped_unknown_label",
+            Self::DroppedNoUpstream => "dropped_no_upstream",
+            Self::Malformed => "malformed",
+            Self::Unsent => "unsent",
+        }
+    }
+}
+
+impl From<&Verdict> for PacketResult {
+    fn from(verdict: &Verdict) -> Self {
+        match verdict {
+            Verdict::Open(_) => Self::Opened,
+            Verdict::Forward { .. } => Self::Forwarded,
+            Verdict::Wait { .. } => Self::Waits,
+            Verdict::Reset(ResetReason::NoRoute) => Self::ResetNoRoute,
+            Verdict::Drop(DropReason::NoView) => Self::DroppedNoView,
+            Verdict::Drop(DropReason::UncertainRoute) => Self::DroppedUncertainRoute,
+            Verdict::Drop(DropReason::UnknownLabel) => Self::DroppedUnknownLabel,
+            Verdict::Drop(DropReason::NoUpstream) => Self::DroppedNoUpstream,
+        }
+    }
+}
+
+impl Label for StandingWord {
+    const NAME: &'static str = "state";
+    const ALL: &'static [Self] = &Self::ALL;
+
+    fn index(self) -> usize {
+        self as usize
+    }
+
+    fn word(self) -> &'static str {
+        self.as_str()
+    }
+}
+
+/// All metrics of one daemon that forwards packets.
+#[derive(Clone, Debug)]
+pub struct PacketMetrics {
+    registry: Registry,
+    /// Packets from callers by what became of them.
+    pub packets: Counters<PacketResult>,
+    /// Packets that came again since there was no answer.
+    pub repeats: IntCounter,
+    /// Flows that are remembered.
+    pub flows: IntGauge,
+    /// Upstreams by how they stand.
+    pub upstreams: Gauges<StandingWord>,
+    /// Time from a request to the first sign of its answer, in seconds.
+    pub answer_seconds: Histogram,
+    /// Calls of the store.
+    pub store_calls: Counters<PlatformResult>,
+    /// Time of a list call of the store, in seconds.
+    pub list_seconds: Histogram,
+    /// Revision of the store up to which all is known.
+    pub view_revision: IntGauge,
+    /// Time since the store last confirmed the view, in milliseconds.
+    pub view_age_ms: IntGauge,
+    /// Version of the configuration in force.
+    pub configuration: IntGauge,
+    /// Tasks restarted after a failure.
+    pub task_restarts: IntCounter,
+    /// Lines of the log that were lost since nobody read them.
+    pub log_lines_lost: IntGauge,
+}
+
+impl PacketMetrics {
+    /// Registers all metrics in a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let r = &registry;
+        Self {
+            packets: Counters::new(
+                r,
+                "foxtailhinge_packets_total",
+                "Packets from callers by result.",
+            ),
+            repeats: counter(
+                r,
+                "foxtailhinge_repeats_total",
+                "Packets that callers sent again for want of an answer.",
+            ),
+            flows: gauge(r, "foxtailhinge_flows", "Flows remembered."),
+            upstreams: Gauges::new(
+                r,
+                "foxtailhinge_upstreams",
+                "Upstreams known by how they stand for new flows.",
+            ),
+            answer_seconds: histogram(
+                r,
+                "foxtailhinge_answer_seconds",
+                "Time from a request to the first sign of its answer.",
+                &ANSWER_BUCKETS,
+            ),
+            store_calls: Counters::new(
+                r,
+                "foxtailhinge_store_calls_total",
+                "Calls of the store by result.",
+            ),
+            list_seconds: histogram(
+                r,
+                "foxtailhinge_store_list_seconds",
+                "Time of a list call of the store.",
+                &LIST_BUCKETS,
+            ),
+            view_revision: gauge(
+                r,
+                "foxtailhinge_view_revision",
+                "Revision of the store up to which all is known.",
+            ),
+            view_age_ms: gauge(
+                r,
+                "foxtailhinge_view_age_milliseconds",
+                "Time since the store last confirmed the view; -1 before the first list.",
+            ),
+            configuration: gauge(
+                r,
+                "foxtailhinge_configuration_version",
+                "Version of the configuration in force.",
+            ),
+            task_restarts: counter(
+                r,
+                "foxtailhinge_task_restarts_total",
+                "Tasks restarted after a failure.",
+            ),
+            log_lines_lost: gauge(
+                r,
+                "foxtailhinge_log_lines_lost",
+                "Log lines lost since nobody read them.",
+            ),
+            registry,
+        }
+    }
+
+    /// Writes all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        render(&self.registry)
+    }
+}
+
+impl Default for PacketMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/daemon/src/packets/mod.rs
+++ b/crates/daemon/src/packets/mod.rs
@@ -1,6 +1,9 @@
 //! The packet path: packets of flows whose ends repeat a label, forwarded by what the platform's store lists.
 
 pub mod daemon;
+pub mod metrics;
 pub mod path;
 pub mod ready;
+pub mod reload;
+mod report;
 pub mod view;
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -1,6 +1,12 @@
 //! Packets on their way from callers to upstreams.
 
-use super::view::View;
+use super::{
+    metrics::{
+        PacketMetrics,
+        PacketResult, //
+    },
+    view::View, //
+};
 use crate::{
     data::socket::Socket,
     logging::Event,
@@ -17,13 +23,21 @@
 };
 use foxtailhinge_policy::packets::{
     Balancer,
+    Belief,
+    Choice,
+    Directory,
     Packet,
+    Sign,
+    Standing,
     UpstreamId,
     Verdict, //
 };
 use rand::rngs::SmallRng;
 use std::{
-    cell::RefCell,
+    cell::{
+        Ref,
+        RefCell, //
+    },
     collections::VecDeque,
     io,
     net::{
@@ -43,30 +57,36 @@
 /// Most packets that wait at a time.
 const HELD_MAX: usize = 4_096;
 
+/// Repeats of a packet from which a log line tells of them.
+const REPEATS_LOGGED: u32 = 2;
+
 /// Forwards packets.
 #[derive(Debug)]
 pub struct Path {
     socket: Socket,
+    /// Port at which callers take packets.
     callers_port: u16,
     balancer: RefCell<Balancer<SmallRng>>,
     view: Rc<View>,
+    metrics: Rc<PacketMetrics>,
     held: RefCell<VecDeque<(Instant, Vec<u8>)>>,
     wake: Wake,
 }
 
 impl Path {
-    /// A path from the address `listen`, which is bound, to upstreams by `view`.
+    /// A path from `socket`, whose port is that of callers too, to upstreams by `view`.
     pub fn new(
         socket: Socket,
-        listen: SocketAddrV4,
         balancer: Balancer<SmallRng>,
         view: Rc<View>,
+        metrics: Rc<PacketMetrics>,
     ) -> Self {
         Self {
+            callers_port: socket.addr().port(),
             socket,
-            callers_port: listen.port(),
             balancer: RefCell::new(balancer),
             view,
+            metrics,
             held: RefCell::default(),
             wake: Wake::default(),
         }
@@ -79,15 +99,35 @@
             .await
     }
 
-    /// Forgets what is no longer of use.
-    pub fn tidy(&self, keep: Duration) {
+    /// Looks again at packets that had to wait.
+    pub async fn run_held(&self, timer: &Rc<Timer>) {
+        loop {
+            let next = self.held.borrow_mut().pop_front();
+            match next {
+                Some((until, datagram)) => {
+                    timer.sleep_until(until).await;
+                    self.take(&datagram);
+                }
+                None => self.wake.wait().await,
+            }
+        }
+    }
+
+    /// Forgets what is no longer of use, and flows that are older than `oldest`.
+    pub fn tidy(&self, oldest: Duration) {
         let now = Instant::now();
-        self.view.directory_mut().forget(keep, now);
+        self.view.directory_mut().forget(oldest, now);
         self.balancer.borrow_mut().forget(IDLE, now);
     }
 
+    /// The decisions, for reports.
+    pub fn balancer(&self) -> Ref<'_, Balancer<SmallRng>> {
+        self.balancer.borrow()
+    }
+
     fn take(&self, datagram: &[u8]) {
         let Some(packet) = decode(datagram) else {
+            self.metrics.packets.inc(PacketResult::Malformed);
             Event::new("packet_malformed")
                 .field("bytes", datagram.len())
                 .debug();
@@ -96,25 +136,39 @@
         let now = Instant::now();
         let directory = self.view.directory();
         let age = self.view.age(now);
-        let verdict = self
-            .balancer
-            .borrow_mut()
-            .decide(&packet, &directory, age, now);
+        let mut balancer = self.balancer.borrow_mut();
+        let verdict = balancer.decide(&packet, &directory, age.unwrap_or(Duration::MAX), now);
+        let beliefs = balancer.take_beliefs();
+        drop(balancer);
+        self.metrics.packets.inc(PacketResult::from(&verdict));
+        self.carry_out(datagram, &packet, &verdict, now);
+        for belief in beliefs {
+            log_belief(belief, &packet);
+        }
+        self.log(&packet, &verdict, &directory, age, now);
+    }
+
+    fn carry_out(&self, datagram: &[u8], packet: &Packet, verdict: &Verdict, now: Instant) {
         match verdict {
             Verdict::Open(choice) => self.forward(datagram, choice.id, choice.to),
-            Verdict::Forward { id, to, .. } => self.forward(datagram, id, to),
-            Verdict::Wait { until } => self.hold(datagram, until),
-            Verdict::Reset(reason) => {
-                self.reset(&packet);
-                log_packet("flow_reset", &packet)
-                    .field("reason", format!("{reason:?}"))
-                    .info();
+            Verdict::Forward { id, to, sign } => {
+                self.forward(datagram, *id, *to);
+                self.observe(*sign, now);
             }
-            Verdict::Drop(reason) => {
-                log_packet("packet_dropped", &packet)
-                    .field("reason", format!("{reason:?}"))
-                    .info();
+            Verdict::Wait { until } => self.hold(datagram, *until),
+            Verdict::Reset(_) => self.reset(packet),
+            Verdict::Drop(_) => (),
+        }
+    }
+
+    fn observe(&self, sign: Sign, now: Instant) {
+        match sign {
+            Sign::Answered(Some(asked)) => {
+                let took = now.saturating_duration_since(asked);
+                self.metrics.answer_seconds.observe(took.as_secs_f64());
             }
+            Sign::Repeated(_) => self.metrics.repeats.inc(),
+            Sign::Answered(None) | Sign::Asked | Sign::Nothing => (),
         }
     }
 
@@ -127,33 +181,76 @@
         }
     }
 
-    /// Looks again at packets that had to wait.
-    pub async fn run_held(&self, timer: &Rc<Timer>) {
-        loop {
-            let next = self.held.borrow_mut().pop_front();
-            match next {
-                Some((until, datagram)) => {
-                    timer.sleep_until(until).await;
-                    self.take(&datagram);
-                }
-                None => self.wake.wait().await,
-            }
-        }
-    }
-
     fn forward(&self, datagram: &[u8], id: UpstreamId, to: SocketAddrV4) {
         let mut buf = [0; RECIPIENT + DATAGRAM_MAX];
         let end = RECIPIENT + datagram.len();
         buf[..RECIPIENT].copy_from_slice(&recipient(id.0));
         buf[RECIPIENT..end].copy_from_slice(datagram);
         set_label(&mut buf[RECIPIENT..end], id.label());
-        self.socket.send_to(&buf[..end], SocketAddr::V4(to));
+        self.send(&buf[..end], to);
     }
 
     fn reset(&self, packet: &Packet) {
         let to = SocketAddrV4::new(*packet.flow.caller.ip(), self.callers_port);
-        self.socket.send_to(&reset(packet), SocketAddr::V4(to));
+        self.send(&reset(packet), to);
+    }
+
+    fn send(&self, datagram: &[u8], to: SocketAddrV4) {
+        if !self.socket.send_to(datagram, SocketAddr::V4(to)) {
+            self.metrics.packets.inc(PacketResult::Unsent);
+        }
     }
+
+    /// Logs decisions that shape a request: its opening, and whatever keeps it from going on.
+    fn log(
+        &self,
+        packet: &Packet,
+        verdict: &Verdict,
+        directory: &Directory,
+        age: Option<Duration>,
+        now: Instant,
+    ) {
+        let event = match verdict {
+            Verdict::Open(choice) => log_opening(packet, choice),
+            Verdict::Forward {
+                id,
+                sign: Sign::Repeated(n),
+                ..
+            } if *n >= REPEATS_LOGGED => log_packet("packet_repeated", packet)
+                .field("upstream", id)
+                .field("repeats", n),
+            Verdict::Forward { .. } => return,
+            Verdict::Wait { until } => log_packet("opening_waits", packet)
+                .field("copy", packet.ack)
+                .field("wait_ms", until.saturating_duration_since(now).as_millis()),
+            Verdict::Reset(reason) => {
+                log_packet("flow_reset", packet).field("reason", format!("{reason:?}"))
+            }
+            Verdict::Drop(reason) => {
+                log_packet("packet_dropped", packet).field("reason", format!("{reason:?}"))
+            }
+        };
+        let event = event.field("revision", directory.revision());
+        match age {
+            Some(age) => event.field("age_ms", age.as_millis()).info(),
+            None => event.info(),
+        }
+    }
+}
+
+/// An opening packet that is not the first of its flow has a line of its own, which the many first ones cannot displace.
+fn log_opening(packet: &Packet, choice: &Choice) -> Event {
+    let name = match packet.ack == 0 && choice.standing == Standing::Good {
+        true => "flow_opened",
+        false => "flow_opened_again",
+    };
+    log_packet(name, packet)
+        .field("copy", packet.ack)
+        .field("upstream", choice.id)
+        .field("standing", format!("{:?}", choice.standing))
+        .field("in_progress", choice.in_progress)
+        .field("remote", choice.is_remote)
+        .field("candidates", choice.candidates)
 }
 
 fn log_packet(name: &'static str, packet: &Packet) -> Event {
@@ -163,3 +260,15 @@
         .field("kind", format!("{:?}", packet.kind))
         .field("label", format!("{:08x}", packet.label))
 }
+
+fn log_belief(belief: Belief, packet: &Packet) {
+    let (name, id) = match belief {
+        Belief::Silent(id) => ("upstream_silent", id),
+        Belief::Answers(id) => ("upstream_answers", id),
+    };
+    Event::new(name)
+        .field("upstream", id)
+        .field("caller", packet.flow.caller)
+        .field("copy", packet.ack)
+        .info();
+}
--- /dev/null
+++ b/crates/daemon/src/packets/report.rs
@@ -0,0 +1,95 @@
+//! What operators get to see of a daemon that forwards packets.
+
+use super::daemon::Daemon;
+use crate::admin::Reports;
+use foxtailhinge_config::packet_report::{
+    PacketStatus,
+    PacketUpstream,
+    StandingWord, //
+};
+use foxtailhinge_policy::packets::{
+    directory::Known,
+    Directory,
+    UpstreamState, //
+};
+use std::{
+    sync::Arc,
+    time::Instant, //
+};
+
+impl Reports for Daemon {
+    type Status = PacketStatus;
+
+    fn metrics(&self) -> String {
+        let status = self.status();
+        let metrics = &self.metrics;
+        let age = status.age.map_or(-1, |age| age.as_millis() as i64);
+        metrics.view_age_ms.set(age);
+        metrics.view_revision.set(status.revision as i64);
+        metrics
+            .configuration
+            .set(status.configuration.unwrap_or(0) as i64);
+        metrics.flows.set(status.flows as i64);
+        metrics
+            .upstreams
+            .count(status.upstreams.iter().map(|u| u.standing));
+        metrics
+            .log_lines_lost
+            .set(crate::logging::lines_lost() as i64);
+        metrics.render()
+    }
+
+    fn status(&self) -> PacketStatus {
+        let now = Instant::now();
+        let directory = self.view.directory();
+        let balancer = self.path.balancer();
+        let settings = self.settings.get();
+        let standing = |id, known: &Known| match stands(&directory, known, now) {
+            StandingWord::Good if balancer.is_silent(id, now) => StandingWord::Silent,
+            word => word,
+        };
+        let mut upstreams: Vec<_> = directory
+            .upstreams()
+            .map(|(id, known)| PacketUpstream {
+                service: Arc::from(&*known.upstream.service),
+                id: Arc::from(id.to_string()),
+                address: known.upstream.address,
+                zone: Arc::from(&*known.upstream.zone),
+                standing: standing(id, known),
+                in_progress: balancer.in_progress(id, now),
+                slots: known.upstream.slots,
+                revision: known.revision,
+            })
+            .collect();
+        upstreams.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
+        let cfg = directory.configuration();
+        PacketStatus {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            ready: self.is_ready(),
+            revision: directory.revision(),
+            age: self.view.age(now),
+            store_lost: self.view.failing().map(|since| now.duration_since(since)),
+            configuration: cfg.map(|cfg| cfg.version),
+            routes: cfg.map_or(0, |cfg| cfg.routes.len()),
+            flows: balancer.flows(),
+            upstreams,
+        }
+    }
+}
+
+/// How an upstream stands by what is published.
+fn stands(directory: &Directory, known: &Known, now: Instant) -> StandingWord {
+    let zone = &known.upstream.zone;
+    if known.upstream.state == UpstreamState::Draining {
+        StandingWord::Draining
+    } else if !known.serves(now) {
+        StandingWord::Unlisted
+    } else if directory.is_out(zone) {
+        StandingWord::Out
+    } else if known.is_cold(now) || directory.has_returned(zone, now) {
+        StandingWord::Cold
+    } else {
+        StandingWord::Good
+    }
+}
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -1,11 +1,16 @@
 //! What this daemon knows of the store, and how old that is.
 
+use super::metrics::PacketMetrics;
 use crate::{
     logging::Event,
+    metrics::PlatformResult,
     store::{
-        client::ANSWER_TIMEOUT,
-        follow::Source,
+        CallLimits,
         Client,
+        Http1,
+        Pauses,
+        Progress,
+        Source,
         StoreError, //
     },
 };
@@ -20,7 +25,11 @@
         Directory,
         Outcome, //
     },
-    entry::Item,
+    entry::{
+        Change,
+        Item,
+        UpstreamState, //
+    },
 };
 use http::StatusCode;
 use std::{
@@ -30,30 +39,44 @@
         RefCell,
         RefMut, //
     },
+    net::SocketAddr,
+    rc::Rc,
     time::{
         Duration,
         Instant, //
     },
 };
 
+/// Time for a connection to be made: its opening packet, lost once, comes again after a second.
+const CONNECT: Duration = Duration::from_millis(1_200);
+
+/// Time for an answer beyond the wait that a call asked for: the store answers within milliseconds, and within a
+/// quarter of a second when it is slow.
+const ANSWER: Duration = Duration::from_millis(800);
+
 /// Margin for the reconnection after a lost answer was noticed.
 const NOTICE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Shortest wait of a watch.
 const WAIT_MIN: Duration = Duration::from_millis(500);
 
-/// Shortest time between two watches, so that a series of changes costs few calls; it stays far inside the bound in
-/// which a change is to be in force.
+/// Shortest time between the starts of two watches, so that a series of changes costs few calls; it stays far inside
+/// the bound in which a change is to be in force.
 const PERIOD: Duration = Duration::from_millis(800);
 
-/// Longest pause between calls while the store fails.
-const BACKOFF_MAX: Duration = Duration::from_millis(800);
+/// Shortest and longest pause between calls while the store fails.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(800)];
+
+/// Shortest outage in which entries can lapse.
+const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
 /// The directory and its age.
 #[derive(Debug)]
 pub struct View {
-    client: Client,
-    wait: Duration,
+    client: Client<Http1>,
+    store: Cell<SocketAddr>,
+    notice: Cell<Duration>,
+    metrics: Rc<PacketMetrics>,
     directory: RefCell<Directory>,
     position: Cell<Option<u64>>,
     confirmed: Cell<Option<Instant>>,
@@ -61,14 +84,19 @@
 }
 
 impl View {
-    /// A view that knows nothing yet.
+    /// A view of `store` that knows nothing yet.
     ///
     /// A watch waits so long that a lost answer is noticed, and the call made again, within `notice`.
-    pub fn new(client: Client, notice: Duration) -> Self {
-        let wait = notice.saturating_sub(ANSWER_TIMEOUT + NOTICE_MARGIN);
+    pub fn new(store: SocketAddr, notice: Duration, metrics: Rc<PacketMetrics>) -> Self {
+        let limits = CallLimits {
+            connect: CONNECT,
+            answer: ANSWER,
+        };
         Self {
-            client,
-            wait: wait.max(WAIT_MIN),
+            client: Client::new(limits),
+            store: Cell::new(store),
+            notice: Cell::new(notice),
+            metrics,
             directory: RefCell::default(),
             position: Cell::new(None),
             confirmed: Cell::new(None),
@@ -76,6 +104,12 @@
         }
     }
 
+    /// Reads another store from the next call on, or notices lost answers within another time.
+    pub fn reconfigure(&self, store: SocketAddr, notice: Duration) {
+        self.store.set(store);
+        self.notice.set(notice);
+    }
+
     /// The directory.
     pub fn directory(&self) -> Ref<'_, Directory> {
         self.directory.borrow()
@@ -86,46 +120,56 @@
         self.directory.borrow_mut()
     }
 
-    /// Time since the store last confirmed the directory.
-    pub fn age(&self, now: Instant) -> Duration {
-        let confirmed = self.confirmed.get();
-        confirmed.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    /// Time since the store last confirmed the directory; nothing before the first list.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed = self.confirmed.get()?;
+        Some(now.saturating_duration_since(confirmed))
     }
 
-    fn confirm(&self, began: Instant) {
-        self.confirmed.set(Some(began));
-        if let Some(since) = self.failing.take() {
-            let now = Instant::now();
-            if self.directory.borrow().is_ready() {
-                self.directory.borrow_mut().regain(now);
-            }
-            Event::new("store_regained")
-                .field("after_ms", now.duration_since(since).as_millis())
-                .info();
+    /// Since when the store has not answered.
+    pub fn failing(&self) -> Option<Instant> {
+        self.failing.get()
+    }
+
+    fn wait(&self) -> Duration {
+        let wait = self.notice.get().saturating_sub(ANSWER + NOTICE_MARGIN);
+        wait.max(WAIT_MIN)
+    }
+
+    fn confirm(&self, at: Instant) {
+        self.confirmed.set(Some(at));
+        self.metrics.store_calls.inc(PlatformResult::Answered);
+        let Some(since) = self.failing.take() else {
+            return;
+        };
+        let now = Instant::now();
+        let outage = now.duration_since(since);
+        if outage >= OUTAGE_MIN && self.directory.borrow().is_ready() {
+            self.directory.borrow_mut().regain(now);
         }
+        Event::new("store_regained")
+            .field("store", self.store.get())
+            .field("after_ms", outage.as_millis())
+            .info();
     }
 
-    fn log(&self, items: &[Item], outcomes: &[Outcome]) {
-        for (item, outcome) in items.iter().zip(outcomes) {
-            if let Outcome::Refused(reason) = outcome {
-                Event::new("entry_refused")
-                    .field("key", &item.key)
-                    .field("revision", item.revision)
-                    .field("cause", reason)
-                    .warn();
-            }
+    async fn get(&self, path: &str, wait: Duration) -> Result<bytes::Bytes, StoreError> {
+        let began = Instant::now();
+        let answer = self.client.get(self.store.get(), path, wait).await?;
+        let took = began.elapsed().as_secs_f64();
+        if wait.is_zero() {
+            self.metrics.list_seconds.observe(took);
         }
+        Ok(answer)
     }
 
     async fn read_all(&self) -> Result<(u64, Vec<Item>), StoreError> {
         let mut items = Vec::new();
         let mut revision = None;
-        let mut after = None;
+        let mut after: Option<Rc<str>> = None;
         loop {
-            let body = self
-                .client
-                .get(&list_path(after.as_deref()), Duration::ZERO)
-                .await?;
+            let path = list_path(after.as_deref());
+            let body = self.get(&path, Duration::ZERO).await?;
             let page = read_list(&body).map_err(|err| StoreError::Body(err.to_string()))?;
             let first = *revision.get_or_insert(page.revision);
             items.extend(page.items);
@@ -142,62 +186,112 @@
         self.position.get()
     }
 
-    async fn list(&self) -> Result<(), StoreError> {
+    async fn turn(&self) {}
+
+    async fn list(&self) -> Result<Progress, StoreError> {
         let began = Instant::now();
-        let (revision, items) = self.read_all().await?;
+        let (answered, items) = self.read_all().await?;
         self.confirm(began);
-        let taken = self
-            .directory
-            .borrow_mut()
-            .replace(revision, &items, Instant::now());
-        let known = self.directory.borrow().revision();
-        match taken {
-            Some(outcomes) => {
-                self.log(&items, &outcomes[outcomes.len() - items.len()..]);
-                self.position.set(Some(revision));
-                Event::new("view_listed")
-                    .field("revision", revision)
-                    .field("entries", items.len())
-                    .field("took_ms", began.elapsed().as_millis())
-                    .info();
-                Ok(())
+        let mut directory = self.directory.borrow_mut();
+        let known = directory.revision();
+        let Some(outcomes) = directory.replace(answered, &items, Instant::now()) else {
+            return Err(StoreError::WentBack { known, answered });
+        };
+        let listed = &outcomes[outcomes.len() - items.len()..];
+        for (item, outcome) in items.iter().zip(listed) {
+            if let Outcome::Refused(_) = outcome {
+                log_change(item, outcome);
             }
-            None => Err(StoreError::Body(format!(
-                "The store went back from revision {known} to {revision}; it is asked again."
-            ))),
         }
+        self.position.set(Some(answered));
+        Event::new("view_listed")
+            .field("revision", answered)
+            .field("known", known)
+            .field("entries", items.len())
+            .field(
+                "configuration",
+                directory.configuration().map_or(0, |c| c.version),
+            )
+            .field("took_ms", began.elapsed().as_millis())
+            .info();
+        Ok(Progress::Moved)
     }
 
-    async fn watch(&self, after: u64) -> Result<(), StoreError> {
+    async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
         let began = Instant::now();
-        let body = self
-            .client
-            .get(&watch_path(after, self.wait), self.wait)
-            .await?;
+        let wait = self.wait();
+        let body = self.get(&watch_path(after, wait), wait).await?;
         let changes = read_changes(&body).map_err(|err| StoreError::Body(err.to_string()))?;
-        self.confirm(began.max(Instant::now() - PERIOD));
         let now = Instant::now();
-        let outcomes = self
-            .directory
-            .borrow_mut()
-            .apply(changes.revision, &changes.items, now);
-        self.log(&changes.items, &outcomes);
+        self.confirm(now);
+        let mut directory = self.directory.borrow_mut();
+        let outcomes = directory.apply(changes.revision, &changes.items, now);
+        for (item, outcome) in changes.items.iter().zip(&outcomes) {
+            log_change(item, outcome);
+        }
         self.position.set(Some(changes.revision.max(after)));
-        Ok(())
+        let waited = began.elapsed() >= wait / 2;
+        Ok(match changes.items.is_empty() && !waited {
+            true => Progress::Idle,
+            false => Progress::Moved,
+        })
     }
 
-    fn fail(&self, err: &StoreError) -> Duration {
-        if let StoreError::Status(StatusCode::GONE) = err {
+    fn fail(&self, err: &StoreError) {
+        self.metrics.store_calls.inc(PlatformResult::Failed);
+        let is_history_lost = matches!(err, StoreError::Status(StatusCode::GONE));
+        if is_history_lost || matches!(err, StoreError::WentBack { .. }) {
             self.position.set(None);
         }
+        let now = Instant::now();
         if self.failing.get().is_none() {
-            self.failing.set(Some(Instant::now()));
+            self.failing.set(Some(now));
+            Event::new("store_lost")
+                .field("store", self.store.get())
+                .field("revision", self.directory.borrow().revision())
+                .field("age_ms", self.age(now).map_or(0, |age| age.as_millis()))
+                .field("cause", err)
+                .warn();
+        } else {
+            Event::new("store_call_failed").field("cause", err).info();
         }
-        Event::new("store_call_failed").field("cause", err).info();
-        BACKOFF_MAX
     }
 
-    fn period(&self) -> Duration {
-        PERIOD
+    fn pauses(&self) -> Pauses {
+        Pauses {
+            backoff_min: BACKOFF[0],
+            backoff_max: BACKOFF[1],
+            period: PERIOD,
+        }
+    }
+}
+
+/// Logs what a change of the store does to the view.
+fn log_change(item: &Item, outcome: &Outcome) {
+    let (name, event) = match (&item.change, outcome) {
+        (_, Outcome::Ignored) => return,
+        (_, Outcome::Refused(cause)) => ("entry_refused", Some(("cause", cause.to_string()))),
+        (_, Outcome::Stale) => ("entry_stale", None),
+        (Change::Listed(_, upstream), Outcome::Applied) => match upstream.state {
+            UpstreamState::Serving => ("upstream_listed", None),
+            UpstreamState::Draining => ("upstream_draining", None),
+        },
+        (Change::Unlisted(..), Outcome::Applied) => ("upstream_unlisted", None),
+        (Change::Configured(cfg), Outcome::Applied) => {
+            ("configured", Some(("version", cfg.version.to_string())))
+        }
+        (Change::Zone { out: true, .. }, Outcome::Applied) => ("zone_out", None),
+        (Change::Zone { out: false, .. }, Outcome::Applied) => ("zone_in", None),
+        (Change::Unusable(_) | Change::Foreign, Outcome::Applied) => return,
+    };
+    let mut line = Event::new(name)
+        .field("key", &item.key)
+        .field("revision", item.revision);
+    if let Some((field, value)) = event {
+        line = line.field(field, value);
+    }
+    match outcome {
+        Outcome::Refused(_) => line.warn(),
+        _ => line.info(),
     }
 }
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -4,10 +4,4 @@
 pub mod message;
 pub mod reader;
 
-pub use self::{
-    client::{
-        Client,
-        PlatformError, //
-    },
-    reader::Reader,
-};
+pub use self::{client::Client, reader::Reader};
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -5,20 +5,26 @@
 //! itself at a rate that all daemons together share.
 
 use super::{
-    client::{
-        Client,
-        PlatformError, //
-    },
+    client::Client,
     message::{
         DocumentList,
         VmList,
         VmState, //
     },
 };
-use crate::members::{
-    fence::Voucher,
-    Control,
-    Source, //
+use crate::{
+    members::{
+        fence::Voucher,
+        Control,
+        Source as Origin, //
+    },
+    store::{
+        follow,
+        Pauses,
+        Progress,
+        Source,
+        StoreError, //
+    },
 };
 use foxtailhinge_policy::{
     members::Listed,
@@ -68,7 +74,12 @@
             return;
         }
         self.start().await;
-        join!(self.read_documents(), self.read_vms());
+        let documents = DocumentSource {
+            reader: self,
+            listed: Cell::new(false),
+        };
+        let vms = VmSource { reader: self };
+        join!(follow(&documents), follow(&vms));
     }
 
     /// Returns whether this daemon is one of the readers of its zone.
@@ -76,51 +87,6 @@
         is_reader(&self.control)
     }
 
-    async fn read_documents(&self) {
-        let mut backoff = Backoff::new(self.control.settings().limits.platform_backoff);
-        let mut listed = false;
-        loop {
-            self.turn().await;
-            let began = Instant::now();
-            let since = self.control.documents().synced();
-            let wait = self.control.settings().limits.watch;
-            let result = match listed || since > 0 {
-                true => self.client.watch_documents(since, wait).await,
-                false => self.client.documents().await,
-            };
-            match result {
-                Ok(list) => {
-                    listed = true;
-                    let idle = list.documents.is_empty() && began.elapsed() < wait / 2;
-                    let stale = list.revision < since;
-                    self.take_documents(list, since, began);
-                    self.pace(idle || stale, &mut backoff).await;
-                }
-                Err(err) => self.fail("documents", &err, &mut backoff).await,
-            }
-        }
-    }
-
-    async fn read_vms(&self) {
-        let mut backoff = Backoff::new(self.control.settings().limits.platform_backoff);
-        loop {
-            self.turn().await;
-            let began = Instant::now();
-            let wait = self.control.settings().limits.watch;
-            let result = match self.vms_revision.get() {
-                Some(since) => self.client.watch_vms(since, wait).await,
-                None => self.client.vms().await,
-            };
-            match result {
-                Ok(list) => {
-                    let idle = !self.take_vms(list) && began.elapsed() < wait / 2;
-                    self.pace(idle, &mut backoff).await;
-                }
-                Err(err) => self.fail("vms", &err, &mut backoff).await,
-            }
-        }
-    }
-
     fn take_documents(&self, list: DocumentList, since: u64, began: Instant) {
         if list.revision < since {
             log::warn!(
@@ -135,7 +101,7 @@
                 revision: document.revision,
                 text: document.text.filter(|_| !document.removed),
             };
-            self.control.apply_document(record, &Source::Platform);
+            self.control.apply_document(record, &Origin::Platform);
         }
         self.control.documents_mut().set_synced(list.revision);
         self.control.confirm(Instant::now());
@@ -165,20 +131,25 @@
         true
     }
 
-    /// Backs off from a platform that answers a watch at once though it has nothing new.
-    async fn pace(&self, idle: bool, backoff: &mut Backoff) {
-        if !idle {
-            backoff.reset();
-            return;
+    fn fail(&self, call: &str, err: &StoreError) {
+        log::info!("event=platform_call_failed call={call} cause=\"{err}\"");
+    }
+
+    fn pauses(&self) -> Pauses {
+        Pauses {
+            backoff_min: BACKOFF_MIN,
+            backoff_max: self.control.settings().limits.platform_backoff,
+            period: Duration::ZERO,
         }
-        let pause = backoff.next(&mut *self.control.rng());
-        monoio::time::sleep(pause).await;
     }
 
-    async fn fail(&self, call: &str, err: &PlatformError, backoff: &mut Backoff) {
-        let pause = backoff.next(&mut *self.control.rng());
-        log::info!("event=platform_call_failed call={call} cause=\"{err}\"");
-        monoio::time::sleep(pause).await;
+    /// Whether an answer without news came before its wait was over.
+    fn progress(&self, news: bool, began: Instant) -> Progress {
+        let wait = self.control.settings().limits.watch;
+        match news || began.elapsed() >= wait / 2 {
+            true => Progress::Moved,
+            false => Progress::Idle,
+        }
     }
 
     /// Waits until this daemon is a reader, or for long has had no news of the platform.
@@ -227,29 +198,88 @@
     }
 }
 
-/// Back-off that doubles up to a bound and is spread at random.
-#[derive(Debug)]
-struct Backoff {
-    next: Duration,
-    max: Duration,
+/// The documents, followed.
+struct DocumentSource<'r> {
+    reader: &'r Reader,
+    listed: Cell<bool>,
 }
 
-impl Backoff {
-    fn new(max: Duration) -> Self {
-        Self {
-            next: BACKOFF_MIN,
-            max,
-        }
+impl DocumentSource<'_> {
+    fn take(&self, list: DocumentList, since: u64, began: Instant) -> Progress {
+        self.listed.set(true);
+        let news = !list.documents.is_empty() && list.revision >= since;
+        self.reader.take_documents(list, since, began);
+        self.reader.progress(news, began)
+    }
+}
+
+impl Source for DocumentSource<'_> {
+    fn position(&self) -> Option<u64> {
+        let since = self.reader.control.documents().synced();
+        (self.listed.get() || since > 0).then_some(since)
+    }
+
+    async fn turn(&self) {
+        self.reader.turn().await;
+    }
+
+    async fn list(&self) -> Result<Progress, StoreError> {
+        let began = Instant::now();
+        let list = self.reader.client.documents().await?;
+        Ok(self.take(list, 0, began))
+    }
+
+    async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
+        let began = Instant::now();
+        let wait = self.reader.control.settings().limits.watch;
+        let list = self.reader.client.watch_documents(after, wait).await?;
+        Ok(self.take(list, after, began))
+    }
+
+    fn fail(&self, err: &StoreError) {
+        self.reader.fail("documents", err);
+    }
+
+    fn pauses(&self) -> Pauses {
+        self.reader.pauses()
+    }
+}
+
+/// The VM list, followed.
+struct VmSource<'r> {
+    reader: &'r Reader,
+}
+
+impl Source for VmSource<'_> {
+    fn position(&self) -> Option<u64> {
+        self.reader.vms_revision.get()
+    }
+
+    async fn turn(&self) {
+        self.reader.turn().await;
+    }
+
+    async fn list(&self) -> Result<Progress, StoreError> {
+        let began = Instant::now();
+        let list = self.reader.client.vms().await?;
+        let news = self.reader.take_vms(list);
+        Ok(self.reader.progress(news, began))
+    }
+
+    async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
+        let began = Instant::now();
+        let wait = self.reader.control.settings().limits.watch;
+        let list = self.reader.client.watch_vms(after, wait).await?;
+        let news = self.reader.take_vms(list);
+        Ok(self.reader.progress(news, began))
     }
 
-    fn reset(&mut self) {
-        self.next = BACKOFF_MIN;
+    fn fail(&self, err: &StoreError) {
+        self.reader.fail("vms", err);
     }
 
-    fn next(&mut self, rng: &mut impl Rng) -> Duration {
-        let pause = self.next.mul_f64(rng.random_range(0.5..1.5));
-        self.next = (self.next * 2).min(self.max);
-        pause
+    fn pauses(&self) -> Pauses {
+        self.reader.pauses()
     }
 }
 
--- a/crates/daemon/src/signal.rs
+++ b/crates/daemon/src/signal.rs
@@ -1,5 +1,5 @@
 //! Process signals: the first SIGTERM or SIGINT asks for a graceful stop, the second ends the
-//! process at once.
+//! process at once; SIGHUP says that the settings have changed.
 
 use monoio::{
     io::AsyncReadRent,
@@ -7,6 +7,7 @@
 };
 use signal_hook::{
     consts::{
+        SIGHUP,
         SIGINT,
         SIGTERM, //
     },
@@ -31,6 +32,35 @@
     arrived: UnixStream,
 }
 
+/// SIGHUP, which asks the process to read its settings again.
+#[derive(Debug)]
+pub struct Hangup {
+    arrived: UnixStream,
+}
+
+impl Hangup {
+    /// Takes over SIGHUP; call it once, on the runtime's thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no socket pair or no handler can be had from the operating system.
+    pub fn register() -> io::Result<Self> {
+        let (arrived, handler) = pair()?;
+        pipe::register(SIGHUP, handler)?;
+        Ok(Self { arrived })
+    }
+
+    /// Waits for the next signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket pair to the handler breaks.
+    pub async fn wait(&mut self) -> io::Result<()> {
+        let (result, _) = self.arrived.read(vec![0; 1]).await;
+        result.map(drop)
+    }
+}
+
 impl Signals {
     /// Takes over SIGTERM and SIGINT; call it once, on the runtime's thread.
     ///
@@ -41,8 +71,7 @@
     ///
     /// Fails when no socket pair or no handler can be had from the operating system.
     pub fn register() -> io::Result<Self> {
-        let (arrived, handler) = StdUnixStream::pair()?;
-        arrived.set_nonblocking(true)?;
+        let (arrived, handler) = pair()?;
         let stopping = Arc::new(AtomicBool::new(false));
         for signal in [SIGTERM, SIGINT] {
             let code = EXIT_CODE_BASE + signal;
@@ -50,9 +79,7 @@
             flag::register(signal, Arc::clone(&stopping))?;
             pipe::register(signal, handler.try_clone()?)?;
         }
-        Ok(Self {
-            arrived: UnixStream::from_std(arrived)?,
-        })
+        Ok(Self { arrived })
     }
 
     /// Waits for the first signal.
@@ -65,3 +92,10 @@
         result.map(drop)
     }
 }
+
+/// A stream for the runtime and its other end for handlers.
+fn pair() -> io::Result<(UnixStream, StdUnixStream)> {
+    let (arrived, handler) = StdUnixStream::pair()?;
+    arrived.set_nonblocking(true)?;
+    Ok((UnixStream::from_std(arrived)?, handler))
+}
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -1,25 +1,8 @@
-//! Calls of a store over HTTP/1.1.
+//! Calls of a store that is only read.
 
 use bytes::Bytes;
-use http::{
-    header::HOST,
-    Request,
-    StatusCode, //
-};
-use http_body_util::{
-    BodyExt,
-    Empty,
-    Limited, //
-};
-use hyper::client::conn::http1::{
-    handshake,
-    SendRequest, //
-};
-use monoio::{
-    io::IntoPollIo,
-    net::TcpStream, //
-};
-use monoio_compat::hyper::MonoioIo;
+use http::StatusCode;
+use monoio::net::TcpStream;
 use socket2::{
     SockRef,
     TcpKeepalive, //
@@ -36,25 +19,18 @@
     time::Duration, //
 };
 
-/// Longest answer that is read, in bytes; the store sends pages of about 1 MB.
-const ANSWER_MAX: usize = 16 << 20;
-
-/// Time for an answer beyond the wait that the call asked for; the store answers within milliseconds, and within a
-/// quarter of a second when it is slow.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Time for a connection to be made: the opening packet, lost once, comes again after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
-
-/// Idle time after which the kernel asks whether the connection lives, and the pause between its questions.
+/// Idle time after which the kernel asks whether a connection lives, and the pause between its questions.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
-/// Unanswered questions after which the connection counts as dead.
+/// Unanswered questions after which a connection counts as dead.
 const KEEPALIVE_MISSES: u32 = 2;
 
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
+    /// No store is named in the settings, or a test has cut it off.
+    #[error("The store is cut off; name its address in the settings.")]
+    Denied,
     /// No answer in time.
     #[error("The store did not answer in time; check that it runs and can be reached.")]
     Timeout,
@@ -62,77 +38,111 @@
     #[error("The connection to the store failed ({0}); check its address in the settings.")]
     Io(#[from] io::Error),
     /// HTTP failed.
-    #[error("The call failed ({0}); check that the address speaks HTTP/1.1.")]
-    Http(#[from] hyper::Error),
+    #[error("The call failed ({0}); check that the address speaks the HTTP version expected.")]
+    Http(String),
     /// The store refused.
     #[error("The store answered with status {0}; see its own log.")]
     Status(StatusCode),
     /// The answer could not be read.
-    #[error("{0}")]
+    #[error("The store's answer could not be read ({0}); check its version.")]
     Body(String),
+    /// The store answered with less than it had answered before.
+    #[error("The store went back from revision {known} to {answered}; check which store the address names.")]
+    WentBack {
+        /// Revision that is known.
+        known: u64,
+        /// Revision of the answer.
+        answered: u64,
+    },
 }
 
-/// The sending side of a connection.
-type Sender = SendRequest<Empty<Bytes>>;
+/// A version of HTTP.
+pub trait Transport {
+    /// The sending side of a connection.
+    type Session;
+
+    /// Speaks over a new connection.
+    fn start(stream: TcpStream) -> impl Future<Output = Result<Self::Session, StoreError>>;
+
+    /// Gets a path; the session comes back when it can be used again.
+    fn get(
+        session: Self::Session,
+        addr: SocketAddr,
+        path: &str,
+    ) -> impl Future<Output = Result<(Bytes, Self::Session), StoreError>>;
 
-/// A client of the store, with one connection that is made again when it fails.
+    /// Another handle of the connection, where it takes several calls at a time.
+    fn share(session: &Self::Session) -> Option<Self::Session>;
+
+    /// Whether the connection has ended.
+    fn is_closed(session: &Self::Session) -> bool;
+}
+
+/// Limits of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Time for a connection to be made.
+    pub connect: Duration,
+    /// Time for an answer beyond the wait that the call asked for.
+    pub answer: Duration,
+}
+
+/// A client of the store, whose connection is made again when it fails.
 #[derive(Debug)]
-pub struct Client {
-    addr: SocketAddr,
-    idle: RefCell<Option<Sender>>,
+pub struct Client<T: Transport> {
+    limits: CallLimits,
+    idle: RefCell<Option<(SocketAddr, T::Session)>>,
 }
 
-impl Client {
+impl<T: Transport> Client<T> {
     /// A client that is not connected yet.
-    pub fn new(addr: SocketAddr) -> Self {
+    pub fn new(limits: CallLimits) -> Self {
         Self {
-            addr,
+            limits,
             idle: RefCell::default(),
         }
     }
 
-    /// Gets `path`, which may wait for `wait` at the store.
-    pub async fn get(&self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
-        let idle = self.idle.borrow_mut().take().filter(|tx| !tx.is_closed());
-        let tx = match idle {
-            Some(tx) => tx,
-            None => within(CONNECT_TIMEOUT, self.connect()).await?,
+    /// Gets `path` of the store at `addr`, which may wait for `wait` there.
+    pub async fn get(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        wait: Duration,
+    ) -> Result<Bytes, StoreError> {
+        let session = match self.idle_session(addr) {
+            Some(session) => session,
+            None => within(self.limits.connect, connect::<T>(addr)).await?,
         };
-        within(wait + ANSWER_TIMEOUT, self.call(tx, path)).await
+        if let Some(shared) = T::share(&session) {
+            *self.idle.borrow_mut() = Some((addr, shared));
+        }
+        let answered = within(wait + self.limits.answer, T::get(session, addr, path)).await;
+        let (body, session) = answered.inspect_err(|_| {
+            self.idle.take();
+        })?;
+        *self.idle.borrow_mut() = Some((addr, session));
+        Ok(body)
     }
 
-    async fn call(&self, mut tx: Sender, path: &str) -> Result<Bytes, StoreError> {
-        tx.ready().await?;
-        let req = Request::get(path)
-            .header(HOST, self.addr.to_string())
-            .body(Empty::new())
-            .map_err(|err| StoreError::Body(err.to_string()))?;
-        let answer = tx.send_request(req).await?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
-        let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
-        *self.idle.borrow_mut() = Some(tx);
-        match status {
-            StatusCode::OK => Ok(body.to_bytes()),
-            status => Err(StoreError::Status(status)),
-        }
+    /// Drops the connection.
+    pub fn disconnect(&self) {
+        self.idle.take();
     }
 
-    async fn connect(&self) -> Result<Sender, StoreError> {
-        let stream = TcpStream::connect(self.addr).await?;
-        stream.set_nodelay(true)?;
-        watch_for_silence(&stream)?;
-        let io = MonoioIo::new(stream.into_poll_io()?);
-        let (tx, connection) = handshake(io).await?;
-        monoio::spawn(async move {
-            if let Err(err) = connection.await {
-                log::debug!("event=store_closed cause=\"{err}\"");
-            }
-        });
-        Ok(tx)
+    fn idle_session(&self, addr: SocketAddr) -> Option<T::Session> {
+        let (known, session) = self.idle.take()?;
+        (known == addr && !T::is_closed(&session)).then_some(session)
     }
 }
 
+async fn connect<T: Transport>(addr: SocketAddr) -> Result<T::Session, StoreError> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    watch_for_silence(&stream)?;
+    T::start(stream).await
+}
+
 async fn within<T>(
     limit: Duration,
     work: impl Future<Output = Result<T, StoreError>>,
--- a/crates/daemon/src/store/follow.rs
+++ b/crates/daemon/src/store/follow.rs
@@ -10,50 +10,95 @@
     },
 };
 
-/// Shortest back-off after a failed call.
-const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// What a call brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// News, or the end of a wait for them.
+    Moved,
+    /// Nothing, although the call did not wait; the next one backs off.
+    Idle,
+}
+
+/// Pauses of the loop.
+#[derive(Clone, Copy, Debug)]
+pub struct Pauses {
+    /// Shortest back-off after a failed call; it doubles with each further one.
+    pub backoff_min: Duration,
+    /// Longest back-off.
+    pub backoff_max: Duration,
+    /// Shortest time between the starts of two watches.
+    pub period: Duration,
+}
 
 /// What is followed.
 pub trait Source {
     /// Revision from which to watch; nothing before the first list and when its history is lost.
     fn position(&self) -> Option<u64>;
 
+    /// Waits until it is this daemon's turn to call.
+    fn turn(&self) -> impl Future<Output = ()>;
+
     /// Lists everything and takes it over.
-    fn list(&self) -> impl Future<Output = Result<(), StoreError>>;
+    fn list(&self) -> impl Future<Output = Result<Progress, StoreError>>;
 
     /// Waits for changes after a revision and takes them over.
-    fn watch(&self, after: u64) -> impl Future<Output = Result<(), StoreError>>;
+    fn watch(&self, after: u64) -> impl Future<Output = Result<Progress, StoreError>>;
 
-    /// Notes a call that failed, and returns the longest pause before the next one.
-    fn fail(&self, err: &StoreError) -> Duration;
+    /// Notes a call that failed.
+    fn fail(&self, err: &StoreError);
 
-    /// Shortest time between the starts of two watches.
-    fn period(&self) -> Duration;
+    /// Pauses between calls.
+    fn pauses(&self) -> Pauses;
 }
 
 /// Follows a source without end.
 pub async fn follow<S: Source>(source: &S) {
-    let mut backoff = BACKOFF_MIN;
+    let mut backoff = Backoff::new(source.pauses());
     loop {
+        source.turn().await;
         let began = Instant::now();
         let called = match source.position() {
             Some(after) => source.watch(after).await,
             None => source.list().await,
         };
-        match called {
-            Ok(()) => {
-                backoff = BACKOFF_MIN;
-                let rest = source.period().saturating_sub(began.elapsed());
-                if source.position().is_some() && !rest.is_zero() {
-                    monoio::time::sleep(rest).await;
+        let pause = match called {
+            Ok(Progress::Moved) => {
+                backoff = Backoff::new(source.pauses());
+                match source.position() {
+                    Some(_) => source.pauses().period.saturating_sub(began.elapsed()),
+                    None => Duration::ZERO,
                 }
             }
+            Ok(Progress::Idle) => backoff.next(),
             Err(err) => {
-                let max = source.fail(&err);
-                let pause = backoff.min(max).mul_f64(rand::rng().random_range(0.5..1.5));
-                backoff = (backoff * 2).min(max);
-                monoio::time::sleep(pause).await;
+                source.fail(&err);
+                backoff.next()
             }
+        };
+        if !pause.is_zero() {
+            monoio::time::sleep(pause).await;
         }
     }
 }
+
+/// Back-off that doubles up to a bound and is spread at random.
+#[derive(Debug)]
+struct Backoff {
+    next: Duration,
+    max: Duration,
+}
+
+impl Backoff {
+    fn new(pauses: Pauses) -> Self {
+        Self {
+            next: pauses.backoff_min,
+            max: pauses.backoff_max,
+        }
+    }
+
+    fn next(&mut self) -> Duration {
+        let pause = self.next.mul_f64(rand::rng().random_range(0.5..1.5));
+        self.next = (self.next * 2).min(self.max);
+        pause
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/store/http1.rs
@@ -0,0 +1,81 @@
+//! Calls over HTTP/1.1.
+
+use super::client::{
+    StoreError,
+    Transport, //
+};
+use bytes::Bytes;
+use http::{
+    header::HOST,
+    Request,
+    StatusCode, //
+};
+use http_body_util::{
+    BodyExt,
+    Empty,
+    Limited, //
+};
+use hyper::client::conn::http1::{
+    handshake,
+    SendRequest, //
+};
+use monoio::{
+    io::IntoPollIo,
+    net::TcpStream, //
+};
+use monoio_compat::hyper::MonoioIo;
+use std::net::SocketAddr;
+
+/// Longest answer that is read, in bytes; the store sends pages of about 1 MB.
+const ANSWER_MAX: usize = 16 << 20;
+
+/// HTTP/1.1, one call at a time.
+#[derive(Debug)]
+pub struct Http1;
+
+impl Transport for Http1 {
+    type Session = SendRequest<Empty<Bytes>>;
+
+    async fn start(stream: TcpStream) -> Result<Self::Session, StoreError> {
+        let io = MonoioIo::new(stream.into_poll_io()?);
+        let (tx, connection) = handshake(io).await.map_err(http)?;
+        monoio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("event=store_closed cause=\"{err}\"");
+            }
+        });
+        Ok(tx)
+    }
+
+    async fn get(
+        mut tx: Self::Session,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<(Bytes, Self::Session), StoreError> {
+        tx.ready().await.map_err(http)?;
+        let req = Request::get(path).header(HOST, addr.to_string());
+        let req = req
+            .body(Empty::new())
+            .map_err(|err| StoreError::Http(err.to_string()))?;
+        let answer = tx.send_request(req).await.map_err(http)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+        let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
+        match status {
+            StatusCode::OK => Ok((body.to_bytes(), tx)),
+            status => Err(StoreError::Status(status)),
+        }
+    }
+
+    fn share(_: &Self::Session) -> Option<Self::Session> {
+        None
+    }
+
+    fn is_closed(session: &Self::Session) -> bool {
+        session.is_closed()
+    }
+}
+
+fn http(err: hyper::Error) -> StoreError {
+    StoreError::Http(err.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/store/http2.rs
@@ -0,0 +1,80 @@
+//! Calls over HTTP/2.
+
+use super::client::{
+    StoreError,
+    Transport, //
+};
+use crate::links::client::read_body;
+use bytes::Bytes;
+use h2::client::{
+    Builder,
+    SendRequest, //
+};
+use http::{
+    Request,
+    StatusCode, //
+};
+use monoio::net::TcpStream;
+use monoio_compat::StreamWrapper;
+use std::net::SocketAddr;
+
+/// Longest answer that is read, in bytes.
+const ANSWER_MAX: usize = 64 << 20;
+
+/// Window of the connection and its streams, in bytes.
+const WINDOW: u32 = 256 << 10;
+
+/// HTTP/2, several calls at a time.
+#[derive(Debug)]
+pub struct Http2;
+
+impl Transport for Http2 {
+    type Session = SendRequest<Bytes>;
+
+    async fn start(stream: TcpStream) -> Result<Self::Session, StoreError> {
+        let mut builder = Builder::new();
+        builder
+            .initial_window_size(WINDOW)
+            .initial_connection_window_size(WINDOW);
+        let (tx, connection) = builder
+            .handshake(StreamWrapper::new(stream))
+            .await
+            .map_err(http)?;
+        monoio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!("event=store_closed cause=\"{err}\"");
+            }
+        });
+        Ok(tx)
+    }
+
+    async fn get(
+        tx: Self::Session,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<(Bytes, Self::Session), StoreError> {
+        let mut tx = tx.ready().await.map_err(http)?;
+        let req = Request::get(format!("http://{addr}{path}")).body(());
+        let req = req.map_err(|err| StoreError::Http(err.to_string()))?;
+        let (answer, _) = tx.send_request(req, true).map_err(http)?;
+        let answer = answer.await.map_err(http)?;
+        if answer.status() != StatusCode::OK {
+            return Err(StoreError::Status(answer.status()));
+        }
+        let body = read_body(answer.into_body(), ANSWER_MAX).await;
+        let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
+        Ok((body, tx))
+    }
+
+    fn share(session: &Self::Session) -> Option<Self::Session> {
+        Some(session.clone())
+    }
+
+    fn is_closed(_: &Self::Session) -> bool {
+        false
+    }
+}
+
+fn http(err: h2::Error) -> StoreError {
+    StoreError::Http(err.to_string())
+}
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -2,8 +2,22 @@
 
 pub mod client;
 pub mod follow;
+pub mod http1;
+pub mod http2;
 
-pub use self::client::{
-    Client,
-    StoreError, //
+pub use self::{
+    client::{
+        CallLimits,
+        Client,
+        StoreError,
+        Transport, //
+    },
+    follow::{
+        follow,
+        Pauses,
+        Progress,
+        Source, //
+    },
+    http1::Http1,
+    http2::Http2,
 };
--- a/crates/daemon/tests/logging.rs
+++ b/crates/daemon/tests/logging.rs
@@ -15,6 +15,10 @@
     time::Instant, //
 };
 
+/// Marks around the lines, since the test's own runner writes to standard output too.
+const BEGIN: &str = "\n--- begin\n";
+const END: &str = "--- end\n";
+
 const ROLE: &str = "FOXTAILHINGE_TEST_ROLE";
 
 #[test]
@@ -63,6 +67,7 @@
         return;
     }
     let handle = logging::start(log::LevelFilter::Info).unwrap();
+    print!("{BEGIN}");
     Event::new("zone_out").field("zone", "windhoek-2").info();
     Event::new("detail").debug();
     log::info!("a library's detail");
@@ -71,16 +76,19 @@
     log::info!(target: "foxtailhinge::links", "event=closed cause=\"a\nb\"");
     panic::catch_unwind(|| panic!("out of\nbounds")).unwrap_err();
     handle.flush();
+    print!("{END}");
 }
 
 #[test]
-fn lines_on_standard_error() {
+fn lines_on_standard_output() {
     let output = Command::new(env::current_exe().unwrap())
         .args(["--exact", "process_under_test", "--nocapture"])
         .env(ROLE, "logs")
         .output()
         .unwrap();
-    let text = String::from_utf8(output.stderr).unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    let (_, text) = text.split_once(BEGIN).unwrap();
+    let (text, _) = text.split_once(END).unwrap();
     let lines: Vec<_> = text.lines().map(without_time).collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -9,7 +9,7 @@
     },
     net::Ipv4Addr,
     process::{
-        ChildStderr,
+        ChildStdout,
         Command,
         Stdio, //
     },
@@ -27,7 +27,7 @@
 }
 
 /// Values of the fields of the first line of `event`.
-fn fields(lines: &mut Lines<BufReader<ChildStderr>>, event: &str) -> Option<Vec<String>> {
+fn fields(lines: &mut Lines<BufReader<ChildStdout>>, event: &str) -> Option<Vec<String>> {
     let wanted = format!(" event={event}");
     let line = lines.find_map(|line| line.ok().filter(|line| line.contains(&wanted)))?;
     let (_, rest) = line.split_once(&wanted)?;
@@ -42,11 +42,11 @@
     let mut child = Command::new(env!("CARGO_BIN_EXE_foxtailhinge"))
         .arg("--settings")
         .arg(&file)
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
     let started = fields(&mut lines, "started");
     let pid = libc::pid_t::try_from(child.id()).unwrap();
     // SAFETY: The process is a child that was not waited for, so the id is still its own.
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -144,6 +144,16 @@
         std::mem::take(&mut self.beliefs)
     }
 
+    /// Whether an upstream left an opening packet unanswered of late.
+    pub fn is_silent(&self, id: UpstreamId, now: Instant) -> bool {
+        self.silence.is_silent(id, now)
+    }
+
+    /// Requests in progress at an upstream, as far as they are seen here.
+    pub fn in_progress(&self, id: UpstreamId, now: Instant) -> usize {
+        self.flows.in_progress(id, now)
+    }
+
     /// Number of flows that are remembered.
     pub fn flows(&self) -> usize {
         self.flows.len()
