--- /dev/null
+++ b/crates/daemon/tests/packets/main.rs
@@ -0,0 +1,8 @@
+//! Daemons that forward packets, as processes, between stand-ins of the platform.
+
+mod lifecycle;
+mod routes;
+mod scene;
+mod settings;
+mod store;
+mod upstreams;
--- /dev/null
+++ b/crates/daemon/tests/packets/scene.rs
@@ -0,0 +1,195 @@
+//! A small fleet with load, and the promises that hold whatever happens to it.
+
+use foxtailhinge_standins::{
+    fleet::{
+        Deployment,
+        Program, //
+    },
+    packets::{
+        callers::{
+            Callers,
+            Results, //
+        },
+        fleet::{
+            Builder,
+            PacketFleet,
+            ROUTE_PORT, //
+        },
+    },
+};
+use std::{
+    collections::HashSet,
+    ops::{
+        Deref,
+        DerefMut, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// The daemon's program.
+pub(crate) fn program() -> Program {
+    Program {
+        path: env!("CARGO_BIN_EXE_foxtailhinge").into(),
+        args: Vec::new(),
+    }
+}
+
+/// Four daemons in four zones before eight upstreams of the first service and four of the second.
+pub(crate) fn builder() -> Builder {
+    Builder::new(Deployment::Kalahari)
+        .daemons(4)
+        .upstreams(8, 4)
+}
+
+/// A fleet under load.
+pub(crate) struct Scene {
+    fleet: PacketFleet,
+    callers: Vec<Callers>,
+}
+
+impl Deref for Scene {
+    type Target = PacketFleet;
+
+    fn deref(&self) -> &PacketFleet {
+        &self.fleet
+    }
+}
+
+impl DerefMut for Scene {
+    fn deref_mut(&mut self) -> &mut PacketFleet {
+        &mut self.fleet
+    }
+}
+
+impl Scene {
+    /// A fleet that runs, without load.
+    pub(crate) fn start() -> Self {
+        Self::of(builder().start(&program()).unwrap())
+    }
+
+    /// A fleet as it is.
+    pub(crate) fn of(fleet: PacketFleet) -> Self {
+        Self {
+            fleet,
+            callers: Vec::new(),
+        }
+    }
+
+    /// Lets the callers of each zone hold `feeds` feeds and send `posts` requests a second.
+    pub(crate) fn load(mut self, feeds: usize, posts: f64) -> Self {
+        for zone in 0..self.fleet.zones().len() {
+            let mut plan = self.fleet.plan(zone, zone as u64 + 1);
+            plan.feeds = feeds;
+            plan.posts_per_s = posts;
+            self.callers.push(self.fleet.callers(plan).unwrap());
+        }
+        self
+    }
+
+    /// Lets time pass.
+    pub(crate) fn run(&self, ms: u64) -> &Self {
+        thread::sleep(Duration::from_millis(ms));
+        self
+    }
+
+    /// Ends the load and checks what holds always.
+    pub(crate) fn finish(&mut self) -> Report {
+        let results = self.callers.drain(..).map(Callers::stop).collect();
+        let report = Report::new(results, &self.fleet);
+        report.check_promises(&self.fleet);
+        report
+    }
+}
+
+/// What callers saw.
+pub(crate) struct Report {
+    pub(crate) results: Vec<Results>,
+}
+
+impl Report {
+    fn new(results: Vec<Results>, _: &PacketFleet) -> Self {
+        Self { results }
+    }
+
+    fn check_promises(&self, fleet: &PacketFleet) {
+        let seen = fleet.seen.lock().unwrap();
+        let wrong: u64 = self.results.iter().map(|r| r.wrong).sum();
+        assert_eq!(
+            wrong, 0,
+            "each answer is that of the flow's upstream to its own request"
+        );
+        assert_eq!(seen.damaged, 0, "packets arrive as they were sent");
+        let feeds: HashSet<_> = self.requests(true).map(|o| o.number).collect();
+        let twice = seen
+            .runs
+            .iter()
+            .filter(|(n, runs)| **runs > 1 && !feeds.contains(n));
+        assert_eq!(
+            twice.count(),
+            0,
+            "a request that must run at most once does"
+        );
+        let services = |port| match port == ROUTE_PORT + 1 {
+            true => "certvault",
+            false => "syncdesk-api",
+        };
+        let strays = seen
+            .openings
+            .iter()
+            .filter(|o| o.service != services(o.route));
+        assert_eq!(
+            strays.count(),
+            0,
+            "each flow opens at the service of its route"
+        );
+        let cold = seen.openings.iter().filter(|o| o.cold);
+        assert_eq!(cold.count(), 0, "no flow opens at a cold upstream");
+    }
+
+    fn requests(
+        &self,
+        is_feed: bool,
+    ) -> impl Iterator<Item = &foxtailhinge_standins::packets::callers::Outcome> {
+        let all = self.results.iter().flat_map(|r| &r.outcomes);
+        all.filter(move |o| o.is_feed == is_feed)
+    }
+
+    /// Requests without an answer.
+    pub(crate) fn unanswered(&self) -> usize {
+        let all = self.results.iter().flat_map(|r| &r.outcomes);
+        all.filter(|o| o.took.is_none()).count()
+    }
+
+    /// Share of the requests asked in a span that were answered within their aim.
+    pub(crate) fn in_aim(&self, from: Instant, to: Instant) -> f64 {
+        let aim = Duration::from_millis(250);
+        let all = self.results.iter().flat_map(|r| &r.outcomes);
+        let asked: Vec<_> = all.filter(|o| o.asked >= from && o.asked < to).collect();
+        assert!(
+            asked.len() >= 10,
+            "{} requests are too few to tell",
+            asked.len()
+        );
+        let good = asked
+            .iter()
+            .filter(|o| o.took.is_some_and(|took| took <= aim));
+        good.count() as f64 / asked.len() as f64
+    }
+
+    /// Resets that the balancer sent on flows whose upstream had answered.
+    pub(crate) fn broken(&self) -> usize {
+        let all = self.results.iter().flat_map(|r| &r.resets);
+        all.filter(|r| r.by_balancer && r.upstream.is_some())
+            .count()
+    }
+
+    /// Resets that the balancer sent.
+    pub(crate) fn resets(&self) -> usize {
+        let all = self.results.iter().flat_map(|r| &r.resets);
+        all.filter(|r| r.by_balancer).count()
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/packets/settings.rs
@@ -0,0 +1,69 @@
+//! Settings that change while the daemon runs.
+
+use crate::scene::Scene;
+
+#[test]
+fn settings_are_read_again_on_a_signal() {
+    let scene = Scene::start();
+    scene
+        .edit_settings(0, |text| text.replace("2500", "3000"))
+        .unwrap();
+    scene.hang_up(0);
+    scene
+        .until("the settings are taken over", |f| {
+            f.events(0, "settings_reloaded").len() == 1
+        })
+        .unwrap();
+    assert!(scene.events(0, "settings_reloaded")[0].contains("cause=signal"));
+    scene.hang_up(0);
+    scene.run(300);
+    assert_eq!(
+        scene.events(0, "settings_reloaded").len(),
+        1,
+        "nothing has changed"
+    );
+    assert!(scene.status(0).unwrap().ready);
+}
+
+#[test]
+fn settings_are_read_again_without_a_signal() {
+    let scene = Scene::start();
+    scene
+        .edit_settings(0, |text| text.replace("\"vm-1\"", "\"vm-9\""))
+        .unwrap();
+    scene
+        .until("the settings are taken over", |f| {
+            f.events(0, "settings_reloaded").len() == 1
+        })
+        .unwrap();
+    let line = &scene.events(0, "settings_reloaded")[0];
+    assert!(
+        line.contains("cause=file") && line.contains("after_restart=vm"),
+        "{line}"
+    );
+    assert_eq!(&*scene.status(0).unwrap().vm, "vm-1");
+}
+
+#[test]
+fn settings_with_findings_are_refused_whole_and_the_daemon_serves_on() {
+    let mut scene = Scene::start().load(2, 5.0);
+    let spoil = |text: String| {
+        text.replace("2500", "1")
+            .replace("\"grace_s\"", "\"grace\"")
+    };
+    scene.edit_settings(0, spoil).unwrap();
+    scene.hang_up(0);
+    scene
+        .until("the settings are refused", |f| {
+            f.events(0, "settings_refused").len() == 1
+        })
+        .unwrap();
+    let line = &scene.events(0, "settings_refused")[0];
+    assert!(
+        line.contains("unknown field") && line.contains("whole number"),
+        "{line}"
+    );
+    scene.run(1_000);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+}
--- /dev/null
+++ b/crates/daemon/tests/packets/store.rs
@@ -0,0 +1,127 @@
+//! A store that fails, lies idle, forgets, or turns some daemons away.
+
+use crate::scene::Scene;
+use foxtailhinge_standins::packets::{
+    fleet::ROUTE_PORT,
+    store::Fault, //
+};
+use rstest::rstest;
+use serde_json::json;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+#[rstest]
+#[case::busy(Fault::Busy)]
+#[case::silent(Fault::Silent)]
+#[case::reset(Fault::Reset)]
+fn entries_that_lapse_in_an_outage_keep_their_upstreams_in_use(#[case] fault: Fault) {
+    let mut scene = Scene::start().load(4, 10.0);
+    scene.run(500).store.fail(fault);
+    scene.store.lapse("servers/");
+    scene.run(2_500);
+    let began = Instant::now();
+    scene.store.fail(Fault::None);
+    scene.run(4_500);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+    assert!(report.in_aim(began, Instant::now()) >= 0.99);
+    for index in 0..scene.len() {
+        let status = scene.status(index).unwrap();
+        assert_eq!(status.store_lost, None);
+        assert_eq!(scene.events(index, "store_regained").len(), 1);
+    }
+}
+
+#[rstest]
+#[case::busy(Fault::Busy)]
+#[case::silent(Fault::Silent)]
+#[case::reset(Fault::Reset)]
+fn a_change_after_an_outage_is_in_force_in_time(#[case] fault: Fault) {
+    let mut scene = Scene::start();
+    scene.store.fail(fault);
+    scene.run(1_500).store.fail(Fault::None);
+    scene.configure(&[ROUTE_PORT]);
+    let took = scene.await_configuration().unwrap();
+    assert!(took < Duration::from_millis(3_000), "{took:?}");
+}
+
+#[test]
+fn a_view_is_made_anew_when_the_history_is_lost() {
+    let mut scene = Scene::start().load(2, 5.0);
+    scene.store.refuse(&[scene.store_addr(0)]);
+    scene.run(800);
+    scene.upstreams[0].end();
+    scene.take_out("windhoek-2");
+    scene.store.forget_history();
+    scene.store.refuse(&[]);
+    scene
+        .until("the daemon knows what it missed", |fleet| {
+            let status = fleet.status(0).unwrap();
+            let out = status
+                .upstreams
+                .iter()
+                .filter(|u| u.standing.as_str() == "out");
+            let gone = status
+                .upstreams
+                .iter()
+                .filter(|u| u.standing.as_str() == "unlisted");
+            (out.count(), gone.count()) == (3, 1)
+        })
+        .unwrap();
+    let report = scene.finish();
+    assert_eq!(report.broken(), 0);
+}
+
+#[test]
+fn a_daemon_that_is_turned_away_serves_on_with_what_it_knows() {
+    let mut scene = Scene::start().load(4, 10.0);
+    scene.store.refuse(&[scene.store_addr(0)]);
+    scene.run(2_500);
+    let status = scene.status(0).unwrap();
+    assert!(status.ready && status.store_lost.is_some());
+    assert_eq!(scene.events(0, "store_lost").len(), 1);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+}
+
+#[test]
+fn changes_are_in_force_everywhere_while_the_store_is_slow() {
+    let mut scene = Scene::start();
+    scene.store.lag(Duration::from_millis(300));
+    scene.configure(&[ROUTE_PORT, ROUTE_PORT + 1, 8_443]);
+    let took = scene.await_configuration().unwrap();
+    assert!(took < Duration::from_millis(3_000), "{took:?}");
+}
+
+#[test]
+fn entries_of_other_writers_do_no_harm() {
+    let mut scene = Scene::start().load(2, 5.0);
+    scene
+        .store
+        .put_bytes("servers/i-00000000ff", vec![0, 159, 146, 150]);
+    scene
+        .store
+        .put("servers/i-00000000fe", &json!({"state": "ready"}));
+    scene.store.put("servers/", &json!([]));
+    scene.store.put("somebody/else", &json!(1));
+    scene.store.put("op/config", &json!({"version": "9"}));
+    scene.run(2_000);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+    assert_eq!(scene.status(0).unwrap().upstreams.len(), 12);
+    assert_eq!(scene.events(0, "entry_refused").len(), 3);
+}
+
+#[test]
+fn a_quiet_store_is_called_seldom() {
+    let scene = Scene::start();
+    scene.run(500);
+    let before = scene.store.calls();
+    scene.run(4_000);
+    let calls = scene.store.calls() - before;
+    // Four daemons, each with a watch that waits for a second: the time in which a lost answer is to be noticed less
+    // the limits of a call.
+    assert!(calls <= 4 * 5, "{calls} calls in 4 s");
+}
--- /dev/null
+++ b/crates/daemon/tests/packets/upstreams.rs
@@ -0,0 +1,116 @@
+//! Upstreams that drain, fall silent, end, start cold, and zones that go out and come back.
+
+use crate::scene::Scene;
+use std::{
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Time in which a change is in force: the pause between two watches and some way.
+const IN_FORCE: Duration = Duration::from_millis(1_500);
+
+/// Openings at upstreams that `counts`, since `from`.
+fn openings(
+    scene: &Scene,
+    from: Instant,
+    counts: impl Fn(&foxtailhinge_standins::packets::upstream::Opening) -> bool,
+) -> usize {
+    let seen = scene.seen.lock().unwrap();
+    let since = seen.openings.iter().filter(|o| o.at >= from);
+    since.filter(|o| counts(o)).count()
+}
+
+#[test]
+fn a_draining_upstream_gets_no_new_flow_and_ends_those_it_has() {
+    let mut scene = Scene::start().load(4, 10.0);
+    let id = scene.upstreams[0].spec().id;
+    scene.run(1_000).upstreams[0].drain();
+    thread::sleep(IN_FORCE);
+    let from = Instant::now();
+    scene.run(1_500);
+    assert_eq!(openings(&scene, from, |o| o.upstream == id), 0);
+    assert!(openings(&scene, from, |o| o.upstream != id) > 20);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+}
+
+#[test]
+fn requests_go_around_an_upstream_that_falls_silent() {
+    let mut scene = Scene::start().load(0, 20.0);
+    let id = scene.upstreams[0].spec().id;
+    scene.run(1_000).upstreams[0].silence();
+    let from = Instant::now();
+    scene.run(2_500);
+    let lost = Instant::now();
+    let report = scene.finish();
+    assert!(report.in_aim(from, lost) >= 0.9);
+    assert!(report.in_aim(from + Duration::from_millis(700), lost) >= 0.97);
+    let silent = (0..scene.len()).flat_map(|index| scene.events(index, "upstream_silent"));
+    let named = format!("upstream={id:010x}");
+    assert!(silent.clone().any(|line| line.contains(&named)));
+    assert!(
+        silent.into_iter().all(|line| line.contains(&named)),
+        "no other one is suspected"
+    );
+}
+
+#[test]
+fn an_address_that_is_used_again_gets_nothing_of_the_old_upstream() {
+    let mut scene = Scene::start().load(6, 10.0);
+    scene.run(1_000).upstreams[0].end();
+    scene.reuse_address(0, 1, 0x70_0000_aaaa).unwrap();
+    scene.run(3_000);
+    let report = scene.finish();
+    assert_eq!(report.broken(), 0);
+    let late = openings(&scene, Instant::now() - Duration::from_secs(1), |o| {
+        o.service != "syncdesk-api"
+    });
+    assert_eq!(late, 0, "no route of the load leads to the new service");
+}
+
+#[test]
+fn a_cold_upstream_gets_its_first_flow_when_it_is_warm() {
+    let mut scene = Scene::start().load(2, 20.0);
+    let id = 0x70_0000_bbbb;
+    let from = Instant::now();
+    scene.add_upstream(0, id, Duration::from_secs(2)).unwrap();
+    scene.run(4_500);
+    scene.finish();
+    let seen = scene.seen.lock().unwrap();
+    let first = seen.openings.iter().find(|o| o.upstream == id);
+    assert!(first.expect("it is used in the end").at >= from + Duration::from_secs(2));
+}
+
+#[test]
+fn a_zone_that_is_out_gets_no_new_flow_until_it_is_back() {
+    let mut scene = Scene::start().load(4, 20.0);
+    scene.run(500).take_out("windhoek-3");
+    thread::sleep(IN_FORCE);
+    let out = Instant::now();
+    scene.run(1_500);
+    assert_eq!(openings(&scene, out, |o| o.zone == "windhoek-3"), 0);
+    scene.take_in("windhoek-3");
+    let back = Instant::now();
+    scene.run(5_000);
+    assert!(openings(&scene, back, |o| o.zone == "windhoek-3") > 10);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+    assert!(report.in_aim(out, Instant::now()) >= 0.99);
+}
+
+#[test]
+fn an_upstream_whose_entry_is_damaged_is_not_used_and_its_feeds_go_on() {
+    let mut scene = Scene::start().load(6, 10.0);
+    let key = scene.upstreams[0].spec().key();
+    let id = scene.upstreams[0].spec().id;
+    scene.run(1_000).store.put_bytes(&key, b"{".to_vec());
+    thread::sleep(IN_FORCE);
+    let from = Instant::now();
+    scene.run(1_500);
+    assert_eq!(openings(&scene, from, |o| o.upstream == id), 0);
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+}
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -39,18 +39,18 @@
 };
 
 /// Zone of the daemon.
-pub const HOME: &str = "windhoek-1";
+pub(crate) const HOME: &str = "windhoek-1";
 /// Another zone.
-pub const AWAY: &str = "windhoek-2";
+pub(crate) const AWAY: &str = "windhoek-2";
 /// The service of all upstreams that name none.
-pub const SERVICE: &str = "syncdesk-api";
+pub(crate) const SERVICE: &str = "syncdesk-api";
 /// Port of the route to it.
-pub const PORT: u16 = 443;
+pub(crate) const PORT: u16 = 443;
 /// Seed of all that is drawn at random.
 const SEED: u64 = 7;
 
 /// An upstream of the home zone with four slots that serves.
-pub fn upstream() -> Upstream {
+pub(crate) fn upstream() -> Upstream {
     Upstream {
         service: SERVICE.into(),
         address: address(1, 8080),
@@ -63,12 +63,12 @@
 }
 
 /// An address of an upstream.
-pub fn address(host: u8, port: u16) -> SocketAddrV4 {
+pub(crate) fn address(host: u8, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, host), port)
 }
 
 /// A flow of the caller with this number, by the route's port.
-pub fn flow(caller: u16, port: u16) -> FlowId {
+pub(crate) fn flow(caller: u16, port: u16) -> FlowId {
     FlowId {
         caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), caller),
         route: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
@@ -76,7 +76,7 @@
 }
 
 /// A configuration with one route for each port and service.
-pub fn configuration(version: u64, routes: &[(u16, &[(&str, u32)])]) -> Configuration {
+pub(crate) fn configuration(version: u64, routes: &[(u16, &[(&str, u32)])]) -> Configuration {
     let route = |(port, targets): &(u16, &[(&str, u32)])| {
         let targets = targets.iter().map(|(service, weight)| Target {
             service: (*service).into(),
@@ -97,18 +97,18 @@
 }
 
 /// A daemon's view and decisions.
-pub struct Scene {
-    pub directory: Directory,
-    pub balancer: Balancer<SmallRng>,
-    pub now: Instant,
+pub(crate) struct Scene {
+    pub(crate) directory: Directory,
+    pub(crate) balancer: Balancer<SmallRng>,
+    pub(crate) now: Instant,
     /// Age of the view.
-    pub age: Duration,
+    pub(crate) age: Duration,
     revision: u64,
 }
 
 impl Scene {
     /// A daemon that knows nothing.
-    pub fn unaware() -> Self {
+    pub(crate) fn unaware() -> Self {
         Self {
             directory: Directory::default(),
             balancer: Balancer::new(HOME.into(), SmallRng::seed_from_u64(SEED)),
@@ -119,7 +119,7 @@
     }
 
     /// A daemon that knows one route to [`SERVICE`].
-    pub fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self::unaware().with(Change::Configured(configuration(
             1,
             &[(PORT, &[(SERVICE, 1)])],
@@ -127,25 +127,25 @@
     }
 
     /// Adds an upstream.
-    pub fn upstream(self, id: u64, upstream: Upstream) -> Self {
+    pub(crate) fn upstream(self, id: u64, upstream: Upstream) -> Self {
         self.with(Change::Listed(UpstreamId(id), upstream))
     }
 
     /// Applies a change.
-    pub fn with(mut self, change: Change) -> Self {
+    pub(crate) fn with(mut self, change: Change) -> Self {
         self.change(change);
         self
     }
 
     /// Applies a change with the next revision.
-    pub fn change(&mut self, change: Change) -> Outcome {
+    pub(crate) fn change(&mut self, change: Change) -> Outcome {
         let item = self.item(change);
         let mut outcomes = self.directory.apply(item.revision, &[item], self.now);
         outcomes.remove(0)
     }
 
     /// Applies several changes as one answer of the store.
-    pub fn changes(&mut self, changes: Vec<Change>) {
+    pub(crate) fn changes(&mut self, changes: Vec<Change>) {
         let items: Vec<_> = changes
             .into_iter()
             .map(|change| self.item(change))
@@ -154,7 +154,7 @@
     }
 
     /// An item with the next revision.
-    pub fn item(&mut self, change: Change) -> Item {
+    pub(crate) fn item(&mut self, change: Change) -> Item {
         self.revision += 1;
         Item {
             key: "key".into(),
@@ -164,13 +164,13 @@
     }
 
     /// Lets time pass.
-    pub fn after(&mut self, ms: u64) -> &mut Self {
+    pub(crate) fn after(&mut self, ms: u64) -> &mut Self {
         self.now += Duration::from_millis(ms);
         self
     }
 
     /// Decides about a packet.
-    pub fn decide(&mut self, packet: Packet) -> Verdict {
+    pub(crate) fn decide(&mut self, packet: Packet) -> Verdict {
         let Self {
             directory,
             balancer,
@@ -180,17 +180,17 @@
     }
 
     /// Decides about an opening packet, which is the copy with this number.
-    pub fn open(&mut self, caller: u16, copy: u32) -> Verdict {
+    pub(crate) fn open(&mut self, caller: u16, copy: u32) -> Verdict {
         self.decide(syn(flow(caller, PORT), copy))
     }
 
     /// Opens a flow and gives the choice.
-    pub fn choose(&mut self, caller: u16) -> Choice {
+    pub(crate) fn choose(&mut self, caller: u16) -> Choice {
         choice(self.open(caller, 0))
     }
 
     /// Opens `n` flows of callers from the number `first` on and counts them by upstream.
-    pub fn spread(&mut self, first: u16, n: u16) -> std::collections::BTreeMap<u64, usize> {
+    pub(crate) fn spread(&mut self, first: u16, n: u16) -> std::collections::BTreeMap<u64, usize> {
         let mut counts = std::collections::BTreeMap::new();
         for caller in first..first + n {
             *counts.entry(self.choose(caller).id.0).or_default() += 1;
@@ -199,7 +199,14 @@
     }
 
     /// Sends a request of `len` bytes from position `seq`, with the answers up to `ack` received.
-    pub fn request(&mut self, caller: u16, id: u64, seq: u32, ack: u32, len: u16) -> Verdict {
+    pub(crate) fn request(
+        &mut self,
+        caller: u16,
+        id: u64,
+        seq: u32,
+        ack: u32,
+        len: u16,
+    ) -> Verdict {
         self.decide(Packet {
             flow: flow(caller, PORT),
             label: UpstreamId(id).label(),
@@ -209,22 +216,10 @@
             len,
         })
     }
-
-    /// Ends a flow.
-    pub fn end(&mut self, caller: u16, id: u64) -> Verdict {
-        self.decide(Packet {
-            flow: flow(caller, PORT),
-            label: UpstreamId(id).label(),
-            kind: Kind::End,
-            seq: 1_000,
-            ack: 1_000,
-            len: 0,
-        })
-    }
 }
 
 /// An opening packet, which is the copy with this number.
-pub fn syn(flow: FlowId, copy: u32) -> Packet {
+pub(crate) fn syn(flow: FlowId, copy: u32) -> Packet {
     Packet {
         flow,
         label: 0,
@@ -236,7 +231,7 @@
 }
 
 /// The choice of a verdict that opens a flow.
-pub fn choice(verdict: Verdict) -> Choice {
+pub(crate) fn choice(verdict: Verdict) -> Choice {
     match verdict {
         Verdict::Open(choice) => choice,
         other => panic!("the flow is not opened: {other:?}"),
@@ -244,7 +239,7 @@
 }
 
 /// The upstream and address of a verdict that forwards.
-pub fn target(verdict: Verdict) -> (u64, SocketAddrV4) {
+pub(crate) fn target(verdict: Verdict) -> (u64, SocketAddrV4) {
     match verdict {
         Verdict::Forward { id, to, .. } => (id.0, to),
         other => panic!("the packet is not forwarded: {other:?}"),
@@ -252,6 +247,6 @@
 }
 
 /// Name of a zone or service.
-pub fn name(text: &str) -> Rc<str> {
+pub(crate) fn name(text: &str) -> Rc<str> {
     text.into()
 }
--- a/crates/standins/src/fleet/block.rs
+++ b/crates/standins/src/fleet/block.rs
@@ -6,6 +6,7 @@
         IpAddr,
         Ipv4Addr,
         SocketAddr,
+        SocketAddrV4,
         TcpListener, //
     },
     sync::atomic::{
@@ -34,6 +35,8 @@
 const SERVICES: u8 = 200;
 /// Host number of the first zone's callers.
 const FIRST_CALLERS: u8 = 210;
+/// Host number of the first daemon's store.
+const FIRST_STORE: u8 = 220;
 /// Host number of the platform.
 const PLATFORM: u8 = 250;
 /// Host number that is claimed.
@@ -110,7 +113,34 @@
         self.ip(FIRST_CALLERS + zone as u8)
     }
 
+    /// Returns the address at which a daemon takes packets; callers take theirs at its port.
+    pub(crate) fn packets(&self, daemon: usize) -> SocketAddrV4 {
+        v4(self.daemon(daemon), SERVICE_PORT)
+    }
+
+    /// Returns the address at which the callers of a zone take packets.
+    pub(crate) fn packet_callers(&self, zone: usize) -> SocketAddrV4 {
+        v4(self.callers(zone), SERVICE_PORT)
+    }
+
+    /// Returns the address of an upstream that takes packets, counted from zero over all services.
+    pub(crate) fn packet_upstream(&self, index: usize) -> SocketAddrV4 {
+        v4(self.ip(FIRST_UPSTREAM + index as u8), UPSTREAM_PORT)
+    }
+
+    /// Returns the address at which a daemon finds the store of entries.
+    pub(crate) fn store(&self, daemon: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(FIRST_STORE + daemon as u8), PLATFORM_PORT)
+    }
+
     pub(crate) fn platform(&self) -> SocketAddr {
         SocketAddr::new(self.ip(PLATFORM), PLATFORM_PORT)
     }
 }
+
+fn v4(ip: IpAddr, port: u16) -> SocketAddrV4 {
+    match ip {
+        IpAddr::V4(ip) => SocketAddrV4::new(ip, port),
+        IpAddr::V6(_) => unreachable!("blocks are IPv4"),
+    }
+}
--- a/crates/standins/src/fleet/daemon.rs
+++ b/crates/standins/src/fleet/daemon.rs
@@ -38,6 +38,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Signal {
     Terminate,
+    Hangup,
     Stop,
     Continue,
 }
@@ -46,6 +47,7 @@
     fn number(self) -> libc::c_int {
         match self {
             Signal::Terminate => libc::SIGTERM,
+            Signal::Hangup => libc::SIGHUP,
             Signal::Stop => libc::SIGSTOP,
             Signal::Continue => libc::SIGCONT,
         }
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -1,8 +1,8 @@
 //! Launcher of small fleets: the stand-ins in this process, the daemons as processes of their own.
 
-mod block;
+pub(crate) mod block;
 mod builder;
-mod daemon;
+pub(crate) mod daemon;
 mod deployment;
 pub mod document;
 mod evidence;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod load;
 pub mod message;
+pub mod packets;
 pub mod platform;
 pub mod scenario;
 pub mod upstream;
--- /dev/null
+++ b/crates/standins/src/packets/mod.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for a platform whose flows are made of packets: its store, upstreams, callers and fabric.
+
+pub mod callers;
+pub mod fabric;
+pub mod fleet;
+pub mod segment;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/standins/src/packets/store.rs
@@ -0,0 +1,367 @@
+//! Stand-in for the platform's store of entries: HTTP/1.1 with JSON, read only from outside.
+
+use base64::{
+    engine::general_purpose::STANDARD,
+    Engine, //
+};
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use monoio::{
+    io::IntoPollIo,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    time::sleep,
+    LegacyDriver,
+    RuntimeBuilder, //
+};
+use monoio_compat::hyper::MonoioIo;
+use serde_json::{
+    json,
+    Value, //
+};
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        mpsc,
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Time between looks at what a test changed.
+const TICK: Duration = Duration::from_millis(5);
+/// Entries of a page; few, so that small fleets need several pages.
+const PAGE: usize = 7;
+
+/// What the store does to calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers that it is busy.
+    Busy,
+    /// It takes calls and never answers.
+    Silent,
+    /// It ends each connection.
+    Reset,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    value: Option<Vec<u8>>,
+    revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    /// Removed entries stay as tombstones while the history lasts.
+    entries: BTreeMap<String, Entry>,
+    /// Watches after an older revision are told that the history is gone.
+    oldest: u64,
+    fault: Fault,
+    refused: Vec<SocketAddr>,
+    lag: Duration,
+    calls: u64,
+    ended: bool,
+}
+
+/// A store that tests write to.
+#[derive(Clone, Debug)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+}
+
+impl Store {
+    /// Starts a store at several addresses, one for each daemon, so that it can treat them differently.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot listen at one of them.
+    pub fn start(addrs: Vec<SocketAddr>) -> io::Result<Self> {
+        let store = Self {
+            state: Arc::default(),
+        };
+        let (tx, rx) = mpsc::channel();
+        let serving = store.clone();
+        thread::spawn(move || serving.run(addrs, &tx));
+        rx.recv().map_err(io::Error::other)??;
+        Ok(store)
+    }
+
+    /// Writes an entry and returns its revision.
+    pub fn put(&self, key: &str, value: &Value) -> u64 {
+        self.put_bytes(key, value.to_string().into_bytes())
+    }
+
+    /// Writes an entry of any bytes.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) -> u64 {
+        self.write(key, Some(value))
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, key: &str) -> u64 {
+        self.write(key, None)
+    }
+
+    /// Whether there is an entry.
+    pub fn holds(&self, key: &str) -> bool {
+        let state = self.state();
+        state
+            .entries
+            .get(key)
+            .is_some_and(|entry| entry.value.is_some())
+    }
+
+    /// Removes all entries whose keys begin with `prefix`, as when their leases run out.
+    pub fn lapse(&self, prefix: &str) {
+        let keys: Vec<_> = self.state().entries.keys().cloned().collect();
+        for key in keys.iter().filter(|key| key.starts_with(prefix)) {
+            self.remove(key);
+        }
+    }
+
+    /// Treats all calls from now on so.
+    pub fn fail(&self, fault: Fault) {
+        self.state().fault = fault;
+    }
+
+    /// Turns callers of these addresses away, and answers those of the others.
+    pub fn refuse(&self, addrs: &[SocketAddr]) {
+        self.state().refused = addrs.to_vec();
+    }
+
+    /// Delays each answer.
+    pub fn lag(&self, lag: Duration) {
+        self.state().lag = lag;
+    }
+
+    /// Forgets what was before.
+    pub fn forget_history(&self) {
+        let mut state = self.state();
+        state.oldest = state.revision + 1;
+    }
+
+    /// Calls so far, a waiting watch as one.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    /// Ends the store.
+    pub fn end(&self) {
+        self.state().ended = true;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn write(&self, key: &str, value: Option<Vec<u8>>) -> u64 {
+        let mut state = self.state();
+        state.revision += 1;
+        let revision = state.revision;
+        let entry = Entry { value, revision };
+        state.entries.insert(key.to_owned(), entry);
+        revision
+    }
+
+    fn run(&self, addrs: Vec<SocketAddr>, tx: &mpsc::Sender<io::Result<()>>) {
+        let builder = RuntimeBuilder::<LegacyDriver>::new();
+        let mut runtime = builder.enable_timer().build().expect("a runtime starts");
+        runtime.block_on(async {
+            let listeners: io::Result<Vec<_>> = addrs
+                .into_iter()
+                .map(|addr| Ok((addr, TcpListener::bind(addr)?)))
+                .collect();
+            match listeners {
+                Ok(listeners) => {
+                    for (addr, listener) in listeners {
+                        monoio::spawn(self.clone().listen(addr, listener));
+                    }
+                    let _ = tx.send(Ok(()));
+                }
+                Err(err) => {
+                    let _ = tx.send(Err(err));
+                    return;
+                }
+            }
+            while !self.state().ended {
+                sleep(TICK).await;
+            }
+        });
+        std::mem::forget(runtime);
+    }
+
+    async fn listen(self, addr: SocketAddr, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            monoio::spawn(serve(self.clone(), stream, addr));
+        }
+    }
+
+    fn fault(&self, addr: SocketAddr) -> Fault {
+        let state = self.state();
+        match state.refused.contains(&addr) {
+            true => Fault::Busy,
+            false => state.fault,
+        }
+    }
+
+    async fn answer(
+        &self,
+        req: Request<Incoming>,
+        addr: SocketAddr,
+    ) -> Option<Response<Full<Bytes>>> {
+        self.state().calls += 1;
+        match self.fault(addr) {
+            Fault::None => (),
+            Fault::Busy => return Some(respond(StatusCode::SERVICE_UNAVAILABLE, json!({}))),
+            Fault::Silent => std::future::pending().await,
+            Fault::Reset => return None,
+        }
+        let lag = self.state().lag;
+        if !lag.is_zero() {
+            sleep(lag).await;
+        }
+        let query = Query::of(&req);
+        Some(match req.uri().path() {
+            "/api/kv-range" => respond(StatusCode::OK, self.list(&query)),
+            "/api/kv-watch" => return self.watch(&query, addr).await,
+            _ => respond(StatusCode::NOT_FOUND, json!({})),
+        })
+    }
+
+    fn list(&self, query: &Query) -> Value {
+        let state = self.state();
+        let after = query.text("after");
+        let found = state.entries.iter().filter(|(key, entry)| {
+            entry.value.is_some() && key.starts_with(&query.text("prefix")) && **key > after
+        });
+        let mut items: Vec<_> = found.take(PAGE + 1).map(|(k, e)| item(k, e)).collect();
+        let has_more = items.len() > PAGE;
+        items.truncate(PAGE);
+        json!({"items": items, "has_more": has_more, "store_revision": state.revision})
+    }
+
+    async fn watch(&self, query: &Query, addr: SocketAddr) -> Option<Response<Full<Bytes>>> {
+        let after: u64 = query.text("after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(query.text("wait_ms").parse().unwrap_or(0));
+        let until = Instant::now() + wait;
+        loop {
+            if self.state().oldest > after + 1 {
+                return Some(respond(StatusCode::GONE, json!({})));
+            }
+            match self.fault(addr) {
+                Fault::None => (),
+                Fault::Silent => std::future::pending().await,
+                Fault::Busy | Fault::Reset => return None,
+            }
+            let (revision, events) = self.events(&query.text("prefix"), after);
+            if !events.is_empty() || Instant::now() >= until {
+                let body = json!({"events": events, "store_revision": revision});
+                return Some(respond(StatusCode::OK, body));
+            }
+            sleep(TICK).await;
+        }
+    }
+
+    fn events(&self, prefix: &str, after: u64) -> (u64, Vec<Value>) {
+        let state = self.state();
+        let mut newer: Vec<_> = state
+            .entries
+            .iter()
+            .filter(|(key, entry)| entry.revision > after && key.starts_with(prefix))
+            .collect();
+        newer.sort_by_key(|(_, entry)| entry.revision);
+        let events = newer.into_iter().map(|(key, entry)| item(key, entry));
+        (state.revision, events.collect())
+    }
+}
+
+fn item(key: &str, entry: &Entry) -> Value {
+    match &entry.value {
+        Some(value) => json!({
+            "key": key,
+            "value": STANDARD.encode(value),
+            "revision": entry.revision,
+            "created_rev": entry.revision,
+            "lease": 0,
+        }),
+        None => json!({"key": key, "revision": entry.revision, "tombstone": true}),
+    }
+}
+
+fn respond(status: StatusCode, body: Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
+
+async fn serve(store: Store, stream: TcpStream, addr: SocketAddr) {
+    let Ok(stream) = stream.into_poll_io() else {
+        return;
+    };
+    let ending = Rc::new(std::cell::Cell::new(false));
+    let told = Rc::clone(&ending);
+    let service = service_fn(move |req| {
+        let (store, told) = (store.clone(), Rc::clone(&told));
+        async move {
+            let answer = store.answer(req, addr).await;
+            told.set(answer.is_none());
+            Ok::<_, Infallible>(match answer {
+                Some(answer) => answer,
+                None => std::future::pending().await,
+            })
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(MonoioIo::new(stream), service);
+    let ended = async {
+        while !ending.get() {
+            sleep(TICK).await;
+        }
+    };
+    futures::future::select(std::pin::pin!(connection), std::pin::pin!(ended)).await;
+}
+
+/// The query of a call.
+struct Query(BTreeMap<String, String>);
+
+impl Query {
+    fn of(req: &Request<Incoming>) -> Self {
+        let query = req.uri().query().unwrap_or_default();
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        Self(pairs.map(|(k, v)| (k.to_owned(), decode(v))).collect())
+    }
+
+    fn text(&self, name: &str) -> String {
+        self.0.get(name).cloned().unwrap_or_default()
+    }
+}
+
+fn decode(text: &str) -> String {
+    percent_encoding::percent_decode_str(text)
+        .decode_utf8_lossy()
+        .into_owned()
+}
