--- a/crates/standins/examples/local_fleet/main.rs
+++ b/crates/standins/examples/local_fleet/main.rs
@@ -1,5 +1,6 @@
 //! A fleet of eight daemons on this machine: load, one zone out and back, one daemon stopped and one killed.
 
+mod packets;
 mod promises;
 mod run;
 mod table;
@@ -8,13 +9,37 @@
 use crate::without::Without;
 use bpaf::Bpaf;
 use foxtailhinge_standins::fleet::Deployment;
-use std::process::ExitCode;
+use std::{
+    process::ExitCode,
+    str::FromStr, //
+};
 
 /// First argument with which this program runs as a daemon.
 const DAEMON: &str = "daemon";
 /// Shortest run in which packets into the zone can be counted after its five seconds.
 const MIN_SECONDS: u64 = 16;
 
+/// An interface of the daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interface {
+    /// Requests and responses in CoAP.
+    Exchange,
+    /// Packets of flows whose ends repeat a label.
+    Packets,
+}
+
+impl FromStr for Interface {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        match name {
+            "exchange" => Ok(Self::Exchange),
+            "packets" => Ok(Self::Packets),
+            _ => Err(format!("write exchange or packets, not {name}")),
+        }
+    }
+}
+
 /// Run a whole fleet on this machine and count broken promises.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -28,6 +53,9 @@
     /// Deployment: kalahari or southern-cross
     #[bpaf(argument("NAME"), fallback(Deployment::Kalahari))]
     deployment: Deployment,
+    /// Interface that the fleet serves: exchange or packets
+    #[bpaf(argument("NAME"), fallback(Interface::Exchange))]
+    interface: Interface,
     /// Mechanism to switch off by the documents: ramp, retries or queue
     #[bpaf(argument("NAME"), optional)]
     without: Option<Without>,
@@ -39,8 +67,12 @@
         return foxtailhinge::command::run(args.into_iter().skip(1));
     }
     let options = options().run();
-    match run::run(&options) {
-        Ok(record) => table::print(&record),
+    let ended = match options.interface {
+        Interface::Exchange => run::run(&options).map(|record| table::print(&record)),
+        Interface::Packets => packets::run(&options),
+    };
+    match ended {
+        Ok(code) => code,
         Err(e) => {
             eprintln!("{e:#}");
             ExitCode::FAILURE
