Tell refused openings from the caller's next one

Ruled out: a reset by the daemons (all 64 were for routes that never existed). Change: an opening that is followed by another one of the same caller and route, before it was opened, shows that its upstream refused; that upstream gets nothing new for 3 s or until it answers.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -14,7 +14,10 @@
         Flows,
         Sign, //
     },
-    openings::Openings,
+    openings::{
+        Openings,
+        Tried, //
+    },
     packet::{
         Kind,
         Label,
@@ -85,7 +88,7 @@
 /// A change in what is believed of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Belief {
-    /// It left an opening packet unanswered.
+    /// It refused an opening packet, or left it unanswered.
     Silent(UpstreamId),
     /// It answers again.
     Answers(UpstreamId),
@@ -180,7 +183,11 @@
                 return Verdict::Wait { until };
             }
         }
-        for id in &tried {
+        let refused = match packet.ack {
+            0 => self.openings.refused(packet.flow, now),
+            _ => Tried::new(),
+        };
+        for id in tried.iter().chain(&refused) {
             if self.silence.note(*id, now) {
                 self.beliefs.push(Belief::Silent(*id));
             }
@@ -207,7 +214,7 @@
             return Verdict::Drop(DropReason::UnknownLabel);
         };
         let sign = self.flows.note(packet, id, now);
-        let opened = self.openings.opened(packet.flow).is_some();
+        let opened = self.openings.opened(packet.flow);
         let answered = opened || matches!(sign, Sign::Answered(_));
         if answered && self.silence.answered(id) {
             self.beliefs.push(Belief::Answers(id));
--- a/crates/policy/src/packets/openings.rs
+++ b/crates/policy/src/packets/openings.rs
@@ -1,4 +1,7 @@
-//! Flows that are being opened, by the copies of their first packet.
+//! Flows that are being opened: which upstreams got their first packets, and which of these refused.
+//!
+//! An upstream answers its callers directly, so a refusal is not seen here. But a caller that is refused tries again at
+//! once with a new flow, while the one before has not been opened.
 
 use super::{
     entry::UpstreamId,
@@ -6,7 +9,14 @@
 };
 use smallvec::SmallVec;
 use std::{
-    collections::HashMap,
+    collections::{
+        hash_map::Entry,
+        HashMap, //
+    },
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
     time::{
         Duration,
         Instant, //
@@ -28,10 +38,17 @@
     tried: Tried,
 }
 
+/// Least age of an opening that another one of the same caller shows to be refused: no answer comes sooner.
+const REFUSAL_MIN: Duration = Duration::from_millis(1);
+
+/// A caller's VM and the route that it uses.
+type Client = (Ipv4Addr, SocketAddrV4);
+
 /// Flows that are being opened.
 #[derive(Clone, Debug, Default)]
 pub struct Openings {
     flows: HashMap<FlowId, Opening>,
+    unopened: HashMap<Client, SmallVec<[FlowId; 2]>>,
 }
 
 impl Openings {
@@ -54,16 +71,54 @@
             opening.at = now;
             opening.tried.clear();
         }
+        if opening.tried.is_empty() {
+            self.unopened.entry(client(flow)).or_default().push(flow);
+        }
         opening.tried.push(upstream);
     }
 
-    /// Notes that the flow is open, and returns the upstreams that were tried.
-    pub fn opened(&mut self, flow: FlowId) -> Option<Tried> {
-        self.flows.remove(&flow).map(|o| o.tried)
+    /// Upstreams that refused the caller of `flow`, as its first packet shows; each is told once.
+    pub fn refused(&mut self, flow: FlowId, now: Instant) -> Tried {
+        let Some(unopened) = self.unopened.get_mut(&client(flow)) else {
+            return Tried::new();
+        };
+        let mut refused = Tried::new();
+        unopened.retain(|other| {
+            let opening = self.flows.get(other).filter(|o| now < o.at + KEEP);
+            let Some(opening) = opening else {
+                return false;
+            };
+            let is_refused = *other != flow && now >= opening.at + REFUSAL_MIN;
+            if let Some(last) = opening.tried.last().filter(|_| is_refused) {
+                refused.push(*last);
+            }
+            !is_refused
+        });
+        refused
+    }
+
+    /// Notes that the flow is open; returns whether that is new.
+    pub fn opened(&mut self, flow: FlowId) -> bool {
+        if let Entry::Occupied(mut unopened) = self.unopened.entry(client(flow)) {
+            unopened.get_mut().retain(|other| *other != flow);
+            if unopened.get().is_empty() {
+                unopened.remove();
+            }
+        }
+        self.flows.remove(&flow).is_some()
     }
 
     /// Forgets what callers have given up.
     pub fn forget(&mut self, now: Instant) {
         self.flows.retain(|_, o| now < o.at + KEEP);
+        let flows = &self.flows;
+        self.unopened.retain(|_, unopened| {
+            unopened.retain(|flow| flows.contains_key(flow));
+            !unopened.is_empty()
+        });
     }
 }
+
+fn client(flow: FlowId) -> Client {
+    (*flow.caller.ip(), flow.route)
+}
--- a/crates/policy/src/packets/silence.rs
+++ b/crates/policy/src/packets/silence.rs
@@ -1,4 +1,4 @@
-//! Upstreams that leave opening packets unanswered.
+//! Upstreams that refuse opening packets or leave them unanswered.
 
 use super::entry::UpstreamId;
 use std::{
@@ -9,7 +9,7 @@
     },
 };
 
-/// How long an upstream that left an opening packet unanswered gets no new flows while others can: the platform takes
+/// How long an upstream that refused an opening packet, or left it unanswered, gets no new flows while others can: the platform takes
 /// the entry of a dead one away after about that time.
 pub const SILENCE: Duration = Duration::from_secs(3);
 
@@ -20,7 +20,7 @@
 }
 
 impl Silence {
-    /// Notes that an upstream left an opening packet unanswered; returns whether that is new.
+    /// Notes that an upstream refused an opening packet or left it unanswered; returns whether that is new.
     pub fn note(&mut self, id: UpstreamId, now: Instant) -> bool {
         let known = self.until.insert(id, now + SILENCE);
         known.is_none_or(|until| now >= until)
--- a/crates/policy/tests/packets/opening.rs
+++ b/crates/policy/tests/packets/opening.rs
@@ -3,22 +3,32 @@
 use crate::scene::{
     address,
     choice,
+    flow,
+    further,
+    syn,
     upstream,
     Scene,
-    AWAY, //
+    AWAY,
+    PORT, //
 };
 use foxtailhinge_policy::packets::{
     entry::Change,
+    packet::Kind,
     silence::SILENCE,
     Belief,
+    Choice,
     DropReason,
+    Packet,
     Standing,
     Upstream,
     UpstreamId,
     UpstreamState,
     Verdict, //
 };
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 fn away() -> Upstream {
     Upstream {
@@ -88,6 +98,51 @@
     assert_eq!(scene.choose(100).id, UpstreamId(1));
 }
 
+#[test]
+fn a_caller_that_is_refused_gets_another_upstream_each_time() {
+    let mut scene = Scene::new()
+        .upstream(1, upstream())
+        .upstream(2, upstream())
+        .upstream(3, away());
+    let [first, second, third] = [0, 1, 2].map(|number| scene.after(4).open_further(1, number).id);
+    assert_eq!(BTreeSet::from([first, second, third]).len(), 3);
+    let beliefs = scene.balancer.take_beliefs();
+    assert_eq!(beliefs, [Belief::Silent(first), Belief::Silent(second)]);
+}
+
+#[test]
+fn what_one_caller_was_refused_spares_the_others() {
+    let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
+    scene.open_further(1, 0);
+    scene.after(4).open_further(1, 1);
+    assert_eq!(scene.spread(2, 20), BTreeMap::from([(2, 20)]));
+}
+
+#[test]
+fn a_second_user_of_a_vm_that_opens_at_the_same_time_harms_an_upstream_until_it_answers() {
+    let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
+    scene.open_further(1, 0);
+    scene.after(2).open_further(1, 1);
+    assert!(scene.balancer.is_silent(UpstreamId(1), scene.now));
+    scene.request(1, 1, 2, 2, 0);
+    assert!(!scene.balancer.is_silent(UpstreamId(1), scene.now));
+}
+
+#[test]
+fn a_caller_that_opens_one_flow_after_the_other_is_not_refused() {
+    let mut scene = Scene::new().upstream(1, upstream());
+    for number in 0..20 {
+        scene.open_further(1, number);
+        let opened = Packet {
+            kind: Kind::Data,
+            ..syn(further(flow(1, PORT), number), 0)
+        };
+        scene.after(3).decide(Packet { label: 1, ..opened });
+        scene.after(80);
+    }
+    assert_eq!(scene.balancer.take_beliefs(), []);
+}
+
 #[test]
 fn an_upstream_that_answers_again_is_used_again() {
     let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
@@ -149,3 +204,10 @@
     scene.change(Change::Unlisted(UpstreamId(first), None));
     assert_eq!(scene.choose(1).id, UpstreamId(second));
 }
+
+impl Scene {
+    /// Opens another flow from the VM of a caller.
+    fn open_further(&mut self, caller: u16, number: u16) -> Choice {
+        choice(self.decide(syn(further(flow(caller, PORT), number), 0)))
+    }
+}
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -46,6 +46,8 @@
 pub(crate) const SERVICE: &str = "syncdesk-api";
 /// Port of the route to it.
 pub(crate) const PORT: u16 = 443;
+/// Port of a caller's first flow.
+const FIRST_PORT: u16 = 40_000;
 /// Seed of all that is drawn at random.
 const SEED: u64 = 7;
 
@@ -67,14 +69,22 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, host), port)
 }
 
-/// A flow of the caller with this number, by the route's port.
+/// A flow of the caller with this number, each on a VM of its own, by the route's port.
 pub(crate) fn flow(caller: u16, port: u16) -> FlowId {
+    let [high, low] = caller.to_be_bytes();
     FlowId {
-        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), caller),
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, high, low), FIRST_PORT),
         route: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
     }
 }
 
+/// Another flow of the same caller's VM.
+pub(crate) fn further(flow: FlowId, number: u16) -> FlowId {
+    let mut other = flow;
+    other.caller.set_port(FIRST_PORT + number);
+    other
+}
+
 /// A configuration with one route for each port and service.
 pub(crate) fn configuration(version: u64, routes: &[(u16, &[(&str, u32)])]) -> Configuration {
     let route = |(port, targets): &(u16, &[(&str, u32)])| {
