End an upstream's silence by later answers only, and double it

Change: an answer ends a silence only when it was asked for after the packet that showed it; a silence that repeats lasts 6 and then 12 s.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -16,7 +16,8 @@
     },
     openings::{
         Openings,
-        Tried, //
+        Tried,
+        Try, //
     },
     packet::{
         Kind,
@@ -187,9 +188,9 @@
             0 => self.openings.refused(packet.flow, now),
             _ => Tried::new(),
         };
-        for id in tried.iter().chain(&refused) {
-            if self.silence.note(*id, now) {
-                self.beliefs.push(Belief::Silent(*id));
+        for Try { upstream, at } in tried.iter().chain(&refused) {
+            if self.silence.note(*upstream, *at, now) {
+                self.beliefs.push(Belief::Silent(*upstream));
             }
         }
         let chooser = Chooser {
@@ -214,9 +215,11 @@
             return Verdict::Drop(DropReason::UnknownLabel);
         };
         let sign = self.flows.note(packet, id, now);
-        let opened = self.openings.opened(packet.flow);
-        let answered = opened || matches!(sign, Sign::Answered(_));
-        if answered && self.silence.answered(id) {
+        let asked = match (self.openings.opened(packet.flow, id), sign) {
+            (Some(at), _) | (None, Sign::Answered(Some(at))) => Some(at),
+            (None, _) => None,
+        };
+        if asked.is_some_and(|at| self.silence.answered(id, at)) {
             self.beliefs.push(Belief::Answers(id));
         }
         Verdict::Forward {
--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -97,7 +97,7 @@
     }
 
     fn weigh(&self, id: UpstreamId, known: &Known, tried: &Tried, now: Instant) -> Choice {
-        let standing = if tried.contains(&id) {
+        let standing = if tried.iter().any(|t| t.upstream == id) {
             Standing::Tried
         } else if self.silence.is_silent(id, now) {
             Standing::Silent
--- a/crates/policy/src/packets/openings.rs
+++ b/crates/policy/src/packets/openings.rs
@@ -29,8 +29,17 @@
 /// Most openings remembered at a time; further ones are forwarded all the same.
 const MOST: usize = 65_536;
 
-/// Upstreams to which the first packet of a flow went.
-pub type Tried = SmallVec<[UpstreamId; 3]>;
+/// Upstreams to which the first packet of a flow went, in their order.
+pub type Tried = SmallVec<[Try; 3]>;
+
+/// An opening packet that went to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Try {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// When the packet was forwarded.
+    pub at: Instant,
+}
 
 #[derive(Clone, Debug)]
 struct Opening {
@@ -74,7 +83,7 @@
         if opening.tried.is_empty() {
             self.unopened.entry(client(flow)).or_default().push(flow);
         }
-        opening.tried.push(upstream);
+        opening.tried.push(Try { upstream, at: now });
     }
 
     /// Upstreams that refused the caller of `flow`, as its first packet shows; each is told once.
@@ -97,15 +106,17 @@
         refused
     }
 
-    /// Notes that the flow is open; returns whether that is new.
-    pub fn opened(&mut self, flow: FlowId) -> bool {
+    /// Notes that the flow is open at `upstream`; gives when its opening packet went there, if that is new.
+    pub fn opened(&mut self, flow: FlowId, upstream: UpstreamId) -> Option<Instant> {
         if let Entry::Occupied(mut unopened) = self.unopened.entry(client(flow)) {
             unopened.get_mut().retain(|other| *other != flow);
             if unopened.get().is_empty() {
                 unopened.remove();
             }
         }
-        self.flows.remove(&flow).is_some()
+        let opening = self.flows.remove(&flow)?;
+        let tried = opening.tried.iter().rfind(|t| t.upstream == upstream);
+        tried.map(|t| t.at)
     }
 
     /// Forgets what callers have given up.
--- a/crates/policy/src/packets/silence.rs
+++ b/crates/policy/src/packets/silence.rs
@@ -9,35 +9,65 @@
     },
 };
 
-/// How long an upstream that refused an opening packet, or left it unanswered, gets no new flows while others can: the platform takes
-/// the entry of a dead one away after about that time.
+/// How long an upstream that refused an opening packet, or left it unanswered, gets no new flows while others can: the
+/// platform takes the entry of a dead one away after about that time.
 pub const SILENCE: Duration = Duration::from_secs(3);
 
+/// Longest such time; it doubles each time that the upstream is found silent again.
+pub const SILENCE_MAX: Duration = Duration::from_secs(12);
+
+/// How long after its end a silence still counts as the one before the next.
+const MEMORY: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug)]
+struct Silent {
+    /// When the opening packet was forwarded that shows it.
+    since: Instant,
+    until: Instant,
+    lasts: Duration,
+}
+
 /// Upstreams that were silent of late.
 #[derive(Clone, Debug, Default)]
 pub struct Silence {
-    until: HashMap<UpstreamId, Instant>,
+    silent: HashMap<UpstreamId, Silent>,
 }
 
 impl Silence {
-    /// Notes that an upstream refused an opening packet or left it unanswered; returns whether that is new.
-    pub fn note(&mut self, id: UpstreamId, now: Instant) -> bool {
-        let known = self.until.insert(id, now + SILENCE);
-        known.is_none_or(|until| now >= until)
+    /// Notes that an upstream refused an opening packet that was forwarded at `since`, or left it unanswered; returns
+    /// whether that is new.
+    pub fn note(&mut self, id: UpstreamId, since: Instant, now: Instant) -> bool {
+        let known = self.silent.get(&id).filter(|s| now < s.until + MEMORY);
+        let lasts = match known {
+            Some(silent) if now < silent.until => return false,
+            Some(silent) => (silent.lasts * 2).min(SILENCE_MAX),
+            None => SILENCE,
+        };
+        let silent = Silent {
+            since,
+            until: now + lasts,
+            lasts,
+        };
+        self.silent.insert(id, silent);
+        true
     }
 
-    /// Notes that an upstream answered; returns whether it was silent before.
-    pub fn answered(&mut self, id: UpstreamId) -> bool {
-        self.until.remove(&id).is_some()
+    /// Notes that an upstream answered what was forwarded at `asked`, which ends its silence unless that was before it;
+    /// returns whether it does.
+    pub fn answered(&mut self, id: UpstreamId, asked: Instant) -> bool {
+        match self.silent.get(&id) {
+            Some(silent) if asked >= silent.since => self.silent.remove(&id).is_some(),
+            _ => false,
+        }
     }
 
     /// Whether an upstream was silent of late.
     pub fn is_silent(&self, id: UpstreamId, now: Instant) -> bool {
-        self.until.get(&id).is_some_and(|until| now < *until)
+        self.silent.get(&id).is_some_and(|s| now < s.until)
     }
 
     /// Forgets what is over.
     pub fn forget(&mut self, now: Instant) {
-        self.until.retain(|_, until| now < *until);
+        self.silent.retain(|_, s| now < s.until + MEMORY);
     }
 }
--- a/crates/policy/tests/packets/opening.rs
+++ b/crates/policy/tests/packets/opening.rs
@@ -143,6 +143,32 @@
     assert_eq!(scene.balancer.take_beliefs(), []);
 }
 
+#[test]
+fn an_upstream_that_stays_silent_is_tried_ever_more_seldom() {
+    let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
+    let mut tries = 0;
+    for caller in 0..600 {
+        if scene.choose(caller).id == UpstreamId(1) {
+            tries += 1;
+            scene.after(200).open(caller, 1);
+        }
+        scene.after(50);
+    }
+    // 30 s: after 3, 6, 12 and 12 s.
+    assert_eq!(tries, 4);
+}
+
+#[test]
+fn answers_from_before_its_silence_do_not_end_it() {
+    let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
+    scene.request(7, 1, 2, 2, 100);
+    scene.after(10).open_further(1, 0);
+    scene.after(4).open_further(1, 1);
+    assert!(scene.balancer.is_silent(UpstreamId(1), scene.now));
+    scene.after(50).request(7, 1, 102, 900, 0);
+    assert!(scene.balancer.is_silent(UpstreamId(1), scene.now));
+}
+
 #[test]
 fn an_upstream_that_answers_again_is_used_again() {
     let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
