--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -46,3 +46,5 @@
 pub const GRACE_S: RangeInclusive<u64> = 1..=600;
 /// Time in which a lost answer of the store is to be noticed, in milliseconds.
 pub const NOTICE_MS: RangeInclusive<u64> = 1_000..=60_000;
+/// Time in which a change of what is published is to be in force, in milliseconds.
+pub const IN_FORCE_MS: RangeInclusive<u64> = 500..=600_000;
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -3,6 +3,7 @@
 use crate::{
     document::ServiceDocument,
     finding::Findings,
+    packet_settings::AnySettings,
     reader::{
         decode,
         read_text,
@@ -11,7 +12,6 @@
         Quoted,
         Reader, //
     },
-    settings::Settings, //
 };
 use foxtailhinge_wire::ticket::name_hash;
 use serde::Serialize;
@@ -52,7 +52,7 @@
     pub fn check(&mut self, file: &str, bytes: &[u8]) -> Result<Kind, Findings> {
         let text = decode(file, bytes)?;
         if is_settings(text) {
-            return Settings::parse(file, text).map(|_| Kind::Settings);
+            return AnySettings::parse(file, text).map(|_| Kind::Settings);
         }
         let document = ServiceDocument::parse(file, text)?;
         read_text(file, text, |reader, object| {
--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -75,6 +75,25 @@
     #[serde(rename = "notice_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub notice: Duration,
+    /// Time in which a configuration is to be in force.
+    #[serde(rename = "configure_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub configure: Duration,
+    /// Time in which an upstream that drains is to get nothing new.
+    #[serde(rename = "drain_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain: Duration,
+    /// Time in which a zone that is taken out is to get nothing new.
+    #[serde(rename = "zone_out_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub zone_out: Duration,
+}
+
+impl PacketLimits {
+    /// Time in which any change is to be in force.
+    pub fn in_force(&self) -> Duration {
+        self.configure.min(self.drain).min(self.zone_out)
+    }
 }
 
 impl Default for PacketLimits {
@@ -83,6 +102,9 @@
             flow: Duration::from_secs(60),
             grace: Duration::from_secs(10),
             notice: Duration::from_secs(4),
+            configure: Duration::from_secs(3),
+            drain: Duration::from_secs(3),
+            zone_out: Duration::from_secs(5),
         }
     }
 }
@@ -133,7 +155,11 @@
 impl AnySettings {
     /// Reads settings from bytes that may not be UTF-8; `file` names them in the findings.
     pub fn parse_bytes(file: &str, bytes: &[u8]) -> Result<Self, Findings> {
-        let text = decode(file, bytes)?;
+        Self::parse(file, decode(file, bytes)?)
+    }
+
+    /// Reads settings; `file` names them in the findings.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
         match chooses_packets(text) {
             true => PacketSettings::parse(file, text).map(Self::Packets),
             false => Settings::parse(file, text).map(|s| Self::Exchange(Box::new(s))),
@@ -161,7 +187,14 @@
     "limits",
     "log",
 ];
-const LIMITS_FIELDS: [&str; 3] = ["flow_s", "grace_s", "notice_ms"];
+const LIMITS_FIELDS: [&str; 6] = [
+    "flow_s",
+    "grace_s",
+    "notice_ms",
+    "configure_ms",
+    "drain_ms",
+    "zone_out_ms",
+];
 
 fn read_settings(reader: &Reader<'_>, object: &Object<'_>) -> Option<PacketSettings> {
     let fields = reader.fields(object, &FIELDS);
@@ -210,10 +243,17 @@
     let flow = fields.seconds_or("flow_s", &bounds::FLOW_S, default.flow);
     let grace = fields.seconds_or("grace_s", &bounds::GRACE_S, default.grace);
     let notice = fields.millis_or("notice_ms", &bounds::NOTICE_MS, default.notice);
+    let in_force = |name, default| fields.millis_or(name, &bounds::IN_FORCE_MS, default);
+    let configure = in_force("configure_ms", default.configure);
+    let drain = in_force("drain_ms", default.drain);
+    let zone_out = in_force("zone_out_ms", default.zone_out);
     Some(PacketLimits {
         flow: flow?,
         grace: grace?,
         notice: notice?,
+        configure: configure?,
+        drain: drain?,
+        zone_out: zone_out?,
     })
 }
 
--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -1,10 +1,13 @@
 //! Client of the admin interface of a daemon.
 
-use foxtailhinge_config::report::{
-    AuditPage,
-    Explanation,
-    Refusal,
-    Status, //
+use foxtailhinge_config::{
+    packet_report::PacketStatus,
+    report::{
+        AuditPage,
+        Explanation,
+        Refusal,
+        Status, //
+    },
 };
 use serde::de::DeserializeOwned;
 use std::{
@@ -76,6 +79,11 @@
         self.get("/status", &[])
     }
 
+    /// Asks a daemon that forwards packets for everything that it knows.
+    pub(crate) fn view(&self) -> Result<PacketStatus, AdminError> {
+        self.get("/status", &[])
+    }
+
     /// Asks for a part of the audit trail.
     pub(crate) fn audit(&self, since: u64, service: Option<&str>) -> Result<AuditPage, AdminError> {
         let since = since.to_string();
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -34,6 +34,7 @@
     foxtailctl check documents/*.jsonc
     foxtailctl status --service syncdesk-api
     foxtailctl status --admin 10.20.1.1:7002 --admin 10.20.1.2:7002
+    foxtailctl view --admin 10.20.1.1:7002
     foxtailctl audit --service syncdesk-api --follow
     foxtailctl explain syncdesk-api
     foxtailctl request coap://10.20.0.1:5601/cues
@@ -76,6 +77,20 @@
         #[bpaf(argument("SERVICE"))]
         service: Option<String>,
     },
+    /// Show what daemons that forward packets know, and how old that is
+    #[bpaf(
+        command,
+        footer("Example:\n\n    foxtailctl view --admin 10.20.1.1:7002 --service syncdesk-api")
+    )]
+    View {
+        #[bpaf(external)]
+        json: bool,
+        #[bpaf(external(admins))]
+        admin: Vec<SocketAddr>,
+        /// Show upstreams of this service only
+        #[bpaf(argument("SERVICE"))]
+        service: Option<String>,
+    },
     /// Show the last changes that a daemon made or saw
     #[bpaf(
         command,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -17,6 +17,7 @@
 mod status;
 mod table;
 mod time;
+mod view;
 
 use std::process::ExitCode;
 
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -8,7 +8,8 @@
     error::Outcome,
     explain,
     request,
-    status, //
+    status,
+    view, //
 };
 
 /// Runs a command.
@@ -25,6 +26,11 @@
             admin,
             service,
         } => status::run(&admin, service.as_deref(), json),
+        Command::View {
+            json,
+            admin,
+            service,
+        } => view::run(&admin, service.as_deref(), json),
         Command::Audit {
             json,
             admin,
--- /dev/null
+++ b/crates/ctl/src/view.rs
@@ -0,0 +1,146 @@
+//! `foxtailctl view`: what daemons that forward packets know.
+
+use crate::{
+    admin::AdminClient,
+    daemon_view::print_section,
+    error::Outcome,
+    output::print_json,
+    table::Table, //
+};
+use foxtailhinge_config::packet_report::{
+    PacketStatus,
+    PacketUpstream, //
+};
+use serde::Serialize;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+#[derive(Serialize)]
+struct Report {
+    daemons: Vec<DaemonReport>,
+}
+
+/// Answer of one daemon, or why there is none.
+#[derive(Serialize)]
+struct DaemonReport {
+    admin: SocketAddr,
+    status: Option<PacketStatus>,
+    error: Option<String>,
+}
+
+/// Prints what daemons know.
+pub(crate) fn run(
+    admins: &[SocketAddr],
+    service: Option<&str>,
+    json: bool,
+) -> anyhow::Result<Outcome> {
+    let daemons = admins.iter().map(|admin| ask(*admin, service));
+    let report = Report {
+        daemons: daemons.collect(),
+    };
+    match json {
+        true => print_json(&report)?,
+        false => print_text(&report),
+    }
+    let all_answered = report.daemons.iter().all(|d| d.error.is_none());
+    Ok(match all_answered {
+        true => Outcome::Success,
+        false => Outcome::Findings,
+    })
+}
+
+fn ask(admin: SocketAddr, service: Option<&str>) -> DaemonReport {
+    match AdminClient::new(admin).view() {
+        Ok(mut status) => {
+            if let Some(service) = service {
+                status.upstreams.retain(|u| *u.service == *service);
+            }
+            DaemonReport {
+                admin,
+                status: Some(status),
+                error: None,
+            }
+        }
+        Err(e) => DaemonReport {
+            admin,
+            status: None,
+            error: Some(e.to_string()),
+        },
+    }
+}
+
+fn print_text(report: &Report) {
+    let mut daemons = Table::new([
+        "vm",
+        "zone",
+        "ready",
+        "revision",
+        "age",
+        "store",
+        "configuration",
+        "routes",
+        "flows",
+    ]);
+    let known = report.daemons.iter().filter_map(|d| d.status.as_ref());
+    for status in known.clone() {
+        daemons.push(daemon(status));
+    }
+    print_section("Daemons", &daemons);
+    for status in known {
+        let mut upstreams = Table::new([
+            "service",
+            "upstream",
+            "zone",
+            "address",
+            "standing",
+            "in progress",
+            "revision",
+        ]);
+        for known in &status.upstreams {
+            upstreams.push(upstream(known));
+        }
+        println!();
+        print_section(&format!("Upstreams as {} sees them", status.vm), &upstreams);
+    }
+    for error in report.daemons.iter().filter_map(|d| d.error.as_ref()) {
+        println!("\n{error}");
+    }
+}
+
+fn daemon(status: &PacketStatus) -> [String; 9] {
+    let store = match status.store_lost {
+        Some(lost) => format!("lost for {}", ms(lost)),
+        None => "answers".to_owned(),
+    };
+    [
+        status.vm.to_string(),
+        status.zone.to_string(),
+        if status.ready { "yes" } else { "no" }.to_owned(),
+        status.revision.to_string(),
+        status.age.map_or_else(|| "-".to_owned(), ms),
+        store,
+        status
+            .configuration
+            .map_or_else(|| "-".to_owned(), |version| version.to_string()),
+        status.routes.to_string(),
+        status.flows.to_string(),
+    ]
+}
+
+fn upstream(known: &PacketUpstream) -> [String; 7] {
+    [
+        known.service.to_string(),
+        known.id.to_string(),
+        known.zone.to_string(),
+        known.address.to_string(),
+        known.standing.as_str().to_owned(),
+        format!("{} of {}", known.in_progress, known.slots),
+        known.revision.to_string(),
+    ]
+}
+
+fn ms(duration: Duration) -> String {
+    format!("{} ms", duration.as_millis())
+}
--- a/crates/ctl/tests/foxtailctl/reports.rs
+++ b/crates/ctl/tests/foxtailctl/reports.rs
@@ -39,6 +39,18 @@
 "refused":[{"service":"certvault","revision":11,"findings":[
     {"file":"certvault","line":4,"column":9,"message":"Write \"in\" or \"out\"."}]}]}"#;
 
+const VIEW: &str = r#"{"vm":"vm-1","zone":"windhoek-1","ready":true,"revision":62,"age_ms":810,"store_lost_ms":null,
+"configuration":19,"routes":12,"flows":163,"upstreams":[
+    {"service":"certvault","id":"0070000f01","address":"10.0.0.3:8080","zone":"windhoek-1","standing":"cold",
+        "in_progress":0,"slots":4,"revision":61},
+    {"service":"syncdesk-api","id":"00b4b3dc6e","address":"10.0.0.1:8080","zone":"windhoek-1","standing":"good",
+        "in_progress":3,"slots":4,"revision":12},
+    {"service":"syncdesk-api","id":"001c6bfad6","address":"10.0.0.2:8080","zone":"windhoek-2","standing":"silent",
+        "in_progress":1,"slots":4,"revision":40}]}"#;
+
+const LOST: &str = r#"{"vm":"vm-2","zone":"windhoek-2","ready":false,"revision":0,"age_ms":null,"store_lost_ms":4100,
+"configuration":null,"routes":0,"flows":0,"upstreams":[]}"#;
+
 const AUDIT: &str = r#"{"incarnation":7,"records":[
 {"seq":4,"at_ms":951782400001,"event":"document-applied","service":"certvault","revision":3},
 {"seq":5,"at_ms":951868799999,"event":"document-refused","service":"certvault","revision":11,"findings":[
@@ -185,3 +197,25 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
+
+#[rstest]
+#[case::text("view", &["view"])]
+#[case::json("view in JSON", &["view", "--json", "--service", "certvault"])]
+#[case::service("view of a service", &["view", "--service", "certvault"])]
+fn a_view_shows_what_a_daemon_knows(#[case] name: &str, #[case] args: &[&str]) {
+    let admin = FakeAdmin::default().answer("/status", 200, VIEW).start();
+    insta::assert_snapshot!(name, asking(admin, args).run().all());
+}
+
+#[test]
+fn views_are_shown_one_after_the_other() {
+    let first = FakeAdmin::default().answer("/status", 200, VIEW).start();
+    let second = FakeAdmin::default().answer("/status", 200, LOST).start();
+    let (second, away) = (second.to_string(), closed_port().to_string());
+    let run = asking(first, &["view"])
+        .args(&["--admin", &second, "--admin", &away])
+        .hide(&second, "SECOND")
+        .hide(&away, "AWAY")
+        .run();
+    insta::assert_snapshot!(run.all());
+}
--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -172,7 +172,7 @@
     metrics: Rc<PacketMetrics>,
 ) -> Result<Daemon, Error> {
     let settings = &source.settings;
-    let view = View::new(settings.store, settings.limits.notice, Rc::clone(&metrics));
+    let view = View::new(settings.store, settings.limits.clone(), Rc::clone(&metrics));
     let view = Rc::new(view);
     let listen = SocketAddr::V4(settings.listen);
     let socket = Socket::bind(listen).map_err(|source| Error::Bind {
@@ -310,7 +310,7 @@
             return;
         };
         self.view
-            .reconfigure(settings.store, settings.limits.notice);
+            .reconfigure(settings.store, settings.limits.clone());
         self.logger.set_new_spec(logging::spec(level(settings.log)));
     }
 }
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -137,7 +137,7 @@
         let directory = self.view.directory();
         let age = self.view.age(now);
         let mut balancer = self.balancer.borrow_mut();
-        let verdict = balancer.decide(&packet, &directory, age.unwrap_or(Duration::MAX), now);
+        let verdict = balancer.decide(&packet, &directory, self.view.is_fresh(now), now);
         let beliefs = balancer.take_beliefs();
         drop(balancer);
         self.metrics.packets.inc(PacketResult::from(&verdict));
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -14,6 +14,7 @@
         StoreError, //
     },
 };
+use foxtailhinge_config::packet_settings::PacketLimits;
 use foxtailhinge_platform::store::{
     list_path,
     read_changes,
@@ -60,9 +61,9 @@
 /// Shortest wait of a watch.
 const WAIT_MIN: Duration = Duration::from_millis(500);
 
-/// Shortest time between the starts of two watches, so that a series of changes costs few calls; it stays far inside
-/// the bound in which a change is to be in force.
-const PERIOD: Duration = Duration::from_millis(800);
+/// Part of the time in which a change is to be in force that may pass between the starts of two watches, as one part
+/// in so many: a series of changes then costs few calls, and the rest is left for a call that fails.
+const PERIOD_PART: u32 = 2;
 
 /// Shortest and longest pause between calls while the store fails.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(800)];
@@ -75,7 +76,7 @@
 pub struct View {
     client: Client<Http1>,
     store: Cell<SocketAddr>,
-    notice: Cell<Duration>,
+    limits: RefCell<PacketLimits>,
     metrics: Rc<PacketMetrics>,
     directory: RefCell<Directory>,
     position: Cell<Option<u64>>,
@@ -86,16 +87,16 @@
 impl View {
     /// A view of `store` that knows nothing yet.
     ///
-    /// A watch waits so long that a lost answer is noticed, and the call made again, within `notice`.
-    pub fn new(store: SocketAddr, notice: Duration, metrics: Rc<PacketMetrics>) -> Self {
-        let limits = CallLimits {
+    /// A watch waits so long that a lost answer is noticed, and the call made again, within the limit for that.
+    pub fn new(store: SocketAddr, limits: PacketLimits, metrics: Rc<PacketMetrics>) -> Self {
+        let call_limits = CallLimits {
             connect: CONNECT,
             answer: ANSWER,
         };
         Self {
-            client: Client::new(limits),
+            client: Client::new(call_limits),
             store: Cell::new(store),
-            notice: Cell::new(notice),
+            limits: RefCell::new(limits),
             metrics,
             directory: RefCell::default(),
             position: Cell::new(None),
@@ -104,10 +105,16 @@
         }
     }
 
-    /// Reads another store from the next call on, or notices lost answers within another time.
-    pub fn reconfigure(&self, store: SocketAddr, notice: Duration) {
+    /// Reads another store, or keeps other limits, from the next call on.
+    pub fn reconfigure(&self, store: SocketAddr, limits: PacketLimits) {
         self.store.set(store);
-        self.notice.set(notice);
+        *self.limits.borrow_mut() = limits;
+    }
+
+    /// Whether no change that must be in force can be missing from the directory.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let in_force = self.limits.borrow().in_force();
+        self.age(now).is_some_and(|age| age < in_force)
     }
 
     /// The directory.
@@ -132,7 +139,11 @@
     }
 
     fn wait(&self) -> Duration {
-        let wait = self.notice.get().saturating_sub(ANSWER + NOTICE_MARGIN);
+        let wait = self
+            .limits
+            .borrow()
+            .notice
+            .saturating_sub(ANSWER + NOTICE_MARGIN);
         wait.max(WAIT_MIN)
     }
 
@@ -261,7 +272,7 @@
         Pauses {
             backoff_min: BACKOFF[0],
             backoff_max: BACKOFF[1],
-            period: PERIOD,
+            period: self.limits.borrow().in_force() / PERIOD_PART,
         }
     }
 }
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -37,10 +37,6 @@
     },
 };
 
-/// Age of the view up to which a missing route is certain: less than the time in which a configuration is to be in
-/// force.
-const CERTAIN: Duration = Duration::from_secs(2);
-
 /// Why a flow is reset.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResetReason {
@@ -121,12 +117,13 @@
         }
     }
 
-    /// Decides about a packet; `age` is the time since the platform confirmed the directory.
+    /// Decides about a packet; `is_fresh` says that no change that must be in force can be missing
+    /// from the directory.
     pub fn decide(
         &mut self,
         packet: &Packet,
         directory: &Directory,
-        age: Duration,
+        is_fresh: bool,
         now: Instant,
     ) -> Verdict {
         let Some(cfg) = directory.configuration() else {
@@ -137,7 +134,7 @@
         match (packet.kind, route) {
             (Kind::Open, Some(route)) => self.open(packet, route, directory, now),
             (Kind::Reset, _) | (_, Some(_)) => self.go_on(packet, directory, now),
-            (_, None) if age <= CERTAIN => Verdict::Reset(ResetReason::NoRoute),
+            (_, None) if is_fresh => Verdict::Reset(ResetReason::NoRoute),
             (Kind::Open, None) => Verdict::Drop(DropReason::UncertainRoute),
             (_, None) => self.go_on(packet, directory, now),
         }
--- a/crates/policy/tests/packets/routes.rs
+++ b/crates/policy/tests/packets/routes.rs
@@ -22,7 +22,6 @@
     UpstreamId,
     Verdict, //
 };
-use std::time::Duration;
 
 const OTHER_PORT: u16 = 8443;
 
@@ -54,7 +53,7 @@
     let opening = syn(flow(1, OTHER_PORT), 0);
     assert_eq!(scene.decide(opening), reset);
     assert_eq!(scene.decide(data(OTHER_PORT, 1)), reset);
-    scene.age = Duration::from_secs(3);
+    scene.is_fresh = false;
     assert_eq!(
         scene.decide(opening),
         Verdict::Drop(DropReason::UncertainRoute)
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -111,8 +111,8 @@
     pub(crate) directory: Directory,
     pub(crate) balancer: Balancer<SmallRng>,
     pub(crate) now: Instant,
-    /// Age of the view.
-    pub(crate) age: Duration,
+    /// Whether the view is fresh.
+    pub(crate) is_fresh: bool,
     revision: u64,
 }
 
@@ -123,7 +123,7 @@
             directory: Directory::default(),
             balancer: Balancer::new(HOME.into(), SmallRng::seed_from_u64(SEED)),
             now: Instant::now(),
-            age: Duration::ZERO,
+            is_fresh: true,
             revision: 0,
         }
     }
@@ -186,7 +186,7 @@
             balancer,
             ..
         } = self;
-        balancer.decide(&packet, directory, self.age, self.now)
+        balancer.decide(&packet, directory, self.is_fresh, self.now)
     }
 
     /// Decides about an opening packet, which is the copy with this number.
