--- a/crates/config/tests/docs.rs
+++ b/crates/config/tests/docs.rs
@@ -36,14 +36,16 @@
 }
 
 #[rstest]
-#[case(DOCUMENT, Kind::Document)]
-#[case(SETTINGS, Kind::Settings)]
-fn examples_have_no_findings(#[case] name: &str, #[case] kind: Kind) {
+#[case(DOCUMENT, Kind::Document, 1)]
+#[case(SETTINGS, Kind::Settings, 2)]
+fn examples_have_no_findings(#[case] name: &str, #[case] kind: Kind, #[case] examples: usize) {
     let page = page(name);
     let blocks: Vec<_> = page.split("```jsonc\n").skip(1).collect();
-    assert_eq!(blocks.len(), 1);
-    let (example, _) = blocks[0].split_once("```").unwrap();
-    assert_eq!(Checker::default().check(name, example.as_bytes()), Ok(kind));
+    assert_eq!(blocks.len(), examples);
+    for block in blocks {
+        let (example, _) = block.split_once("```").unwrap();
+        assert_eq!(Checker::default().check(name, example.as_bytes()), Ok(kind));
+    }
 }
 
 #[rstest]
@@ -60,6 +62,12 @@
 #[case(SETTINGS, "keys", 1..=bounds::KEYS as u64)]
 #[case(SETTINGS, "drain_s", bounds::DRAIN_S)]
 #[case(SETTINGS, "pause_ms", bounds::PAUSE_MS)]
+#[case(SETTINGS, "flow_s", bounds::FLOW_S)]
+#[case(SETTINGS, "grace_s", bounds::GRACE_S)]
+#[case(SETTINGS, "notice_ms", bounds::NOTICE_MS)]
+#[case(SETTINGS, "configure_ms", bounds::IN_FORCE_MS)]
+#[case(SETTINGS, "drain_ms", bounds::IN_FORCE_MS)]
+#[case(SETTINGS, "zone_out_ms", bounds::IN_FORCE_MS)]
 fn bounds_are_those_of_the_code(
     #[case] name: &str,
     #[case] field: &str,
