--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -149,7 +149,7 @@
     /// Exchanges of a request and its response.
     Exchange(Box<Settings>),
     /// Packets of flows.
-    Packets(PacketSettings),
+    Packets(Box<PacketSettings>),
 }
 
 impl AnySettings {
@@ -161,7 +161,7 @@
     /// Reads settings; `file` names them in the findings.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
         match chooses_packets(text) {
-            true => PacketSettings::parse(file, text).map(Self::Packets),
+            true => PacketSettings::parse(file, text).map(|s| Self::Packets(Box::new(s))),
             false => Settings::parse(file, text).map(|s| Self::Exchange(Box::new(s))),
         }
     }
--- a/crates/daemon/benches/control/links.rs
+++ b/crates/daemon/benches/control/links.rs
@@ -24,7 +24,7 @@
 use foxtailhinge::{
     links::{
         budget::ByteBudget,
-        exchange::exchange, //
+        compare::exchange, //
     },
     members::{
         record::to_wire,
--- a/crates/daemon/benches/flows/main.rs
+++ b/crates/daemon/benches/flows/main.rs
@@ -7,7 +7,7 @@
 #[path = "../control/meter.rs"]
 mod meter;
 
-use foxtailhinge::data::{
+use foxtailhinge::exchange::{
     feed::{
         Feed,
         Feeds, //
@@ -132,7 +132,7 @@
 }
 
 fn upstream(addr: SocketAddr, now: Instant) -> Rc<Upstream> {
-    use foxtailhinge::data::load::{
+    use foxtailhinge::exchange::load::{
         Load,
         LoadSpec, //
     };
--- a/crates/daemon/benches/services/parts.rs
+++ b/crates/daemon/benches/services/parts.rs
@@ -12,12 +12,12 @@
     Block, //
 };
 use foxtailhinge::{
-    data::{
+    exchange::{
         path::DataPath,
-        service::Service,
-        socket::Socket, //
+        service::Service, //
     },
     members::Control,
+    socket::Socket, //
 };
 use foxtailhinge_config::document::ServiceDocument;
 use monoio::{
--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -63,7 +63,7 @@
         AnySettings::Packets(settings) => packets::daemon::run(Source {
             path: path.clone(),
             text,
-            settings,
+            settings: *settings,
         }),
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,14 +6,14 @@
         Audit,
         AuditEvent, //
     },
-    data::{
+    error::Error,
+    exchange::{
         path::{
             DataPath,
             Parts, //
         },
         relay::Relay,
     },
-    error::Error,
     logging::{
         self,
         Event, //
--- a/crates/daemon/src/data/exchange.rs
+++ b/crates/daemon/src/exchange/call.rs
@@ -1,7 +1,7 @@
 //! Exchanges with an upstream: requests sent to it and their answers.
 
 use crate::{
-    data::{
+    exchange::{
         load::Outcome,
         slot::Slot,
         token::UpstreamToken,
--- a/crates/daemon/src/data/claim.rs
+++ b/crates/daemon/src/exchange/claim.rs
@@ -4,7 +4,7 @@
 //! are learnt from their packets.
 
 use crate::{
-    data::{
+    exchange::{
         feed::Feed,
         flow::{
             FlowStart,
--- a/crates/daemon/src/data/feed.rs
+++ b/crates/daemon/src/exchange/feed.rs
@@ -1,6 +1,6 @@
 //! Feeds: observed resources (RFC 7641) that the owner keeps for callers.
 
-use crate::data::{
+use crate::exchange::{
     number_hash::NumberState,
     token::{
         CallerToken,
--- a/crates/daemon/src/data/flow.rs
+++ b/crates/daemon/src/exchange/flow.rs
@@ -1,6 +1,6 @@
 //! Flows that an owner holds for one upstream.
 
-use crate::data::number_hash::NumberState;
+use crate::exchange::number_hash::NumberState;
 use foxtailhinge_policy::{
     ledger::FlowLedger,
     seconds::Seconds, //
--- a/crates/daemon/src/data/hand_over.rs
+++ b/crates/daemon/src/exchange/hand_over.rs
@@ -1,7 +1,7 @@
 //! Hand-over: the former owner of an upstream gives up its state and ends what it has in progress.
 
 use crate::{
-    data::{
+    exchange::{
         owner::Holding,
         path::DataPath,
         upstream::Upstream, //
--- a/crates/daemon/src/data/ingress.rs
+++ b/crates/daemon/src/exchange/ingress.rs
@@ -1,20 +1,20 @@
 //! Ingress: datagrams of callers, routed by their tickets alone.
 
 use crate::{
-    data::{
+    exchange::{
         answer::Notice,
         path::{
             DataPath,
             Early, //
         },
-        service::Service,
-        socket::Socket, //
+        service::Service, //
     },
     metrics::{
         DatagramResult,
         RequestDrop,
         RequestOutcome, //
     },
+    socket::Socket, //
 };
 use foxtailhinge_policy::members::Member;
 use foxtailhinge_wire::{
--- a/crates/daemon/src/data/mod.rs
+++ b/crates/daemon/src/exchange/mod.rs
@@ -1,8 +1,8 @@
-//! Data path: ingress, relay, owner, requests and feeds.
+//! The exchange path, for requests and responses in CoAP: ingress, relay, owner, requests and feeds.
 
 pub mod answer;
+pub mod call;
 pub mod claim;
-pub mod exchange;
 pub mod feed;
 pub mod flow;
 pub mod hand_over;
@@ -19,7 +19,6 @@
 pub mod request;
 pub mod service;
 pub mod slot;
-pub mod socket;
 pub mod table;
 pub mod token;
 pub mod unheard;
--- a/crates/daemon/src/data/notification.rs
+++ b/crates/daemon/src/exchange/notification.rs
@@ -1,9 +1,9 @@
 //! Datagrams of upstreams: answers, notifications of feeds, and the end of feeds.
 
 use crate::{
-    data::{
+    exchange::{
         answer::Notice,
-        exchange::Arrival,
+        call::Arrival,
         feed::Feed,
         ingress::Arrived,
         path::DataPath,
--- a/crates/daemon/src/data/opening.rs
+++ b/crates/daemon/src/exchange/opening.rs
@@ -1,7 +1,7 @@
 //! Opening of flows: candidates are asked in turn until an owner admits.
 
 use crate::{
-    data::{
+    exchange::{
         answer::Notice,
         flow::FlowStart,
         ingress::Arrived,
--- a/crates/daemon/src/data/owner.rs
+++ b/crates/daemon/src/exchange/owner.rs
@@ -1,7 +1,7 @@
 //! Ownership: requests of flows whose upstream this daemon owns.
 
 use crate::{
-    data::{
+    exchange::{
         answer::Notice,
         flow::{
             FlowStart,
--- a/crates/daemon/src/data/path.rs
+++ b/crates/daemon/src/exchange/path.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     audit::Audit,
-    data::{
+    exchange::{
         flow::FlowNumbers,
         number_hash::NumberState,
         owner::Holding,
--- a/crates/daemon/src/data/probe.rs
+++ b/crates/daemon/src/exchange/probe.rs
@@ -1,6 +1,6 @@
 //! Probes of the upstreams that this daemon owns: their silence counts, their reports come second.
 
-use crate::data::{
+use crate::exchange::{
     path::DataPath,
     service::Service,
     upstream::Upstream, //
--- a/crates/daemon/src/data/record.rs
+++ b/crates/daemon/src/exchange/record.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     audit::AuditEvent,
-    data::path::DataPath,
+    exchange::path::DataPath,
     operations::{
         findings,
         member_status, //
--- a/crates/daemon/src/data/relay.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -1,11 +1,9 @@
 //! The UDP relay between daemons.
 
 use crate::{
-    data::{
-        path::DataPath,
-        socket::Socket, //
-    },
-    members::prober::RelaySender, //
+    exchange::path::DataPath,
+    members::prober::RelaySender,
+    socket::Socket, //
 };
 use foxtailhinge_wire::{
     envelope::PeerKeys,
--- a/crates/daemon/src/data/request.rs
+++ b/crates/daemon/src/exchange/request.rs
@@ -1,9 +1,9 @@
 //! One request at the owner, from its slot to its answer.
 
 use crate::{
-    data::{
+    exchange::{
         answer::Notice,
-        exchange::ExchangeError,
+        call::ExchangeError,
         feed::Feed,
         path::DataPath,
         service::Service,
--- a/crates/daemon/src/data/service.rs
+++ b/crates/daemon/src/exchange/service.rs
@@ -1,10 +1,12 @@
 //! A service as every daemon knows it: its document, its socket and the draw of candidates.
 
-use crate::data::{
-    answer::MessageIds,
-    load::LoadSpec,
-    socket::Socket,
-    token::UpstreamToken, //
+use crate::{
+    exchange::{
+        answer::MessageIds,
+        load::LoadSpec,
+        token::UpstreamToken, //
+    },
+    socket::Socket, //
 };
 use foxtailhinge_config::document::{
     ServiceDocument,
--- a/crates/daemon/src/data/slot.rs
+++ b/crates/daemon/src/exchange/slot.rs
@@ -1,7 +1,7 @@
 //! Slots of an upstream: who may send to it now, and who waits.
 
 use crate::{
-    data::upstream::Upstream,
+    exchange::upstream::Upstream,
     timer::Timer, //
 };
 use foxtailhinge_policy::admission::{
--- a/crates/daemon/src/data/table.rs
+++ b/crates/daemon/src/exchange/table.rs
@@ -2,15 +2,15 @@
 
 use crate::{
     audit::AuditEvent,
-    data::{
+    exchange::{
         owner::Holding,
         path::DataPath,
         service::Service,
-        socket::Socket,
         upstream::Upstream, //
     },
     logging::Event,
     metrics::FlowEnd,
+    socket::Socket,
     supervisor::Restart, //
 };
 use foxtailhinge_config::document::ServiceDocument;
--- a/crates/daemon/src/data/upkeep.rs
+++ b/crates/daemon/src/exchange/upkeep.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     audit::AuditEvent,
-    data::{
+    exchange::{
         load::LoadState,
         path::DataPath,
         service::Service,
--- a/crates/daemon/src/data/upstream.rs
+++ b/crates/daemon/src/exchange/upstream.rs
@@ -1,17 +1,19 @@
 //! One upstream that this daemon owns: its slots, its exchanges, its flows and its feeds.
 
-use crate::data::{
-    exchange::Pending,
-    feed::Feeds,
-    flow::Flows,
-    load::Load,
-    number_hash::NumberState,
-    slot::Slot,
-    socket::Socket,
-    token::{
-        CallerToken,
-        UpstreamToken, //
+use crate::{
+    exchange::{
+        call::Pending,
+        feed::Feeds,
+        flow::Flows,
+        load::Load,
+        number_hash::NumberState,
+        slot::Slot,
+        token::{
+            CallerToken,
+            UpstreamToken, //
+        },
     },
+    socket::Socket, //
 };
 use foxtailhinge_config::report::UpstreamState;
 use foxtailhinge_policy::admission::WaitingList;
--- a/crates/daemon/src/links/mod.rs
+++ b/crates/daemon/src/links/mod.rs
@@ -6,7 +6,7 @@
 
 pub mod budget;
 pub mod client;
-pub mod exchange;
+pub mod compare;
 pub mod message;
 pub mod push;
 pub mod server;
--- a/crates/daemon/src/links/push.rs
+++ b/crates/daemon/src/links/push.rs
@@ -3,7 +3,7 @@
 //! Each daemon announces a change once, when it learns of it. A peer asks for the documents that
 //! it lacks, so that a document crosses to each daemon about once.
 
-use super::exchange;
+use super::compare;
 use crate::members::{
     counters::count,
     Control, //
@@ -43,7 +43,7 @@
 
 async fn announce(control: Rc<Control>, peer: Member, services: &[Rc<str>]) {
     count(&control.counters().announcements, 1);
-    if let Err(err) = exchange::announce(&control, &peer, services).await {
+    if let Err(err) = compare::announce(&control, &peer, services).await {
         let vm = &peer.vm;
         log::debug!("event=announce_failed peer={vm} cause=\"{err}\"");
     }
--- a/crates/daemon/src/links/server.rs
+++ b/crates/daemon/src/links/server.rs
@@ -8,7 +8,7 @@
         BUFFER,
         WINDOW, //
     },
-    exchange,
+    compare,
     message::{
         decode,
         encode,
@@ -220,11 +220,11 @@
                 control.merge_members([record]);
                 LinkReply::Ok
             }
-            LinkRequest::Glance(_) => LinkReply::Glance(exchange::glance(control)),
-            LinkRequest::Compare(sums) => exchange::difference(control, &sums),
-            LinkRequest::Announce(revisions) => exchange::wanted(control, revisions),
+            LinkRequest::Glance(_) => LinkReply::Glance(compare::glance(control)),
+            LinkRequest::Compare(sums) => compare::difference(control, &sums),
+            LinkRequest::Announce(revisions) => compare::wanted(control, revisions),
             LinkRequest::Push(records) => {
-                exchange::take_documents(control, records, &from);
+                compare::take_documents(control, records, &from);
                 LinkReply::Ok
             }
             LinkRequest::Fetch(services) => self.documents(&services),
@@ -249,7 +249,7 @@
             count(&self.control.counters().copies_deferred, 1);
             return LinkReply::Busy(wait.as_millis() as u64 + 1);
         }
-        LinkReply::Documents(exchange::documents(&self.control, services))
+        LinkReply::Documents(compare::documents(&self.control, services))
     }
 
     fn sender(&self, hash: u32) -> Rc<str> {
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -11,11 +11,10 @@
     },
     record,
     settings::ControlSettings,
-    wake::Wake,
 };
 use crate::{
     links::{
-        exchange,
+        compare,
         push,
         server,
         LinkHandler,
@@ -23,6 +22,7 @@
         Server, //
     },
     platform::Reader,
+    wake::Wake, //
 };
 use foxtailhinge_config::{
     document::ServiceDocument,
@@ -161,7 +161,7 @@
             server.run(listener),
             prober.run(),
             reader.run(),
-            exchange::run(self.clone()),
+            compare::run(self.clone()),
             push::run(self.clone()),
             self.watch_pauses(),
         );
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -9,7 +9,6 @@
 pub mod prober;
 pub mod record;
 pub mod settings;
-pub mod wake;
 
 pub use self::{
     control::{
--- a/crates/daemon/src/operations.rs
+++ b/crates/daemon/src/operations.rs
@@ -8,7 +8,7 @@
         Operations, //
     },
     audit::AuditQuery,
-    data::{
+    exchange::{
         path::DataPath,
         service::{
             Named,
--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -12,7 +12,6 @@
         serve_reports,
         serve_with, //
     },
-    data::socket::Socket,
     error::Error,
     logging::{
         self,
@@ -22,6 +21,7 @@
         Hangup,
         Signals, //
     },
+    socket::Socket,
     store::follow,
     supervisor::{
         Limits,
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -8,10 +8,10 @@
     view::View, //
 };
 use crate::{
-    data::socket::Socket,
     logging::Event,
-    members::wake::Wake,
-    timer::Timer, //
+    socket::Socket,
+    timer::Timer,
+    wake::Wake, //
 };
 use foxtailhinge_platform::packet::{
     decode,
--- a/crates/daemon/src/data/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -1,6 +1,6 @@
 //! UDP sockets of the data path.
 
-use crate::members::wake::Wake;
+use crate::wake::Wake;
 use futures::future::{
     select,
     Either, //
--- a/crates/daemon/tests/flows.rs
+++ b/crates/daemon/tests/flows.rs
@@ -1,6 +1,6 @@
 //! Flows that an owner holds, over their end and over hand-overs.
 
-use foxtailhinge::data::flow::{
+use foxtailhinge::exchange::flow::{
     ticket_key,
     FlowNumbers,
     FlowStart,
--- a/crates/daemon/tests/memory/whole.rs
+++ b/crates/daemon/tests/memory/whole.rs
@@ -2,7 +2,7 @@
 
 use foxtailhinge::{
     audit::Audit,
-    data::{
+    exchange::{
         path::{
             DataPath,
             Parts, //
--- a/crates/daemon/tests/number_hash.rs
+++ b/crates/daemon/tests/number_hash.rs
@@ -1,6 +1,6 @@
 //! The hash of numbers that the daemon draws.
 
-use foxtailhinge::data::number_hash::NumberState;
+use foxtailhinge::exchange::number_hash::NumberState;
 use rstest::rstest;
 use std::{
     collections::HashSet,
--- a/crates/daemon/tests/observe.rs
+++ b/crates/daemon/tests/observe.rs
@@ -1,6 +1,6 @@
 //! Observe values that callers get from one owner after another.
 
-use foxtailhinge::data::{
+use foxtailhinge::exchange::{
     feed::{
         next_value,
         Feed, //
--- a/crates/daemon/tests/slots.rs
+++ b/crates/daemon/tests/slots.rs
@@ -1,7 +1,7 @@
 //! Slots of requests that were given up: the upstream may still run them.
 
 use foxtailhinge::{
-    data::{
+    exchange::{
         exchange::ExchangeError,
         flow::{
             FlowNumbers,
