--- a/crates/daemon/tests/slots.rs
+++ b/crates/daemon/tests/slots.rs
@@ -2,7 +2,7 @@
 
 use foxtailhinge::{
     exchange::{
-        exchange::ExchangeError,
+        call::ExchangeError,
         flow::{
             FlowNumbers,
             Flows, //
