Read lists stale and let the first watch bring them up to date; believe a refusal at the second one

And a refusal told from one caller's second flow is wrong for a moment where several users share a VM (seen in a test: upstream_silent copy=0 for an upstream that answered). A refusal counts for the caller at once and for others when a second one confirms it within a second. The index is rebuilt only when something was forgotten.

--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -19,7 +19,8 @@
     list_path,
     read_changes,
     read_list,
-    watch_path, //
+    watch_path,
+    Reading, //
 };
 use foxtailhinge_policy::packets::{
     directory::{
@@ -80,6 +81,9 @@
     metrics: Rc<PacketMetrics>,
     directory: RefCell<Directory>,
     position: Cell<Option<u64>>,
+    /// How the next list is read: a stale one costs less, and a watch brings it up to date unless the history between
+    /// is lost.
+    reading: Cell<Reading>,
     confirmed: Cell<Option<Instant>>,
     failing: Cell<Option<Instant>>,
 }
@@ -100,6 +104,7 @@
             metrics,
             directory: RefCell::default(),
             position: Cell::new(None),
+            reading: Cell::new(Reading::Stale),
             confirmed: Cell::new(None),
             failing: Cell::new(None),
         }
@@ -127,7 +132,7 @@
         self.directory.borrow_mut()
     }
 
-    /// Time since the store last confirmed the directory; nothing before the first list.
+    /// Time since the store last confirmed the directory; nothing before the first watch that follows a stale list.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         let confirmed = self.confirmed.get()?;
         Some(now.saturating_duration_since(confirmed))
@@ -147,8 +152,14 @@
         wait.max(WAIT_MIN)
     }
 
+    /// Notes that the store has answered with all there was at `at`.
     fn confirm(&self, at: Instant) {
         self.confirmed.set(Some(at));
+        self.regain();
+    }
+
+    /// Notes that the store has answered.
+    fn regain(&self) {
         self.metrics.store_calls.inc(PlatformResult::Answered);
         let Some(since) = self.failing.take() else {
             return;
@@ -176,17 +187,17 @@
 
     async fn read_all(&self) -> Result<(u64, Vec<Item>), StoreError> {
         let mut items = Vec::new();
-        let mut revision = None;
+        let mut revision = u64::MAX;
         let mut after: Option<Rc<str>> = None;
         loop {
-            let path = list_path(after.as_deref());
+            let path = list_path(after.as_deref(), self.reading.get());
             let body = self.get(&path, Duration::ZERO).await?;
             let page = read_list(&body).map_err(|err| StoreError::Body(err.to_string()))?;
-            let first = *revision.get_or_insert(page.revision);
+            revision = revision.min(page.revision);
             items.extend(page.items);
             match page.next {
                 Some(key) => after = Some(key),
-                None => return Ok((first, items)),
+                None => return Ok((revision, items)),
             }
         }
     }
@@ -202,7 +213,10 @@
     async fn list(&self) -> Result<Progress, StoreError> {
         let began = Instant::now();
         let (answered, items) = self.read_all().await?;
-        self.confirm(began);
+        match self.reading.get() {
+            Reading::Exact => self.confirm(began),
+            Reading::Stale => self.regain(),
+        }
         let mut directory = self.directory.borrow_mut();
         let known = directory.revision();
         let Some(outcomes) = directory.replace(answered, &items, Instant::now()) else {
@@ -241,6 +255,7 @@
             log_change(item, outcome);
         }
         self.position.set(Some(changes.revision.max(after)));
+        self.reading.set(Reading::Stale);
         let waited = began.elapsed() >= wait / 2;
         Ok(match changes.items.is_empty() && !waited {
             true => Progress::Idle,
@@ -253,6 +268,7 @@
         let is_history_lost = matches!(err, StoreError::Status(StatusCode::GONE));
         if is_history_lost || matches!(err, StoreError::WentBack { .. }) {
             self.position.set(None);
+            self.reading.set(Reading::Exact);
         }
         let now = Instant::now();
         if self.failing.get().is_none() {
--- a/crates/daemon/tests/packets/store.rs
+++ b/crates/daemon/tests/packets/store.rs
@@ -74,6 +74,35 @@
     assert_eq!(report.broken(), 0);
 }
 
+#[rstest]
+#[case::with_history(false)]
+#[case::without_history(true)]
+fn a_daemon_that_starts_with_a_stale_list_is_soon_up_to_date(#[case] history_is_lost: bool) {
+    let mut scene = Scene::start();
+    scene.store.freeze_stale_reads();
+    scene.kill(0);
+    scene.configure(&[ROUTE_PORT]);
+    scene.upstreams[0].end();
+    if history_is_lost {
+        scene.store.forget_history();
+    }
+    scene.start_daemon(0).unwrap();
+    let took = scene.await_configuration().unwrap();
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+    let listed = scene.events(0, "view_listed").len();
+    assert_eq!(
+        listed,
+        if history_is_lost { 3 } else { 2 },
+        "one list a start, and one when the history is lost"
+    );
+    let status = scene.status(0).unwrap();
+    let gone = status
+        .upstreams
+        .iter()
+        .filter(|u| u.standing.as_str() == "unlisted");
+    assert_eq!(status.upstreams.len() - gone.count(), 11);
+}
+
 #[test]
 fn a_daemon_that_is_turned_away_serves_on_with_what_it_knows() {
     let mut scene = Scene::start().load(4, 10.0);
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -175,7 +175,7 @@
         directory: &Directory,
         now: Instant,
     ) -> Verdict {
-        let tried = self.openings.tried(packet.flow, now);
+        let mut tried = self.openings.tried(packet.flow, now);
         if tried.is_empty() {
             if let Some(until) = self.herd.wait(packet.ack, route.aim, now) {
                 return Verdict::Wait { until };
@@ -185,11 +185,17 @@
             0 => self.openings.refused(packet.flow, now),
             _ => Tried::new(),
         };
-        for Try { upstream, at } in tried.iter().chain(&refused) {
+        for Try { upstream, at } in &tried {
             if self.silence.note(*upstream, *at, now) {
                 self.beliefs.push(Belief::Silent(*upstream));
             }
         }
+        for Try { upstream, at } in &refused {
+            if self.silence.refuse(*upstream, *at, now) {
+                self.beliefs.push(Belief::Silent(*upstream));
+            }
+        }
+        tried.extend(refused);
         let chooser = Chooser {
             zone: &self.zone,
             directory,
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -171,9 +171,12 @@
 
     /// Forgets upstreams whose entries went longer than `keep` ago.
     pub fn forget(&mut self, keep: Duration, now: Instant) {
+        let before = self.upstreams.len();
         self.upstreams
             .retain(|_, known| known.unlisted.is_none_or(|at| now < at + keep));
-        self.index(now);
+        if self.upstreams.len() < before {
+            self.index(now);
+        }
     }
 
     /// Removals that a full list implies.
--- a/crates/policy/src/packets/openings.rs
+++ b/crates/policy/src/packets/openings.rs
@@ -50,6 +50,9 @@
 /// Least age of an opening that another one of the same caller shows to be refused: no answer comes sooner.
 const REFUSAL_MIN: Duration = Duration::from_millis(1);
 
+/// Most unopened flows remembered of one caller's VM for a route, the newest ones: a caller makes three attempts.
+const UNOPENED_MOST: usize = 8;
+
 /// A caller's VM and the route that it uses.
 type Client = (Ipv4Addr, SocketAddrV4);
 
@@ -81,29 +84,25 @@
             opening.tried.clear();
         }
         if opening.tried.is_empty() {
-            self.unopened.entry(client(flow)).or_default().push(flow);
+            let unopened = self.unopened.entry(client(flow)).or_default();
+            if unopened.len() >= UNOPENED_MOST {
+                unopened.remove(0);
+            }
+            unopened.push(flow);
         }
         opening.tried.push(Try { upstream, at: now });
     }
 
-    /// Upstreams that refused the caller of `flow`, as its first packet shows; each is told once.
-    pub fn refused(&mut self, flow: FlowId, now: Instant) -> Tried {
-        let Some(unopened) = self.unopened.get_mut(&client(flow)) else {
-            return Tried::new();
-        };
-        let mut refused = Tried::new();
-        unopened.retain(|other| {
-            let opening = self.flows.get(other).filter(|o| now < o.at + KEEP);
-            let Some(opening) = opening else {
-                return false;
-            };
-            let is_refused = *other != flow && now >= opening.at + REFUSAL_MIN;
-            if let Some(last) = opening.tried.last().filter(|_| is_refused) {
-                refused.push(*last);
-            }
-            !is_refused
-        });
-        refused
+    /// Upstreams that seem to have refused earlier openings of the caller of `flow`, as its first packet shows.
+    pub fn refused(&self, flow: FlowId, now: Instant) -> Tried {
+        let unopened = self.unopened.get(&client(flow)).into_iter().flatten();
+        let openings = unopened
+            .filter(|other| **other != flow)
+            .filter_map(|other| self.flows.get(other));
+        openings
+            .filter(|o| now >= o.at + REFUSAL_MIN && now < o.at + KEEP)
+            .filter_map(|o| o.tried.last().copied())
+            .collect()
     }
 
     /// Notes that the flow is open at `upstream`; gives when its opening packet went there, if that is new.
--- a/crates/policy/src/packets/silence.rs
+++ b/crates/policy/src/packets/silence.rs
@@ -27,15 +27,29 @@
     lasts: Duration,
 }
 
+/// Time within which a second refusal confirms the first one. Several users of one VM that open flows at the same time
+/// look like a refusal until the upstream answers, which takes milliseconds.
+const CONFIRMED_WITHIN: Duration = Duration::from_secs(1);
+
 /// Upstreams that were silent of late.
 #[derive(Clone, Debug, Default)]
 pub struct Silence {
     silent: HashMap<UpstreamId, Silent>,
+    /// When the opening packet was forwarded that seems to be refused.
+    refused: HashMap<UpstreamId, Instant>,
 }
 
 impl Silence {
-    /// Notes that an upstream refused an opening packet that was forwarded at `since`, or left it unanswered; returns
-    /// whether that is new.
+    /// Notes that an upstream seems to have refused an opening packet that was forwarded at `since`; returns whether it
+    /// counts as silent now and did not before.
+    pub fn refuse(&mut self, id: UpstreamId, since: Instant, now: Instant) -> bool {
+        let first = self.refused.insert(id, since);
+        let is_confirmed = first.is_some_and(|at| since > at && since < at + CONFIRMED_WITHIN);
+        is_confirmed && self.note(id, since, now)
+    }
+
+    /// Notes that an upstream left an opening packet unanswered that was forwarded at `since`; returns whether that is
+    /// new.
     pub fn note(&mut self, id: UpstreamId, since: Instant, now: Instant) -> bool {
         let known = self.silent.get(&id).filter(|s| now < s.until + MEMORY);
         let lasts = match known {
@@ -55,6 +69,9 @@
     /// Notes that an upstream answered what was forwarded at `asked`, which ends its silence unless that was before it;
     /// returns whether it does.
     pub fn answered(&mut self, id: UpstreamId, asked: Instant) -> bool {
+        if self.refused.get(&id).is_some_and(|since| asked >= *since) {
+            self.refused.remove(&id);
+        }
         match self.silent.get(&id) {
             Some(silent) if asked >= silent.since => self.silent.remove(&id).is_some(),
             _ => false,
@@ -69,5 +86,7 @@
     /// Forgets what is over.
     pub fn forget(&mut self, now: Instant) {
         self.silent.retain(|_, s| now < s.until + MEMORY);
+        self.refused
+            .retain(|_, since| now < *since + CONFIRMED_WITHIN);
     }
 }
--- a/crates/standins/src/packets/store.rs
+++ b/crates/standins/src/packets/store.rs
@@ -85,6 +85,8 @@
     fault: Fault,
     refused: Vec<SocketAddr>,
     lag: Duration,
+    /// What stale reads are answered with.
+    earlier: Option<(u64, BTreeMap<String, Entry>)>,
     calls: u64,
     ended: bool,
 }
@@ -165,6 +167,12 @@
         state.oldest = state.revision + 1;
     }
 
+    /// Answers stale reads from now on with what is held now.
+    pub fn freeze_stale_reads(&self) {
+        let mut state = self.state();
+        state.earlier = Some((state.revision, state.entries.clone()));
+    }
+
     /// Calls so far, a waiting watch as one.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -256,13 +264,21 @@
     fn list(&self, query: &Query) -> Value {
         let state = self.state();
         let after = query.text("after");
-        let found = state.entries.iter().filter(|(key, entry)| {
+        let earlier = state
+            .earlier
+            .as_ref()
+            .filter(|_| query.text("serializable") == "1");
+        let (revision, entries) = match earlier {
+            Some((revision, entries)) => (*revision, entries),
+            None => (state.revision, &state.entries),
+        };
+        let found = entries.iter().filter(|(key, entry)| {
             entry.value.is_some() && key.starts_with(&query.text("prefix")) && **key > after
         });
         let mut items: Vec<_> = found.take(PAGE + 1).map(|(k, e)| item(k, e)).collect();
         let has_more = items.len() > PAGE;
         items.truncate(PAGE);
-        json!({"items": items, "has_more": has_more, "store_revision": state.revision})
+        json!({"items": items, "has_more": has_more, "store_revision": revision})
     }
 
     async fn watch(&self, query: &Query, addr: SocketAddr) -> Option<Response<Full<Bytes>>> {
