--- a/crates/daemon/tests/packets/scene.rs
+++ b/crates/daemon/tests/packets/scene.rs
@@ -6,15 +6,16 @@
         Program, //
     },
     packets::{
-        callers::{
-            Callers,
-            Results, //
-        },
+        builder::Builder,
+        callers::Callers,
         fleet::{
-            Builder,
             PacketFleet,
             ROUTE_PORT, //
         },
+        results::{
+            Outcome,
+            Results, //
+        },
     },
 };
 use std::{
@@ -150,10 +151,7 @@
         assert_eq!(cold.count(), 0, "no flow opens at a cold upstream");
     }
 
-    fn requests(
-        &self,
-        is_feed: bool,
-    ) -> impl Iterator<Item = &foxtailhinge_standins::packets::callers::Outcome> {
+    fn requests(&self, is_feed: bool) -> impl Iterator<Item = &Outcome> {
         let all = self.results.iter().flat_map(|r| &r.outcomes);
         all.filter(move |o| o.is_feed == is_feed)
     }
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -50,8 +50,6 @@
     pub state: UpstreamState,
     /// How long it stays cold, counted from its registration.
     pub warmup_left: Duration,
-    /// Start of its process in Unix milliseconds, which tells two starts with one id apart.
-    pub started_ms: Option<u64>,
 }
 
 /// Where new flows of a route go.
@@ -74,15 +72,6 @@
     pub aim: Duration,
 }
 
-/// What the configuration says of a service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Service {
-    /// How long an upstream is cold after its start.
-    pub warmup: Duration,
-    /// Requests a second that a cold upstream bears.
-    pub warmup_per_s: f64,
-}
-
 /// The newest configuration in full.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
@@ -90,8 +79,6 @@
     pub version: u64,
     /// Routes by address and port.
     pub routes: HashMap<SocketAddrV4, Route>,
-    /// Services by name.
-    pub services: HashMap<Rc<str>, Service>,
 }
 
 /// A change to what is published.
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -30,7 +30,6 @@
         Configuration,
         Item,
         Route,
-        Service,
         Target,
         Upstream,
         UpstreamId,
--- a/crates/policy/tests/packets/directory.rs
+++ b/crates/policy/tests/packets/directory.rs
@@ -206,7 +206,6 @@
     let mut scene = Scene::new().upstream(1, upstream()).upstream(2, upstream());
     let restarted = Upstream {
         warmup_left: Duration::from_secs(2),
-        started_ms: Some(7),
         ..upstream()
     };
     scene.change(Change::Listed(UpstreamId(1), restarted));
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -60,7 +60,6 @@
         slots: 4,
         state: UpstreamState::Serving,
         warmup_left: Duration::ZERO,
-        started_ms: None,
     }
 }
 
@@ -102,7 +101,6 @@
     Configuration {
         version,
         routes: routes.iter().map(route).collect(),
-        ..Configuration::default()
     }
 }
 
--- a/crates/standins/examples/local_fleet/packets.rs
+++ b/crates/standins/examples/local_fleet/packets.rs
@@ -11,17 +11,17 @@
         Program, //
     },
     packets::{
-        callers::{
-            Callers,
-            Outcome,
-            Results, //
-        },
+        builder::Builder,
+        callers::Callers,
         fabric::HashKind,
         fleet::{
-            Builder,
             PacketFleet,
             ROUTE_PORT, //
         },
+        results::{
+            Outcome,
+            Results, //
+        },
         store::Fault,
         upstream::Opening,
     },
--- a/crates/standins/src/packets/mod.rs
+++ b/crates/standins/src/packets/mod.rs
@@ -1,8 +1,10 @@
 //! Stand-ins for a platform whose flows are made of packets: its store, upstreams, callers and fabric.
 
+pub mod builder;
 pub mod callers;
 pub mod fabric;
 pub mod fleet;
+pub mod results;
 pub mod segment;
 pub mod store;
 pub mod upstream;
