--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -269,6 +269,11 @@
         if is_history_lost || matches!(err, StoreError::WentBack { .. }) {
             self.position.set(None);
             self.reading.set(Reading::Exact);
+            Event::new("view_outdated")
+                .field("revision", self.directory.borrow().revision())
+                .field("cause", err)
+                .info();
+            return;
         }
         let now = Instant::now();
         if self.failing.get().is_none() {
