--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -21,7 +21,6 @@
     },
     packet::{
         Kind,
-        Label,
         Packet, //
     },
     silence::Silence,
@@ -185,16 +184,7 @@
             0 => self.openings.refused(packet.flow, now),
             _ => Tried::new(),
         };
-        for Try { upstream, at } in &tried {
-            if self.silence.note(*upstream, *at, now) {
-                self.beliefs.push(Belief::Silent(*upstream));
-            }
-        }
-        for Try { upstream, at } in &refused {
-            if self.silence.refuse(*upstream, *at, now) {
-                self.beliefs.push(Belief::Silent(*upstream));
-            }
-        }
+        self.learn(&tried, &refused, now);
         tried.extend(refused);
         let chooser = Chooser {
             zone: &self.zone,
@@ -211,6 +201,20 @@
         Verdict::Open(choice)
     }
 
+    /// Takes upstreams that left earlier packets of a caller unanswered, or refused them, for silent.
+    fn learn(&mut self, unanswered: &Tried, refused: &Tried, now: Instant) {
+        for Try { upstream, at } in unanswered {
+            if self.silence.note(*upstream, *at, now) {
+                self.beliefs.push(Belief::Silent(*upstream));
+            }
+        }
+        for Try { upstream, at } in refused {
+            if self.silence.refuse(*upstream, *at, now) {
+                self.beliefs.push(Belief::Silent(*upstream));
+            }
+        }
+    }
+
     /// Sends a packet of an open flow to the upstream that its label names.
     fn go_on(&mut self, packet: &Packet, directory: &Directory, now: Instant) -> Verdict {
         let ids = directory.with_label(packet.label);
@@ -235,24 +239,14 @@
 
 /// Draws a service of the route by weight.
 fn draw_service<'r>(route: &'r Route, rng: &mut impl Rng) -> &'r str {
-    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
     let mut drawn = rng.random_range(0..total.max(1));
     for target in &route.targets {
-        if drawn < target.weight {
+        let weight = u64::from(target.weight);
+        if drawn < weight {
             return &target.service;
         }
-        drawn -= target.weight;
+        drawn -= weight;
     }
     route.targets.first().map_or("", |t| &t.service)
 }
-
-impl Verdict {
-    /// Label that the packet is to carry.
-    pub fn label(&self) -> Option<Label> {
-        match self {
-            Self::Open(choice) => Some(choice.id.label()),
-            Self::Forward { id, .. } => Some(id.label()),
-            Self::Wait { .. } | Self::Reset(_) | Self::Drop(_) => None,
-        }
-    }
-}
--- a/crates/policy/tests/packets/routes.rs
+++ b/crates/policy/tests/packets/routes.rs
@@ -102,6 +102,17 @@
     assert!((146..=254).contains(&counts[&2]), "{counts:?}");
 }
 
+#[test]
+fn the_largest_weights_are_drawn_too() {
+    let mut scene = Scene::new().upstream(1, upstream());
+    let weighted = configuration(2, &[(PORT, &[(SERVICE, u32::MAX), (SERVICE, u32::MAX)])]);
+    scene.change(Change::Configured(weighted));
+    assert_eq!(
+        scene.spread(1, 50).into_iter().collect::<Vec<_>>(),
+        [(1, 50)]
+    );
+}
+
 #[test]
 fn a_target_without_weight_gets_nothing() {
     let other = Upstream {
