Share the runtime, the listener, the log level and the check of addresses between both modes

Both daemons built their runtime, mapped the log level and bound their listeners in copies of the same lines, and both readers of settings checked that the admin address differs from another one. Each is one function now. No behaviour changes.

--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -11,6 +11,7 @@
         Reader, //
     },
     settings::{
+        check_distinct,
         read_log,
         LogLevel,
         Settings, //
@@ -209,7 +210,7 @@
     let store = fields.address("store");
     let limits = read_limits(reader, &fields);
     let log = read_log(reader, &fields);
-    check_distinct(reader, &fields, ready, admin);
+    check_distinct(reader, &fields, "ready", ready, admin);
     interface?;
     Some(PacketSettings {
         vm: vm?,
@@ -256,17 +257,3 @@
         zone_out: zone_out?,
     })
 }
-
-fn check_distinct(
-    reader: &Reader<'_>,
-    fields: &Fields<'_, '_, '_>,
-    ready: Option<SocketAddr>,
-    admin: Option<SocketAddr>,
-) {
-    if let (Some(value), true) = (fields.optional("admin"), admin.is_some() && admin == ready) {
-        reader.report(
-            start(value),
-            "Write another port; \"ready\" has this address.",
-        );
-    }
-}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -234,7 +234,7 @@
     let limits = read_limits(reader, &fields);
     let log = read_log(reader, &fields);
     let testing = read_testing(reader, &fields);
-    check_distinct(reader, &fields, control, admin);
+    check_distinct(reader, &fields, "control", control, admin);
     Some(Settings {
         vm: vm?,
         zone: zone?,
@@ -264,19 +264,21 @@
     }
 }
 
-fn check_distinct(
+/// Reports an `admin` address that the field `name` has too.
+pub(crate) fn check_distinct(
     reader: &Reader<'_>,
     fields: &Fields<'_, '_, '_>,
-    control: Option<SocketAddr>,
+    name: &str,
+    other: Option<SocketAddr>,
     admin: Option<SocketAddr>,
 ) {
     let Some(value) = fields.optional("admin") else {
         return;
     };
-    if admin.is_some() && admin == control {
+    if admin.is_some() && admin == other {
         reader.report(
             start(value),
-            "Write another port; \"control\" has this address.",
+            format!("Write another port; \"{name}\" has this address."),
         );
     }
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -49,6 +49,7 @@
     RuntimeBuilder, //
 };
 use std::{
+    future::Future,
     net::SocketAddr,
     pin::pin,
     rc::Rc,
@@ -70,17 +71,18 @@
 ///
 /// Why it could not start, or had to end.
 pub fn run(settings: Settings) -> Result<(), Error> {
-    let level = settings
-        .log
-        .as_str()
-        .parse()
-        .unwrap_or(log::LevelFilter::Info);
-    let _logger = logging::start(level).map_err(|err| Error::Failed(err.into()))?;
+    let _logger =
+        logging::start(logging::level(settings.log)).map_err(|err| Error::Failed(err.into()))?;
+    block_on(serve(settings))
+}
+
+/// Runs a daemon's main task on a runtime of its own.
+pub(crate) fn block_on(main: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
     let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()
         .map_err(Error::Runtime)?;
-    let ended = runtime.block_on(serve(settings));
+    let ended = runtime.block_on(main);
     // Links that are open while the runtime is dropped wake their tasks across threads, which monoio refuses.
     std::mem::forget(runtime);
     ended
@@ -148,10 +150,10 @@
 ) -> Result<(), Error> {
     let operations = Rc::new(AdminOperations::new(Rc::clone(path), settings));
     let addr = settings.admin;
-    let mut first = Some(bind_admin(addr)?);
+    let mut first = Some(bind("admin", addr)?);
     supervisor.child("admin", Restart::Always, move |_| {
         let operations = Rc::clone(&operations);
-        let listener = first.take().map_or_else(|| bind_admin(addr), Ok);
+        let listener = first.take().map_or_else(|| bind("admin", addr), Ok);
         async move {
             admin::serve(listener?, operations).await;
             Ok(())
@@ -160,12 +162,9 @@
     Ok(())
 }
 
-fn bind_admin(addr: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr).map_err(|source| Error::Bind {
-        role: "admin",
-        addr,
-        source,
-    })
+/// Listens at an address of the settings; `role` names it in the error.
+pub(crate) fn bind(role: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).map_err(|source| Error::Bind { role, addr, source })
 }
 
 fn build(
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -8,6 +8,7 @@
     Logger,
     LoggerHandle, //
 };
+use foxtailhinge_config::settings::LogLevel;
 use log::{
     Level,
     LevelFilter,
@@ -91,6 +92,11 @@
     }
 }
 
+/// The level of the settings in the words of the log.
+pub fn level(level: LogLevel) -> LevelFilter {
+    level.as_str().parse().unwrap_or(LevelFilter::Info)
+}
+
 /// Levels of the program's own lines and of libraries.
 pub fn spec(level: LevelFilter) -> LogSpecification {
     let mut spec = LogSpecification::builder();
--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -12,6 +12,10 @@
         serve_reports,
         serve_with, //
     },
+    daemon::{
+        bind,
+        block_on, //
+    },
     error::Error,
     logging::{
         self,
@@ -31,20 +35,12 @@
     timer::Timer,
 };
 use flexi_logger::LoggerHandle;
-use foxtailhinge_config::{
-    packet_settings::PacketSettings,
-    settings::LogLevel, //
-};
+use foxtailhinge_config::packet_settings::PacketSettings;
 use foxtailhinge_policy::packets::Balancer;
 use futures::future::{
     select,
     Either, //
 };
-use monoio::{
-    net::TcpListener,
-    LegacyDriver,
-    RuntimeBuilder, //
-};
 use rand::{
     rngs::SmallRng,
     SeedableRng, //
@@ -102,20 +98,9 @@
 ///
 /// Why it could not start, or had to end.
 pub fn run(source: Source) -> Result<(), Error> {
-    let logger =
-        logging::start(level(source.settings.log)).map_err(|err| Error::Failed(err.into()))?;
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .map_err(Error::Runtime)?;
-    let ended = runtime.block_on(serve(source, logger));
-    // Connections that are open while the runtime is dropped wake their tasks across threads, which monoio refuses.
-    std::mem::forget(runtime);
-    ended
-}
-
-fn level(level: LogLevel) -> log::LevelFilter {
-    level.as_str().parse().unwrap_or(log::LevelFilter::Info)
+    let logger = logging::start(logging::level(source.settings.log))
+        .map_err(|err| Error::Failed(err.into()))?;
+    block_on(serve(source, logger))
 }
 
 async fn serve(source: Source, logger: LoggerHandle) -> Result<(), Error> {
@@ -311,10 +296,7 @@
         };
         self.view
             .reconfigure(settings.store, settings.limits.clone());
-        self.logger.set_new_spec(logging::spec(level(settings.log)));
+        self.logger
+            .set_new_spec(logging::spec(logging::level(settings.log)));
     }
 }
-
-fn bind(role: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr).map_err(|source| Error::Bind { role, addr, source })
-}
