Give the same state to a claim that is sent again

Cause: a claim waits 500 ms for its answer and is sent again. The former owner gives an upstream up with the first one, so that the second was told that it holds nothing: flows and feeds of the upstream were lost to the next owner whenever the answer came later than that, as on a busy machine. The feeds of an upstream were also taken up one after the other, so that one lost datagram held back all behind it for 2.5 s; they are taken up three at a time now.

Change: claims carry a random id. The former owner keeps what it gave until the next owner has taken it up, for 5 s at most, and answers a claim of the same id with it. Test: control, claims (NotHeld before, the same state after).

Ruled out: asking for longer (the answer may be lost), keeping the state for any claim (one that comes after another owner would get old state, and a POST might run twice).

--- a/crates/daemon/src/exchange/claim.rs
+++ b/crates/daemon/src/exchange/claim.rs
@@ -16,7 +16,10 @@
         },
         owner::Holding,
         path::DataPath,
-        token::CallerToken,
+        token::{
+            CallerToken,
+            UpstreamToken, //
+        },
         upstream::Upstream, //
     },
     links::{
@@ -134,7 +137,10 @@
 
     /// Asks the former owner for the upstream's state; nothing when it has none or is gone.
     async fn ask_former(&self, addr: SocketAddr, owned: &Owned) -> Option<(Member, HandOver)> {
-        let claim = LinkRequest::Owner(OwnerRequest::Claim { upstream: addr });
+        let claim = LinkRequest::Owner(OwnerRequest::Claim {
+            upstream: addr,
+            id: rand::random(),
+        });
         for _ in 0..CLAIMS_MAX {
             let former = self.former_owner(owned)?;
             let links = Rc::clone(self.control.links());
@@ -293,9 +299,10 @@
         let path = Rc::clone(self);
         let up = Rc::clone(up);
         self.spawn("take_feeds", async move {
-            for record in state.feeds {
-                path.take_feed(&up, record).await;
-            }
+            let feeds = state.feeds.into_iter();
+            let tokens = feeds.filter_map(|record| path.take_feed(&up, record));
+            let tokens = tokens.collect();
+            path.register_feeds(&up, tokens).await;
             let upstream = up.addr();
             Event::new("feeds_taken_up")
                 .field("upstream", upstream)
@@ -305,25 +312,19 @@
         });
     }
 
-    /// Registers a feed of the former owner at the upstream again.
-    async fn take_feed(self: &Rc<Self>, up: &Rc<Upstream>, record: FeedRecord) {
-        let Ok(request) = Datagram::parse(&record.request) else {
-            return;
-        };
-        let Some((flow, start)) = up.flows.borrow_mut().resolve(record.flow) else {
-            return;
-        };
-        let now = Instant::now();
+    /// Keeps a feed of the former owner; gives its token unless the caller has registered again meanwhile.
+    fn take_feed(&self, up: &Rc<Upstream>, record: FeedRecord) -> Option<UpstreamToken> {
+        let request = Datagram::parse(&record.request).ok()?;
+        let (flow, start) = up.flows.borrow_mut().resolve(record.flow)?;
         let caller = CallerToken::of(record.caller, &request);
         if up.feeds.borrow().token(&caller).is_some() {
-            return;
+            return None;
         }
+        let now = Instant::now();
         let mut feed = Feed::new(caller, start.service, start.name, flow, request, now);
         feed.observe = record.observe;
         let token = up.next_token();
         up.feeds.borrow_mut().insert(token, feed);
-        if let Some(job) = self.registration(up, token) {
-            self.serve(&job).await;
-        }
+        Some(token)
     }
 }
--- a/crates/daemon/src/exchange/hand_over.rs
+++ b/crates/daemon/src/exchange/hand_over.rs
@@ -32,6 +32,7 @@
     OwnerRequest, //
 };
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::{
@@ -46,14 +47,26 @@
 /// Time after which a report that the next owner does not confirm is given up.
 const REPORT_LEASE: Duration = Duration::from_secs(10);
 
-/// Time for which a former owner passes notifications on while the next owner takes feeds up.
-const FEEDS_LEASE: Duration = Duration::from_secs(5);
+/// Time for which a former owner keeps the state that it gave and passes notifications on, unless the next owner
+/// has taken all up before. A claim is sent again for 5 s at most.
+const TAKE_UP_LEASE: Duration = Duration::from_secs(5);
+
+/// An upstream that was handed over, until the next owner has taken all of it up.
+pub struct HandedOver {
+    up: Rc<Upstream>,
+    /// The claim that it was given to.
+    claim: u64,
+    /// What was given, for the case that it did not arrive.
+    state: HandOver,
+    /// Set when the next owner has taken all up.
+    settled: Cell<bool>,
+}
 
 impl DataPath {
     /// Answers a claim of another daemon.
-    fn on_claim(self: &Rc<Self>, from: &Rc<str>, addr: SocketAddr) -> OwnerReply {
+    fn on_claim(self: &Rc<Self>, from: &Rc<str>, addr: SocketAddr, claim: u64) -> OwnerReply {
         let Some(up) = self.held(addr) else {
-            return OwnerReply::NotHeld;
+            return self.repeat_hand_over(from, addr, claim);
         };
         let owner = self.owner(up.key(), up.zone());
         if owner.is_none_or(|member| member.vm != *from) {
@@ -71,39 +84,64 @@
             .field("feeds", state.feeds.len())
             .field("in_use", state.in_use)
             .info();
-        self.end_ownership(up, from, state.in_use);
+        self.end_ownership(
+            HandedOver {
+                up,
+                claim,
+                state: state.clone(),
+                settled: Cell::new(false),
+            },
+            from,
+        );
         OwnerReply::HandOver(state)
     }
 
+    /// Answers a claim whose first answer may not have arrived.
+    fn repeat_hand_over(&self, to: &Rc<str>, addr: SocketAddr, claim: u64) -> OwnerReply {
+        let handed_over = self.handed_over.borrow();
+        let given = handed_over.get(&addr).filter(|given| given.claim == claim);
+        let Some(given) = given else {
+            return OwnerReply::NotHeld;
+        };
+        Event::new("upstream_handed_over_again")
+            .field("upstream", addr)
+            .field("to", to)
+            .info();
+        OwnerReply::HandOver(given.state.clone())
+    }
+
     /// Ends what is in progress at an upstream that was handed over, and reports it to the next owner.
-    fn end_ownership(self: &Rc<Self>, up: Rc<Upstream>, next: &Rc<str>, in_use: u32) {
+    fn end_ownership(self: &Rc<Self>, given: HandedOver, next: &Rc<str>) {
+        let given = Rc::new(given);
+        let up = Rc::clone(&given.up);
         up.set_handed_over();
-        up.load_mut().cap_slots(in_use, Instant::now());
+        up.load_mut().cap_slots(given.state.in_use, Instant::now());
         let path = Rc::clone(self);
         let next = Rc::clone(next);
         self.handed_over
             .borrow_mut()
-            .insert(up.addr(), Rc::clone(&up));
+            .insert(up.addr(), Rc::clone(&given));
         self.spawn("end_ownership", async move {
-            path.report_finished(&up, &next, in_use).await;
+            path.report_finished(&given, &next).await;
             up.socket().close();
             let mut handed_over = path.handed_over.borrow_mut();
             let same = handed_over
                 .get(&up.addr())
-                .is_some_and(|other| Rc::ptr_eq(other, &up));
+                .is_some_and(|other| Rc::ptr_eq(other, &given));
             if same {
                 handed_over.remove(&up.addr());
             }
         });
     }
 
-    async fn report_finished(&self, up: &Rc<Upstream>, next: &str, in_use: u32) {
+    async fn report_finished(&self, given: &HandedOver, next: &str) {
         let since = Instant::now();
-        let mut reports = Reports::new(up.addr(), in_use);
+        let up = &given.up;
+        let mut reports = Reports::new(up.addr(), given.state.in_use);
         loop {
             monoio::time::sleep(REPORT_PERIOD).await;
-            if since.elapsed() >= FEEDS_LEASE {
-                drop(up.feeds.borrow_mut().take());
+            if since.elapsed() >= TAKE_UP_LEASE || self.is_gone(next) {
+                given.settle();
             }
             let running = up.running();
             if let Some(report) = reports.next(running, || up.take_finished()) {
@@ -112,7 +150,7 @@
                     reports.confirm();
                 }
             }
-            if running == 0 && reports.is_done() && up.feeds.borrow().is_empty() {
+            if running == 0 && reports.is_done() && given.settled.get() {
                 return;
             }
         }
@@ -146,9 +184,15 @@
         }
     }
 
+    fn is_gone(&self, vm: &str) -> bool {
+        let members = self.control.members();
+        let member = members.get(vm);
+        member.is_none_or(|member| member.state == MemberState::Dead)
+    }
+
     fn on_settled(&self, addr: SocketAddr) {
-        if let Some(up) = self.handed_over.borrow().get(&addr) {
-            drop(up.feeds.borrow_mut().take());
+        if let Some(given) = self.handed_over.borrow().get(&addr) {
+            given.settle();
         }
     }
 
@@ -189,7 +233,7 @@
         request: OwnerRequest,
     ) -> OwnerReply {
         match request {
-            OwnerRequest::Claim { upstream } => self.on_claim(from, upstream),
+            OwnerRequest::Claim { upstream, id } => self.on_claim(from, upstream, id),
             OwnerRequest::Offer { upstream } => {
                 self.on_offer(upstream);
                 OwnerReply::Ok
@@ -209,6 +253,14 @@
     }
 }
 
+impl HandedOver {
+    /// The next owner has taken all up, or never will.
+    fn settle(&self) {
+        self.settled.set(true);
+        drop(self.up.feeds.borrow_mut().take());
+    }
+}
+
 /// Reports of one hand-over: each is sent until the next owner has confirmed it.
 struct Reports {
     upstream: SocketAddr,
--- a/crates/daemon/src/exchange/notification.rs
+++ b/crates/daemon/src/exchange/notification.rs
@@ -25,6 +25,10 @@
     },
     ticket::caller_tag, //
 };
+use futures::{
+    stream,
+    StreamExt, //
+};
 use std::{
     io,
     net::SocketAddr,
@@ -38,6 +42,9 @@
 /// Time within which a feed should be taken up again.
 const REGISTER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Feeds of one upstream that are registered again at a time: fewer than the slots of the users' upstreams.
+const REGISTRATIONS: usize = 3;
+
 impl DataPath {
     /// Reads the socket of an upstream until it fails.
     pub async fn read_upstream(self: Rc<Self>, up: Rc<Upstream>) -> io::Result<()> {
@@ -82,20 +89,28 @@
         up.on_refused();
     }
 
-    /// Registers all feeds of a restarted upstream again, one after the other.
+    /// Registers all feeds of a restarted upstream again.
     fn register_again(self: &Rc<Self>, up: &Rc<Upstream>) {
         let tokens = up.feeds.borrow().tokens_of(|_| true);
         let path = Rc::clone(self);
         let up = Rc::clone(up);
         self.spawn("register_again", async move {
-            for token in tokens {
-                if let Some(job) = path.registration(&up, token) {
-                    path.serve(&job).await;
-                }
-            }
+            path.register_feeds(&up, tokens).await;
         });
     }
 
+    /// Registers feeds at their upstream again, some at a time, so that a lost datagram delays few of them.
+    pub async fn register_feeds(self: &Rc<Self>, up: &Rc<Upstream>, tokens: Vec<UpstreamToken>) {
+        let register = |token| async move {
+            if let Some(job) = self.registration(up, token) {
+                self.serve(&job).await;
+            }
+        };
+        stream::iter(tokens)
+            .for_each_concurrent(REGISTRATIONS, register)
+            .await;
+    }
+
     /// The registration of a feed as a request to its upstream.
     pub fn registration(&self, up: &Rc<Upstream>, token: UpstreamToken) -> Option<Job> {
         let mut feeds = up.feeds.borrow_mut();
--- a/crates/daemon/src/exchange/path.rs
+++ b/crates/daemon/src/exchange/path.rs
@@ -4,6 +4,7 @@
     audit::Audit,
     exchange::{
         flow::FlowNumbers,
+        hand_over::HandedOver,
         number_hash::NumberState,
         owner::Holding,
         relay::Relay,
@@ -107,8 +108,8 @@
     pub services: RefCell<HashMap<u32, Rc<Service>, NumberState>>,
     /// Upstreams that this daemon owns, by their address.
     pub upstreams: RefCell<HashMap<SocketAddr, Holding>>,
-    /// Upstreams that were handed over and still have requests in progress here.
-    pub handed_over: RefCell<HashMap<SocketAddr, Rc<Upstream>>>,
+    /// Upstreams that were handed over and are not taken up yet, or still have requests in progress here.
+    pub handed_over: RefCell<HashMap<SocketAddr, Rc<HandedOver>>>,
     /// Supervisor of the long-lived tasks of the data path.
     pub supervisor: Supervisor,
     /// Timer service.
--- a/crates/daemon/tests/control/fleet.rs
+++ b/crates/daemon/tests/control/fleet.rs
@@ -264,6 +264,11 @@
         }
     }
 
+    /// Returns an address of the fleet's block, the one of daemon `index` unless that is a host of its own.
+    pub(crate) fn addr(&self, index: usize, port: u16) -> SocketAddr {
+        self.block.addr(index + 1, port)
+    }
+
     /// Starts all daemons, each with all others as peers.
     pub(crate) fn start_all(&self) -> Vec<Node> {
         let all = 0..self.zones.len();
--- a/crates/daemon/tests/control/main.rs
+++ b/crates/daemon/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Control part of several daemons in one process, over loopback.
 
+mod claims;
 mod copies;
 mod documents;
 mod faults;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -174,6 +174,8 @@
     Claim {
         /// Address of the upstream.
         upstream: SocketAddr,
+        /// Random number of the claim; it is the same each time the claim is sent again.
+        id: u64,
     },
     /// The sender holds an upstream that the receiver owns by the sender's view.
     Offer {
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -136,7 +136,7 @@
 pub(crate) fn owner_requests() -> Vec<OwnerRequest> {
     let upstream = UPSTREAM.parse().unwrap();
     vec![
-        OwnerRequest::Claim { upstream },
+        OwnerRequest::Claim { upstream, id: 9 },
         OwnerRequest::Settled { upstream },
         OwnerRequest::Finished(Finished {
             upstream,
