Let late openings wait 0.7 s each after a stop of all daemons, and not until a common end

Change: each waits 0.7 s from its own arrival. Test: openings_that_wait_go_in_the_order_in_which_they_came.

--- a/crates/policy/benches/placement/main.rs
+++ b/crates/policy/benches/placement/main.rs
@@ -3,6 +3,7 @@
 //! `cargo bench -p foxtailhinge-policy --bench placement [-- NAME...]` prints plain tables. Every
 //! policy of a table meets the same arrivals.
 
+mod herd;
 mod least_bad;
 mod report;
 mod scenarios;
--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -91,6 +91,10 @@
         name: "all-down",
         run: crate::least_bad::table,
     },
+    Entry {
+        name: "herd",
+        run: crate::herd::table,
+    },
     Entry {
         name: "scale",
         run: scale,
--- a/crates/policy/src/packets/thundering_herd.rs
+++ b/crates/policy/src/packets/thundering_herd.rs
@@ -2,15 +2,15 @@
 //!
 //! Callers repeat what was lost, so a daemon that starts in the middle of traffic first hears of requests whose time
 //! has passed together with new ones. For a moment there is more work than the upstreams' slots, and in the order of
-//! arrival the new requests would be late as well. Openings that cannot be in time any more therefore wait until
-//! that moment is over; they are few, and all others go at once.
+//! arrival the new requests would be late as well. Openings that cannot be in time any more therefore wait for as
+//! long as that moment lasts, each from its own arrival on, so that they do not go all at once; all others do not wait.
 
 use std::time::{
     Duration,
     Instant, //
 };
 
-/// How long the return of all callers lasts: a caller repeats its first packet after 200 ms and 600 ms, so within this
+/// How long the return of all callers lasts, and how long an opening waits in it: a caller repeats its first packet after 200 ms and 600 ms, so within this
 /// time each of them has been heard. It is also shorter than the 800 ms after which a caller gives an attempt up whose
 /// second copy waits.
 pub const RUSH: Duration = Duration::from_millis(700);
@@ -57,6 +57,6 @@
         let is_rush = self.copies >= COPIES_MIN && self.copies * COPIES_PART >= self.openings;
         let age = AGES[(copy as usize).min(AGES.len() - 1)];
         let is_late = copy > 0 && age + WORK >= aim;
-        (is_rush && is_late).then_some(over)
+        (is_rush && is_late).then_some(now + RUSH)
     }
 }
--- a/crates/policy/tests/packets/rush.rs
+++ b/crates/policy/tests/packets/rush.rs
@@ -76,6 +76,23 @@
     assert!(!waits(scene.open(11, 2)));
 }
 
+#[test]
+fn openings_that_wait_go_in_the_order_in_which_they_came() {
+    let (mut scene, _) = rush(10, 10);
+    let until = |verdict| match verdict {
+        Verdict::Wait { until } => until,
+        verdict => panic!("the opening does not wait: {verdict:?}"),
+    };
+    let first = until(scene.open(20_000, 2));
+    scene.after(100);
+    let second = until(scene.open(20_001, 2));
+    assert_eq!(
+        second - first,
+        Duration::from_millis(100),
+        "they do not go at once"
+    );
+}
+
 #[test]
 fn later_than_the_return_nothing_waits() {
     let (mut scene, _) = rush(10, 10);
