Soak the packet mode, and break the circles of imports

A package of its own, crates/soak: real daemons as processes, faults from outside them drawn from a seed (signals, a loopback proxy before the store and one before the packets, the store's own troubles, upstreams, zones, configurations), in series that overlap, and promises checked by what callers and upstreams saw.

Circles of imports: links with members, the exchange path, exchange with slot and upstream, members with rendezvous and revisions, fleet_view with status, caller with feed, builder with fleet: types that two files need stand in a file of their own (holding, handed_over, relayed, tasks, vouched, owners, daemon_report, start); no circle is left in any crate.

--- a/crates/ctl/src/fleet_view.rs
+++ b/crates/ctl/src/fleet_view.rs
@@ -1,9 +1,9 @@
 //! Text about several daemons: what they agree on stands once, with the daemons that say so.
 
 use crate::{
+    daemon_report::DaemonReport,
     daemon_view::print_section,
     rows,
-    status::DaemonReport,
     table::Table, //
 };
 use foxtailhinge_config::report::{
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod cli;
 mod completion;
+mod daemon_report;
 mod daemon_view;
 mod error;
 mod explain;
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -5,6 +5,7 @@
         AdminClient,
         AdminError, //
     },
+    daemon_report::DaemonReport,
     daemon_view,
     error::Outcome,
     fleet_view,
@@ -19,14 +20,6 @@
     daemons: Vec<DaemonReport>,
 }
 
-/// Answer of one daemon, or why there is none.
-#[derive(Serialize)]
-pub(crate) struct DaemonReport {
-    pub(crate) admin: SocketAddr,
-    pub(crate) status: Option<Status>,
-    pub(crate) error: Option<String>,
-}
-
 /// Prints what daemons know.
 pub(crate) fn run(
     admins: &[SocketAddr],
--- a/crates/daemon/benches/control/documents.rs
+++ b/crates/daemon/benches/control/documents.rs
@@ -16,7 +16,7 @@
     Control,
     Source, //
 };
-use foxtailhinge_policy::revisions::BUCKETS;
+use foxtailhinge_policy::rendezvous::BUCKETS;
 use foxtailhinge_wire::message::DocumentRecord;
 use std::{
     hint::black_box,
--- a/crates/daemon/benches/control/members.rs
+++ b/crates/daemon/benches/control/members.rs
@@ -13,7 +13,7 @@
         Members,
         MembersSpec, //
     },
-    rendezvous::OwnerCache,
+    owners::OwnerCache,
 };
 use rand::{
     rngs::SmallRng,
--- a/crates/daemon/src/exchange/call.rs
+++ b/crates/daemon/src/exchange/call.rs
@@ -3,9 +3,12 @@
 use crate::{
     exchange::{
         load::Outcome,
-        slot::Slot,
         token::UpstreamToken,
-        upstream::Upstream, //
+        upstream::{
+            Pending,
+            Slot,
+            Upstream, //
+        },
     },
     timer::Timer,
 };
@@ -24,9 +27,6 @@
     },
 };
 
-/// How long a request that was given up keeps its slot while the upstream may still run it.
-const ABANDONED_LEASE: Duration = Duration::from_secs(5);
-
 /// Path of an upstream's own health endpoint.
 const HEALTH_PATH: &str = "/health";
 
@@ -52,22 +52,6 @@
     Handled,
 }
 
-/// An exchange whose answer has not come.
-#[derive(Debug)]
-pub(super) struct Pending {
-    answer: Option<oneshot::Sender<Datagram>>,
-    /// The slot in use; probes use none.
-    slot: Option<Slot>,
-    pub(super) sent: Instant,
-}
-
-impl Pending {
-    /// Whether the upstream no longer runs the request, had it been lost.
-    fn is_over(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.sent) >= ABANDONED_LEASE
-    }
-}
-
 impl Upstream {
     /// Sends a request and waits for its answer; the slot stays in use until the upstream is done with it.
     ///
--- a/crates/daemon/src/exchange/claim.rs
+++ b/crates/daemon/src/exchange/claim.rs
@@ -10,11 +10,11 @@
             FlowStart,
             Flows, //
         },
+        holding::Holding,
         load::{
             Load,
             LoadSpec, //
         },
-        owner::Holding,
         path::DataPath,
         token::{
             CallerToken,
--- a/crates/daemon/src/exchange/hand_over.rs
+++ b/crates/daemon/src/exchange/hand_over.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     exchange::{
-        owner::Holding,
+        handed_over::HandedOver,
+        holding::Holding,
         path::DataPath,
         upstream::Upstream, //
     },
@@ -51,17 +52,6 @@
 /// has taken all up before. A claim is sent again for 5 s at most.
 const TAKE_UP_LEASE: Duration = Duration::from_secs(5);
 
-/// An upstream that was handed over, until the next owner has taken all of it up.
-pub struct HandedOver {
-    up: Rc<Upstream>,
-    /// The claim that it was given to.
-    claim: u64,
-    /// What was given, for the case that it did not arrive.
-    state: HandOver,
-    /// Set when the next owner has taken all up.
-    settled: Cell<bool>,
-}
-
 impl DataPath {
     /// Answers a claim of another daemon.
     fn on_claim(self: &Rc<Self>, from: &Rc<str>, addr: SocketAddr, claim: u64) -> OwnerReply {
@@ -253,14 +243,6 @@
     }
 }
 
-impl HandedOver {
-    /// The next owner has taken all up, or never will.
-    fn settle(&self) {
-        self.settled.set(true);
-        drop(self.up.feeds.borrow_mut().take());
-    }
-}
-
 /// Reports of one hand-over: each is sent until the next owner has confirmed it.
 struct Reports {
     upstream: SocketAddr,
--- a/crates/daemon/src/exchange/owner.rs
+++ b/crates/daemon/src/exchange/owner.rs
@@ -7,6 +7,7 @@
             FlowStart,
             Found, //
         },
+        holding::Holding,
         ingress::Arrived,
         path::DataPath,
         request::Job,
@@ -42,37 +43,12 @@
     },
 };
 
-/// Requests held while an upstream is claimed from its former owner.
-const HELD_MAX: usize = 256;
-
 /// How often daemons with differing views may pass a request on.
 const BOUNCES_MAX: u8 = 2;
 
 /// Time after which a draining upstream gets no requests of its flows any more.
 pub const DRAIN_GRACE: Duration = Duration::from_secs(2);
 
-/// How this daemon holds an upstream.
-#[derive(Debug)]
-pub enum Holding {
-    /// It owns it.
-    Held(Rc<Upstream>),
-    /// It has asked the former owner for it; requests that arrived since then wait.
-    Claiming(Vec<RelayMessage>),
-}
-
-impl Holding {
-    /// Keeps a message until the claim has ended; false when the upstream is held already or too many wait.
-    pub fn keep(&mut self, msg: RelayMessage) -> bool {
-        match self {
-            Holding::Claiming(waiting) if waiting.len() < HELD_MAX => {
-                waiting.push(msg);
-                true
-            }
-            Holding::Claiming(_) | Holding::Held(_) => false,
-        }
-    }
-}
-
 /// A request of a flow at its owner.
 struct FlowRequest<'a> {
     arrived: &'a Arrived<'a>,
--- a/crates/daemon/src/exchange/path.rs
+++ b/crates/daemon/src/exchange/path.rs
@@ -4,9 +4,9 @@
     audit::Audit,
     exchange::{
         flow::FlowNumbers,
-        hand_over::HandedOver,
+        handed_over::HandedOver,
+        holding::Holding,
         number_hash::NumberState,
-        owner::Holding,
         relay::Relay,
         service::Service,
         unheard::Unheard,
@@ -32,7 +32,7 @@
         Member,
         MemberState, //
     },
-    rendezvous::OwnerCache,
+    owners::OwnerCache,
 };
 use foxtailhinge_wire::{
     coap::Datagram,
--- a/crates/daemon/src/exchange/relay.rs
+++ b/crates/daemon/src/exchange/relay.rs
@@ -1,25 +1,19 @@
-//! The UDP relay between daemons.
+//! The UDP socket between daemons.
 
-use crate::{
-    exchange::path::DataPath,
-    members::prober::RelaySender,
-    socket::Socket, //
-};
-use foxtailhinge_wire::{
-    envelope::PeerKeys,
-    message::RelayMessage, //
-};
+use crate::socket::Socket;
+use foxtailhinge_wire::envelope::PeerKeys;
 use std::{
     io,
-    net::SocketAddr,
-    rc::Rc, //
+    net::SocketAddr, //
 };
 
 /// The relay's socket and the keys that seal its datagrams.
 #[derive(Debug)]
 pub struct Relay {
-    socket: Socket,
-    keys: PeerKeys,
+    /// The socket.
+    pub socket: Socket,
+    /// The keys.
+    pub keys: PeerKeys,
 }
 
 impl Relay {
@@ -31,39 +25,3 @@
         })
     }
 }
-
-impl DataPath {
-    /// Reads the relay until its socket fails.
-    pub async fn read_relay(self: Rc<Self>) -> io::Result<()> {
-        let handle = |buf: &[u8], from| self.on_sealed(buf, from);
-        self.relay.socket.read_each(handle, || {}).await
-    }
-
-    fn on_sealed(self: &Rc<Self>, buf: &[u8], addr: SocketAddr) {
-        let Ok(opened) = self.relay.keys.open::<RelayMessage>(self.me, buf) else {
-            self.metrics.peers_refused.inc();
-            return;
-        };
-        if self.control.is_denied_hash(opened.from) {
-            return;
-        }
-        self.metrics.relay_received.inc();
-        self.prober().on_heard(opened.from);
-        self.on_relay(opened.from, addr, opened.message);
-    }
-
-    /// Seals and sends a message to the daemon with this hash of its VM id.
-    pub fn send_to(&self, to: u32, addr: SocketAddr, msg: &RelayMessage) {
-        if self.control.is_denied_hash(to) {
-            return;
-        }
-        let sealed = self.relay.keys.seal(self.me, self.incarnation, to, msg);
-        self.relay.socket.send_to(&sealed, addr);
-    }
-}
-
-impl RelaySender for Rc<DataPath> {
-    fn send(&self, to: u32, addr: SocketAddr, message: &RelayMessage) {
-        self.send_to(to, addr, message);
-    }
-}
--- a/crates/daemon/src/exchange/slot.rs
+++ b/crates/daemon/src/exchange/slot.rs
@@ -1,7 +1,10 @@
 //! Slots of an upstream: who may send to it now, and who waits.
 
 use crate::{
-    exchange::upstream::Upstream,
+    exchange::upstream::{
+        Slot,
+        Upstream, //
+    },
     timer::Timer, //
 };
 use foxtailhinge_policy::admission::{
@@ -9,14 +12,7 @@
     Start, //
 };
 use local_sync::oneshot;
-use std::{
-    cell::Cell,
-    rc::Rc,
-    time::{
-        Duration,
-        Instant, //
-    },
-};
+use std::{rc::Rc, time::Instant};
 
 /// Why a request got no slot; it was not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,33 +23,6 @@
     HandedOver,
 }
 
-/// A slot of the upstream in use; dropping it gives it back.
-#[derive(Debug)]
-pub struct Slot {
-    upstream: Rc<Upstream>,
-    /// Time that the request took, once it was answered.
-    pub(super) service_time: Cell<Option<Duration>>,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        self.upstream
-            .load_mut()
-            .finish(now, self.service_time.get());
-        self.upstream.promote(now);
-    }
-}
-
-impl Slot {
-    fn new(upstream: &Rc<Upstream>) -> Slot {
-        Slot {
-            upstream: Rc::clone(upstream),
-            service_time: Cell::new(None),
-        }
-    }
-}
-
 impl Upstream {
     /// Waits for a slot until `deadline`; `feed` when the request registers for a feed.
     ///
--- a/crates/daemon/src/exchange/table.rs
+++ b/crates/daemon/src/exchange/table.rs
@@ -3,7 +3,7 @@
 use crate::{
     audit::AuditEvent,
     exchange::{
-        owner::Holding,
+        holding::Holding,
         path::DataPath,
         service::Service,
         upstream::Upstream, //
--- a/crates/daemon/src/exchange/upstream.rs
+++ b/crates/daemon/src/exchange/upstream.rs
@@ -2,12 +2,10 @@
 
 use crate::{
     exchange::{
-        call::Pending,
         feed::Feeds,
         flow::Flows,
         load::Load,
         number_hash::NumberState,
-        slot::Slot,
         token::{
             CallerToken,
             UpstreamToken, //
@@ -49,6 +47,9 @@
 /// Shortest time that a restart of an upstream takes, as seen by what was sent before it.
 const RESTART_MIN: Duration = Duration::from_secs(1);
 
+/// How long a request that was given up keeps its slot while the upstream may still run it.
+const ABANDONED_LEASE: Duration = Duration::from_secs(5);
+
 /// An upstream, by its address.
 #[derive(Debug)]
 pub struct Upstream {
@@ -291,3 +292,46 @@
         self.promote(now);
     }
 }
+
+/// A slot of the upstream in use; dropping it gives it back.
+#[derive(Debug)]
+pub struct Slot {
+    upstream: Rc<Upstream>,
+    /// Time that the request took, once it was answered.
+    pub(super) service_time: Cell<Option<Duration>>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.upstream
+            .load_mut()
+            .finish(now, self.service_time.get());
+        self.upstream.promote(now);
+    }
+}
+
+impl Slot {
+    pub(super) fn new(upstream: &Rc<Upstream>) -> Slot {
+        Slot {
+            upstream: Rc::clone(upstream),
+            service_time: Cell::new(None),
+        }
+    }
+}
+
+/// An exchange whose answer has not come.
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub(super) answer: Option<oneshot::Sender<Datagram>>,
+    /// The slot in use; probes use none.
+    pub(super) slot: Option<Slot>,
+    pub(super) sent: Instant,
+}
+
+impl Pending {
+    /// Whether the upstream no longer runs the request, had it been lost.
+    pub(super) fn is_over(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.sent) >= ABANDONED_LEASE
+    }
+}
--- a/crates/daemon/src/links/message.rs
+++ b/crates/daemon/src/links/message.rs
@@ -5,10 +5,12 @@
     Decode,
     Encode, //
 };
-use foxtailhinge_policy::revisions::{
-    Digest,
-    DigestEntry,
-    BUCKETS, //
+use foxtailhinge_policy::{
+    rendezvous::BUCKETS,
+    revisions::{
+        Digest,
+        DigestEntry, //
+    },
 };
 use foxtailhinge_wire::message::{
     DocumentRecord,
--- a/crates/daemon/src/members/control.rs
+++ b/crates/daemon/src/members/control.rs
@@ -4,24 +4,12 @@
     counters::ControlCounters,
     deny::Deny,
     event::ControlEvent,
-    fence::Vouched,
-    prober::{
-        Prober,
-        RelaySender, //
-    },
     record,
     settings::ControlSettings,
+    vouched::Vouched, //
 };
 use crate::{
-    links::{
-        compare,
-        push,
-        server,
-        LinkHandler,
-        Links,
-        Server, //
-    },
-    platform::Reader,
+    links::Links,
     wake::Wake, //
 };
 use foxtailhinge_config::{
@@ -43,7 +31,6 @@
     revisions::Documents,
 };
 use foxtailhinge_wire::message::MemberUpdate;
-use futures::join;
 use rand::{
     rngs::SmallRng,
     SeedableRng, //
@@ -55,7 +42,7 @@
         RefCell,
         RefMut, //
     },
-    fmt, io,
+    fmt,
     rc::Rc,
     time::Instant,
 };
@@ -144,30 +131,6 @@
         })
     }
 
-    /// Runs all control tasks; ends only when the control address cannot be bound.
-    pub async fn run<S, H>(
-        self: Rc<Self>,
-        prober: Rc<Prober<S>>,
-        handler: Rc<H>,
-    ) -> Result<(), io::Error>
-    where
-        S: RelaySender + 'static,
-        H: LinkHandler + 'static,
-    {
-        let listener = server::bind(self.settings.control)?;
-        let server = Server::new(self.clone(), handler);
-        let reader = Reader::new(self.clone());
-        join!(
-            server.run(listener),
-            prober.run(),
-            reader.run(),
-            compare::run(self.clone()),
-            push::run(self.clone()),
-            self.watch_pauses(),
-        );
-        Ok(())
-    }
-
     /// Returns the settings.
     pub fn settings(&self) -> &ControlSettings {
         &self.settings
--- a/crates/daemon/src/members/fence.rs
+++ b/crates/daemon/src/members/fence.rs
@@ -27,13 +27,6 @@
     PlatformAlone,
 }
 
-/// When others last vouched for this daemon without being enough alone.
-#[derive(Debug, Default)]
-pub(crate) struct Vouched {
-    peer: Cell<Option<Instant>>,
-    platform: Cell<Option<Instant>>,
-}
-
 impl Control {
     /// Records a sync that began at `began`.
     pub(crate) fn synced(&self, by: Voucher, began: Instant) {
--- a/crates/daemon/src/members/mod.rs
+++ b/crates/daemon/src/members/mod.rs
@@ -9,6 +9,8 @@
 pub mod prober;
 pub mod record;
 pub mod settings;
+mod tasks;
+mod vouched;
 
 pub use self::{
     control::{
--- a/crates/daemon/tests/control/messages.rs
+++ b/crates/daemon/tests/control/messages.rs
@@ -12,7 +12,7 @@
     LinkReply,
     LinkRequest, //
 };
-use foxtailhinge_policy::revisions::BUCKETS;
+use foxtailhinge_policy::rendezvous::BUCKETS;
 use foxtailhinge_wire::{
     envelope::PeerKeys,
     message::{
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod ledger;
 pub mod members;
+pub mod owners;
 pub mod packets;
 pub mod pause;
 pub mod placement;
--- a/crates/policy/src/members.rs
+++ b/crates/policy/src/members.rs
@@ -8,13 +8,11 @@
 //! time would compare the clocks of two machines. A restarted VM starts at version 1, learns the
 //! record of its earlier life from the first peer that answers it, and takes the next version.
 
-use crate::{
-    rendezvous::{
-        mix,
-        score_keys,
-        NameKey, //
-    },
-    revisions::BUCKETS,
+use crate::rendezvous::{
+    mix,
+    score_keys,
+    NameKey,
+    BUCKETS, //
 };
 use rand::{
     seq::{
--- /dev/null
+++ b/crates/policy/src/owners.rs
@@ -0,0 +1,53 @@
+//! Owners that were computed before.
+
+use crate::members::Members;
+use std::{
+    collections::HashMap,
+    rc::Rc, //
+};
+
+/// Owners already computed, each valid for one version of its zone's live members.
+#[derive(Debug, Default)]
+pub struct OwnerCache {
+    owners: HashMap<Rc<str>, CachedOwner>,
+}
+
+#[derive(Debug)]
+struct CachedOwner {
+    zone_version: u64,
+    vm: Option<Rc<str>>,
+}
+
+impl OwnerCache {
+    /// Returns the owner of `upstream` among the live members of `zone`.
+    pub fn owner(&mut self, members: &Members, upstream: &Rc<str>, zone: &str) -> Option<Rc<str>> {
+        let zone_version = members.zone_version(zone);
+        if let Some(cached) = self.owners.get(upstream) {
+            if cached.zone_version == zone_version {
+                return cached.vm.clone();
+            }
+        }
+        let vm = members.owner(upstream, zone).map(|m| m.vm.clone());
+        let cached = CachedOwner {
+            zone_version,
+            vm: vm.clone(),
+        };
+        self.owners.insert(upstream.clone(), cached);
+        vm
+    }
+
+    /// Forgets an upstream that no document names any more.
+    pub fn forget(&mut self, upstream: &str) {
+        self.owners.remove(upstream);
+    }
+
+    /// Returns the number of upstreams held.
+    pub fn len(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Returns whether no upstream is held.
+    pub fn is_empty(&self) -> bool {
+        self.owners.is_empty()
+    }
+}
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -4,16 +4,11 @@
 //! member moves only the upstreams that it owned. The hash is fixed by this module (FNV-1a over
 //! the name, then the SplitMix64 finaliser), because daemons of different builds have to agree.
 
-use crate::{
-    members::Members,
-    revisions::BUCKETS, //
-};
 use smallvec::SmallVec;
-use std::{
-    cmp::Reverse,
-    collections::HashMap,
-    rc::Rc, //
-};
+use std::cmp::Reverse;
+
+/// Number of groups into which names are divided to compare two sets cheaply.
+pub const BUCKETS: usize = 64;
 
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
@@ -78,49 +73,3 @@
     scored.sort_unstable();
     scored.into_iter().take(n).map(|(_, vm)| vm).collect()
 }
-
-/// Owners already computed, each valid for one version of its zone's live members.
-#[derive(Debug, Default)]
-pub struct OwnerCache {
-    owners: HashMap<Rc<str>, CachedOwner>,
-}
-
-#[derive(Debug)]
-struct CachedOwner {
-    zone_version: u64,
-    vm: Option<Rc<str>>,
-}
-
-impl OwnerCache {
-    /// Returns the owner of `upstream` among the live members of `zone`.
-    pub fn owner(&mut self, members: &Members, upstream: &Rc<str>, zone: &str) -> Option<Rc<str>> {
-        let zone_version = members.zone_version(zone);
-        if let Some(cached) = self.owners.get(upstream) {
-            if cached.zone_version == zone_version {
-                return cached.vm.clone();
-            }
-        }
-        let vm = members.owner(upstream, zone).map(|m| m.vm.clone());
-        let cached = CachedOwner {
-            zone_version,
-            vm: vm.clone(),
-        };
-        self.owners.insert(upstream.clone(), cached);
-        vm
-    }
-
-    /// Forgets an upstream that no document names any more.
-    pub fn forget(&mut self, upstream: &str) {
-        self.owners.remove(upstream);
-    }
-
-    /// Returns the number of upstreams held.
-    pub fn len(&self) -> usize {
-        self.owners.len()
-    }
-
-    /// Returns whether no upstream is held.
-    pub fn is_empty(&self) -> bool {
-        self.owners.is_empty()
-    }
-}
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -7,6 +7,7 @@
 use crate::rendezvous::{
     mix,
     NameKey, //
+    BUCKETS,
 };
 use serde::{
     Deserialize,
@@ -18,9 +19,6 @@
     rc::Rc, //
 };
 
-/// Number of groups into which services are divided to compare two sets cheaply.
-pub const BUCKETS: usize = 64;
-
 /// Outcome of an offered document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
--- a/crates/policy/tests/rendezvous.rs
+++ b/crates/policy/tests/rendezvous.rs
@@ -7,11 +7,11 @@
         Members,
         MembersSpec, //
     },
+    owners::OwnerCache,
     rendezvous::{
         owner,
         ranked,
-        score,
-        OwnerCache, //
+        score, //
     },
 };
 use std::{
--- /dev/null
+++ b/crates/soak/examples/soak.rs
@@ -0,0 +1,145 @@
+//! Plays seeds one after the other or some at a time, and prints what came of each.
+
+use anyhow::Context;
+use bpaf::Bpaf;
+use foxtailhinge_soak::{
+    Stage,
+    StageSpec,
+    Verdict, //
+};
+use foxtailhinge_standins::fleet::{
+    Deployment,
+    Program, //
+};
+use std::{
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::ExitCode,
+    sync::atomic::{
+        AtomicU64,
+        AtomicUsize,
+        Ordering, //
+    },
+    thread,
+    time::Duration, //
+};
+
+/// Play randomized faults against real daemons
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// First seed
+    #[bpaf(argument("SEED"), fallback(1))]
+    first: u64,
+    /// Number of seeds
+    #[bpaf(argument("NUMBER"), fallback(10))]
+    seeds: u64,
+    /// Seeds that are played at a time
+    #[bpaf(argument("NUMBER"), fallback(2))]
+    jobs: usize,
+    /// Seconds in which faults come
+    #[bpaf(argument("SECONDS"), fallback(14))]
+    seconds: u64,
+    /// Number of daemons
+    #[bpaf(argument("NUMBER"), fallback(8))]
+    daemons: usize,
+    /// Deployment: kalahari or southern-cross; without it the seeds take turns
+    #[bpaf(argument("NAME"), optional)]
+    deployment: Option<Deployment>,
+    /// Show the faults of the seeds and play nothing
+    list: bool,
+    /// The daemon's program; without it the one that was built beside this
+    #[bpaf(argument("PATH"), optional)]
+    program: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match run(&options().run()) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("{err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &Options) -> anyhow::Result<ExitCode> {
+    let program = match &options.program {
+        Some(path) => path.clone(),
+        None => beside()?,
+    };
+    if options.list {
+        for seed in options.first..options.first + options.seeds {
+            let lines = Stage::list(&spec(options, &program, seed), seed);
+            println!("seed {seed}:\n  {}", lines.join("\n  "));
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
+    let next = AtomicU64::new(options.first);
+    let (broken, failed) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    thread::scope(|scope| {
+        for _ in 0..options.jobs {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= options.first + options.seeds {
+                    return;
+                }
+                match play(options, &program, seed) {
+                    Ok(verdict) => {
+                        println!("{verdict}");
+                        broken.fetch_add(usize::from(!verdict.is_kept()), Ordering::Relaxed);
+                    }
+                    Err(err) => {
+                        println!("seed {seed} was not played: {err:#}");
+                        failed.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    let (broken, failed) = (broken.into_inner(), failed.into_inner());
+    println!(
+        "{} seeds: {broken} broke a promise, {failed} were not played",
+        options.seeds
+    );
+    Ok(match broken + failed {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    })
+}
+
+fn play(options: &Options, program: &Path, seed: u64) -> anyhow::Result<Verdict> {
+    Stage::play(&spec(options, program, seed), seed)
+}
+
+fn spec(options: &Options, program: &Path, seed: u64) -> StageSpec {
+    let turn = match seed % 2 {
+        1 => Deployment::Kalahari,
+        _ => Deployment::SouthernCross,
+    };
+    let program = Program {
+        path: program.to_owned(),
+        args: Vec::new(),
+    };
+    let mut spec = StageSpec::new(program, options.deployment.unwrap_or(turn));
+    spec.daemons = options.daemons;
+    spec.time = Duration::from_secs(options.seconds);
+    spec
+}
+
+/// The daemon's program of the same build: examples lie in a directory beside it.
+fn beside() -> anyhow::Result<PathBuf> {
+    let example = std::env::current_exe()?;
+    let dir = example.parent().and_then(|dir| dir.parent());
+    let path = dir
+        .context("this program has no directory")?
+        .join("foxtailhinge");
+    anyhow::ensure!(
+        path.exists(),
+        "Build the daemon first, or name it by --program; there is none at {}.",
+        path.display()
+    );
+    Ok(path)
+}
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     caller::exchange::Exchange,
-    feed::Feed,
     message,
     socket,
     upstream::body::{
@@ -173,7 +172,7 @@
 
 /// A caller that holds one flow of one service.
 pub struct Caller {
-    shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
 }
 
 impl Caller {
@@ -228,11 +227,6 @@
         self.request(RequestType::Post, path, payload, within)
     }
 
-    /// Holds a feed open until it is dropped.
-    pub fn feed(&self, path: &str) -> Feed {
-        Feed::open(self.shared.clone(), path)
-    }
-
     /// Sends a request and returns what became of it.
     pub fn request(
         &self,
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -3,6 +3,7 @@
 use crate::{
     caller::{
         self,
+        Caller,
         Prepared,
         Shared, //
     },
@@ -116,7 +117,7 @@
 }
 
 impl Feed {
-    pub(crate) fn open(caller: Arc<Shared>, path: &str) -> Self {
+    fn open(caller: Arc<Shared>, path: &str) -> Self {
         let inner = Arc::new(Inner {
             stats: Mutex::default(),
             ended: AtomicBool::new(false),
@@ -147,6 +148,13 @@
     }
 }
 
+impl Caller {
+    /// Holds a feed open until it is dropped.
+    pub fn feed(&self, path: &str) -> Feed {
+        Feed::open(self.shared.clone(), path)
+    }
+}
+
 impl Drop for Feed {
     fn drop(&mut self) {
         self.inner.ended.store(true, Ordering::Relaxed);
--- a/crates/standins/src/fleet/block.rs
+++ b/crates/standins/src/fleet/block.rs
@@ -130,7 +130,9 @@
 
     /// Returns the address at which a daemon finds the store of entries.
     pub(crate) fn store(&self, daemon: usize) -> SocketAddr {
-        SocketAddr::new(self.ip(FIRST_STORE + daemon as u8), PLATFORM_PORT)
+        let hosts = usize::from(PLATFORM - FIRST_STORE);
+        let ip = self.ip(FIRST_STORE + (daemon % hosts) as u8);
+        SocketAddr::new(ip, PLATFORM_PORT + (daemon / hosts) as u16)
     }
 
     pub(crate) fn platform(&self) -> SocketAddr {
--- a/crates/standins/src/fleet/daemon.rs
+++ b/crates/standins/src/fleet/daemon.rs
@@ -98,6 +98,15 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// The most memory that the process has used, in kilobytes.
+    pub(crate) fn memory_kb(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid()?)).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let Some(pid) = self.pid() else {
             return;
--- a/crates/standins/src/packets/fleet.rs
+++ b/crates/standins/src/packets/fleet.rs
@@ -62,6 +62,7 @@
     pub(super) program: Program,
     pub(super) daemons: Vec<Daemon>,
     pub(super) version: u64,
+    pub(super) keep_logs: bool,
     /// The store, to write to and to break.
     pub store: Store,
     /// The routers.
@@ -235,6 +236,27 @@
         self.daemons[index].wait(SOON)
     }
 
+    /// The exit status of a daemon that has ended since the last look.
+    pub fn ended(&mut self, index: usize) -> Option<ExitStatus> {
+        self.daemons[index].ended()
+    }
+
+    /// The most memory that a running daemon has used, in kilobytes.
+    pub fn memory_kb(&self, index: usize) -> Option<u64> {
+        self.daemons[index].memory_kb()
+    }
+
+    /// Name of a service, counted from zero.
+    pub fn service(&self, index: usize) -> &'static str {
+        self.builder.deployment.services()[index]
+    }
+
+    /// Keeps the daemons' logs after the fleet's end, and tells where.
+    pub fn keep_logs(&mut self) -> PathBuf {
+        self.keep_logs = true;
+        self.dir.clone()
+    }
+
     /// Kills a daemon.
     pub fn kill(&mut self, index: usize) {
         self.daemons[index].kill();
@@ -400,7 +422,9 @@
             upstream.end();
         }
         self.store.end();
-        // What is left behind lies in the directory for temporary files.
-        let _ = fs::remove_dir_all(&self.dir);
+        if !self.keep_logs {
+            // What is left behind lies in the directory for temporary files.
+            let _ = fs::remove_dir_all(&self.dir);
+        }
     }
 }
--- a/crates/standins/src/packets/mod.rs
+++ b/crates/standins/src/packets/mod.rs
@@ -6,5 +6,6 @@
 pub mod fleet;
 pub mod results;
 pub mod segment;
+mod start;
 pub mod store;
 pub mod upstream;
--- a/crates/wire/benches/ticket.rs
+++ b/crates/wire/benches/ticket.rs
@@ -16,7 +16,7 @@
         Members,
         MembersSpec, //
     },
-    rendezvous::OwnerCache, //
+    owners::OwnerCache, //
 };
 use foxtailhinge_wire::{
     coap::{
