Reset flows on an upstream that answers nobody, where requests may be repeated

Change: packets::dead_upstream. Two callers on different VMs without an answer for 0.55 s or two aims of the route, and no answer seen meanwhile: dead for 3 s. One caller is enough when the entry has gone. Idempotent routes only.

--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -40,6 +40,8 @@
     Waits,
     /// Its flow was reset since it has no route.
     ResetNoRoute,
+    /// Its flow was reset, since its upstream seems to have died.
+    ResetDeadUpstream,
     /// Nothing was known yet.
     DroppedNoView,
     /// No route was known, and the view was too old to be sure.
@@ -61,6 +63,7 @@
         Self::Forwarded,
         Self::Waits,
         Self::ResetNoRoute,
+        Self::ResetDeadUpstream,
         Self::DroppedNoView,
         Self::DroppedUncertainRoute,
         Self::DroppedUnknownLabel,
@@ -79,6 +82,7 @@
             Self::Forwarded => "forwarded",
             Self::Waits => "waits",
             Self::ResetNoRoute => "reset_no_route",
+            Self::ResetDeadUpstream => "reset_dead_upstream",
             Self::DroppedNoView => "dropped_no_view",
             Self::DroppedUncertainRoute => "dropped_uncertain_route",
             Self::DroppedUnknownLabel => "dropped_unknown_label",
@@ -96,6 +100,7 @@
             Verdict::Forward { .. } => Self::Forwarded,
             Verdict::Wait { .. } => Self::Waits,
             Verdict::Reset(ResetReason::NoRoute) => Self::ResetNoRoute,
+            Verdict::Reset(ResetReason::DeadUpstream) => Self::ResetDeadUpstream,
             Verdict::Drop(DropReason::NoView) => Self::DroppedNoView,
             Verdict::Drop(DropReason::UncertainRoute) => Self::DroppedUncertainRoute,
             Verdict::Drop(DropReason::UnknownLabel) => Self::DroppedUnknownLabel,
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -163,12 +163,12 @@
 
     fn observe(&self, sign: Sign, now: Instant) {
         match sign {
-            Sign::Answered(Some(asked)) => {
+            Sign::Answered(Some(asked)) | Sign::Asked(Some(asked)) => {
                 let took = now.saturating_duration_since(asked);
                 self.metrics.answer_seconds.observe(took.as_secs_f64());
             }
             Sign::Repeated(_) => self.metrics.repeats.inc(),
-            Sign::Answered(None) | Sign::Asked | Sign::Nothing => (),
+            Sign::Answered(None) | Sign::Asked(None) | Sign::Nothing => (),
         }
     }
 
@@ -264,6 +264,7 @@
 fn log_belief(belief: Belief, packet: &Packet) {
     let (name, id) = match belief {
         Belief::Silent(id) => ("upstream_silent", id),
+        Belief::Dead(id) => ("upstream_dead", id),
         Belief::Answers(id) => ("upstream_answers", id),
     };
     Event::new(name)
--- a/crates/daemon/tests/packets/upstreams.rs
+++ b/crates/daemon/tests/packets/upstreams.rs
@@ -63,6 +63,32 @@
     );
 }
 
+#[test]
+fn feeds_of_an_upstream_that_dies_go_on_elsewhere() {
+    let mut scene = Scene::start().load_of_one_zone(6);
+    scene.run(1_500).upstreams[0].silence();
+    let died = Instant::now();
+    scene.run(4_000);
+    let end = Instant::now();
+    let report = scene.finish();
+    assert_eq!(
+        report.broken(),
+        0,
+        "feeds of other upstreams are left alone"
+    );
+    assert!(
+        report.resets_of_gone() > 0,
+        "feeds of the dead one are reset"
+    );
+    let unanswered = report.unanswered_of(died, end);
+    assert!(
+        unanswered <= 1,
+        "{unanswered} requests of feeds had no answer"
+    );
+    let dead = (0..scene.len()).flat_map(|index| scene.events(index, "upstream_dead"));
+    assert!(dead.count() > 0);
+}
+
 #[test]
 fn an_address_that_is_used_again_gets_nothing_of_the_old_upstream() {
     let mut scene = Scene::start().load(6, 10.0);
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -5,7 +5,14 @@
         Choice,
         Chooser, //
     },
-    directory::Directory,
+    dead_upstream::{
+        DeadUpstreams,
+        Unanswered, //
+    },
+    directory::{
+        Directory,
+        Known, //
+    },
     entry::{
         Route,
         UpstreamId, //
@@ -41,6 +48,8 @@
 pub enum ResetReason {
     /// No route has its address and port.
     NoRoute,
+    /// Its upstream seems to have died, and its request may be repeated elsewhere.
+    DeadUpstream,
 }
 
 /// Why a packet is dropped.
@@ -86,6 +95,8 @@
 pub enum Belief {
     /// It refused an opening packet, or left it unanswered.
     Silent(UpstreamId),
+    /// It answers nobody, and its flows are reset.
+    Dead(UpstreamId),
     /// It answers again.
     Answers(UpstreamId),
 }
@@ -98,6 +109,7 @@
     openings: Openings,
     flows: Flows,
     silence: Silence,
+    dead: DeadUpstreams,
     herd: ThunderingHerd,
     beliefs: Vec<Belief>,
 }
@@ -111,6 +123,7 @@
             openings: Openings::default(),
             flows: Flows::default(),
             silence: Silence::default(),
+            dead: DeadUpstreams::default(),
             herd: ThunderingHerd::default(),
             beliefs: Vec::new(),
         }
@@ -132,10 +145,10 @@
         let route = cfg.routes.get(&packet.flow.route);
         match (packet.kind, route) {
             (Kind::Open, Some(route)) => self.open(packet, route, directory, now),
-            (Kind::Reset, _) | (_, Some(_)) => self.go_on(packet, directory, now),
+            (Kind::Reset, _) | (_, Some(_)) => self.go_on(packet, route, directory, now),
             (_, None) if is_fresh => Verdict::Reset(ResetReason::NoRoute),
             (Kind::Open, None) => Verdict::Drop(DropReason::UncertainRoute),
-            (_, None) => self.go_on(packet, directory, now),
+            (_, None) => self.go_on(packet, None, directory, now),
         }
     }
 
@@ -163,6 +176,7 @@
     pub fn forget(&mut self, idle: Duration, now: Instant) {
         self.openings.forget(now);
         self.silence.forget(now);
+        self.dead.forget(now);
         self.flows.forget(idle, now);
     }
 
@@ -216,18 +230,24 @@
     }
 
     /// Sends a packet of an open flow to the upstream that its label names.
-    fn go_on(&mut self, packet: &Packet, directory: &Directory, now: Instant) -> Verdict {
+    fn go_on(
+        &mut self,
+        packet: &Packet,
+        route: Option<&Route>,
+        directory: &Directory,
+        now: Instant,
+    ) -> Verdict {
         let ids = directory.with_label(packet.label);
         let Some((id, known)) = ids.first().and_then(|id| Some((*id, directory.get(*id)?))) else {
             return Verdict::Drop(DropReason::UnknownLabel);
         };
         let sign = self.flows.note(packet, id, now);
-        let asked = match (self.openings.opened(packet.flow, id), sign) {
-            (Some(at), _) | (None, Sign::Answered(Some(at))) => Some(at),
-            (None, _) => None,
-        };
-        if asked.is_some_and(|at| self.silence.answered(id, at)) {
-            self.beliefs.push(Belief::Answers(id));
+        self.learn_from(packet, id, sign, now);
+        if let Some(route) = route.filter(|route| route.is_idempotent) {
+            if self.is_hanging(packet, (id, known), sign, route.aim, now) {
+                self.flows.end(packet.flow, id);
+                return Verdict::Reset(ResetReason::DeadUpstream);
+            }
         }
         Verdict::Forward {
             id,
@@ -235,6 +255,47 @@
             sign,
         }
     }
+
+    /// Learns from a packet whether its upstream answers.
+    fn learn_from(&mut self, packet: &Packet, id: UpstreamId, sign: Sign, now: Instant) {
+        let opened = self.openings.opened(packet.flow, id);
+        let answered = match sign {
+            Sign::Answered(at) | Sign::Asked(at) => at,
+            Sign::Repeated(_) | Sign::Nothing => None,
+        };
+        let Some(asked) = opened.or(answered) else {
+            return;
+        };
+        let was_dead = self.dead.answered(id, now);
+        if self.silence.answered(id, asked) || was_dead {
+            self.beliefs.push(Belief::Answers(id));
+        }
+    }
+
+    /// Whether a request waits for an upstream that seems to have died.
+    fn is_hanging(
+        &mut self,
+        packet: &Packet,
+        (id, known): (UpstreamId, &Known),
+        sign: Sign,
+        aim: Duration,
+        now: Instant,
+    ) -> bool {
+        let asked = self.flows.unanswered(packet.flow, id);
+        if let (Sign::Repeated(_), Some(asked)) = (sign, asked) {
+            let request = Unanswered {
+                caller: *packet.flow.caller.ip(),
+                since: asked.first,
+                aim,
+                is_unlisted: known.is_gone(now),
+            };
+            if self.dead.note(id, request, now) {
+                self.silence.note(id, asked.first, now);
+                self.beliefs.push(Belief::Dead(id));
+            }
+        }
+        packet.len > 0 && self.dead.is_dead(id, now)
+    }
 }
 
 /// Draws a service of the route by weight.
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -53,8 +53,12 @@
 impl Known {
     /// Whether new flows may go there by its own word.
     pub fn serves(&self, now: Instant) -> bool {
-        let listed = self.unlisted.is_none() || self.lapses.is_some_and(|until| now < until);
-        listed && self.upstream.state == UpstreamState::Serving
+        !self.is_gone(now) && self.upstream.state == UpstreamState::Serving
+    }
+
+    /// Whether its entry has gone, and not just lapsed in an outage.
+    pub fn is_gone(&self, now: Instant) -> bool {
+        self.unlisted.is_some() && self.lapses.is_none_or(|until| now >= until)
     }
 
     /// Whether it is still cold.
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -70,6 +70,8 @@
     pub targets: SmallVec<[Target; 2]>,
     /// Time in which a request is to be answered.
     pub aim: Duration,
+    /// Whether running a request twice has the effect of running it once.
+    pub is_idempotent: bool,
 }
 
 /// The newest configuration in full.
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -73,8 +73,8 @@
 pub enum Sign {
     /// The upstream has answered what was asked at the time given.
     Answered(Option<Instant>),
-    /// A request goes to the upstream for the first time.
-    Asked,
+    /// A request goes to the upstream for the first time; the one before is answered that was asked at the time given.
+    Asked(Option<Instant>),
     /// A packet came again.
     Repeated(u32),
     /// Nothing new.
@@ -102,7 +102,10 @@
             self.insert(packet, now);
             return match packet.len {
                 0 => Sign::Nothing,
-                _ => self.ask(packet.flow, upstream, now),
+                _ => {
+                    self.ask(packet.flow, upstream, now);
+                    Sign::Asked(None)
+                }
             };
         };
         flow.seen = now;
@@ -116,7 +119,10 @@
         let from = answered.then(|| self.answer(packet.flow, upstream));
         match (packet.len, is_new) {
             (0, _) => from.map_or(Sign::Nothing, Sign::Answered),
-            (_, true) => self.ask(packet.flow, upstream, now),
+            (_, true) => {
+                self.ask(packet.flow, upstream, now);
+                Sign::Asked(from.flatten())
+            }
             (_, false) => self.repeat(packet.flow, upstream, now),
         }
     }
@@ -134,6 +140,17 @@
         asked.values().filter(|a| a.is_in_progress(now)).count()
     }
 
+    /// The request of a flow that its upstream has not answered.
+    pub fn unanswered(&self, flow: FlowId, upstream: UpstreamId) -> Option<Asked> {
+        self.asked.get(&upstream)?.get(&flow).copied()
+    }
+
+    /// Forgets a flow that is reset.
+    pub fn end(&mut self, flow: FlowId, upstream: UpstreamId) {
+        self.flows.remove(&flow);
+        self.answer(flow, upstream);
+    }
+
     /// Number of flows held.
     pub fn len(&self) -> usize {
         self.flows.len()
@@ -165,7 +182,7 @@
         self.flows.insert(packet.flow, flow);
     }
 
-    fn ask(&mut self, flow: FlowId, upstream: UpstreamId, now: Instant) -> Sign {
+    fn ask(&mut self, flow: FlowId, upstream: UpstreamId, now: Instant) {
         let asked = self.asked.entry(upstream).or_default();
         asked.retain(|_, asked| asked.is_in_progress(now));
         asked.insert(
@@ -176,7 +193,6 @@
                 repeats: 0,
             },
         );
-        Sign::Asked
     }
 
     fn repeat(&mut self, flow: FlowId, upstream: UpstreamId, now: Instant) -> Sign {
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod balancer;
 pub mod choice;
+pub mod dead_upstream;
 pub mod directory;
 pub mod entry;
 pub mod flows;
--- a/crates/standins/examples/local_fleet/packets.rs
+++ b/crates/standins/examples/local_fleet/packets.rs
@@ -20,6 +20,7 @@
         },
         results::{
             Outcome,
+            ResetSeen,
             Results, //
         },
         store::Fault,
@@ -299,7 +300,10 @@
         let draining = fleet.upstreams[1].spec().id;
         let opened =
             |wrong: &dyn Fn(&Opening) -> bool| seen.openings.iter().filter(|o| wrong(o)).count();
+        let (died, silent) = (self.at(Event::UpstreamSilent), fleet.upstreams[0].spec().id);
+        let is_dead = |r: &ResetSeen| r.upstream == Some(silent) && r.at >= died;
         let resets = self.results.iter().flat_map(|r| &r.resets);
+        let resets = resets.filter(|r| !is_dead(r));
         let checks = [
             ("requests run twice that must not", twice),
             (
@@ -308,7 +312,7 @@
             ),
             ("packets changed on their way", seen.damaged as usize),
             (
-                "flows reset by the balancer",
+                "flows of a living upstream reset by the balancer",
                 resets.filter(|r| r.by_balancer).count(),
             ),
             (
--- a/crates/standins/src/packets/upstream.rs
+++ b/crates/standins/src/packets/upstream.rs
@@ -166,6 +166,11 @@
         *self.lock()
     }
 
+    /// Whether it has ended or says nothing.
+    pub fn is_gone(&self) -> bool {
+        matches!(self.mode(), Mode::Silent | Mode::Ended)
+    }
+
     /// Says that it takes no new work, and goes on serving.
     pub fn drain(&self) {
         *self.lock() = Mode::Draining;
