--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,18 +2,20 @@
 //! seed, and promises that are checked by what callers and upstreams see.
 
 mod fault;
+mod hold;
 mod lane;
 mod link;
+mod processes;
 mod promises;
+mod seat;
 mod series;
+mod spec;
 mod stage;
 mod verdict;
 
 pub use self::{
     series::Series,
-    stage::{
-        Stage,
-        StageSpec, //
-    },
+    spec::StageSpec,
+    stage::Stage,
     verdict::Verdict, //
 };
--- /dev/null
+++ b/crates/soak/src/seat.rs
@@ -0,0 +1,65 @@
+//! A daemon of the fleet, with the proxies before it.
+
+use crate::{
+    lane::Lane,
+    link::Link, //
+};
+use anyhow::Context;
+use foxtailhinge_standins::packets::fleet::PacketFleet;
+use serde_json::{
+    json,
+    Value, //
+};
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    time::Instant,
+};
+
+/// Port at which a daemon takes packets behind its lane.
+const BEHIND_LANE: u16 = 6_001;
+/// Port at which a daemon's link to the store listens.
+const LINK: u16 = 6_002;
+
+/// A daemon of the fleet, with what stands before it.
+pub(crate) struct Seat {
+    pub(crate) link: Link,
+    pub(crate) lane: Lane,
+    pub(crate) store: SocketAddr,
+    pub(crate) runs: bool,
+    pub(crate) paused: bool,
+    /// When it was asked to stop, and whether it was paused since.
+    pub(crate) stopping: Option<(Instant, bool)>,
+}
+
+impl Seat {
+    /// Puts the proxies before a daemon, which has its settings and does not run yet.
+    pub(crate) fn take(fleet: &PacketFleet, index: usize, seed: u64) -> anyhow::Result<Self> {
+        let mut listen = None;
+        fleet.edit_settings(index, |text| {
+            let mut settings: Value = serde_json::from_str(&text).unwrap_or_default();
+            let addr: Option<SocketAddrV4> =
+                settings["listen"].as_str().and_then(|s| s.parse().ok());
+            listen = addr;
+            if let Some(addr) = addr {
+                settings["listen"] = json!(SocketAddrV4::new(*addr.ip(), BEHIND_LANE).to_string());
+                settings["store"] = json!(SocketAddrV4::new(*addr.ip(), LINK).to_string());
+            }
+            serde_json::to_string_pretty(&settings).unwrap_or(text)
+        })?;
+        let listen = listen.context("the settings name no address for packets")?;
+        let store = fleet.store_addr(index);
+        let link = SocketAddrV4::new(*listen.ip(), LINK);
+        let behind = SocketAddrV4::new(*listen.ip(), BEHIND_LANE);
+        Ok(Seat {
+            link: Link::start(link.into(), store)?,
+            lane: Lane::start(listen, behind, seed + index as u64)?,
+            store,
+            runs: true,
+            paused: false,
+            stopping: None,
+        })
+    }
+}
--- a/crates/standins/src/packets/mod.rs
+++ b/crates/standins/src/packets/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod builder;
 pub mod callers;
+mod daemons;
 pub mod fabric;
 pub mod fleet;
 pub mod results;
