--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -3,8 +3,8 @@
 //! `cargo run --release -p foxtailhinge-soak --example soak` plays more seeds, for longer and with more daemons.
 
 use foxtailhinge_soak::{
-    Stage,
-    StageSpec, //
+    Soak,
+    SoakSpec, //
 };
 use foxtailhinge_standins::fleet::{
     Deployment,
@@ -26,12 +26,12 @@
         path: env!("CARGO_BIN_EXE_foxtailhinge").into(),
         args: Vec::new(),
     };
-    let mut spec = StageSpec::new(program, deployment);
+    let mut spec = SoakSpec::new(program, deployment);
     spec.daemons = 4;
     spec.upstreams = [8, 4];
     spec.feeds = 6;
     spec.time = TIME;
-    let verdict = Stage::play(&spec, seed).expect("the fleet starts");
+    let verdict = Soak::play(&spec, seed).expect("the fleet starts");
     assert!(verdict.is_kept(), "{verdict}");
     assert!(verdict.requests[1] > 0, "nothing was asked: {verdict}");
 }
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -3,8 +3,8 @@
 use anyhow::Context;
 use bpaf::Bpaf;
 use foxtailhinge_soak::{
-    Stage,
-    StageSpec,
+    Soak,
+    SoakSpec,
     Verdict, //
 };
 use foxtailhinge_standins::fleet::{
@@ -72,7 +72,7 @@
     };
     if options.list {
         for seed in options.first..options.first + options.seeds {
-            let lines = Stage::list(&spec(options, &program, seed), seed);
+            let lines = Soak::list(&spec(options, &program, seed), seed);
             println!("seed {seed}:\n  {}", lines.join("\n  "));
         }
         return Ok(ExitCode::SUCCESS);
@@ -111,10 +111,10 @@
 }
 
 fn play(options: &Options, program: &Path, seed: u64) -> anyhow::Result<Verdict> {
-    Stage::play(&spec(options, program, seed), seed)
+    Soak::play(&spec(options, program, seed), seed)
 }
 
-fn spec(options: &Options, program: &Path, seed: u64) -> StageSpec {
+fn spec(options: &Options, program: &Path, seed: u64) -> SoakSpec {
     let turn = match seed % 2 {
         1 => Deployment::Kalahari,
         _ => Deployment::SouthernCross,
@@ -123,7 +123,7 @@
         path: program.to_owned(),
         args: Vec::new(),
     };
-    let mut spec = StageSpec::new(program, options.deployment.unwrap_or(turn));
+    let mut spec = SoakSpec::new(program, options.deployment.unwrap_or(turn));
     spec.daemons = options.daemons;
     spec.time = Duration::from_secs(options.seconds);
     spec
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,8 +1,8 @@
 //! Faults that a soak injects, each for some time.
 
 use crate::{
-    lane::LaneMode,
-    link::LinkMode, //
+    packet_proxy::PacketMode,
+    store_proxy::StoreMode, //
 };
 use rand::{
     rngs::SmallRng,
@@ -34,9 +34,9 @@
         wrong: bool,
     },
     /// The connections between a daemon and the store are disturbed.
-    Link(usize, LinkMode),
+    StoreProxy(usize, StoreMode),
     /// The packets on their way to a daemon are disturbed.
-    Lane(usize, LaneMode),
+    PacketProxy(usize, PacketMode),
     /// The store answers that it is busy.
     StoreBusy,
     /// The store takes calls and says nothing.
@@ -72,7 +72,7 @@
                 | Kind::AllRestarted
                 | Kind::AllRestartedBlind
                 | Kind::Paused(_)
-                | Kind::Link(..)
+                | Kind::StoreProxy(..)
                 | Kind::StoreBusy
                 | Kind::StoreSilent
                 | Kind::StoreAway
@@ -133,8 +133,8 @@
             signal: rng.random(),
             wrong: rng.random(),
         },
-        10..=12 => Kind::Link(daemon, draw_link(rng)),
-        13 | 14 => Kind::Lane(daemon, draw_lane(rng)),
+        10..=12 => Kind::StoreProxy(daemon, draw_store_mode(rng)),
+        13 | 14 => Kind::PacketProxy(daemon, draw_packet_mode(rng)),
         15 => Kind::StoreBusy,
         16 => Kind::StoreSilent,
         17 => Kind::StoreAway,
@@ -154,19 +154,19 @@
     }
 }
 
-fn draw_link(rng: &mut SmallRng) -> LinkMode {
+fn draw_store_mode(rng: &mut SmallRng) -> StoreMode {
     let late = Duration::from_millis(rng.random_range(20..900));
     let modes = [
-        LinkMode::Delayed(late),
-        LinkMode::OneWay,
-        LinkMode::Silent,
-        LinkMode::Reset,
+        StoreMode::Delayed(late),
+        StoreMode::OneWay,
+        StoreMode::Silent,
+        StoreMode::Reset,
     ];
     *modes.choose(rng).expect("there are four")
 }
 
-fn draw_lane(rng: &mut SmallRng) -> LaneMode {
-    LaneMode {
+fn draw_packet_mode(rng: &mut SmallRng) -> PacketMode {
+    PacketMode {
         loss: rng.random_range(0.0..0.3),
         twice: rng.random_range(0.0..0.2),
         late: Duration::from_millis(rng.random_range(0..60)),
--- a/crates/soak/src/hold.rs
+++ b/crates/soak/src/hold.rs
@@ -2,14 +2,14 @@
 
 use crate::{
     fault::Kind,
-    lane::LaneMode,
-    link::LinkMode,
-    stage::Stage, //
+    packet_proxy::PacketMode,
+    soak::Soak, //
+    store_proxy::StoreMode,
 };
 use foxtailhinge_standins::packets::store::Fault as StoreFault;
 use std::collections::BTreeSet;
 
-impl Stage {
+impl Soak {
     /// What faults do for as long as they last.
     pub(crate) fn hold(&mut self) {
         let kinds = self.kinds();
@@ -25,21 +25,23 @@
         });
         self.fleet.store.lag(lag.unwrap_or_default());
         let refused = kinds.iter().filter_map(|kind| match kind {
-            Kind::Refused(daemon) => Some(self.seats[*daemon].store),
+            Kind::Refused(daemon) => Some(self.places[*daemon].store),
             _ => None,
         });
         self.fleet.store.refuse(&refused.collect::<Vec<_>>());
-        for (index, seat) in self.seats.iter().enumerate() {
-            let link = kinds.iter().find_map(|kind| match kind {
-                Kind::Link(daemon, mode) if *daemon == index => Some(*mode),
+        for (index, place) in self.places.iter().enumerate() {
+            let store_mode = kinds.iter().find_map(|kind| match kind {
+                Kind::StoreProxy(daemon, mode) if *daemon == index => Some(*mode),
                 _ => None,
             });
-            seat.link.set(link.unwrap_or(LinkMode::Open));
-            let lane = kinds.iter().find_map(|kind| match kind {
-                Kind::Lane(daemon, mode) if *daemon == index => Some(*mode),
+            place.store_proxy.set(store_mode.unwrap_or(StoreMode::Open));
+            let packet_mode = kinds.iter().find_map(|kind| match kind {
+                Kind::PacketProxy(daemon, mode) if *daemon == index => Some(*mode),
                 _ => None,
             });
-            seat.lane.set(lane.unwrap_or(LaneMode::default()));
+            place
+                .packet_proxy
+                .set(packet_mode.unwrap_or(PacketMode::default()));
         }
         self.hold_zones(&kinds);
         self.hold_pauses(&kinds);
@@ -61,17 +63,17 @@
     }
 
     fn hold_pauses(&mut self, kinds: &[Kind]) {
-        for index in 0..self.seats.len() {
+        for index in 0..self.places.len() {
             let pause = kinds.contains(&Kind::Paused(index));
-            let seat = &mut self.seats[index];
-            if pause && seat.runs && !seat.paused {
-                seat.paused = true;
-                if let Some((_, paused)) = &mut seat.stopping {
+            let place = &mut self.places[index];
+            if pause && place.runs && !place.paused {
+                place.paused = true;
+                if let Some((_, paused)) = &mut place.stopping {
                     *paused = true;
                 }
                 self.fleet.freeze(index);
-            } else if !pause && seat.paused {
-                seat.paused = false;
+            } else if !pause && place.paused {
+                place.paused = false;
                 self.fleet.wake(index);
             }
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,19 +3,19 @@
 
 mod fault;
 mod hold;
-mod lane;
-mod link;
+mod packet_proxy;
+mod place;
 mod processes;
 mod promises;
-mod seat;
 mod series;
+mod soak;
 mod spec;
-mod stage;
+mod store_proxy;
 mod verdict;
 
 pub use self::{
     series::Series,
-    spec::StageSpec,
-    stage::Stage,
+    soak::Soak,
+    spec::SoakSpec,
     verdict::Verdict, //
 };
--- a/crates/soak/src/lane.rs
+++ b/crates/soak/src/packet_proxy.rs
@@ -32,9 +32,9 @@
 /// Largest datagram.
 const DATAGRAM: usize = 65_536;
 
-/// What a lane does to packets.
+/// What a proxy does to packets.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct LaneMode {
+pub(crate) struct PacketMode {
     /// Share of packets that are lost.
     pub(crate) loss: f64,
     /// Share of packets that come twice.
@@ -45,33 +45,33 @@
 
 /// A proxy before one daemon.
 #[derive(Debug)]
-pub(crate) struct Lane {
-    mode: Arc<Mutex<LaneMode>>,
+pub(crate) struct PacketProxy {
+    mode: Arc<Mutex<PacketMode>>,
     ended: Arc<AtomicBool>,
 }
 
-impl Lane {
+impl PacketProxy {
     /// Takes packets at `listen` for the daemon at `daemon`.
     pub(crate) fn start(listen: SocketAddrV4, daemon: SocketAddrV4, seed: u64) -> io::Result<Self> {
         let socket = UdpSocket::bind(listen)?;
         socket.set_read_timeout(Some(TICK))?;
-        let lane = Self {
+        let proxy = Self {
             mode: Arc::default(),
             ended: Arc::default(),
         };
-        let (mode, ended) = (Arc::clone(&lane.mode), Arc::clone(&lane.ended));
+        let (mode, ended) = (Arc::clone(&proxy.mode), Arc::clone(&proxy.ended));
         let rng = SmallRng::seed_from_u64(seed);
         thread::spawn(move || pass_on(&socket, daemon, &mode, &ended, rng));
-        Ok(lane)
+        Ok(proxy)
     }
 
     /// Treats packets so from now on.
-    pub(crate) fn set(&self, mode: LaneMode) {
+    pub(crate) fn set(&self, mode: PacketMode) {
         *self.mode.lock().expect("no holder of the lock panics") = mode;
     }
 }
 
-impl Drop for Lane {
+impl Drop for PacketProxy {
     fn drop(&mut self) {
         self.ended.store(true, Ordering::Relaxed);
     }
@@ -80,7 +80,7 @@
 fn pass_on(
     socket: &UdpSocket,
     daemon: SocketAddrV4,
-    mode: &Mutex<LaneMode>,
+    mode: &Mutex<PacketMode>,
     ended: &AtomicBool,
     mut rng: SmallRng,
 ) {
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -3,24 +3,24 @@
 use crate::{
     fault::Kind,
     promises::Ended,
-    stage::Stage, //
+    soak::Soak, //
 };
 use std::time::Instant;
 
 /// Memory that a daemon may use, in kilobytes (letter 1: 32 MB).
 const MEMORY_KB: u64 = 32 * 1024;
 
-impl Stage {
+impl Soak {
     pub(crate) fn kill(&mut self, daemon: usize) {
         self.fleet.kill(daemon);
-        let seat = &mut self.seats[daemon];
-        (seat.runs, seat.paused, seat.stopping) = (false, false, None);
+        let place = &mut self.places[daemon];
+        (place.runs, place.paused, place.stopping) = (false, false, None);
     }
 
     pub(crate) fn stop(&mut self, daemon: usize) {
-        let seat = &mut self.seats[daemon];
-        if seat.runs && seat.stopping.is_none() {
-            seat.stopping = Some((Instant::now(), seat.paused));
+        let place = &mut self.places[daemon];
+        if place.runs && place.stopping.is_none() {
+            place.stopping = Some((Instant::now(), place.paused));
             self.fleet.terminate(daemon);
         }
     }
@@ -28,26 +28,28 @@
     /// Notes processes that have ended, starts those that are to run, and watches their memory.
     pub(crate) fn look_at_processes(&mut self) -> anyhow::Result<()> {
         let kinds = self.kinds();
-        for index in 0..self.seats.len() {
+        for index in 0..self.places.len() {
             if let Some(status) = self.fleet.ended(index) {
-                let seat = &mut self.seats[index];
-                let stopped = seat.stopping.take();
+                let place = &mut self.places[index];
+                let stopped = place.stopping.take();
                 self.evidence.ended(Ended {
                     daemon: index,
                     ok: status.success(),
                     took: stopped.map(|(since, _)| since.elapsed()),
                     paused: stopped.is_some_and(|(_, paused)| paused),
                 });
-                (seat.runs, seat.paused) = (false, false);
+                (place.runs, place.paused) = (false, false);
             }
             let down = |kind: &Kind| match kind {
                 Kind::Killed(daemon) | Kind::Stopped(daemon) => *daemon == index,
                 _ => false,
             };
-            if !self.seats[index].runs && !kinds.iter().any(down) && !self.has_wrong_settings(index)
+            if !self.places[index].runs
+                && !kinds.iter().any(down)
+                && !self.has_wrong_settings(index)
             {
                 self.fleet.start_daemon(index)?;
-                self.seats[index].runs = true;
+                self.places[index].runs = true;
             }
             if let Some(memory) = self.fleet.memory_kb(index).filter(|kb| *kb > MEMORY_KB) {
                 self.evidence.memory(index, memory);
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/soak.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     fault::Kind,
+    place::Place,
     promises::Evidence,
-    seat::Seat,
     series::Series,
-    spec::StageSpec,
+    spec::SoakSpec,
     verdict::Verdict, //
 };
 use foxtailhinge_standins::packets::{
@@ -38,9 +38,9 @@
 const POSTS_PER_S: f64 = 30.0;
 
 /// A fleet and its load.
-pub struct Stage {
+pub struct Soak {
     pub(crate) fleet: PacketFleet,
-    pub(crate) seats: Vec<Seat>,
+    pub(crate) places: Vec<Place>,
     pub(crate) series: Series,
     pub(crate) active: BTreeSet<usize>,
     pub(crate) zones_out: BTreeSet<usize>,
@@ -48,9 +48,9 @@
     pub(crate) next_id: u64,
 }
 
-impl Stage {
+impl Soak {
     /// The faults of a seed, a line each.
-    pub fn list(spec: &StageSpec, seed: u64) -> Vec<String> {
+    pub fn list(spec: &SoakSpec, seed: u64) -> Vec<String> {
         Series::draw(seed, spec.time, spec.shape()).lines()
     }
 
@@ -59,10 +59,10 @@
     /// # Errors
     ///
     /// Fails when the fleet cannot be started, which says nothing of the promises.
-    pub fn play(spec: &StageSpec, seed: u64) -> anyhow::Result<Verdict> {
+    pub fn play(spec: &SoakSpec, seed: u64) -> anyhow::Result<Verdict> {
         let mut fleet = spec.builder().prepare(&spec.program)?;
-        let seats = (0..fleet.len()).map(|index| Seat::take(&fleet, index, seed));
-        let seats = seats.collect::<anyhow::Result<Vec<_>>>()?;
+        let places = (0..fleet.len()).map(|index| Place::take(&fleet, index, seed));
+        let places = places.collect::<anyhow::Result<Vec<_>>>()?;
         for index in 0..fleet.len() {
             fleet.start_daemon(index)?;
         }
@@ -72,7 +72,7 @@
         let stage = Self {
             evidence: Evidence::new(series.clone()),
             fleet,
-            seats,
+            places,
             series,
             active: BTreeSet::new(),
             zones_out: BTreeSet::new(),
@@ -141,7 +141,7 @@
             Kind::Killed(daemon) => self.kill(daemon),
             Kind::Stopped(daemon) => self.stop(daemon),
             Kind::AllRestarted | Kind::AllRestartedBlind => {
-                for daemon in 0..self.seats.len() {
+                for daemon in 0..self.places.len() {
                     self.kill(daemon);
                 }
             }
@@ -201,7 +201,7 @@
     }
 
     fn tell(&self, daemon: usize, signal: bool) {
-        if signal && self.seats[daemon].runs {
+        if signal && self.places[daemon].runs {
             self.fleet.hang_up(daemon);
         }
     }
@@ -214,7 +214,7 @@
     /// Waits until the fleet is whole again, and notes what is not.
     fn settle(&mut self) -> anyhow::Result<()> {
         let until = Instant::now() + Duration::from_secs(10);
-        while self.seats.iter().any(|seat| seat.stopping.is_some()) && Instant::now() < until {
+        while self.places.iter().any(|place| place.stopping.is_some()) && Instant::now() < until {
             self.step(Duration::MAX)?;
             thread::sleep(TICK);
         }
--- a/crates/soak/src/spec.rs
+++ b/crates/soak/src/spec.rs
@@ -15,7 +15,7 @@
 
 /// What a soak is made of.
 #[derive(Clone, Debug)]
-pub struct StageSpec {
+pub struct SoakSpec {
     /// The daemon's program.
     pub program: Program,
     /// Zones, services and the way in which flows find their daemons.
@@ -30,7 +30,7 @@
     pub time: Duration,
 }
 
-impl StageSpec {
+impl SoakSpec {
     /// Eight daemons before eighteen upstreams, and faults for fourteen seconds.
     pub fn new(program: Program, deployment: Deployment) -> Self {
         Self {
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/store_proxy.rs
@@ -32,9 +32,9 @@
 /// Time to connect to the store, which is on this machine.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// What a link does to what passes.
+/// What a proxy does to what passes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum LinkMode {
+pub(crate) enum StoreMode {
     /// It passes all on.
     #[default]
     Open,
@@ -50,19 +50,19 @@
 
 /// A proxy that listens for one daemon.
 #[derive(Debug)]
-pub(crate) struct Link {
+pub(crate) struct StoreProxy {
     shared: Arc<Shared>,
 }
 
 #[derive(Debug)]
 struct Shared {
     store: SocketAddr,
-    mode: Mutex<LinkMode>,
+    mode: Mutex<StoreMode>,
     ended: AtomicBool,
 }
 
 impl Shared {
-    fn mode(&self) -> MutexGuard<'_, LinkMode> {
+    fn mode(&self) -> MutexGuard<'_, StoreMode> {
         self.mode.lock().expect("no holder of the lock panics")
     }
 
@@ -71,7 +71,7 @@
     }
 }
 
-impl Link {
+impl StoreProxy {
     /// Listens at `listen` for connections to `store`.
     pub(crate) fn start(listen: SocketAddr, store: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(listen)?;
@@ -87,12 +87,12 @@
     }
 
     /// Treats what passes so from now on.
-    pub(crate) fn set(&self, mode: LinkMode) {
+    pub(crate) fn set(&self, mode: StoreMode) {
         *self.shared.mode() = mode;
     }
 }
 
-impl Drop for Link {
+impl Drop for StoreProxy {
     fn drop(&mut self) {
         self.shared.ended.store(true, Ordering::Relaxed);
     }
@@ -112,7 +112,7 @@
 }
 
 fn serve(shared: &Arc<Shared>, client: TcpStream) -> io::Result<()> {
-    if *shared.mode() == LinkMode::Reset {
+    if *shared.mode() == StoreMode::Reset {
         return Ok(());
     }
     client.set_nonblocking(false)?;
@@ -128,7 +128,7 @@
 fn pump(shared: &Shared, mut from: TcpStream, mut to: TcpStream, answers: bool) -> io::Result<()> {
     from.set_read_timeout(Some(TICK))?;
     let mut buf = vec![0; CHUNK];
-    while !shared.is_ended() && *shared.mode() != LinkMode::Reset {
+    while !shared.is_ended() && *shared.mode() != StoreMode::Reset {
         let len = match from.read(&mut buf) {
             Ok(0) => break,
             Ok(len) => len,
@@ -144,14 +144,14 @@
         };
         let mode = *shared.mode();
         match mode {
-            LinkMode::Open => to.write_all(&buf[..len])?,
-            LinkMode::Delayed(time) => {
+            StoreMode::Open => to.write_all(&buf[..len])?,
+            StoreMode::Delayed(time) => {
                 thread::sleep(time);
                 to.write_all(&buf[..len])?;
             }
-            LinkMode::OneWay if !answers => to.write_all(&buf[..len])?,
-            LinkMode::OneWay | LinkMode::Silent => {}
-            LinkMode::Reset => break,
+            StoreMode::OneWay if !answers => to.write_all(&buf[..len])?,
+            StoreMode::OneWay | StoreMode::Silent => {}
+            StoreMode::Reset => break,
         }
     }
     to.shutdown(Shutdown::Both)
--- a/crates/soak/tests/series.rs
+++ b/crates/soak/tests/series.rs
@@ -1,31 +1,31 @@
 //! What seeds stand for: a seed that once broke a promise must draw the same faults later.
 
 use foxtailhinge_soak::{
-    Stage,
-    StageSpec, //
+    Soak,
+    SoakSpec, //
 };
 use foxtailhinge_standins::fleet::{
     Deployment,
     Program, //
 };
 
-fn spec() -> StageSpec {
+fn spec() -> SoakSpec {
     let program = Program {
         path: "foxtailhinge".into(),
         args: Vec::new(),
     };
-    StageSpec::new(program, Deployment::Kalahari)
+    SoakSpec::new(program, Deployment::Kalahari)
 }
 
 #[test]
 fn a_seed_draws_the_same_faults_each_time() {
-    insta::assert_snapshot!(Stage::list(&spec(), 9).join("\n"));
+    insta::assert_snapshot!(Soak::list(&spec(), 9).join("\n"));
 }
 
 #[test]
 fn faults_end_in_time_and_leave_upstreams_to_serve() {
     for seed in 0..500 {
-        for line in Stage::list(&spec(), seed) {
+        for line in Soak::list(&spec(), seed) {
             let end = line.split_whitespace().nth(3).and_then(|s| s.parse().ok());
             let end: f64 = end.unwrap_or_else(|| panic!("seed {seed}: {line}"));
             assert!(end <= 15.0, "seed {seed}: {line}");
