Join what was written twice, and split a query that also decided

Behaviour stays as it is; tests keep their assertions. - ctl: status and view build and print the same report, one Report<S> in daemon_report. - store: the documents' reader and the view judged an answer without news alike, Progress::of now. - exchange: report() and the check for a next owner that is gone asked the same of a member, living() now. - policy: is_hanging took evidence down as well as answering; suspect() takes it down, and the check stands in go_on. Evidence::is_dead in place of three copies of it, Asked::at in place of two. - stand-ins: the routers' hash of a deployment, the service of a route's port and the requests that ran twice each stood in two or three of local_fleet, the soak and the process tests; the soak's packet proxy reads by the stand-ins' socket::read. The literal services that a process test expects stay. - soak: wrong settings are one more cause for a daemon to stay down, not a second look at all faults; a wait of 10 s has a name.

--- a/crates/ctl/src/fleet_view.rs
+++ b/crates/ctl/src/fleet_view.rs
@@ -21,7 +21,7 @@
 const SEEN_BY: &str = "seen by";
 
 /// Prints what several daemons know.
-pub(crate) fn print(daemons: &[DaemonReport]) {
+pub(crate) fn print(daemons: &[DaemonReport<Status>]) {
     let statuses: Vec<_> = daemons.iter().filter_map(|d| d.status.as_ref()).collect();
     print_section("Daemons", &answered(&statuses));
     for error in daemons.iter().filter_map(|d| d.error.as_ref()) {
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -5,21 +5,17 @@
         AdminClient,
         AdminError, //
     },
-    daemon_report::DaemonReport,
+    daemon_report::{
+        DaemonReport,
+        Report, //
+    },
     daemon_view,
     error::Outcome,
-    fleet_view,
-    output::print_json, //
+    fleet_view, //
 };
 use foxtailhinge_config::report::Status;
-use serde::Serialize;
 use std::net::SocketAddr;
 
-#[derive(Serialize)]
-struct Report {
-    daemons: Vec<DaemonReport>,
-}
-
 /// Prints what daemons know.
 pub(crate) fn run(
     admins: &[SocketAddr],
@@ -31,7 +27,7 @@
         let report = Report {
             daemons: vec![report(*admin, Ok(status), service)],
         };
-        return print(&report, json);
+        return report.print(json, print_text);
     }
     let daemons = admins.iter().map(|admin| {
         let status = AdminClient::new(*admin).status();
@@ -40,31 +36,19 @@
     let report = Report {
         daemons: daemons.collect(),
     };
-    print(&report, json)
+    report.print(json, print_text)
 }
 
 fn report(
     admin: SocketAddr,
     status: Result<Status, AdminError>,
     service: Option<&str>,
-) -> DaemonReport {
-    match status {
-        Ok(mut status) => {
-            if let Some(service) = service {
-                keep_service(&mut status, service);
-            }
-            DaemonReport {
-                admin,
-                status: Some(status),
-                error: None,
-            }
+) -> DaemonReport<Status> {
+    DaemonReport::new(admin, status, |status| {
+        if let Some(service) = service {
+            keep_service(status, service);
         }
-        Err(e) => DaemonReport {
-            admin,
-            status: None,
-            error: Some(e.to_string()),
-        },
-    }
+    })
 }
 
 fn keep_service(status: &mut Status, service: &str) {
@@ -74,20 +58,7 @@
     status.refused.retain(|r| &*r.service == service);
 }
 
-fn print(report: &Report, json: bool) -> anyhow::Result<Outcome> {
-    if json {
-        print_json(report)?;
-    } else {
-        print_text(report);
-    }
-    let all_answered = report.daemons.iter().all(|d| d.error.is_none());
-    Ok(match all_answered {
-        true => Outcome::Success,
-        false => Outcome::Findings,
-    })
-}
-
-fn print_text(report: &Report) {
+fn print_text(report: &Report<Status>) {
     match &report.daemons[..] {
         [DaemonReport {
             status: Some(status),
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -2,34 +2,23 @@
 
 use crate::{
     admin::AdminClient,
+    daemon_report::{
+        DaemonReport,
+        Report, //
+    },
     daemon_view::print_section,
     error::Outcome,
-    output::print_json,
     table::Table, //
 };
 use foxtailhinge_config::packet_report::{
     PacketStatus,
     PacketUpstream, //
 };
-use serde::Serialize;
 use std::{
     net::SocketAddr,
     time::Duration, //
 };
 
-#[derive(Serialize)]
-struct Report {
-    daemons: Vec<DaemonReport>,
-}
-
-/// Answer of one daemon, or why there is none.
-#[derive(Serialize)]
-struct DaemonReport {
-    admin: SocketAddr,
-    status: Option<PacketStatus>,
-    error: Option<String>,
-}
-
 /// Prints what daemons know.
 pub(crate) fn run(
     admins: &[SocketAddr],
@@ -40,38 +29,18 @@
     let report = Report {
         daemons: daemons.collect(),
     };
-    match json {
-        true => print_json(&report)?,
-        false => print_text(&report),
-    }
-    let all_answered = report.daemons.iter().all(|d| d.error.is_none());
-    Ok(match all_answered {
-        true => Outcome::Success,
-        false => Outcome::Findings,
-    })
+    report.print(json, print_text)
 }
 
-fn ask(admin: SocketAddr, service: Option<&str>) -> DaemonReport {
-    match AdminClient::new(admin).view() {
-        Ok(mut status) => {
-            if let Some(service) = service {
-                status.upstreams.retain(|u| *u.service == *service);
-            }
-            DaemonReport {
-                admin,
-                status: Some(status),
-                error: None,
-            }
+fn ask(admin: SocketAddr, service: Option<&str>) -> DaemonReport<PacketStatus> {
+    DaemonReport::new(admin, AdminClient::new(admin).view(), |status| {
+        if let Some(service) = service {
+            status.upstreams.retain(|u| *u.service == *service);
         }
-        Err(e) => DaemonReport {
-            admin,
-            status: None,
-            error: Some(e.to_string()),
-        },
-    }
+    })
 }
 
-fn print_text(report: &Report) {
+fn print_text(report: &Report<PacketStatus>) {
     let mut daemons = Table::new([
         "vm",
         "zone",
--- a/crates/daemon/src/exchange/hand_over.rs
+++ b/crates/daemon/src/exchange/hand_over.rs
@@ -130,7 +130,7 @@
         let mut reports = Reports::new(up.addr(), given.state.in_use);
         loop {
             monoio::time::sleep(REPORT_PERIOD).await;
-            if since.elapsed() >= TAKE_UP_LEASE || self.is_gone(next) {
+            if since.elapsed() >= TAKE_UP_LEASE || self.living(next).is_none() {
                 given.settle();
             }
             let running = up.running();
@@ -148,9 +148,7 @@
 
     /// Sends a report to the next owner; false when it should be sent again.
     async fn report(&self, next: &str, report: Finished) -> bool {
-        let member = self.control.members().get(next).cloned();
-        let live = member.filter(|member| member.state != MemberState::Dead);
-        let Some(member) = live else {
+        let Some(member) = self.living(next) else {
             return true;
         };
         let reply = self.tell(&member, OwnerRequest::Finished(report)).await;
@@ -174,10 +172,10 @@
         }
     }
 
-    fn is_gone(&self, vm: &str) -> bool {
-        let members = self.control.members();
-        let member = members.get(vm);
-        member.is_none_or(|member| member.state == MemberState::Dead)
+    /// A member that is not known to be dead.
+    fn living(&self, vm: &str) -> Option<Member> {
+        let member = self.control.members().get(vm).cloned();
+        member.filter(|member| member.state != MemberState::Dead)
     }
 
     fn on_settled(&self, addr: SocketAddr) {
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -256,11 +256,7 @@
         }
         self.position.set(Some(changes.revision.max(after)));
         self.reading.set(Reading::Stale);
-        let waited = began.elapsed() >= wait / 2;
-        Ok(match changes.items.is_empty() && !waited {
-            true => Progress::Idle,
-            false => Progress::Moved,
-        })
+        Ok(Progress::of(!changes.items.is_empty(), began, wait))
     }
 
     fn fail(&self, err: &StoreError) {
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -145,11 +145,7 @@
 
     /// Whether an answer without news came before its wait was over.
     fn progress(&self, news: bool, began: Instant) -> Progress {
-        let wait = self.control.settings().limits.watch;
-        match news || began.elapsed() >= wait / 2 {
-            true => Progress::Moved,
-            false => Progress::Idle,
-        }
+        Progress::of(news, began, self.control.settings().limits.watch)
     }
 
     /// Waits until this daemon is a reader, or for long has had no news of the platform.
--- a/crates/daemon/src/store/follow.rs
+++ b/crates/daemon/src/store/follow.rs
@@ -19,6 +19,17 @@
     Idle,
 }
 
+impl Progress {
+    /// What a call brought that began at `began` and may have waited for `wait`: an answer without news counts as the
+    /// end of a wait only when it did not come at once.
+    pub fn of(news: bool, began: Instant, wait: Duration) -> Self {
+        match news || began.elapsed() >= wait / 2 {
+            true => Self::Moved,
+            false => Self::Idle,
+        }
+    }
+}
+
 /// Pauses of the loop.
 #[derive(Clone, Copy, Debug)]
 pub struct Pauses {
--- a/crates/daemon/tests/packets/scene.rs
+++ b/crates/daemon/tests/packets/scene.rs
@@ -13,7 +13,7 @@
             ROUTE_PORT, //
         },
         results::{
-            Outcome,
+            run_twice,
             Results, //
         },
     },
@@ -141,16 +141,8 @@
             "each answer is that of the flow's upstream to its own request"
         );
         assert_eq!(seen.damaged, 0, "packets arrive as they were sent");
-        let feeds: HashSet<_> = self.requests(true).map(|o| o.number).collect();
-        let twice = seen
-            .runs
-            .iter()
-            .filter(|(n, runs)| **runs > 1 && !feeds.contains(n));
-        assert_eq!(
-            twice.count(),
-            0,
-            "a request that must run at most once does"
-        );
+        let twice = run_twice(&seen, &self.results);
+        assert_eq!(twice.len(), 0, "a request that must run at most once does");
         let services = |port| match port == ROUTE_PORT + 1 {
             true => "certvault",
             false => "syncdesk-api",
@@ -168,11 +160,6 @@
         assert_eq!(cold.count(), 0, "no flow opens at a cold upstream");
     }
 
-    fn requests(&self, is_feed: bool) -> impl Iterator<Item = &Outcome> {
-        let all = self.results.iter().flat_map(|r| &r.outcomes);
-        all.filter(move |o| o.is_feed == is_feed)
-    }
-
     /// Requests without an answer.
     pub(crate) fn unanswered(&self) -> usize {
         let all = self.results.iter().flat_map(|r| &r.outcomes);
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -27,6 +27,7 @@
         Try, //
     },
     packet::{
+        FlowId,
         Kind,
         Packet, //
     },
@@ -244,7 +245,10 @@
         let sign = self.flows.note(packet, id, now);
         self.learn_from(packet, id, sign, now);
         if let Some(route) = route.filter(|route| route.is_idempotent) {
-            if self.is_hanging(packet, (id, known), sign, route.aim, now) {
+            if let Sign::Repeated(_) = sign {
+                self.suspect(packet.flow, (id, known), route.aim, now);
+            }
+            if packet.len > 0 && self.dead.is_dead(id, now) {
                 self.flows.end(packet.flow, id);
                 return Verdict::Reset(ResetReason::DeadUpstream);
             }
@@ -272,29 +276,27 @@
         }
     }
 
-    /// Whether a request waits for an upstream that seems to have died.
-    fn is_hanging(
+    /// Takes an upstream for dead when a request that came again is one too many without an answer.
+    fn suspect(
         &mut self,
-        packet: &Packet,
+        flow: FlowId,
         (id, known): (UpstreamId, &Known),
-        sign: Sign,
         aim: Duration,
         now: Instant,
-    ) -> bool {
-        let asked = self.flows.unanswered(packet.flow, id);
-        if let (Sign::Repeated(_), Some(asked)) = (sign, asked) {
-            let request = Unanswered {
-                caller: *packet.flow.caller.ip(),
-                since: asked.first,
-                aim,
-                is_unlisted: known.is_gone(now),
-            };
-            if self.dead.note(id, request, now) {
-                self.silence.note(id, asked.first, now);
-                self.beliefs.push(Belief::Dead(id));
-            }
+    ) {
+        let Some(asked) = self.flows.unanswered(flow, id) else {
+            return;
+        };
+        let request = Unanswered {
+            caller: *flow.caller.ip(),
+            since: asked.first,
+            aim,
+            is_unlisted: known.is_gone(now),
+        };
+        if self.dead.note(id, request, now) {
+            self.silence.note(id, asked.first, now);
+            self.beliefs.push(Belief::Dead(id));
         }
-        packet.len > 0 && self.dead.is_dead(id, now)
     }
 }
 
--- a/crates/policy/src/packets/dead_upstream.rs
+++ b/crates/policy/src/packets/dead_upstream.rs
@@ -53,6 +53,12 @@
     until: Option<Instant>,
 }
 
+impl Evidence {
+    fn is_dead(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+}
+
 /// Upstreams that seem to have died.
 #[derive(Clone, Debug, Default)]
 pub struct DeadUpstreams {
@@ -74,7 +80,7 @@
             .retain(|(caller, at)| *caller != request.caller && now < *at + COUNTS);
         evidence.callers.push((request.caller, now));
         let enough = request.is_unlisted || evidence.callers.len() >= CALLERS_MIN;
-        let was_dead = evidence.until.is_some_and(|until| now < until);
+        let was_dead = evidence.is_dead(now);
         if enough {
             evidence.until = Some(now + DEAD);
         }
@@ -84,20 +90,20 @@
     /// Notes that an upstream answered, which ends all that spoke against it; returns whether it counted as dead.
     pub fn answered(&mut self, id: UpstreamId, now: Instant) -> bool {
         let evidence = self.evidence.remove(&id);
-        evidence.is_some_and(|e| e.until.is_some_and(|until| now < until))
+        evidence.is_some_and(|evidence| evidence.is_dead(now))
     }
 
     /// Whether an upstream counts as dead.
     pub fn is_dead(&self, id: UpstreamId, now: Instant) -> bool {
         let evidence = self.evidence.get(&id);
-        evidence.is_some_and(|e| e.until.is_some_and(|until| now < until))
+        evidence.is_some_and(|evidence| evidence.is_dead(now))
     }
 
     /// Forgets what is over.
     pub fn forget(&mut self, now: Instant) {
         self.evidence.retain(|_, evidence| {
             evidence.callers.retain(|(_, at)| now < *at + COUNTS);
-            !evidence.callers.is_empty() || evidence.until.is_some_and(|until| now < until)
+            !evidence.callers.is_empty() || evidence.is_dead(now)
         });
     }
 }
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -46,6 +46,14 @@
 }
 
 impl Asked {
+    fn at(now: Instant) -> Self {
+        Self {
+            first: now,
+            last: now,
+            repeats: 0,
+        }
+    }
+
     /// Whether the request is in progress by what is known now.
     pub fn is_in_progress(&self, now: Instant) -> bool {
         now < self.last + self.lasts()
@@ -185,23 +193,12 @@
     fn ask(&mut self, flow: FlowId, upstream: UpstreamId, now: Instant) {
         let asked = self.asked.entry(upstream).or_default();
         asked.retain(|_, asked| asked.is_in_progress(now));
-        asked.insert(
-            flow,
-            Asked {
-                first: now,
-                last: now,
-                repeats: 0,
-            },
-        );
+        asked.insert(flow, Asked::at(now));
     }
 
     fn repeat(&mut self, flow: FlowId, upstream: UpstreamId, now: Instant) -> Sign {
         let asked = self.asked.entry(upstream).or_default();
-        let asked = asked.entry(flow).or_insert(Asked {
-            first: now,
-            last: now,
-            repeats: 0,
-        });
+        let asked = asked.entry(flow).or_insert(Asked::at(now));
         asked.last = now;
         asked.repeats += 1;
         Sign::Repeated(asked.repeats)
--- a/crates/soak/src/hold.rs
+++ b/crates/soak/src/hold.rs
@@ -2,9 +2,7 @@
 
 use crate::{
     fault::Kind,
-    packet_proxy::PacketMode,
     soak::Soak, //
-    store_proxy::StoreMode,
 };
 use foxtailhinge_standins::packets::store::Fault as StoreFault;
 use std::collections::BTreeSet;
@@ -34,14 +32,12 @@
                 Kind::StoreProxy(daemon, mode) if *daemon == index => Some(*mode),
                 _ => None,
             });
-            place.store_proxy.set(store_mode.unwrap_or(StoreMode::Open));
+            place.store_proxy.set(store_mode.unwrap_or_default());
             let packet_mode = kinds.iter().find_map(|kind| match kind {
                 Kind::PacketProxy(daemon, mode) if *daemon == index => Some(*mode),
                 _ => None,
             });
-            place
-                .packet_proxy
-                .set(packet_mode.unwrap_or(PacketMode::default()));
+            place.packet_proxy.set(packet_mode.unwrap_or_default());
         }
         self.hold_zones(&kinds);
         self.hold_pauses(&kinds);
--- a/crates/soak/src/packet_proxy.rs
+++ b/crates/soak/src/packet_proxy.rs
@@ -1,5 +1,6 @@
 //! A proxy before the socket at which a daemon takes packets: some are lost, or come late and out of order.
 
+use foxtailhinge_standins::socket;
 use rand::{
     rngs::SmallRng,
     Rng,
@@ -29,8 +30,6 @@
 
 /// Longest wait for a packet.
 const TICK: Duration = Duration::from_millis(1);
-/// Largest datagram.
-const DATAGRAM: usize = 65_536;
 
 /// What a proxy does to packets.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -54,7 +53,6 @@
     /// Takes packets at `listen` for the daemon at `daemon`.
     pub(crate) fn start(listen: SocketAddrV4, daemon: SocketAddrV4, seed: u64) -> io::Result<Self> {
         let socket = UdpSocket::bind(listen)?;
-        socket.set_read_timeout(Some(TICK))?;
         let proxy = Self {
             mode: Arc::default(),
             ended: Arc::default(),
@@ -84,7 +82,7 @@
     ended: &AtomicBool,
     mut rng: SmallRng,
 ) {
-    let mut buf = vec![0; DATAGRAM];
+    let mut buf = vec![0; socket::DATAGRAM];
     let mut late: BTreeMap<(Instant, u64), Vec<u8>> = BTreeMap::new();
     let mut number = 0;
     while !ended.load(Ordering::Relaxed) {
@@ -93,7 +91,7 @@
             // A packet that cannot be sent is lost, as on a network.
             let _ = socket.send_to(&first.remove(), daemon);
         }
-        let Ok((len, _)) = socket.recv_from(&mut buf) else {
+        let Ok(Some((len, _))) = socket::read(socket, &mut buf, TICK) else {
             continue;
         };
         let mode = *mode.lock().expect("no holder of the lock panics");
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -40,14 +40,18 @@
                 });
                 (place.runs, place.paused) = (false, false);
             }
+            // A daemon does not start with wrong settings.
             let down = |kind: &Kind| match kind {
-                Kind::Killed(daemon) | Kind::Stopped(daemon) => *daemon == index,
+                Kind::Killed(daemon)
+                | Kind::Stopped(daemon)
+                | Kind::Edited {
+                    daemon,
+                    wrong: true,
+                    ..
+                } => *daemon == index,
                 _ => false,
             };
-            if !self.places[index].runs
-                && !kinds.iter().any(down)
-                && !self.has_wrong_settings(index)
-            {
+            if !self.places[index].runs && !kinds.iter().any(down) {
                 self.fleet.start_daemon(index)?;
                 self.places[index].runs = true;
             }
@@ -57,11 +61,4 @@
         }
         Ok(())
     }
-
-    /// A daemon does not start with wrong settings.
-    fn has_wrong_settings(&self, index: usize) -> bool {
-        self.kinds().iter().any(
-            |kind| matches!(kind, Kind::Edited { daemon, wrong: true, .. } if *daemon == index),
-        )
-    }
 }
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -5,11 +5,9 @@
     series::Series, //
 };
 use foxtailhinge_standins::packets::{
-    fleet::{
-        PacketFleet,
-        ROUTE_PORT, //
-    },
+    fleet::PacketFleet,
     results::{
+        run_twice,
         Outcome,
         ResetSeen,
         Results, //
@@ -19,12 +17,9 @@
         Seen, //
     }, //
 };
-use std::{
-    collections::HashSet,
-    time::{
-        Duration,
-        Instant, //
-    },
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Time in which a daemon that is asked to stop has ended: its settings' grace_s.
@@ -100,7 +95,8 @@
         let outcomes: Vec<_> = results.iter().flat_map(|r| &r.outcomes).collect();
         let resets: Vec<_> = results.iter().flat_map(|r| &r.resets).collect();
         let mut broken = self.notes.clone();
-        broken.extend(run_twice(&seen, &outcomes));
+        let twice = run_twice(&seen, results).into_iter();
+        broken.extend(twice.map(|(number, runs)| format!("request {number:x} ran {runs} times")));
         broken.extend(wrong(&seen, results));
         broken.extend(resets.iter().filter_map(|reset| self.reset(fleet, reset)));
         broken.extend(seen.openings.iter().filter_map(|o| self.opening(fleet, o)));
@@ -131,8 +127,7 @@
     fn opening(&self, fleet: &PacketFleet, opening: &Opening) -> Option<String> {
         let at = self.since_start(opening.at);
         let place = format!("{at:.3?}: a flow opened at {:x}", opening.upstream);
-        let service = fleet.service((opening.route - ROUTE_PORT) as usize);
-        if opening.service != service {
+        if opening.service != fleet.service_of(opening.route) {
             return Some(format!("{place}, which is of another service"));
         }
         if opening.cold {
@@ -188,16 +183,6 @@
     }
 }
 
-fn run_twice(seen: &Seen, outcomes: &[&Outcome]) -> Vec<String> {
-    let feeds = outcomes.iter().filter(|o| o.is_feed).map(|o| o.number);
-    let feeds: HashSet<_> = feeds.collect();
-    let runs = seen.runs.iter();
-    let twice = runs.filter(|(number, runs)| **runs > 1 && !feeds.contains(number));
-    twice
-        .map(|(number, runs)| format!("request {number:x} ran {runs} times"))
-        .collect()
-}
-
 fn wrong(seen: &Seen, results: &[Results]) -> Vec<String> {
     let wrong: u64 = results.iter().map(|r| r.wrong).sum();
     let mut broken = Vec::new();
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -28,6 +28,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Time for which the fleet is watched after the last fault.
 const CALM: Duration = Duration::from_secs(4);
+/// Time for which the ends of daemons are waited for, which is longer than their grace time.
+const ENDED_WITHIN: Duration = Duration::from_secs(10);
 /// First id of upstreams that a fault starts; it is above those of the fleet's own.
 const FIRST_ID: u64 = 0x71_0000_0000;
 /// Time for which an upstream that a fault adds is cold.
@@ -69,7 +71,7 @@
         fleet.await_rotation()?;
         let callers = start_callers(&fleet, spec.feeds, seed)?;
         let series = Series::draw(seed, spec.time, spec.shape());
-        let stage = Self {
+        let soak = Self {
             evidence: Evidence::new(series.clone()),
             fleet,
             places,
@@ -78,7 +80,7 @@
             zones_out: BTreeSet::new(),
             next_id: FIRST_ID,
         };
-        stage.run(seed, callers)
+        soak.run(seed, callers)
     }
 
     fn run(mut self, seed: u64, callers: Vec<Callers>) -> anyhow::Result<Verdict> {
@@ -213,7 +215,7 @@
 
     /// Waits until the fleet is whole again, and notes what is not.
     fn settle(&mut self) -> anyhow::Result<()> {
-        let until = Instant::now() + Duration::from_secs(10);
+        let until = Instant::now() + ENDED_WITHIN;
         while self.places.iter().any(|place| place.stopping.is_some()) && Instant::now() < until {
             self.step(Duration::MAX)?;
             thread::sleep(TICK);
--- a/crates/soak/src/spec.rs
+++ b/crates/soak/src/spec.rs
@@ -52,14 +52,10 @@
     }
 
     pub(crate) fn builder(&self) -> Builder {
-        let hash = match self.deployment {
-            Deployment::Kalahari => HashKind::Steady,
-            Deployment::SouthernCross => HashKind::Mod,
-        };
         let [first, second] = self.upstreams;
         Builder::new(self.deployment)
             .daemons(self.daemons)
             .upstreams(first, second)
-            .hash(hash)
+            .hash(HashKind::of(self.deployment))
     }
 }
--- a/crates/standins/examples/local_fleet/packets.rs
+++ b/crates/standins/examples/local_fleet/packets.rs
@@ -6,19 +6,14 @@
 };
 use anyhow::Context;
 use foxtailhinge_standins::{
-    fleet::{
-        Deployment,
-        Program, //
-    },
+    fleet::Program,
     packets::{
         builder::Builder,
         callers::Callers,
         fabric::HashKind,
-        fleet::{
-            PacketFleet,
-            ROUTE_PORT, //
-        },
+        fleet::PacketFleet,
         results::{
+            run_twice,
             Outcome,
             ResetSeen,
             Results, //
@@ -29,10 +24,7 @@
 };
 use hdrhistogram::Histogram;
 use std::{
-    collections::{
-        HashMap,
-        HashSet, //
-    },
+    collections::HashMap,
     process::ExitCode,
     thread,
     time::{
@@ -93,10 +85,7 @@
         args: vec![DAEMON.to_owned()],
     };
     let builder = Builder::new(options.deployment).daemons(DAEMONS);
-    let hash = match options.deployment {
-        Deployment::Kalahari => HashKind::Steady,
-        Deployment::SouthernCross => HashKind::Mod,
-    };
+    let hash = HashKind::of(options.deployment);
     let mut fleet = builder.hash(hash).start(&program)?;
     let callers = start_callers(&fleet, options.seed)?;
     let began = Instant::now();
@@ -274,26 +263,6 @@
 
     fn broken(&self, fleet: &PacketFleet) -> Vec<String> {
         let seen = fleet.seen.lock().expect("no holder of the lock panics");
-        let feeds: HashSet<_> = self
-            .outcomes()
-            .filter(|o| o.is_feed)
-            .map(|o| o.number)
-            .collect();
-        let twice = seen
-            .runs
-            .iter()
-            .filter(|(n, runs)| **runs > 1 && !feeds.contains(n))
-            .count();
-        let service = |port| {
-            fleet.upstreams[if port == ROUTE_PORT {
-                0
-            } else {
-                fleet.upstreams.len() - 1
-            }]
-            .spec()
-            .service
-            .clone()
-        };
         let zone = fleet.zones()[fleet.zones().len() - 1];
         let out = self.at(Event::ZoneOut) + ZONE_QUIET_AFTER..self.at(Event::ZoneIn);
         let drained = self.at(Event::UpstreamDrains) + DRAINED_AFTER;
@@ -305,7 +274,10 @@
         let resets = self.results.iter().flat_map(|r| &r.resets);
         let resets = resets.filter(|r| !is_dead(r));
         let checks = [
-            ("requests run twice that must not", twice),
+            (
+                "requests run twice that must not",
+                run_twice(&seen, &self.results).len(),
+            ),
             (
                 "answers of another request or upstream",
                 self.results.iter().map(|r| r.wrong as usize).sum(),
@@ -317,7 +289,7 @@
             ),
             (
                 "flows opened at a wrong service",
-                opened(&|o| o.service != service(o.route)),
+                opened(&|o| o.service != fleet.service_of(o.route)),
             ),
             ("flows opened at a cold upstream", opened(&|o| o.cold)),
             (
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod packets;
 pub mod platform;
 pub mod scenario;
+pub mod socket;
 pub mod upstream;
 
 mod delay;
-mod socket;
--- a/crates/standins/src/packets/daemons.rs
+++ b/crates/standins/src/packets/daemons.rs
@@ -47,11 +47,6 @@
         self.daemons[index].memory_kb()
     }
 
-    /// Name of a service, counted from zero.
-    pub fn service(&self, index: usize) -> &'static str {
-        self.builder.deployment.services()[index]
-    }
-
     /// Keeps the daemons' logs after the fleet's end, and tells where.
     pub fn keep_logs(&mut self) -> PathBuf {
         self.keep_logs = true;
--- a/crates/standins/src/packets/fabric.rs
+++ b/crates/standins/src/packets/fabric.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the routers that hand a caller's packets to the daemons of its zone.
 
+use crate::fleet::Deployment;
 use std::{
     hash::{
         DefaultHasher,
@@ -35,6 +36,16 @@
     Mod,
 }
 
+impl HashKind {
+    /// That of a deployment's routers.
+    pub fn of(deployment: Deployment) -> Self {
+        match deployment {
+            Deployment::Kalahari => Self::Steady,
+            Deployment::SouthernCross => Self::Mod,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Port {
     listen: SocketAddrV4,
--- a/crates/standins/src/packets/fleet.rs
+++ b/crates/standins/src/packets/fleet.rs
@@ -77,12 +77,7 @@
     /// Publishes a configuration that has these of the two services' routes and further ones to the first service.
     pub fn configure(&mut self, ports: &[u16]) {
         self.version += 3;
-        let [first, second] = self.builder.deployment.services();
         let routes = ports.iter().map(|port| {
-            let service = match *port == ROUTE_PORT + 1 {
-                true => second,
-                false => first,
-            };
             json!({
                 "name": format!("route-{port}"),
                 "hostname": self.route(*port).ip().to_string(),
@@ -92,10 +87,10 @@
                 "target_latency_ms": 250,
                 "priority": 1,
                 "max_attempts": 2,
-                "service": service,
+                "service": self.service_of(*port),
             })
         });
-        let services = [first, second].map(|name| {
+        let services = self.builder.deployment.services().map(|name| {
             json!({"name": name, "health_check_path": "/health", "max_connections": 2_000,
                 "protocol": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": 0.0})
         });
@@ -108,6 +103,15 @@
         self.store.put("op/config", &configuration);
     }
 
+    /// Service of the route at a port.
+    pub fn service_of(&self, port: u16) -> &'static str {
+        let [first, second] = self.builder.deployment.services();
+        match port == ROUTE_PORT + 1 {
+            true => second,
+            false => first,
+        }
+    }
+
     /// Takes a zone out of service.
     pub fn take_out(&self, zone: &str) {
         self.store.put(&format!("op/evacuate/{zone}"), &json!({}));
--- a/crates/standins/src/packets/results.rs
+++ b/crates/standins/src/packets/results.rs
@@ -1,6 +1,8 @@
 //! What callers are to do, and what they saw.
 
+use super::upstream::Seen;
 use std::{
+    collections::HashSet,
     net::SocketAddrV4,
     time::{
         Duration,
@@ -73,3 +75,13 @@
     /// Answers to other requests, or from another upstream than the flow's.
     pub wrong: u64,
 }
+
+/// Requests that must run at most once and ran more often, by their numbers, with their runs.
+pub fn run_twice(seen: &Seen, results: &[Results]) -> Vec<(u64, u32)> {
+    let outcomes = results.iter().flat_map(|r| &r.outcomes);
+    let feeds = outcomes.filter(|o| o.is_feed).map(|o| o.number);
+    let feeds: HashSet<_> = feeds.collect();
+    let runs = seen.runs.iter().map(|(number, runs)| (*number, *runs));
+    runs.filter(|(number, runs)| *runs > 1 && !feeds.contains(number))
+        .collect()
+}
--- a/crates/standins/src/socket.rs
+++ b/crates/standins/src/socket.rs
@@ -11,12 +11,16 @@
 };
 
 /// Largest datagram that the stand-ins read, in bytes.
-pub(crate) const DATAGRAM: usize = 65_536;
+pub const DATAGRAM: usize = 65_536;
 
 /// Reads one datagram, or returns nothing when none arrives within `wait`.
 ///
 /// A refusal reported for an earlier datagram counts as nothing.
-pub(crate) fn read(
+///
+/// # Errors
+///
+/// Fails when the socket itself does.
+pub fn read(
     socket: &UdpSocket,
     buf: &mut [u8],
     wait: Duration,
