Follow a platform of the own interface that is restored from a copy

Cause: documents and lists were ordered by revision alone, so a daemon that had seen higher revisions logged platform_stale and took nothing until the platform had passed them, and would then have mixed two histories. Ruled out: lists that are merely stale, which the scenarios with rewind already cover and which must still be ignored. Change: lists name an era, and each document the era in which it was written; both go into the upper 16 bits of the revision. A watch that is answered from a later era lists all documents. A copy's document keeps its earlier era and so cannot replace a newer one.

--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -84,7 +84,7 @@
         let result = self.store.get(addr, path, wait).await;
         let result = match result {
             Ok(_) if self.control.is_denied(PLATFORM) => Err(StoreError::Denied),
-            Ok(body) => decode(&body),
+            Ok(answer) => store::ok_body(answer).and_then(|body| decode(&body)),
             Err(err) => Err(err),
         };
         if result.is_err() {
--- a/crates/daemon/src/platform/message.rs
+++ b/crates/daemon/src/platform/message.rs
@@ -9,6 +9,9 @@
 /// All documents, or those changed since a revision.
 #[derive(Clone, Debug, Deserialize)]
 pub struct DocumentList {
+    /// Number of the platform's era, which rises when the platform is restored from a copy; 0 if it names none.
+    #[serde(default)]
+    pub era: u64,
     /// Highest revision that the list covers.
     pub revision: u64,
     /// Documents, removed ones included.
@@ -20,6 +23,9 @@
 pub struct PlatformDocument {
     /// Name of the service.
     pub service: String,
+    /// Era in which the document last changed.
+    #[serde(default)]
+    pub era: u64,
     /// Revision at which the document last changed.
     pub revision: u64,
     /// Whether the document was removed.
@@ -32,6 +38,9 @@
 /// All VMs of the platform's VM list.
 #[derive(Clone, Debug, Deserialize)]
 pub struct VmList {
+    /// Number of the platform's era.
+    #[serde(default)]
+    pub era: u64,
     /// Revision at which the list last changed.
     pub revision: u64,
     /// Entries of the list.
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -28,7 +28,11 @@
 };
 use foxtailhinge_policy::{
     members::ListedVm,
-    rendezvous, //
+    rendezvous,
+    revisions::{
+        split_era,
+        with_era, //
+    }, //
 };
 use foxtailhinge_wire::message::DocumentRecord;
 use futures::join;
@@ -88,22 +92,20 @@
     }
 
     fn apply_documents(&self, list: DocumentList, since: u64, began: Instant) {
-        if list.revision < since {
-            log::warn!(
-                "event=platform_stale revision={} known={since}",
-                list.revision
-            );
+        let revision = with_era(list.era, list.revision);
+        if revision < since {
+            log::warn!("event=platform_stale revision={revision} known={since}");
             return;
         }
         for document in list.documents {
             let record = DocumentRecord {
                 service: document.service,
-                revision: document.revision,
+                revision: with_era(document.era, document.revision),
                 text: document.text.filter(|_| !document.removed),
             };
             self.control.apply_document(record, &Origin::Platform);
         }
-        self.control.documents_mut().set_synced(list.revision);
+        self.control.documents_mut().set_synced(revision);
         self.control.confirm(Instant::now());
         let by = match self.is_alone() {
             true => SyncSource::PlatformAlone,
@@ -114,11 +116,12 @@
 
     /// Applies a list; returns whether it is newer than the last one.
     fn apply_vms(&self, list: VmList) -> bool {
+        let revision = with_era(list.era, list.revision);
         let known = self.vms_revision.get();
-        if known.is_some_and(|known| list.revision <= known) {
+        if known.is_some_and(|known| revision <= known) {
             return false;
         }
-        self.vms_revision.set(Some(list.revision));
+        self.vms_revision.set(Some(revision));
         let listed = list.vms.into_iter().map(|vm| ListedVm {
             vm: vm.id,
             zone: vm.zone,
@@ -208,7 +211,7 @@
 impl DocumentSource<'_> {
     fn apply(&self, list: DocumentList, since: u64, began: Instant) -> Progress {
         self.listed.set(true);
-        let has_changes = !list.documents.is_empty() && list.revision >= since;
+        let has_changes = !list.documents.is_empty() && with_era(list.era, list.revision) >= since;
         self.reader.apply_documents(list, since, began);
         self.reader.progress(has_changes, began)
     }
@@ -233,7 +236,12 @@
     async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
         let began = Instant::now();
         let wait = self.reader.control.settings().limits.watch_timeout;
-        let list = self.reader.client.watch_documents(after, wait).await?;
+        let (era, since) = split_era(after);
+        let list = self.reader.client.watch_documents(since, wait).await?;
+        if list.era > era {
+            log::warn!("event=platform_restored era={} known={era}", list.era);
+            return self.list().await;
+        }
         Ok(self.apply(list, after, began))
     }
 
@@ -272,7 +280,11 @@
     async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
         let began = Instant::now();
         let wait = self.reader.control.settings().limits.watch_timeout;
-        let list = self.reader.client.watch_vms(after, wait).await?;
+        let (era, since) = split_era(after);
+        let list = self.reader.client.watch_vms(since, wait).await?;
+        if list.era > era {
+            return self.list().await;
+        }
         let is_newer = self.reader.apply_vms(list);
         Ok(self.reader.progress(is_newer, began))
     }
--- a/crates/daemon/tests/control/documents.rs
+++ b/crates/daemon/tests/control/documents.rs
@@ -127,3 +127,51 @@
         assert!(nodes[0].control.documents().get("certvault").is_none());
     });
 }
+
+#[test]
+fn a_platform_that_is_restored_from_a_copy_undoes_nothing_and_is_followed() {
+    block_on(async {
+        let fleet = Fleet::new(&["a", "a", "b"]);
+        fleet.list_all();
+        let nodes = fleet.start_all();
+        let publish = |deadline_ms| {
+            let text = document(SERVICE, deadline_ms);
+            fleet.platform.publish(SERVICE, &text);
+            text
+        };
+        publish(1_000);
+        fleet
+            .platform
+            .publish("certvault", &document("certvault", 1_000));
+        let mut newest = String::new();
+        for deadline_ms in 2_000..2_020 {
+            newest = publish(deadline_ms);
+        }
+        fleet.platform.remove("certvault");
+        let has = |text: &str| {
+            let text = text.to_owned();
+            move |n: &crate::fleet::Node| n.text(SERVICE).as_ref() == Some(&text)
+        };
+        until_all(&nodes, "the newest document is in force", has(&newest)).await;
+        until_all(&nodes, "the other service is removed", |n| {
+            n.text("certvault").is_none()
+        })
+        .await;
+        fleet.platform.restore(18);
+        // A change of another service shows that the restored platform is followed.
+        let other = document("layoutstore", 1_000);
+        fleet.platform.publish("layoutstore", &other);
+        until_all(
+            &nodes,
+            "the change after the restoration is in force",
+            |n| n.text("layoutstore").as_ref() == Some(&other),
+        )
+        .await;
+        for node in &nodes {
+            assert!(has(&newest)(node), "the document does not go back");
+            assert!(node.text("certvault").is_none(), "the removal holds");
+        }
+        let again = publish(9_000);
+        until_all(&nodes, "a new document is in force", has(&again)).await;
+    });
+}
--- /dev/null
+++ b/crates/policy/src/packets/restoration.rs
@@ -0,0 +1,477 @@
+//! Restoration of the store from a copy: which of the changes made since the copy stay in force.
+//!
+//! A restored store has lost its last changes, but the servers and operators that made them still exist and write them
+//! again. Until then, the directory keeps what it knows to be newer than the copy: removed and draining upstreams stay
+//! out, upstreams that registered since stay in use for [`LAPSE_GRACE`], zones stay out of or in service for
+//! [`REWRITE_TIME`], and the configuration never goes back. An entry that is later than the start of the era was
+//! written since and always applies.
+
+use super::{
+    directory::{
+        Directory,
+        TrackedUpstream,
+        Zone,
+        LAPSE_GRACE, //
+    },
+    entry::{
+        Change,
+        Configuration,
+        Item,
+        UpstreamId,
+        UpstreamState, //
+    },
+    version::Version,
+};
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+/// Time in which operators write lost changes again; a zone then takes the state that the store publishes.
+pub const REWRITE_TIME: Duration = Duration::from_secs(30);
+
+/// Maximum age of a directory that is assumed to be newer than the copy even if the restored store has already passed
+/// its revision.
+const RECENT: Duration = Duration::from_secs(10);
+
+/// Beginning of an era, as a list shows it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NewEra {
+    /// Version of the list.
+    pub(super) version: Version,
+    /// First known version of the era.
+    pub(super) start: Version,
+    /// Whether the list is the store's own.
+    pub(super) is_of_store: bool,
+    /// Version that the daemon that passes the list on had before the era.
+    pub(super) before: Version,
+}
+
+impl NewEra {
+    /// The beginning of an era in a list of the store.
+    pub(super) fn of_store(version: Version) -> Self {
+        Self {
+            version,
+            start: version,
+            is_of_store: true,
+            before: Version::default(),
+        }
+    }
+
+    /// Whether no era has passed unseen since a version.
+    fn is_next_after(self, version: Version) -> bool {
+        self.start.era == version.era + 1
+    }
+
+    /// Whether another daemon passes the list on that knew at least as much of the former era: it has kept what is newer
+    /// than the copy, and says so.
+    fn is_passed_on_by_one_ahead_of(self, version: Version) -> bool {
+        self.before.era == version.era && self.before >= version
+    }
+}
+
+/// The latest restoration of the store in the life of the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Restoration {
+    /// Version of the directory before the restoration; zero if only another daemon has lived through it.
+    pub before: Version,
+    /// First version known of the new era.
+    pub start: Version,
+    /// When the directory learned of the restoration.
+    pub at: Instant,
+    /// Number of upstreams that stayed in use although the copy does not list them.
+    pub kept: usize,
+    /// Number of upstreams that stayed out although the copy lists them as serving.
+    pub held_out: usize,
+    /// Number of zones, and of configurations, that the copy contradicts.
+    pub operator_entries: usize,
+    /// Number of entries that were not written again in time.
+    pub given_up: usize,
+    is_settled: bool,
+}
+
+impl Restoration {
+    fn new(before: Version, start: Version, awaited: &[Item], at: Instant) -> Self {
+        let count =
+            |wanted: fn(&Change) -> bool| awaited.iter().filter(|i| wanted(&i.change)).count();
+        let kept = count(is_kept);
+        let operator_entries =
+            count(|change| matches!(change, Change::Zone { .. } | Change::Configured(_)));
+        Self {
+            before,
+            start,
+            at,
+            kept,
+            held_out: awaited.len() - kept - operator_entries,
+            operator_entries,
+            given_up: 0,
+            is_settled: false,
+        }
+    }
+
+    /// Number of revisions that the store went back by, if the new era has not passed the former one yet.
+    pub fn lost_revisions(&self) -> Option<u64> {
+        self.before.revision.checked_sub(self.start.revision)
+    }
+}
+
+impl Directory {
+    /// The latest restoration of the store that this directory has lived through.
+    pub fn restoration(&self) -> Option<&Restoration> {
+        self.restoration.as_ref()
+    }
+
+    /// Number of entries that are to be written again.
+    pub fn awaited(&self) -> usize {
+        let upstreams = self.upstreams.values().filter(|known| known.awaits_write);
+        let zones = self.zones.values().filter(|zone| zone.awaits_write);
+        upstreams.count() + zones.count() + usize::from(self.configuration_awaits_write)
+    }
+
+    /// Begins the era of a list if it is a new one. If the directory has lived through the former era, returns the
+    /// states that stay in force although the list contradicts them.
+    pub(super) fn begin_era(
+        &mut self,
+        era: NewEra,
+        items: &[Item],
+        now: Instant,
+    ) -> Option<Vec<Item>> {
+        let before = self.version();
+        if before != Version::default() && era.start.era <= before.era {
+            return None;
+        }
+        self.era_start = era.start;
+        if before == Version::default() {
+            return None;
+        }
+        let awaited = match era.is_passed_on_by_one_ahead_of(before) {
+            true => Vec::new(),
+            false => self.states_newer_than_copy(era, items, now),
+        };
+        self.restoration = Some(Restoration::new(before, era.start, &awaited, now));
+        Some(awaited)
+    }
+
+    /// Ends the application of a list that began an era.
+    pub(super) fn end_restoration(&mut self, awaited: &[Item], now: Instant) {
+        self.record_recovery(now);
+        self.keep_awaited(awaited, now);
+    }
+
+    /// States that are newer than the entries of a copy, each with the version of the list.
+    ///
+    /// A listed entry with a higher revision than the known state was written after it, in whichever era.
+    fn states_newer_than_copy(&self, era: NewEra, items: &[Item], now: Instant) -> Vec<Item> {
+        let listed = Listed::new(era.start, items);
+        let mut changes = self.newer_upstreams(era, &listed, now);
+        changes.extend(self.newer_zones(era, &listed));
+        let cfg = self.configuration().filter(|known| {
+            let listed = listed.configuration;
+            listed.is_some_and(|version| version < known.version)
+        });
+        changes.extend(cfg.map(|known| Change::Configured((**known).clone())));
+        let changes = changes.into_iter();
+        changes.map(|change| item(era.version, change)).collect()
+    }
+
+    fn newer_upstreams(&self, era: NewEra, listed: &Listed<'_>, now: Instant) -> Vec<Change> {
+        let is_recent = era.start.revision <= self.version().revision
+            || self.as_of().is_some_and(|as_of| now < as_of + RECENT);
+        let newer = self.upstreams().filter_map(|(id, known)| {
+            let unchanged = || Change::Listed(id, known.upstream.clone());
+            let is_draining = known.upstream.state == UpstreamState::Draining;
+            let (at, state) = match listed.upstreams.get(&id) {
+                None => return (known.is_serving(now) && is_recent).then(unchanged),
+                Some(listed) => *listed,
+            };
+            let is_written = match state {
+                ListedState::Written => true,
+                ListedState::Removed => false,
+                ListedState::Serving | ListedState::Draining => at > known.version.revision,
+            };
+            match state {
+                _ if is_written => None,
+                _ if known.is_gone(now) => Some(Change::Unlisted(id, None)),
+                ListedState::Draining => None,
+                _ => is_draining.then(unchanged),
+            }
+        });
+        // An entry from before the known version that is not known was removed in between. This does not hold if an era
+        // has passed unseen, whose revisions the copy has.
+        let is_next_era = era.is_next_after(self.version());
+        let removed = listed.upstreams.iter().filter(|(id, (at, state))| {
+            let is_written = matches!(state, ListedState::Written);
+            is_next_era && !is_written && *at <= self.version().revision && self.get(**id).is_none()
+        });
+        let removed = removed.map(|(id, _)| Change::Unlisted(*id, None));
+        newer.chain(removed).collect()
+    }
+
+    /// Zones whose state is newer than the copy: out of service if the copy lacks the evacuation, and in service if it has
+    /// the one that ended. An evacuation with another revision is a new one, and may be one if an era has passed unseen or
+    /// another daemon passes it on.
+    fn newer_zones(&self, era: NewEra, listed: &Listed<'_>) -> Vec<Change> {
+        let may_have_ended = era.is_of_store && era.is_next_after(self.version());
+        let newer = self.zones.iter().filter_map(|(name, zone)| {
+            let is_newer = match listed.zones.get(&**name) {
+                Some((at, out)) => {
+                    let is_known = zone
+                        .taken_out
+                        .is_some_and(|(first, last)| (first..=last).contains(at));
+                    *out && !zone.out && is_known && may_have_ended
+                }
+                None => zone.out,
+            };
+            is_newer.then(|| Change::Zone {
+                zone: Rc::clone(name),
+                out: zone.out,
+            })
+        });
+        newer.collect()
+    }
+
+    /// Keeps states in force that are newer than the copy from which the store was restored.
+    fn keep_awaited(&mut self, awaited: &[Item], now: Instant) {
+        for item in awaited {
+            match &item.change {
+                Change::Listed(id, _) if is_kept(&item.change) => {
+                    self.keep_upstream(*id, item, now);
+                }
+                Change::Listed(id, _) | Change::Unlisted(id, _) => {
+                    self.hold_upstream_out(*id, item, now);
+                }
+                Change::Zone { zone, out } => self.keep_zone(zone, *out, item.version, now),
+                Change::Configured(cfg) => self.keep_configuration(cfg, item.version),
+                Change::Unusable(_) | Change::Foreign => (),
+            }
+        }
+        if !awaited.is_empty() {
+            self.rebuild_indexes(now);
+        }
+    }
+
+    /// Keeps an upstream in use as if its entry had lapsed, unless an entry is known that was written since.
+    fn keep_upstream(&mut self, id: UpstreamId, item: &Item, now: Instant) {
+        let recovered_at = self.recovered_at().unwrap_or(now);
+        let until = recovered_at + LAPSE_GRACE;
+        let Change::Listed(_, upstream) = &item.change else {
+            return;
+        };
+        let known = self.upstreams.get(&id);
+        if now >= until || known.is_some_and(|known| known.version > item.version) {
+            return;
+        }
+        let warm_at = (now + upstream.warmup_left).max(known.map_or(now, |known| known.warm_at));
+        let kept = TrackedUpstream {
+            upstream: upstream.clone(),
+            version: item.version,
+            announced: item.version,
+            warm_at,
+            announced_warm_at: warm_at,
+            unlisted: Some(now),
+            lapse_deadline: Some(until),
+            awaits_write: true,
+        };
+        self.upstreams.insert(id, kept);
+    }
+
+    /// Keeps an upstream out that the copy lists as serving, unless an entry is known that was written since.
+    fn hold_upstream_out(&mut self, id: UpstreamId, item: &Item, now: Instant) {
+        let Some(known) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        if known.version > item.version {
+            return;
+        }
+        known.version = item.version;
+        known.announced = item.version;
+        known.awaits_write = true;
+        known.lapse_deadline = None;
+        match &item.change {
+            Change::Listed(_, upstream) => known.upstream.state = upstream.state,
+            _ => {
+                known.unlisted.get_or_insert(now);
+            }
+        }
+    }
+
+    fn keep_configuration(&mut self, cfg: &Configuration, version: Version) {
+        let is_newer = self
+            .configured()
+            .is_none_or(|(written, current)| (current.version, written) <= (cfg.version, version));
+        if is_newer {
+            self.configuration = Some((version, Rc::new(cfg.clone())));
+            self.configuration_awaits_write = true;
+        }
+    }
+
+    fn keep_zone(&mut self, name: &Rc<str>, out: bool, version: Version, now: Instant) {
+        let known = self.zones.get(name);
+        if known.is_some_and(|zone| zone.version > version) {
+            return;
+        }
+        let returned = known.and_then(|zone| zone.returned);
+        let zone = Zone {
+            version,
+            out,
+            taken_out: known.and_then(|zone| zone.taken_out),
+            // A zone that stays in service did not return to it with the list.
+            returned: returned.filter(|at| *at < now),
+            awaits_write: true,
+        };
+        self.zones.insert(Rc::clone(name), zone);
+    }
+
+    /// Applies the states that another daemon of the same era keeps in force, unless they have been given up here.
+    pub(super) fn merge_awaited(&mut self, awaited: &[Item], now: Instant) {
+        if awaited.is_empty() {
+            return;
+        }
+        let (before, start) = (Version::default(), self.era_start);
+        let restoration = self
+            .restoration
+            .get_or_insert_with(|| Restoration::new(before, start, awaited, now));
+        if now < restoration.at + REWRITE_TIME {
+            restoration.is_settled = false;
+            self.keep_awaited(awaited, now);
+        }
+    }
+
+    /// Gives up entries that were not written again in time.
+    ///
+    /// Returns the restoration once, when no entry is awaited any more.
+    pub fn expire_awaited(&mut self, now: Instant) -> Option<Restoration> {
+        let mut restoration = self.restoration.filter(|one| !one.is_settled)?;
+        for known in self.upstreams.values_mut().filter(|k| k.awaits_write) {
+            let is_kept = known.lapse_deadline.is_some();
+            if known.lapse_deadline.is_some_and(|until| now >= until)
+                || (!is_kept && now >= restoration.at + REWRITE_TIME)
+            {
+                known.awaits_write = false;
+                restoration.given_up += 1;
+            }
+        }
+        if now >= restoration.at + REWRITE_TIME {
+            restoration.given_up += self.take_published_zones(now);
+            restoration.given_up +=
+                usize::from(std::mem::take(&mut self.configuration_awaits_write));
+        }
+        restoration.is_settled = self.awaited() == 0;
+        self.restoration = Some(restoration);
+        Some(restoration).filter(|one| one.is_settled)
+    }
+
+    /// Sets zones that were not written again to the state that the store publishes; returns their number.
+    fn take_published_zones(&mut self, now: Instant) -> usize {
+        let zones = self.zones.iter().filter(|(_, zone)| zone.awaits_write);
+        let items: Vec<_> = zones
+            .map(|(name, zone)| (Rc::clone(name), !zone.out))
+            .collect();
+        let version = self.version();
+        for (name, out) in &items {
+            self.set_zone(name, *out, version, now);
+        }
+        items.len()
+    }
+
+    /// States that stay in force until their entries are written again, which has not happened up to the current version.
+    pub(super) fn awaited_items(&self, now: Instant) -> Vec<Item> {
+        let version = self.version();
+        let upstreams = self.upstreams().filter(|(_, known)| known.awaits_write);
+        let upstreams = upstreams.map(|(id, known)| {
+            let is_held_out = known.unlisted.is_some() && known.lapse_deadline.is_none();
+            let change = match is_held_out {
+                true => Change::Unlisted(id, None),
+                false => Change::Listed(id, known.current(now)),
+            };
+            item(version, change)
+        });
+        let zones = self.zones.iter().filter(|(_, zone)| zone.awaits_write);
+        let zones = zones.map(|(name, zone)| {
+            let change = Change::Zone {
+                zone: Rc::clone(name),
+                out: zone.out,
+            };
+            item(version, change)
+        });
+        let cfg = self
+            .configured()
+            .filter(|_| self.configuration_awaits_write);
+        let cfg = cfg.map(|(_, cfg)| item(version, Change::Configured((**cfg).clone())));
+        upstreams.chain(zones).chain(cfg).collect()
+    }
+}
+
+/// Whether a change in force keeps an upstream in use.
+fn is_kept(change: &Change) -> bool {
+    matches!(change, Change::Listed(_, upstream) if upstream.state == UpstreamState::Serving)
+}
+
+fn item(version: Version, change: Change) -> Item {
+    Item {
+        key: "".into(),
+        version,
+        change,
+    }
+}
+
+/// State of an upstream in a list.
+#[derive(Clone, Copy, Debug)]
+enum ListedState {
+    /// Serving, possibly by the copy alone.
+    Serving,
+    /// Draining, possibly by the copy alone.
+    Draining,
+    /// Written since the restoration.
+    Written,
+    /// Removed; a reader passes this on for an upstream that may return.
+    Removed,
+}
+
+/// Entries of a list with their revisions.
+struct Listed<'i> {
+    upstreams: HashMap<UpstreamId, (u64, ListedState)>,
+    /// Whether zones are out of service.
+    zones: HashMap<&'i str, (u64, bool)>,
+    /// Version of the configuration.
+    configuration: Option<u64>,
+}
+
+impl<'i> Listed<'i> {
+    /// Collects the entries of a list; those up to `start` may come from the copy.
+    fn new(start: Version, items: &'i [Item]) -> Self {
+        let mut listed = Self {
+            upstreams: HashMap::new(),
+            zones: HashMap::new(),
+            configuration: None,
+        };
+        for item in items {
+            let at = item.version.revision;
+            match &item.change {
+                Change::Listed(id, upstream) => {
+                    let state = match upstream.state {
+                        _ if item.version > start => ListedState::Written,
+                        UpstreamState::Serving => ListedState::Serving,
+                        UpstreamState::Draining => ListedState::Draining,
+                    };
+                    listed.upstreams.insert(*id, (at, state));
+                }
+                Change::Unlisted(id, _) => {
+                    listed.upstreams.insert(*id, (at, ListedState::Removed));
+                }
+                Change::Zone { zone, out } => {
+                    listed.zones.insert(zone, (at, *out));
+                }
+                Change::Configured(cfg) => {
+                    listed.configuration = Some(cfg.version);
+                }
+                Change::Unusable(_) | Change::Foreign => (),
+            }
+        }
+        listed
+    }
+}
--- a/crates/policy/src/revisions.rs
+++ b/crates/policy/src/revisions.rs
@@ -19,6 +19,22 @@
     rc::Rc, //
 };
 
+/// Number of bits of a revision below its era.
+const ERA_SHIFT: u32 = 48;
+
+/// Adds the era in which a revision was assigned to it.
+///
+/// A platform that was restored from a copy begins a new era and assigns revisions again. The era is in the upper bits,
+/// so that revisions of a later era are higher.
+pub fn with_era(era: u64, revision: u64) -> u64 {
+    (era << ERA_SHIFT) | (revision & !(u64::MAX << ERA_SHIFT))
+}
+
+/// Splits a revision into its era and the revision that the platform assigned.
+pub fn split_era(revision: u64) -> (u64, u64) {
+    (revision >> ERA_SHIFT, revision & !(u64::MAX << ERA_SHIFT))
+}
+
 /// Outcome of offering a document or a removal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OfferOutcome {
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -62,6 +62,9 @@
 pub struct Document {
     /// Service that the document configures.
     pub service: String,
+    /// Era of the store at the document's last change.
+    #[serde(default)]
+    pub era: u64,
     /// Revision of the whole store at the document's last change.
     pub revision: u64,
     /// Whether the document was removed.
@@ -74,6 +77,9 @@
 /// Answer to a list or watch of documents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Documents {
+    /// Number of the store's era, which rises with each restoration from a copy.
+    #[serde(default)]
+    pub era: u64,
     /// Newest revision of the store.
     pub revision: u64,
     /// Documents that changed after the requested revision.
@@ -108,6 +114,9 @@
 /// Answer to a list or watch of VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vms {
+    /// Number of the store's era.
+    #[serde(default)]
+    pub era: u64,
     /// Newest revision of the list.
     pub revision: u64,
     /// All VMs of the list, or none if the list has not changed.
@@ -117,6 +126,7 @@
 /// Documents and VMs of the platform.
 #[derive(Clone, Default)]
 struct Store {
+    era: u64,
     revision: u64,
     documents: BTreeMap<String, Document>,
     vms_revision: u64,
@@ -127,6 +137,7 @@
     fn documents_since(&self, since: u64) -> Documents {
         let newer = self.documents.values().filter(|one| one.revision > since);
         Documents {
+            era: self.era,
             revision: self.revision,
             documents: newer.cloned().collect(),
         }
@@ -135,6 +146,7 @@
     fn vms_since(&self, since: u64) -> Vms {
         let newer = self.vms_revision > since;
         Vms {
+            era: self.era,
             revision: self.vms_revision,
             vms: if newer { self.vms.clone() } else { Vec::new() },
         }
@@ -263,6 +275,20 @@
         });
     }
 
+    /// Goes back to the documents and VMs as they were before the last `changes` changes of documents, in a new era.
+    ///
+    /// The revisions since then are assigned again.
+    pub fn restore(&self, changes: usize) {
+        let mut state = self.shared.state();
+        let index = state.earlier.len().saturating_sub(changes);
+        state.earlier.truncate(index + 1);
+        let Some(copy) = state.earlier.pop() else {
+            return;
+        };
+        let era = state.store.era + 1;
+        state.store = Store { era, ..copy };
+    }
+
     /// Closes connections from these IP addresses and accepts none from them; lifts an earlier partition.
     pub fn partition(&self, peers: &[IpAddr]) {
         self.shared.state().partition = peers.to_vec();
@@ -286,6 +312,7 @@
         store.revision += 1;
         let document = Document {
             service: service.to_owned(),
+            era: store.era,
             revision: store.revision,
             removed: text.is_none(),
             text,
