--- a/crates/config/src/packet_report.rs
+++ b/crates/config/src/packet_report.rs
@@ -81,8 +81,14 @@
     pub zone: Arc<str>,
     /// Result of the fabric's readiness check: whether it should send packets to this daemon.
     pub ready: bool,
+    /// Era of the store, which begins when the store is restored from a copy; 0 if the store names none.
+    #[serde(default)]
+    pub era: u64,
     /// Revision of the store up to which the view is complete.
     pub revision: u64,
+    /// Number of entries that are to be written again, because the restored store has lost their last change.
+    #[serde(default)]
+    pub awaited: usize,
     /// Time since the store last confirmed the view; `None` before the first list.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[serde(rename = "age_ms")]
@@ -129,4 +135,7 @@
     pub slots: u32,
     /// Revision of the upstream's entry in the store.
     pub revision: u64,
+    /// Whether this state is newer than the restored store's entry, which is to be written again.
+    #[serde(default)]
+    pub awaits_write: bool,
 }
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -92,15 +92,16 @@
 }
 
 fn daemon(status: &PacketStatus) -> [String; 10] {
-    let store = match status.store_lost {
-        Some(lost) => format!("lost for {}", ms(lost)),
-        None => "answers".to_owned(),
+    let store = match (status.store_lost, status.awaited) {
+        (Some(lost), _) => format!("lost for {}", ms(lost)),
+        (None, 0) => "answers".to_owned(),
+        (None, awaited) => format!("restored, {awaited} to be written again"),
     };
     [
         status.vm.to_string(),
         status.zone.to_string(),
         if status.ready { "yes" } else { "no" }.to_owned(),
-        status.revision.to_string(),
+        version(status.era, status.revision),
         status.age.map_or_else(|| "-".to_owned(), ms),
         store,
         reads(status),
@@ -118,12 +119,28 @@
         reported.id.to_string(),
         reported.zone.to_string(),
         reported.address.to_string(),
-        reported.standing.as_str().to_owned(),
+        standing(reported),
         format!("{} of {}", reported.in_progress, reported.slots),
         reported.revision.to_string(),
     ]
 }
 
+/// Revision of the store, with the era if the store names one.
+fn version(era: u64, revision: u64) -> String {
+    match era {
+        0 => revision.to_string(),
+        era => format!("{era}:{revision}"),
+    }
+}
+
+/// Standing of an upstream, and whether it rests on an entry that the restored store has lost.
+fn standing(reported: &PacketUpstream) -> String {
+    match reported.awaits_write {
+        true => format!("{}, to be written again", reported.standing.as_str()),
+        false => reported.standing.as_str().to_owned(),
+    }
+}
+
 fn ms(duration: Duration) -> String {
     format!("{} ms", duration.as_millis())
 }
--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -183,6 +183,10 @@
     pub zone_members: IntGauge,
     /// Revision of the store up to which the view is complete.
     pub view_revision: IntGauge,
+    /// Restorations of the store from a copy that this daemon has lived through.
+    pub restorations: IntCounter,
+    /// Entries that are to be written again after a restoration.
+    pub awaited_entries: IntGauge,
     /// Time since the store last confirmed the view, in milliseconds.
     pub view_age_ms: IntGauge,
     /// Version of the configuration in force.
@@ -257,6 +261,16 @@
                 "foxtailhinge_view_revision",
                 "Revision of the store up to which the view is complete.",
             ),
+            restorations: counter(
+                r,
+                "foxtailhinge_store_restorations_total",
+                "Restorations of the store from a copy that this daemon has lived through.",
+            ),
+            awaited_entries: gauge(
+                r,
+                "foxtailhinge_awaited_entries",
+                "Entries that are to be written again after a restoration.",
+            ),
             view_age_ms: gauge(
                 r,
                 "foxtailhinge_view_age_milliseconds",
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -128,6 +128,7 @@
     /// their flows may last so long.
     pub fn evict_expired(&self, flow_max: Duration) {
         let now = Instant::now();
+        self.view.expire_awaited(now);
         self.view.directory_mut().evict(flow_max, now);
         self.balancer.borrow_mut().evict(IDLE, now);
     }
@@ -298,7 +299,7 @@
                 log_packet("packet_dropped", packet).field("reason", format!("{reason:?}"))
             }
         };
-        let event = event.field("revision", directory.revision());
+        let event = event.field("revision", directory.version());
         match age {
             Some(age) => event.field("age_ms", age.as_millis()).info(),
             None => event.info(),
@@ -313,14 +314,18 @@
         true => "flow_opened",
         false => "flow_opened_again",
     };
-    log_packet(name, packet)
+    let event = log_packet(name, packet)
         .field("copy", packet.ack)
         .field("upstream", choice.id)
         .field("standing", format!("{:?}", choice.standing))
         .field("in_progress", choice.in_progress)
         .field("remote", choice.is_remote)
         .field("doubt", format!("{:.2}", choice.zone_failure_rate))
-        .field("candidates", choice.candidates)
+        .field("candidates", choice.candidates);
+    match choice.awaits_write {
+        true => event.field("awaits_write", true),
+        false => event,
+    }
 }
 
 fn log_packet(name: &'static str, packet: &Packet) -> Event {
--- a/crates/daemon/src/packets/report.rs
+++ b/crates/daemon/src/packets/report.rs
@@ -28,6 +28,7 @@
         let age = status.age.map_or(-1, |age| age.as_millis() as i64);
         metrics.view_age_ms.set(age);
         metrics.view_revision.set(status.revision as i64);
+        metrics.awaited_entries.set(status.awaited as i64);
         metrics
             .configuration
             .set(status.configuration.unwrap_or(0) as i64);
@@ -62,7 +63,8 @@
                 standing: standing(id, tracked),
                 in_progress: balancer.in_progress(id, now),
                 slots: tracked.upstream.slots,
-                revision: tracked.revision,
+                revision: tracked.version.revision,
+                awaits_write: tracked.awaits_write,
             })
             .collect();
         upstreams.sort_by(|a, b| (&a.service, &a.id).cmp(&(&b.service, &b.id)));
@@ -71,7 +73,9 @@
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
             ready: self.is_ready(),
-            revision: directory.revision(),
+            era: directory.version().era,
+            revision: directory.version().revision,
+            awaited: directory.awaited(),
             age: self.view.age(now),
             store_lost: self
                 .view
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -5,13 +5,15 @@
 
 use self::log::{
     log_change,
-    log_changes, //
+    log_changes,
+    log_era, //
 };
 use super::metrics::PacketMetrics;
 use crate::{
     logging::Event,
     metrics::PlatformResult,
     store::{
+        ok_body,
         BackoffLimits,
         CallLimits,
         Client,
@@ -22,13 +24,16 @@
     },
     wake::Wake,
 };
+use bytes::Bytes;
 use foxtailhinge_config::packet_settings::PacketLimits;
 use foxtailhinge_platform::store::{
     list_path,
     read_changes,
+    read_era,
     read_list,
     watch_path,
-    ReadConsistency, //
+    ReadConsistency,
+    ERA_HEADER, //
 };
 use foxtailhinge_policy::packets::{
     directory::{
@@ -39,10 +44,15 @@
     Freshness,
     Item,
     Missing,
-    PollSchedule, //
+    PollSchedule,
+    Version, //
 };
 use futures::future::select;
-use http::StatusCode;
+use http::{
+    HeaderMap,
+    StatusCode, //
+};
+use rand::Rng;
 use std::{
     cell::{
         Cell,
@@ -90,6 +100,9 @@
 /// Maximum wait of the watches of such a daemon, for the same reason.
 const READER_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Maximum time for which a daemon that follows a reader waits for the reader's list before it lists the store itself.
+const LIST_SPREAD: Duration = Duration::from_secs(1);
+
 /// Shortest outage during which entries can lapse.
 const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
@@ -103,7 +116,10 @@
     limits: RefCell<PacketLimits>,
     metrics: Rc<PacketMetrics>,
     directory: RefCell<Directory>,
-    position: Cell<Option<u64>>,
+    /// Version after which the next watch starts; `None` if the store has to be listed.
+    position: Cell<Option<Version>>,
+    /// Highest era seen in an answer of the store, or passed on by another daemon.
+    era: Cell<u64>,
     /// Consistency of the next list: a stale one costs less, and a watch brings it up to date unless the store has lost
     /// the history in between.
     consistency: Cell<ReadConsistency>,
@@ -112,6 +128,8 @@
     missing: Wake,
     /// Whether this daemon reads the store for others of its zone.
     is_reader: Cell<bool>,
+    /// Whether the zone has a daemon that reads the store for this one.
+    has_reader: Cell<bool>,
     /// How fresh the view is according to the reports of readers.
     freshness: Cell<Freshness>,
     /// Time up to which no change is missing, by the clock that advances while the VM is suspended.
@@ -137,6 +155,7 @@
             schedule: RefCell::new(PollSchedule::new(watch_interval(&limits))),
             missing: Wake::default(),
             is_reader: Cell::new(false),
+            has_reader: Cell::new(false),
             freshness: Cell::default(),
             complete_as_of: Cell::new(None),
             answers: Cell::new(0),
@@ -146,6 +165,7 @@
             metrics,
             directory: RefCell::default(),
             position: Cell::new(None),
+            era: Cell::new(0),
             consistency: Cell::new(ReadConsistency::Stale),
             failing_since: Cell::new(None),
         }
@@ -168,10 +188,14 @@
         });
     }
 
-    /// Moves the start of the next watch forward to a revision, never back.
-    fn advance(&self, revision: u64) {
-        let position = self.position.get().unwrap_or(0);
-        self.position.set(Some(revision.max(position)));
+    /// Sets whether the zone has a daemon that reads the store for this one.
+    pub fn set_has_reader(&self, has_reader: bool) {
+        self.has_reader.set(has_reader);
+    }
+
+    /// Moves the start of the next watch forward to a version, never back.
+    fn advance(&self, version: Version) {
+        self.position.set(self.position.get().max(Some(version)));
     }
 
     /// Whether the directory holds every change that has to be in force by now.
@@ -254,24 +278,75 @@
         Some(recheck_at.map_or(due, |at| due.min(at)))
     }
 
-    async fn get(&self, path: &str, wait: Duration) -> Result<bytes::Bytes, StoreError> {
+    /// Calls the store; returns the body of the answer and the era that it belongs to.
+    ///
+    /// An answer of another era than `expected` is an error; without `expected`, the answer may begin a new era.
+    async fn get(
+        &self,
+        path: &str,
+        wait: Duration,
+        expected: Option<u64>,
+    ) -> Result<(Bytes, u64), StoreError> {
         let began = Instant::now();
         let answer = self.client.get(self.store.get(), path, wait).await?;
         let took = began.elapsed().as_secs_f64();
+        let era = self.record_era(answer.headers())?;
+        let body = ok_body(answer)?;
         if wait.is_zero() {
             self.metrics.list_seconds.observe(took);
         }
-        Ok(answer)
+        match expected {
+            Some(known) if known != era => Err(StoreError::EraBegan {
+                known,
+                answered: era,
+            }),
+            _ => Ok((body, era)),
+        }
+    }
+
+    /// Returns the era of an answer and records it, whatever the status of the answer. An answer without the header is
+    /// taken to be of the current era.
+    fn record_era(&self, headers: &HeaderMap) -> Result<u64, StoreError> {
+        let known = self.era.get();
+        let Some(value) = headers.get(ERA_HEADER) else {
+            return Ok(known);
+        };
+        let answered =
+            read_era(value.as_bytes()).map_err(|err| StoreError::Body(err.to_string()))?;
+        if answered < known {
+            return Err(StoreError::EarlierEra { known, answered });
+        }
+        self.set_era(answered);
+        Ok(answered)
+    }
+
+    /// Records a restoration of the store if the directory went from `before` to a later era.
+    fn record_restoration(&self, directory: &Directory, before: Version) {
+        let began = directory.restoration().filter(|one| one.before == before);
+        if let Some(restoration) = began.filter(|_| before.era < directory.version().era) {
+            self.metrics.restorations.inc();
+            log_era(restoration, directory.version());
+        }
     }
 
-    async fn list_pages(&self) -> Result<(u64, Vec<Item>), StoreError> {
+    /// Sets the era; the history of an earlier one cannot be watched any more.
+    fn set_era(&self, era: u64) {
+        self.era.set(era);
+        if self.position.get().is_some_and(|at| at.era < era) {
+            self.position.set(None);
+            self.consistency.set(ReadConsistency::Exact);
+        }
+    }
+
+    async fn list_pages(&self) -> Result<(Version, Vec<Item>), StoreError> {
         let mut items = Vec::new();
-        let mut revision = u64::MAX;
+        let mut version: Option<Version> = None;
         let mut after: Option<Rc<str>> = None;
         loop {
             let path = list_path(after.as_deref(), self.consistency.get());
-            let body = self.get(&path, Duration::ZERO).await?;
-            let page = read_list(&body).map_err(|err| StoreError::Body(err.to_string()))?;
+            let expected = version.map(|first| first.era);
+            let (body, era) = self.get(&path, Duration::ZERO, expected).await?;
+            let page = read_list(&body, era).map_err(|err| StoreError::Body(err.to_string()))?;
             let is_next_page = page
                 .items
                 .iter()
@@ -279,11 +354,12 @@
             if !is_next_page {
                 return Err(StoreError::Mismatched);
             }
-            revision = revision.min(page.revision);
+            let first = version.map_or(page.version, |first| first.min(page.version));
+            version = Some(first);
             items.extend(page.items);
             match page.next {
                 Some(key) => after = Some(key),
-                None => return Ok((revision, items)),
+                None => return Ok((first, items)),
             }
         }
     }
@@ -291,24 +367,40 @@
 
 impl Source for View {
     fn position(&self) -> Option<u64> {
-        self.position.get()
+        self.position.get().map(|version| version.revision)
     }
 
-    async fn wait_turn(&self) {}
+    /// Lets a daemon that follows a reader wait for the reader's list before it lists a store that has lost its history,
+    /// which all daemons notice at the same time.
+    async fn wait_turn(&self) {
+        if !self.has_reader.get() || !self.is_ready() {
+            return;
+        }
+        let until = Instant::now() + LIST_SPREAD.mul_f64(rand::rng().random());
+        while self.position.get().is_none() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            let due = pin!(monoio::time::sleep(left));
+            let answer = pin!(self.next_answer());
+            select(due, answer).await;
+        }
+    }
 
     async fn list(&self) -> Result<Progress, StoreError> {
         let began = Instant::now();
-        let revision_before = self.revision();
+        let version_before = self.version();
         let (answered, items) = self.list_pages().await?;
         match self.consistency.get() {
             ReadConsistency::Exact => self.confirm(began),
             ReadConsistency::Stale => self.record_response(),
         }
         let mut directory = self.directory.borrow_mut();
-        let known = directory.revision();
+        let known = directory.version();
         let Some(outcomes) = directory.replace(answered, &items, Instant::now()) else {
             // Another daemon has passed on newer changes in the meantime.
-            if known > revision_before && self.position.get().is_some() {
+            if known > version_before && self.position.get().is_some() {
                 return Ok(Progress::Moved);
             }
             return Err(StoreError::RevisionDecreased { known, answered });
@@ -320,6 +412,7 @@
             }
         }
         self.position.set(Some(answered));
+        self.record_restoration(&directory, known);
         Event::new("view_listed")
             .field("revision", answered)
             .field("known", known)
@@ -330,22 +423,25 @@
             )
             .field("took_ms", began.elapsed().as_millis())
             .info();
+        drop(directory);
+        self.notify();
         Ok(Progress::Moved)
     }
 
     async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
         let began = Instant::now();
         let wait = self.wait(began);
-        let body = self.get(&watch_path(after, wait), wait).await?;
-        let changes = read_changes(&body).map_err(|err| StoreError::Body(err.to_string()))?;
+        let era = self.era.get();
+        let (body, _) = self.get(&watch_path(after, wait), wait, Some(era)).await?;
+        let changes = read_changes(&body, era).map_err(|err| StoreError::Body(err.to_string()))?;
         let now = Instant::now();
         let answer = Answer {
             began,
             ended: now,
             wait,
             after,
-            first: changes.items.iter().map(|item| item.revision).min(),
-            revision: changes.revision,
+            first: changes.items.iter().map(|item| item.version.revision).min(),
+            revision: changes.version.revision,
             entries: changes.items.len(),
             bytes: body.len(),
         };
@@ -358,13 +454,13 @@
         }
         let outcomes = {
             let mut directory = self.directory.borrow_mut();
-            directory.apply(changes.revision, &changes.items, now)
+            directory.apply(changes.version, &changes.items, now)
         };
         log_changes(&changes.items, &outcomes);
         let brings =
             |missing: Missing| changes.items.iter().any(|item| missing.is_in(&item.change));
         self.schedule.borrow_mut().record_answer(&answer, brings);
-        self.advance(changes.revision.max(after));
+        self.advance(changes.version.max(Version::new(era, after)));
         self.notify();
         self.consistency.set(ReadConsistency::Stale);
         Ok(Progress::Moved)
@@ -387,11 +483,15 @@
         self.metrics.store_calls.inc(PlatformResult::Failed);
         self.client.disconnect();
         let is_history_lost = matches!(err, StoreError::Status(StatusCode::GONE));
-        if is_history_lost || matches!(err, StoreError::RevisionDecreased { .. }) {
+        let is_other_history = matches!(
+            err,
+            StoreError::RevisionDecreased { .. } | StoreError::EraBegan { .. }
+        );
+        if is_history_lost || is_other_history {
             self.position.set(None);
             self.consistency.set(ReadConsistency::Exact);
             Event::new("view_outdated")
-                .field("revision", self.directory.borrow().revision())
+                .field("revision", self.version())
                 .field("cause", err)
                 .info();
             return;
@@ -401,7 +501,7 @@
             self.failing_since.set(Some(now));
             Event::new("store_lost")
                 .field("store", self.store.get())
-                .field("revision", self.directory.borrow().revision())
+                .field("revision", self.version())
                 .field("age_ms", self.age(now).map_or(0, |age| age.as_millis()))
                 .field("cause", err)
                 .warn();
--- a/crates/daemon/src/packets/view/log.rs
+++ b/crates/daemon/src/packets/view/log.rs
@@ -8,7 +8,10 @@
         Item,
         UpstreamState, //
     },
+    Restoration,
+    Version, //
 };
+use std::time::Instant;
 
 /// Logs the outcome of each change.
 pub(super) fn log_changes(items: &[Item], outcomes: &[Outcome]) {
@@ -37,7 +40,7 @@
     };
     let mut line = Event::new(name)
         .field("key", &item.key)
-        .field("revision", item.revision);
+        .field("revision", item.version);
     if let Some((field, value)) = event {
         line = line.field(field, value);
     }
@@ -46,3 +49,28 @@
         _ => line.info(),
     }
 }
+
+/// Logs that the store was restored from a copy, after a list at `version` that began the era.
+pub(super) fn log_era(restoration: &Restoration, version: Version) {
+    let lost = restoration.lost_revisions();
+    Event::new("era_began")
+        .field("before", restoration.before)
+        .field("revision", version)
+        .field(
+            "lost_revisions",
+            lost.map_or("unknown".to_owned(), |n| n.to_string()),
+        )
+        .field("kept", restoration.kept)
+        .field("held_out", restoration.held_out)
+        .field("operator_entries", restoration.operator_entries)
+        .warn();
+}
+
+/// Logs that all entries which a restored store had lost are written again or given up.
+pub(super) fn log_era_settled(restoration: &Restoration, now: Instant) {
+    Event::new("era_settled")
+        .field("start", restoration.start)
+        .field("took_ms", now.duration_since(restoration.at).as_millis())
+        .field("given_up", restoration.given_up)
+        .info();
+}
--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -1,7 +1,10 @@
 //! Exchange of a view's state with other daemons of its zone.
 
 use super::{
-    log::log_change,
+    log::{
+        log_change,
+        log_era_settled, //
+    },
     watch_interval,
     View, //
 };
@@ -13,7 +16,8 @@
     },
     ChangeSet,
     FreshnessReport,
-    SyncedFrom, //
+    SyncedFrom,
+    Version, //
 };
 use rustix::time::{
     clock_gettime,
@@ -29,9 +33,9 @@
 };
 
 impl View {
-    /// Revision up to which the view is complete; zero before the first list.
-    pub fn revision(&self) -> u64 {
-        self.directory.borrow().revision()
+    /// Version up to which the view is complete; zero before the first list.
+    pub fn version(&self) -> Version {
+        self.directory.borrow().version()
     }
 
     /// Whether the view has a configuration, without which no packet is forwarded.
@@ -39,8 +43,8 @@
         self.directory.borrow().is_ready()
     }
 
-    /// Changes after a revision.
-    pub fn changes_since(&self, after: u64, synced_from: SyncedFrom) -> ChangeSet {
+    /// Changes after a version.
+    pub fn changes_since(&self, after: Version, synced_from: SyncedFrom) -> ChangeSet {
         self.directory
             .borrow()
             .changes_since(after, synced_from, Instant::now())
@@ -74,7 +78,7 @@
     pub fn merge_changes(&self, changes: &ChangeSet, since_recovery: Option<Duration>) {
         let now = Instant::now();
         let recovered_at = since_recovery.and_then(|age| now.checked_sub(age));
-        let (was_ready, revision) = (self.is_ready(), self.revision());
+        let (was_ready, known) = (self.is_ready(), self.version());
         let outcomes = {
             let mut directory = self.directory.borrow_mut();
             if let Some(at) = recovered_at.filter(|at| Some(*at) > directory.recovered_at()) {
@@ -85,10 +89,12 @@
         let Some(outcomes) = outcomes else {
             return;
         };
-        // A known revision does not move the position, which is unset while the store has lost the history after that
-        // revision and has to be listed again.
-        if changes.revision > revision {
-            self.advance(changes.revision);
+        // A known version does not move the position, which is unset while the store has lost the history after that
+        // version and has to be listed again.
+        if changes.version > known {
+            self.set_era(changes.version.era.max(self.era.get()));
+            self.advance(changes.version);
+            self.record_restoration(&self.directory(), known);
         }
         let applied = &outcomes[outcomes.len() - changes.items.len()..];
         if was_ready {
@@ -97,7 +103,7 @@
             changed.for_each(|(item, outcome)| log_change(item, outcome));
         } else if self.is_ready() {
             Event::new("view_passed_on")
-                .field("revision", changes.revision)
+                .field("revision", changes.version)
                 .field("entries", changes.items.len())
                 .info();
         }
@@ -115,6 +121,20 @@
         self.fresh_until().is_some()
     }
 
+    /// Whether this daemon knows the state from before the current era of the store.
+    pub fn has_lived_through_restoration(&self) -> bool {
+        let directory = self.directory.borrow();
+        let restoration = directory.restoration();
+        restoration.is_some_and(|one| one.before != Version::default())
+    }
+
+    /// Gives up changes that a restored store had lost and that were not written again in time.
+    pub fn expire_awaited(&self, now: Instant) {
+        if let Some(restoration) = self.directory.borrow_mut().expire_awaited(now) {
+            log_era_settled(&restoration, now);
+        }
+    }
+
     /// Time until which the reports of readers make a call of the store unnecessary.
     pub(super) fn fresh_until(&self) -> Option<Instant> {
         let interval = watch_interval(&self.limits.borrow());
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -13,7 +13,8 @@
     Target,
     Upstream,
     UpstreamId,
-    UpstreamState, //
+    UpstreamState,
+    Version, //
 };
 use std::{
     collections::HashMap,
@@ -31,21 +32,49 @@
 /// The encoded form of a [`ChangeSet`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct ChangeSetRecord {
-    /// Revision up to which the change set is complete.
-    pub revision: u64,
+    /// Version up to which the change set is complete.
+    pub version: VersionRecord,
+    /// First version that the sender knows of the era.
+    pub era_start: VersionRecord,
+    /// Version that the sender had before the era; zero if it started in this era.
+    pub before_era: VersionRecord,
     /// Whether these are all entries of the directory.
     pub is_whole: bool,
     /// Names of services, zones and routes, without duplicates.
     pub names: Vec<String>,
     /// Changed entries.
     pub items: Vec<ItemRecord>,
+    /// States that the sender keeps in force although the store was restored from an older copy.
+    pub awaited: Vec<ItemRecord>,
+}
+
+/// A version of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct VersionRecord {
+    era: u64,
+    revision: u64,
+}
+
+impl From<Version> for VersionRecord {
+    fn from(version: Version) -> Self {
+        Self {
+            era: version.era,
+            revision: version.revision,
+        }
+    }
+}
+
+impl From<VersionRecord> for Version {
+    fn from(record: VersionRecord) -> Self {
+        Self::new(record.era, record.revision)
+    }
 }
 
 /// A changed entry.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ItemRecord {
-    /// Revision of the entry's last change.
-    pub revision: u64,
+    /// Version of the entry's last change.
+    pub version: VersionRecord,
     /// New state of the entry.
     pub change: ChangeRecord,
 }
@@ -104,20 +133,26 @@
 
 impl ChangeSetRecord {
     /// Encodes a change set; leaves out entries that cannot be used.
-    pub fn new(changes: &ChangeSet) -> Self {
+    pub fn new<'c>(changes: &'c ChangeSet) -> Self {
         let mut names = Names::default();
-        let items = changes.items.iter().filter_map(|item| {
-            Some(ItemRecord {
-                revision: item.revision,
-                change: change_record(&item.change, &mut names)?,
-            })
-        });
-        let items = items.collect();
+        let mut records = |items: &'c [Item]| {
+            let records = items.iter().filter_map(|item| {
+                Some(ItemRecord {
+                    version: item.version.into(),
+                    change: change_record(&item.change, &mut names)?,
+                })
+            });
+            records.collect()
+        };
+        let (items, awaited) = (records(&changes.items), records(&changes.awaited));
         Self {
-            revision: changes.revision,
+            version: changes.version.into(),
+            era_start: changes.era_start.into(),
+            before_era: changes.before_era.into(),
             is_whole: changes.is_whole,
             names: names.list,
             items,
+            awaited,
         }
     }
 
@@ -128,11 +163,16 @@
     /// Fails when a record uses an index that is not in the list of names.
     pub fn decode(&self) -> Result<ChangeSet, NameError> {
         let names: Vec<Rc<str>> = self.names.iter().map(|name| Rc::from(&**name)).collect();
-        let items = self.items.iter().map(|record| item(record, &names));
+        let items = |records: &[ItemRecord]| -> Result<Vec<_>, _> {
+            records.iter().map(|record| item(record, &names)).collect()
+        };
         Ok(ChangeSet {
-            revision: self.revision,
+            version: self.version.into(),
+            era_start: self.era_start.into(),
+            before_era: self.before_era.into(),
             is_whole: self.is_whole,
-            items: items.collect::<Result<_, _>>()?,
+            items: items(&self.items)?,
+            awaited: items(&self.awaited)?,
         })
     }
 }
@@ -234,7 +274,7 @@
     };
     Ok(Item {
         key: key.into(),
-        revision: record.revision,
+        version: record.version.into(),
         change,
     })
 }
--- a/crates/daemon/src/packets/zone/follower.rs
+++ b/crates/daemon/src/packets/zone/follower.rs
@@ -45,6 +45,9 @@
 /// it answers.
 const FIRST_VIEW: Duration = Duration::from_millis(300);
 
+/// Number of other daemons that a daemon asks for changes which the store has lost, after a start in a later era.
+const ASKED_FOR_LOST: usize = 3;
+
 /// Why a reader could not provide a fresh view.
 #[derive(Debug, thiserror::Error)]
 enum SyncError {
@@ -54,6 +57,8 @@
     Name(#[from] NameError),
     #[error("The reader's view is {0:?} old.")]
     Old(Duration),
+    #[error("The reader's view is of era {0}, which has ended.")]
+    EarlierEra(u64),
     #[error("The reader has no view yet.")]
     NoView,
     #[error("The reader sent an unexpected answer; run the same version on both daemons.")]
@@ -68,17 +73,23 @@
         loop {
             let role = self.role();
             self.parts.view.set_reader(role == Role::Reader);
+            self.parts.view.set_has_reader(!role.sources().is_empty());
             let has_no_view = !self.parts.view.is_ready();
+            let before_era = match has_no_view {
+                true => None,
+                false => self.member_from_before_era(),
+            };
+            let is_at_once = has_no_view || before_era.is_some();
             let source = match has_no_view {
                 true => self.any_other(),
-                false => source(&role, turn),
+                false => before_era.or_else(|| source(&role, turn)),
             };
             let Some(source) = source else {
                 self.followed.take();
                 self.parts.timer.sleep(ROLE_PERIOD).await;
                 continue;
             };
-            let wait = match has_no_view {
+            let wait = match is_at_once {
                 true => Duration::ZERO,
                 false => WAIT,
             };
@@ -109,6 +120,27 @@
         others.choose(&mut rand::rng()).cloned()
     }
 
+    /// A daemon that may have lived through the restoration of the store, if this one has not and has asked fewer than
+    /// [`ASKED_FOR_LOST`] others: it may know changes that the store has lost.
+    fn member_from_before_era(&self) -> Option<Member> {
+        let view = &self.parts.view;
+        if view.version().era == 0 || view.has_lived_through_restoration() {
+            return None;
+        }
+        let mut asked = self.asked_for_lost.borrow_mut();
+        if asked.len() >= ASKED_FOR_LOST {
+            return None;
+        }
+        let members = self.members.borrow();
+        let me = members.me();
+        let others = members
+            .live_in_zone(&me.zone)
+            .filter(|member| member.vm != me.vm && !asked.contains(&member.vm));
+        let member = others.choose(&mut rand::rng()).cloned()?;
+        asked.push(Rc::clone(&member.vm));
+        Some(member)
+    }
+
     /// Logs when this daemon starts to follow another daemon, or loses the one that it follows.
     fn log_followed(&self, source: &Member, outcome: &Result<(), SyncError>) {
         let before = match outcome {
@@ -119,7 +151,7 @@
             Ok(()) if before.as_ref() != Some(&source.vm) => Event::new("reader_followed")
                 .field("reader", &source.vm)
                 .field("members", self.member_count())
-                .field("revision", self.parts.view.revision())
+                .field("revision", self.parts.view.version())
                 .info(),
             Ok(()) => (),
             Err(err) => Event::new("reader_lost")
@@ -131,11 +163,11 @@
 
     async fn request_changes(&self, source: &Member, wait: Duration) -> Result<(), SyncError> {
         let asked = Instant::now();
-        let after = self.parts.view.revision();
+        let after = self.parts.view.version();
         let last = self.last.take().filter(|last| last.from == source.vm);
         let request = ZoneRequest::Watch {
-            after,
-            is_here: last.as_ref().is_some_and(|last| last.revision == after),
+            after: after.into(),
+            is_here: last.as_ref().is_some_and(|last| last.version == after),
             belief: last.map_or(0, |last| last.belief),
             wait_ms: wait.as_millis() as u32,
             members: self.member_updates(),
@@ -154,7 +186,7 @@
                 let applied = self.apply(changes, asked);
                 *self.last.borrow_mut() = Some(LastAnswer {
                     from: Rc::clone(&source.vm),
-                    revision: self.parts.view.revision(),
+                    version: self.parts.view.version(),
                     belief,
                 });
                 applied
@@ -167,9 +199,11 @@
         self.merge_members(changes.members);
         self.apply_silent(&changes.silent);
         let since_recovery = changes.regained_ms.map(Duration::from_millis);
-        self.parts
-            .view
-            .merge_changes(&changes.news.decode()?, since_recovery);
+        let news = changes.news.decode()?;
+        if news.version.era < self.parts.view.version().era {
+            return Err(SyncError::EarlierEra(news.version.era));
+        }
+        self.parts.view.merge_changes(&news, since_recovery);
         if !self.parts.view.is_ready() {
             return Err(SyncError::NoView);
         }
@@ -187,7 +221,7 @@
 fn result(outcome: &Result<(), SyncError>) -> ZoneResult {
     match outcome {
         Ok(()) => ZoneResult::Fed,
-        Err(SyncError::Old(_) | SyncError::NoView) => ZoneResult::Old,
+        Err(SyncError::Old(_) | SyncError::EarlierEra(_) | SyncError::NoView) => ZoneResult::Old,
         Err(SyncError::Link(_) | SyncError::Name(_) | SyncError::BadReply) => ZoneResult::Failed,
     }
 }
--- a/crates/daemon/src/packets/zone/message.rs
+++ b/crates/daemon/src/packets/zone/message.rs
@@ -1,6 +1,9 @@
 //! Messages between the daemons of a zone.
 
-use super::change_set::ChangeSetRecord;
+use super::change_set::{
+    ChangeSetRecord,
+    VersionRecord, //
+};
 use crate::links::message;
 use bincode::{
     Decode,
@@ -19,7 +22,7 @@
 
 /// Version of the messages, sent as their first byte. A daemon rejects messages of another version, so daemons of
 /// different versions each read the store themselves.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Maximum number of member updates in one message.
 pub(super) const MEMBER_UPDATES_MAX: usize = 8;
@@ -39,10 +42,10 @@
 pub enum ZoneRequest {
     /// Sends members, the sender first, and asks for those of its zone.
     Meet(Vec<MemberUpdate>),
-    /// Asks for changes after a revision.
+    /// Asks for changes after a version.
     Watch {
-        /// Revision up to which the asker's view is complete.
-        after: u64,
+        /// Version up to which the asker's view is complete.
+        after: VersionRecord,
         /// Whether the asker's view comes from the last answer of the daemon that it asks.
         is_here: bool,
         /// Number of the last report on an upstream that the asker has from the daemon that it asks.
@@ -90,13 +93,13 @@
 pub enum ZoneReply {
     /// Known members of the asker's zone, the sender first.
     Met(Vec<MemberUpdate>),
-    /// Changes after the revision asked for.
+    /// Changes after the version asked for.
     Changes(Changes),
     /// The reported openings are recorded.
     Noted,
 }
 
-/// Changes after a revision, and how fresh they are.
+/// Changes after a version, and how fresh they are.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Changes {
     /// How long the request was held, in milliseconds.
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -45,7 +45,8 @@
     },
     packets::{
         readers,
-        Role, //
+        Role,
+        Version, //
     },
 };
 use foxtailhinge_wire::message::MemberUpdate;
@@ -88,8 +89,8 @@
 #[derive(Debug)]
 struct LastAnswer {
     from: Rc<str>,
-    /// Revision up to which this daemon's view was complete after it.
-    revision: u64,
+    /// Version up to which this daemon's view was complete after it.
+    version: Version,
     /// Number of the last report on an upstream in it.
     belief: u64,
 }
@@ -108,6 +109,8 @@
     lost: Wake,
     /// When another daemon last asked for changes.
     asked: Cell<Option<Instant>>,
+    /// Daemons that were asked for changes which a restored store has lost.
+    asked_for_lost: RefCell<Vec<Rc<str>>>,
 }
 
 impl Zone {
@@ -131,6 +134,7 @@
             last: RefCell::default(),
             lost: Wake::default(),
             asked: Cell::new(None),
+            asked_for_lost: RefCell::default(),
         })
     }
 
--- a/crates/daemon/src/packets/zone/server.rs
+++ b/crates/daemon/src/packets/zone/server.rs
@@ -27,7 +27,8 @@
 use bytes::Bytes;
 use foxtailhinge_policy::packets::{
     Role,
-    SyncedFrom, //
+    SyncedFrom,
+    Version, //
 };
 use foxtailhinge_wire::message::MemberUpdate;
 use h2::{
@@ -122,7 +123,7 @@
                     true => SyncedFrom::ThisDaemon,
                     false => SyncedFrom::Other,
                 };
-                self.watch(after, synced_from, belief, wait).await
+                self.watch(after.into(), synced_from, belief, wait).await
             }
             ZoneRequest::Tell(failed) => self.apply_failed(&failed),
         };
@@ -154,14 +155,14 @@
     /// Waits until there are changes or reports that the asker does not have, or the wait ends, and answers with them.
     async fn watch(
         &self,
-        after: u64,
+        after: Version,
         synced_from: SyncedFrom,
         belief: u64,
         wait: Duration,
     ) -> ZoneReply {
         let began = Instant::now();
         let is_up_to_date =
-            self.parts.view.revision() <= after && self.parts.evidence.last_report() <= belief;
+            self.parts.view.version() <= after && self.parts.evidence.last_report() <= belief;
         if is_up_to_date && !wait.is_zero() {
             let _ = monoio::time::timeout(wait, self.parts.view.next_answer()).await;
         }
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -1,7 +1,11 @@
 //! Read-only HTTP client of a store.
 
 use bytes::Bytes;
-use http::StatusCode;
+use foxtailhinge_policy::packets::Version;
+use http::{
+    Response,
+    StatusCode, //
+};
 use monoio::net::TcpStream;
 use socket2::{
     SockRef,
@@ -54,13 +58,41 @@
     /// The store answered with a lower revision than before.
     #[error("The store's revision decreased from {known} to {answered}; check which store the address names.")]
     RevisionDecreased {
-        /// Highest revision seen so far.
+        /// Highest version seen so far.
+        known: Version,
+        /// Version of the answer.
+        answered: Version,
+    },
+    /// The answer belongs to an era that has ended.
+    #[error("The store answered from era {answered}, but era {known} has begun; check any proxy between the store and this daemon.")]
+    EarlierEra {
+        /// Highest era seen so far.
+        known: u64,
+        /// Era of the answer.
+        answered: u64,
+    },
+    /// The store was restored from a copy and has to be listed again.
+    #[error("The store was restored from a copy: it went from era {known} to era {answered}.")]
+    EraBegan {
+        /// Era of the last list.
         known: u64,
-        /// Revision of the answer.
+        /// Era of the answer.
         answered: u64,
     },
 }
 
+/// Returns the body of an answer with status 200.
+///
+/// # Errors
+///
+/// Fails for any other status.
+pub fn ok_body(answer: Response<Bytes>) -> Result<Bytes, StoreError> {
+    match answer.status() {
+        StatusCode::OK => Ok(answer.into_body()),
+        status => Err(StoreError::Status(status)),
+    }
+}
+
 /// A version of HTTP over which the store is called.
 pub trait Transport {
     /// Sends requests on one connection.
@@ -69,12 +101,12 @@
     /// Starts HTTP on a new TCP connection.
     fn start(stream: TcpStream) -> impl Future<Output = Result<Self::Session, StoreError>>;
 
-    /// Sends a GET request; returns the session together with the body, for the next call.
+    /// Sends a GET request; returns the answer, of any status, and the session for the next call.
     fn get(
         session: Self::Session,
         addr: SocketAddr,
         path: &str,
-    ) -> impl Future<Output = Result<(Bytes, Self::Session), StoreError>>;
+    ) -> impl Future<Output = Result<(Response<Bytes>, Self::Session), StoreError>>;
 
     /// Returns another handle of the connection if it supports concurrent calls.
     fn share(session: &Self::Session) -> Option<Self::Session>;
@@ -109,12 +141,16 @@
     }
 
     /// Gets `path` from the store at `addr`, which may delay its answer by `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no whole answer in time; an answer may have any status.
     pub async fn get(
         &self,
         addr: SocketAddr,
         path: &str,
         wait: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         let session = match self.idle_session(addr) {
             Some(session) => session,
             None => within(self.limits.connect, connect::<T>(addr)).await?,
@@ -123,11 +159,11 @@
             *self.idle.borrow_mut() = Some((addr, shared));
         }
         let answered = within(wait + self.limits.answer, T::get(session, addr, path)).await;
-        let (body, session) = answered.inspect_err(|_| {
+        let (answer, session) = answered.inspect_err(|_| {
             self.idle.take();
         })?;
         *self.idle.borrow_mut() = Some((addr, session));
-        Ok(body)
+        Ok(answer)
     }
 
     /// Drops the idle connection, so that the next call opens a new one.
--- a/crates/daemon/src/store/http1.rs
+++ b/crates/daemon/src/store/http1.rs
@@ -8,7 +8,7 @@
 use http::{
     header::HOST,
     Request,
-    StatusCode, //
+    Response, //
 };
 use http_body_util::{
     BodyExt,
@@ -51,20 +51,17 @@
         mut tx: Self::Session,
         addr: SocketAddr,
         path: &str,
-    ) -> Result<(Bytes, Self::Session), StoreError> {
+    ) -> Result<(Response<Bytes>, Self::Session), StoreError> {
         tx.ready().await.map_err(http)?;
         let req = Request::get(path).header(HOST, addr.to_string());
         let req = req
             .body(Empty::new())
             .map_err(|err| StoreError::Http(err.to_string()))?;
         let answer = tx.send_request(req).await.map_err(http)?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), ANSWER_MAX).collect().await;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, ANSWER_MAX).collect().await;
         let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
-        match status {
-            StatusCode::OK => Ok((body.to_bytes(), tx)),
-            status => Err(StoreError::Status(status)),
-        }
+        Ok((Response::from_parts(head, body.to_bytes()), tx))
     }
 
     fn share(_: &Self::Session) -> Option<Self::Session> {
--- a/crates/daemon/src/store/http2.rs
+++ b/crates/daemon/src/store/http2.rs
@@ -12,7 +12,7 @@
 };
 use http::{
     Request,
-    StatusCode, //
+    Response, //
 };
 use monoio::net::TcpStream;
 use monoio_compat::StreamWrapper;
@@ -52,18 +52,15 @@
         tx: Self::Session,
         addr: SocketAddr,
         path: &str,
-    ) -> Result<(Bytes, Self::Session), StoreError> {
+    ) -> Result<(Response<Bytes>, Self::Session), StoreError> {
         let mut tx = tx.ready().await.map_err(http)?;
         let req = Request::get(format!("http://{addr}{path}")).body(());
         let req = req.map_err(|err| StoreError::Http(err.to_string()))?;
         let (answer, _) = tx.send_request(req, true).map_err(http)?;
-        let answer = answer.await.map_err(http)?;
-        if answer.status() != StatusCode::OK {
-            return Err(StoreError::Status(answer.status()));
-        }
-        let body = read_body(answer.into_body(), ANSWER_MAX).await;
+        let (head, body) = answer.await.map_err(http)?.into_parts();
+        let body = read_body(body, ANSWER_MAX).await;
         let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
-        Ok((body, tx))
+        Ok((Response::from_parts(head, body), tx))
     }
 
     fn share(session: &Self::Session) -> Option<Self::Session> {
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -7,6 +7,7 @@
 
 pub use self::{
     client::{
+        ok_body,
         CallLimits,
         Client,
         StoreError,
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -17,11 +17,17 @@
 const FAULT_PERIOD: Duration = Duration::from_secs(6);
 
 #[rstest]
-#[case(101, Deployment::Kalahari)]
-#[case(102, Deployment::SouthernCross)]
-#[case(103, Deployment::Kalahari)]
-#[case(104, Deployment::SouthernCross)]
-fn promises_hold_under_randomized_faults(#[case] seed: u64, #[case] deployment: Deployment) {
+#[case(101, Deployment::Kalahari, false)]
+#[case(102, Deployment::SouthernCross, false)]
+#[case(103, Deployment::Kalahari, false)]
+#[case(104, Deployment::SouthernCross, false)]
+#[case::restored(105, Deployment::Kalahari, true)]
+#[case::restored(106, Deployment::SouthernCross, true)]
+fn promises_hold_under_randomized_faults(
+    #[case] seed: u64,
+    #[case] deployment: Deployment,
+    #[case] restorations: bool,
+) {
     let program = Program {
         path: env!("CARGO_BIN_EXE_foxtailhinge").into(),
         args: Vec::new(),
@@ -31,6 +37,7 @@
     spec.upstreams = [8, 4];
     spec.feeds = 6;
     spec.fault_window = FAULT_PERIOD;
+    spec.restorations = restorations;
     let verdict = Soak::run_seed(&spec, seed).expect("the fleet starts");
     assert!(verdict.passed(), "{verdict}");
     assert!(
--- a/crates/daemon/tests/store_answers.rs
+++ b/crates/daemon/tests/store_answers.rs
@@ -11,6 +11,7 @@
     },
 };
 use foxtailhinge_config::packet_settings::PacketLimits;
+use foxtailhinge_policy::packets::Version;
 use monoio::{
     LegacyDriver,
     RuntimeBuilder, //
@@ -156,7 +157,7 @@
             "a mismatched response is no proof of freshness"
         );
         view.watch(6).await.unwrap();
-        assert_eq!(view.directory().revision(), 7);
+        assert_eq!(view.directory().version(), 7.into());
     });
     assert_eq!(store.connections(), 2, "the connection is not reused");
 }
@@ -193,7 +194,147 @@
         assert_eq!(view.position(), Some(5), "{err}");
         assert_eq!(view.directory().as_of(), None);
         view.watch(5).await.unwrap();
-        assert_eq!(view.directory().revision(), 6);
+        assert_eq!(view.directory().version(), 6.into());
     });
     assert_eq!(store.connections(), 2);
 }
+
+/// Adds the header with the store's era, and a status, to a response.
+fn with_era(bytes: Vec<u8>, status: &str, era: &str) -> Step {
+    let text = String::from_utf8(bytes).unwrap();
+    let head = format!("HTTP/1.1 {status}\r\nStore-Era: {era}\r\n");
+    step(text.replacen("HTTP/1.1 200 OK\r\n", &head, 1).into_bytes())
+}
+
+fn page(key: &str, has_more: bool, revision: u64) -> Vec<u8> {
+    let item = json!({"key": key, "value": "MQ==", "revision": revision});
+    let body = json!({"items": [item], "has_more": has_more, "store_revision": revision});
+    response(&body.to_string())
+}
+
+fn list_of_era(era: &str) -> Step {
+    with_era(list().bytes, "200 OK", era)
+}
+
+#[test]
+fn a_watch_that_is_answered_from_another_history_changes_nothing() {
+    let store = Store::start(vec![
+        list_of_era("1"),
+        with_era(changes(&[6], 6), "200 OK", "2"),
+        list_of_era("2"),
+        with_era(changes(&[6], 6), "200 OK", "2"),
+    ]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        let err = view.watch(5).await.unwrap_err();
+        assert!(matches!(err, StoreError::EraBegan { .. }), "{err}");
+        assert_eq!(view.directory().as_of(), None);
+        view.record_failure(&err);
+        assert_eq!(view.position(), None, "the store is listed again");
+        view.list().await.unwrap();
+        assert_eq!(view.version(), Version::new(2, 5));
+        view.watch(5).await.unwrap();
+        assert_eq!(view.version(), Version::new(2, 6));
+    });
+}
+
+#[test]
+fn an_error_begins_an_era_too() {
+    let store = Store::start(vec![
+        list_of_era("1"),
+        with_era(response("{}"), "503 Service Unavailable", "3"),
+        list_of_era("3"),
+    ]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        let err = view.watch(5).await.unwrap_err();
+        assert!(matches!(err, StoreError::Status(_)), "{err}");
+        view.record_failure(&err);
+        assert_eq!(view.position(), None, "the store is listed again");
+        view.list().await.unwrap();
+        assert_eq!(view.version(), Version::new(3, 5));
+    });
+}
+
+#[test]
+fn an_answer_of_an_earlier_era_is_never_applied() {
+    let store = Store::start(vec![
+        list_of_era("2"),
+        with_era(changes(&[6], 6), "200 OK", "1"),
+        with_era(page("somebody/else", false, 900), "200 OK", "1"),
+        with_era(changes(&[6], 6), "200 OK", "2"),
+    ]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        for result in [view.watch(5).await, view.list().await] {
+            let err = result.unwrap_err();
+            assert!(matches!(err, StoreError::EarlierEra { .. }), "{err}");
+            assert_eq!(view.version(), Version::new(2, 5));
+        }
+        view.watch(5).await.unwrap();
+        assert_eq!(view.version(), Version::new(2, 6));
+    });
+}
+
+#[test]
+fn a_list_with_pages_of_two_eras_is_not_used() {
+    let store = Store::start(vec![
+        with_era(page("a", true, 5), "200 OK", "1"),
+        with_era(page("b", false, 3), "200 OK", "2"),
+        with_era(page("a", true, 3), "200 OK", "2"),
+        with_era(page("b", false, 4), "200 OK", "2"),
+    ]);
+    block_on(async {
+        let view = store.view();
+        let err = view.list().await.unwrap_err();
+        assert!(matches!(err, StoreError::EraBegan { .. }), "{err}");
+        assert_eq!(view.version(), Version::default());
+        view.record_failure(&err);
+        view.list().await.unwrap();
+        assert_eq!(view.version(), Version::new(2, 3));
+    });
+}
+
+#[test]
+fn an_era_that_cannot_be_read_is_named() {
+    let store = Store::start(vec![list_of_era("one"), list_of_era("1")]);
+    block_on(async {
+        let view = store.view();
+        let err = view.list().await.unwrap_err();
+        let text = err.to_string();
+        assert!(text.contains("store-era") && text.contains("one"), "{text}");
+        assert_eq!(view.version(), Version::default());
+        view.list().await.unwrap();
+        assert_eq!(view.version(), Version::new(1, 5));
+    });
+}
+
+#[test]
+fn an_answer_without_an_era_is_of_the_last_known_one() {
+    let store = Store::start(vec![
+        list(),
+        with_era(changes(&[6], 6), "200 OK", "1"),
+        list_of_era("1"),
+        step(changes(&[6], 6)),
+        with_era(changes(&[7], 7), "200 OK", "1"),
+    ]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        assert_eq!(view.version(), 5.into());
+        let err = view.watch(5).await.unwrap_err();
+        assert!(
+            matches!(err, StoreError::EraBegan { .. }),
+            "the store is listed again when the header appears: {err}"
+        );
+        view.record_failure(&err);
+        view.list().await.unwrap();
+        view.watch(5).await.unwrap();
+        assert_eq!(view.version(), Version::new(1, 6), "the header vanished");
+        view.watch(6).await.unwrap();
+        assert_eq!(view.version(), Version::new(1, 7));
+    });
+}
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -22,7 +22,8 @@
     Target,
     Upstream,
     UpstreamId,
-    UpstreamState, //
+    UpstreamState,
+    Version, //
 };
 use quickcheck::{
     Gen,
@@ -42,7 +43,7 @@
 fn item(revision: u64, change: Change, key: &str) -> Item {
     Item {
         key: key.into(),
-        revision,
+        version: Version::new(2, revision),
         change,
     }
 }
@@ -100,8 +101,15 @@
     let gone = UpstreamId(77);
     items.push(item(11, Change::Unlisted(gone, None), &gone.to_string()));
     ChangeSet {
-        revision: 300_000,
+        version: Version::new(2, 300_000),
+        era_start: Version::new(2, 100_000),
+        before_era: Version::new(1, 120_000),
         is_whole: true,
+        awaited: vec![item(
+            300_000,
+            Change::Unlisted(gone, None),
+            &gone.to_string(),
+        )],
         items,
     }
 }
@@ -130,7 +138,7 @@
         out: true,
     };
     record.items = vec![ItemRecord {
-        revision: 1,
+        version: Version::new(1, 1).into(),
         change: zone,
     }];
     assert!(record.decode().is_err());
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -13,6 +13,8 @@
         Upstream,
         UpstreamId, //
     },
+    restoration::NewEra,
+    version::Version,
 };
 use std::{
     rc::Rc,
@@ -25,15 +27,21 @@
 /// Largest insignificant shift of the end of a warm-up: half a heartbeat, which is the largest delay of an entry.
 const WARMUP_DRIFT_MAX: Duration = Duration::from_millis(500);
 
-/// Changes after a revision, with the current state of each changed entry.
+/// Changes after a version, with the current state of each changed entry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ChangeSet {
-    /// Revision up to which the changes are complete.
-    pub revision: u64,
+    /// Version up to which the changes are complete.
+    pub version: Version,
+    /// First version that the sender knows of the era.
+    pub era_start: Version,
+    /// Version that the sender had before the era; zero if it started in this era.
+    pub before_era: Version,
     /// Whether these are all existing entries, so that any other entry has been removed.
     pub is_whole: bool,
     /// Changed entries; a removed one that may still return is listed with its last state, and then as removed.
     pub items: Vec<Item>,
+    /// States that the sender keeps in force although the store was restored from an older copy.
+    pub awaited: Vec<Item>,
 }
 
 /// Source of the state that the asking daemon has.
@@ -46,21 +54,29 @@
 }
 
 impl Directory {
-    /// Returns the changes after a revision, or all entries if the removals since then are no longer known.
-    pub fn changes_since(&self, after: u64, synced_from: SyncedFrom, now: Instant) -> ChangeSet {
-        let is_whole = after < self.compacted_revision();
-        let is_newer = |revision: u64| is_whole || revision > after;
+    /// Returns the changes after a version, or all entries if the removals since then are no longer known.
+    pub fn changes_since(
+        &self,
+        after: Version,
+        synced_from: SyncedFrom,
+        now: Instant,
+    ) -> ChangeSet {
+        let is_whole = after < self.compacted();
+        let is_newer = |version: Version| is_whole || version > after;
         let mut items = Vec::new();
-        if let Some((revision, cfg)) = self.configured().filter(|(at, _)| is_newer(*at)) {
-            items.push(item(revision, Change::Configured((**cfg).clone())));
+        if let Some((version, cfg)) = self.configured().filter(|(at, _)| is_newer(*at)) {
+            items.push(item(version, Change::Configured((**cfg).clone())));
         }
-        for (zone, revision, out) in self.zones().filter(|(_, at, _)| is_newer(*at)) {
-            let zone = Rc::clone(zone);
-            items.push(item(revision, Change::Zone { zone, out }));
+        for (name, zone) in self.zones.iter().filter(|(_, z)| is_newer(z.version)) {
+            let change = Change::Zone {
+                zone: Rc::clone(name),
+                out: zone.out,
+            };
+            items.push(item(zone.version, change));
         }
         let changed = |known: &TrackedUpstream| match synced_from {
-            SyncedFrom::ThisDaemon => known.announced_revision,
-            SyncedFrom::Other => known.revision,
+            SyncedFrom::ThisDaemon => known.announced,
+            SyncedFrom::Other => known.version,
         };
         for (id, known) in self
             .upstreams()
@@ -69,24 +85,44 @@
             push_entry(id, known, is_whole, now, &mut items);
         }
         ChangeSet {
-            revision: self.revision(),
+            version: self.version(),
+            era_start: self.era_start,
+            before_era: self
+                .restoration()
+                .map_or(Version::default(), |one| one.before),
             is_whole,
             items,
+            awaited: self.awaited_items(now),
         }
     }
 
-    /// Applies the changes that another daemon passes on; returns `None` if they are older than the directory.
+    /// Applies the changes that another daemon passes on; returns `None` if they are older than the directory, or of an
+    /// earlier era.
     ///
     /// Does not check for lapsed entries: the daemon that read their removal from the store does so.
     pub fn merge_changes(&mut self, changes: &ChangeSet, now: Instant) -> Option<Vec<Outcome>> {
-        let revision = changes.revision;
-        match changes.is_whole {
+        let version = changes.version;
+        let outcomes = match changes.is_whole {
             true => {
-                let all = self.add_implied_removals(revision, &changes.items)?;
-                Some(self.apply_items(revision, &all, Origin::Peer, now))
+                let all = self.add_implied_removals(version, &changes.items)?;
+                let era = NewEra {
+                    version,
+                    start: changes.era_start,
+                    is_of_store: false,
+                    before: changes.before_era,
+                };
+                let awaited = self.begin_era(era, &changes.items, now);
+                let outcomes = self.apply_items(version, &all, Origin::Peer, now);
+                if let Some(awaited) = awaited {
+                    self.end_restoration(&awaited, now);
+                }
+                outcomes
             }
-            false => Some(self.apply_items(revision, &changes.items, Origin::Peer, now)),
-        }
+            false if version.era != self.version().era => return None,
+            false => self.apply_items(version, &changes.items, Origin::Peer, now),
+        };
+        self.merge_awaited(&changes.awaited, now);
+        Some(outcomes)
     }
 }
 
@@ -116,22 +152,18 @@
 ) {
     let is_listed = known.unlisted.is_none();
     if is_listed || !known.is_gone(now) {
-        let upstream = Upstream {
-            warmup_left: known.warm_at.saturating_duration_since(now),
-            ..known.upstream.clone()
-        };
-        items.push(item(known.revision, Change::Listed(id, upstream)));
+        items.push(item(known.version, Change::Listed(id, known.current(now))));
     }
     let is_implied = is_whole && known.is_gone(now);
     if !is_listed && !is_implied {
-        items.push(item(known.revision, Change::Unlisted(id, None)));
+        items.push(item(known.version, Change::Unlisted(id, None)));
     }
 }
 
-fn item(revision: u64, change: Change) -> Item {
+fn item(version: Version, change: Change) -> Item {
     Item {
         key: "".into(),
-        revision,
+        version,
         change,
     }
 }
--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -53,6 +53,8 @@
     pub in_progress: usize,
     /// Whether the upstream is in another zone.
     pub is_remote: bool,
+    /// Whether the upstream's entry is to be written again, because the restored store has lost it.
+    pub awaits_write: bool,
     /// Share of recent openings in the upstream's zone that failed.
     pub zone_failure_rate: f64,
     /// Number of usable upstreams.
@@ -130,6 +132,7 @@
             standing,
             in_progress: self.flows.in_progress(id, now),
             is_remote: *known.upstream.zone != *self.zone,
+            awaits_write: known.awaits_write,
             zone_failure_rate: 0.0,
             candidates: 0,
         }
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -11,6 +11,11 @@
         UpstreamState, //
     },
     packet::Label,
+    restoration::{
+        NewEra,
+        Restoration, //
+    },
+    version::Version,
 };
 use smallvec::SmallVec;
 use std::{
@@ -45,10 +50,10 @@
 pub struct TrackedUpstream {
     /// The entry as last published, kept after its removal.
     pub upstream: Upstream,
-    /// Revision of the last change to the entry.
-    pub revision: u64,
-    /// Revision of the last significant change, which must be sent to peers that have the previous state.
-    pub announced_revision: u64,
+    /// Version of the last change to the entry.
+    pub version: Version,
+    /// Version of the last significant change, which must be sent to peers that have the previous state.
+    pub announced: Version,
     /// Latest end of the warm-up; an entry that is read late yields a later time.
     pub warm_at: Instant,
     /// Value of `warm_at` at the last significant change.
@@ -57,6 +62,9 @@
     pub unlisted: Option<Instant>,
     /// Time until which an entry removed in an outage may still return.
     pub lapse_deadline: Option<Instant>,
+    /// Whether this state is newer than the entry in a copy from which the store was restored, and stays in force until
+    /// the entry is written again.
+    pub awaits_write: bool,
 }
 
 impl TrackedUpstream {
@@ -70,6 +78,14 @@
         self.unlisted.is_some() && self.lapse_deadline.is_none_or(|until| now >= until)
     }
 
+    /// The entry with the warm-up time that is left at `now`.
+    pub(super) fn current(&self, now: Instant) -> Upstream {
+        Upstream {
+            warmup_left: self.warm_at.saturating_duration_since(now),
+            ..self.upstream.clone()
+        }
+    }
+
     /// Whether the upstream is still warming up.
     pub fn is_cold(&self, now: Instant) -> bool {
         now < self.warm_at
@@ -99,35 +115,44 @@
 }
 
 #[derive(Clone, Debug)]
-struct Zone {
-    revision: u64,
-    out: bool,
+pub(super) struct Zone {
+    pub(super) version: Version,
+    pub(super) out: bool,
+    /// First and last revision at which the zone was taken out of service before it last returned.
+    pub(super) taken_out: Option<(u64, u64)>,
     /// When the zone last returned to service.
-    returned: Option<Instant>,
+    pub(super) returned: Option<Instant>,
+    /// Whether this state is newer than a copy from which the store was restored.
+    pub(super) awaits_write: bool,
 }
 
-/// Published upstreams, zones and routes. Nothing in it is ever replaced by an older revision.
+/// Published upstreams, zones and routes. Nothing in it is ever replaced by an older version.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    revision: u64,
-    configuration: Option<(u64, Rc<Configuration>)>,
-    upstreams: HashMap<UpstreamId, TrackedUpstream>,
+    version: Version,
+    pub(super) configuration: Option<(Version, Rc<Configuration>)>,
+    /// Whether the configuration is newer than a copy from which the store was restored.
+    pub(super) configuration_awaits_write: bool,
+    pub(super) upstreams: HashMap<UpstreamId, TrackedUpstream>,
     services: HashMap<Rc<str>, Vec<UpstreamId>>,
     labels: HashMap<Label, SmallVec<[UpstreamId; 1]>>,
-    zones: HashMap<Rc<str>, Zone>,
+    pub(super) zones: HashMap<Rc<str>, Zone>,
+    /// First known version of the era: entries up to it may come from a copy, later ones were written in this era.
+    pub(super) era_start: Version,
+    pub(super) restoration: Option<Restoration>,
     recovered_at: Option<Instant>,
     /// Time until which upstreams may still register again after a start of the daemon or an outage of the platform.
     settled_at: Option<Instant>,
     /// Time up to which no change is missing.
     as_of: Option<Instant>,
-    /// Highest revision of a removal that is not recorded here, or was evicted.
-    compacted_revision: u64,
+    /// Highest version of a removal that is not recorded here, or was evicted.
+    compacted: Version,
 }
 
 impl Directory {
-    /// Revision up to which the directory holds all changes.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Version up to which the directory holds all changes.
+    pub fn version(&self) -> Version {
+        self.version
     }
 
     /// Whether the directory holds a configuration.
@@ -140,22 +165,16 @@
         self.configuration.as_ref().map(|(_, cfg)| cfg)
     }
 
-    /// The configuration in force with its revision.
-    pub(super) fn configured(&self) -> Option<(u64, &Rc<Configuration>)> {
+    /// The configuration in force with its version in the store.
+    pub(super) fn configured(&self) -> Option<(Version, &Rc<Configuration>)> {
         self.configuration
             .as_ref()
-            .map(|(revision, cfg)| (*revision, cfg))
+            .map(|(version, cfg)| (*version, cfg))
     }
 
-    /// Recorded zones, with the revision of the last change and whether the zone is out of service.
-    pub(super) fn zones(&self) -> impl Iterator<Item = (&Rc<str>, u64, bool)> {
-        let zones = self.zones.iter();
-        zones.map(|(name, zone)| (name, zone.revision, zone.out))
-    }
-
-    /// Revision after which all removals are recorded.
-    pub(super) fn compacted_revision(&self) -> u64 {
-        self.compacted_revision
+    /// Version after which all removals are recorded.
+    pub(super) fn compacted(&self) -> Version {
+        self.compacted
     }
 
     /// Returns an upstream, also one whose entry was removed.
@@ -236,16 +255,16 @@
         self.settled_at.is_some_and(|until| now >= until)
     }
 
-    /// Applies changes up to `revision`.
-    pub fn apply(&mut self, revision: u64, items: &[Item], now: Instant) -> Vec<Outcome> {
+    /// Applies changes up to `version`.
+    pub fn apply(&mut self, version: Version, items: &[Item], now: Instant) -> Vec<Outcome> {
         self.detect_mass_lapse(items, now);
-        self.apply_items(revision, items, Origin::Store, now)
+        self.apply_items(version, items, Origin::Store, now)
     }
 
-    /// Applies changes up to `revision` without checking whether entries lapsed.
+    /// Applies changes up to `version` without checking whether entries lapsed.
     pub(super) fn apply_items(
         &mut self,
-        revision: u64,
+        version: Version,
         items: &[Item],
         origin: Origin,
         now: Instant,
@@ -253,7 +272,7 @@
         self.settled_at.get_or_insert(now + LAPSE_GRACE);
         let outcomes = items.iter().map(|item| self.update(item, origin, now));
         let outcomes = outcomes.collect();
-        self.revision = self.revision.max(revision);
+        self.version = self.version.max(version);
         // Without changes, the order of upstreams with one label can only differ because the deadline of a lapsed entry
         // has passed.
         if !items.is_empty()
@@ -267,54 +286,65 @@
         outcomes
     }
 
-    /// Applies a full list whose first page has `revision`; entries that are not in it are removed.
+    /// Applies a full list whose first page has `version`; entries that are not in it are removed, unless the list
+    /// begins a new era and they may be newer than the copy from which the store was restored.
     ///
     /// Returns `None` if the list is older than the directory.
-    pub fn replace(&mut self, revision: u64, items: &[Item], now: Instant) -> Option<Vec<Outcome>> {
-        let all = self.add_implied_removals(revision, items)?;
-        Some(self.apply(revision, &all, now))
+    pub fn replace(
+        &mut self,
+        version: Version,
+        items: &[Item],
+        now: Instant,
+    ) -> Option<Vec<Outcome>> {
+        let all = self.add_implied_removals(version, items)?;
+        let awaited = self.begin_era(NewEra::of_store(version), items, now);
+        let outcomes = self.apply(version, &all, now);
+        if let Some(awaited) = awaited {
+            self.end_restoration(&awaited, now);
+        }
+        Some(outcomes)
     }
 
     /// Returns the removals that a full list implies, followed by its entries; `None` if it is older than the
     /// directory.
     pub(super) fn add_implied_removals(
         &mut self,
-        revision: u64,
+        version: Version,
         items: &[Item],
     ) -> Option<Vec<Item>> {
-        if revision < self.revision {
+        if version < self.version {
             return None;
         }
-        self.raise_compacted_revision(revision);
-        let mut all = self.implied_removals(revision, items);
+        self.raise_compacted(version);
+        let mut all = self.implied_removals(version, items);
         all.extend_from_slice(items);
         Some(all)
     }
 
-    /// Records that removals up to `revision` may be missing here.
-    fn raise_compacted_revision(&mut self, revision: u64) {
-        self.compacted_revision = self.compacted_revision.max(revision);
+    /// Records that removals up to `version` may be missing here.
+    fn raise_compacted(&mut self, version: Version) {
+        self.compacted = self.compacted.max(version);
     }
 
     /// Evicts upstreams whose entries were removed longer than `keep` ago.
     pub fn evict(&mut self, keep: Duration, now: Instant) {
         let before = self.upstreams.len();
-        let mut compacted_revision = 0;
+        let mut compacted = Version::default();
         self.upstreams.retain(|_, known| {
             let is_kept = known.unlisted.is_none_or(|at| now < at + keep);
             if !is_kept {
-                compacted_revision = compacted_revision.max(known.revision);
+                compacted = compacted.max(known.version);
             }
             is_kept
         });
-        self.raise_compacted_revision(compacted_revision);
+        self.raise_compacted(compacted);
         if self.upstreams.len() < before {
             self.rebuild_indexes(now);
         }
     }
 
     /// Removals implied by a full list.
-    fn implied_removals(&self, revision: u64, items: &[Item]) -> Vec<Item> {
+    fn implied_removals(&self, version: Version, items: &[Item]) -> Vec<Item> {
         let mut upstreams = HashSet::new();
         let mut zones: HashSet<&str> = HashSet::new();
         for item in items {
@@ -330,7 +360,7 @@
         }
         let item = |change| Item {
             key: "".into(),
-            revision,
+            version,
             change,
         };
         let gone = self
@@ -341,7 +371,8 @@
         let back = self
             .zones
             .iter()
-            .filter(|(name, zone)| zone.out && !zones.contains(name.as_ref()))
+            .filter(|(_, zone)| zone.out && !zone.awaits_write)
+            .filter(|(name, _)| !zones.contains(name.as_ref()))
             .map(|(name, _)| {
                 item(Change::Zone {
                     zone: Rc::clone(name),
@@ -376,16 +407,16 @@
 
     fn update(&mut self, item: &Item, origin: Origin, now: Instant) -> Outcome {
         match &item.change {
-            Change::Listed(id, upstream) => self.list(*id, upstream, item.revision, origin, now),
+            Change::Listed(id, upstream) => self.list(*id, upstream, item.version, origin, now),
             Change::Unlisted(id, reason) => {
-                let outcome = self.unlist(*id, item.revision, now);
+                let outcome = self.unlist(*id, item.version, now);
                 match reason {
                     Some(reason) => Outcome::Refused(Rc::clone(reason)),
                     None => outcome,
                 }
             }
-            Change::Configured(cfg) => self.configure(cfg, item.revision),
-            Change::Zone { zone, out } => self.set_zone(zone, *out, item.revision, now),
+            Change::Configured(cfg) => self.configure(cfg, item.version),
+            Change::Zone { zone, out } => self.set_zone(zone, *out, item.version, now),
             Change::Unusable(reason) => Outcome::Refused(Rc::clone(reason)),
             Change::Foreign => Outcome::Ignored,
         }
@@ -395,71 +426,94 @@
         &mut self,
         id: UpstreamId,
         upstream: &Upstream,
-        revision: u64,
+        version: Version,
         origin: Origin,
         now: Instant,
     ) -> Outcome {
-        let mut announced_revision = revision;
+        let mut announced = version;
         let mut warm_at = now + upstream.warmup_left;
         let mut announced_warm_at = warm_at;
         if let Some(known) = self.upstreams.get(&id) {
-            if revision <= known.revision {
+            if version <= known.version {
                 return Outcome::Stale;
             }
-            if origin == Origin::Store && change_set::is_unchanged(known, upstream, now) {
-                announced_revision = known.announced_revision;
+            let is_of_copy = version.era > known.version.era
+                && version <= self.era_start
+                && version.revision <= known.version.revision;
+            if origin == Origin::Store && is_of_copy {
+                // The entry may show a warm-up that began or ended since the copy was taken.
+                warm_at = warm_at.max(known.warm_at);
+                announced_warm_at = warm_at;
+            } else if origin == Origin::Store
+                && !self.is_first_of_era(known.version)
+                && change_set::is_unchanged(known, upstream, now)
+            {
+                announced = known.announced;
                 announced_warm_at = known.announced_warm_at;
                 warm_at = warm_at.min(known.warm_at);
             }
         }
         let known = TrackedUpstream {
             upstream: upstream.clone(),
-            revision,
-            announced_revision,
+            version,
+            announced,
             warm_at,
             announced_warm_at,
             unlisted: None,
             lapse_deadline: None,
+            awaits_write: false,
         };
         self.upstreams.insert(id, known);
         Outcome::Applied
     }
 
-    fn unlist(&mut self, id: UpstreamId, revision: u64, now: Instant) -> Outcome {
+    /// Whether the next change of an entry is the first one that was surely written in the era, for which other daemons
+    /// may wait.
+    fn is_first_of_era(&self, known: Version) -> bool {
+        self.era_start.era > 0 && known <= self.era_start
+    }
+
+    fn unlist(&mut self, id: UpstreamId, version: Version, now: Instant) -> Outcome {
         let Some(known) = self.upstreams.get_mut(&id) else {
-            self.raise_compacted_revision(revision);
+            self.raise_compacted(version);
             return Outcome::Ignored;
         };
-        if revision < known.revision {
+        if version < known.version {
             return Outcome::Stale;
         }
+        known.version = version;
+        known.announced = version;
+        known.awaits_write = false;
         if known.unlisted.is_some() {
             // The entry was listed again in the meantime and removed once more; only the second removal arrived here.
-            known.revision = revision;
-            known.announced_revision = revision;
             return Outcome::Stale;
         }
         let lapse_deadline = self.recovered_at.map(|at| at + LAPSE_GRACE);
         known.lapse_deadline = lapse_deadline.filter(|until| now < *until);
-        known.revision = revision;
-        known.announced_revision = revision;
         known.unlisted = Some(now);
         Outcome::Applied
     }
 
-    fn configure(&mut self, cfg: &Configuration, revision: u64) -> Outcome {
+    fn configure(&mut self, cfg: &Configuration, version: Version) -> Outcome {
         if let Some((known, current)) = &self.configuration {
-            if revision <= *known || cfg.version < current.version {
+            if version <= *known || cfg.version < current.version {
                 return Outcome::Stale;
             }
         }
-        self.configuration = Some((revision, Rc::new(cfg.clone())));
+        self.configuration = Some((version, Rc::new(cfg.clone())));
+        self.configuration_awaits_write = false;
         Outcome::Applied
     }
 
-    fn set_zone(&mut self, name: &Rc<str>, out: bool, revision: u64, now: Instant) -> Outcome {
+    pub(super) fn set_zone(
+        &mut self,
+        name: &Rc<str>,
+        out: bool,
+        version: Version,
+        now: Instant,
+    ) -> Outcome {
         let known = self.zones.get(name);
-        if known.is_some_and(|zone| revision < zone.revision) {
+        if known.is_some_and(|zone| version < zone.version) {
             return Outcome::Stale;
         }
         let was_out = known.is_some_and(|zone| zone.out);
@@ -467,10 +521,20 @@
             true => Some(now),
             false => known.and_then(|zone| zone.returned),
         };
+        let taken_out = known.and_then(|zone| zone.taken_out);
+        let taken_out = match (out, taken_out) {
+            (false, _) => taken_out,
+            (true, Some((first, _))) if was_out => {
+                Some((first.min(version.revision), version.revision))
+            }
+            (true, _) => Some((version.revision, version.revision)),
+        };
         let zone = Zone {
-            revision,
+            version,
             out,
+            taken_out,
             returned,
+            awaits_write: false,
         };
         self.zones.insert(Rc::clone(name), zone);
         Outcome::Applied
@@ -480,7 +544,7 @@
     ///
     /// Of several upstreams with one label, those with a serving entry come first, then older ones (lower ids), so that
     /// all daemons choose the same one.
-    fn rebuild_indexes(&mut self, now: Instant) {
+    pub(super) fn rebuild_indexes(&mut self, now: Instant) {
         self.services.clear();
         self.labels.clear();
         let mut ids: Vec<_> = self.upstreams.keys().copied().collect();
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -1,5 +1,6 @@
 //! Entries that the platform publishes: upstreams, zones and the configuration.
 
+use super::version::Version;
 use smallvec::SmallVec;
 use std::{
     collections::HashMap,
@@ -110,8 +111,8 @@
 pub struct Item {
     /// Key in the platform's store.
     pub key: Rc<str>,
-    /// Store revision of the last change to the entry.
-    pub revision: u64,
+    /// Version of the store at the last change to the entry.
+    pub version: Version,
     /// Change that the entry makes.
     pub change: Change,
 }
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -17,8 +17,10 @@
 pub mod packet;
 pub mod poll_schedule;
 pub mod readers;
+pub mod restoration;
 pub mod shared_evidence;
 pub mod thundering_herd;
+pub mod version;
 
 pub use self::{
     answer::Answer,
@@ -63,8 +65,10 @@
         PollSchedule, //
     },
     readers::Role,
+    restoration::Restoration,
     shared_evidence::{
         FailedOpening,
         SilenceReports, //
     },
+    version::Version,
 };
--- a/crates/policy/tests/packets/change_set.rs
+++ b/crates/policy/tests/packets/change_set.rs
@@ -21,7 +21,8 @@
     SyncedFrom,
     Upstream,
     UpstreamId,
-    UpstreamState, //
+    UpstreamState,
+    Version, //
 };
 use quickcheck::{
     Gen,
@@ -53,7 +54,7 @@
 fn item(revision: u64, change: Change) -> Item {
     Item {
         key: "".into(),
-        revision,
+        version: revision.into(),
         change,
     }
 }
@@ -99,17 +100,97 @@
     }
 }
 
+/// A store with a copy of its contents, by the keys of the entries.
+#[derive(Clone, Debug, Default)]
+struct Store {
+    version: Version,
+    entries: BTreeMap<String, Item>,
+    copy: (u64, BTreeMap<String, Item>),
+}
+
+impl Store {
+    /// Writes a change and returns its entry.
+    fn write(&mut self, kind: u8, which: u8, cfg: u64) -> Item {
+        self.version.revision += 1;
+        let change = change(kind, which, cfg);
+        let (key, is_removal) = match &change {
+            Change::Listed(id, _) => (id.to_string(), false),
+            Change::Unlisted(id, _) => (id.to_string(), true),
+            Change::Zone { zone, out } => (zone.to_string(), !out),
+            _ => ("configuration".to_owned(), false),
+        };
+        let item = Item {
+            key: key.as_str().into(),
+            version: self.version,
+            change,
+        };
+        match is_removal {
+            true => self.entries.remove(&key),
+            false => self.entries.insert(key, item.clone()),
+        };
+        item
+    }
+
+    /// Goes back to the copy, in a new era, and returns all entries.
+    fn restore(&mut self) -> Vec<Item> {
+        (self.version.revision, self.entries) = self.copy.clone();
+        self.version.era += 1;
+        for item in self.entries.values_mut() {
+            item.version.era = self.version.era;
+        }
+        self.entries.values().cloned().collect()
+    }
+}
+
+/// Whether a daemon has the state of another one, except for entries of a copy that it keeps out, and a configuration
+/// that it keeps, until they are written again.
+fn agrees(directory: &Directory, source: &Directory, now: Instant) -> bool {
+    let (mut state, mut expected) = (snapshot(directory, now), snapshot(source, now));
+    let Some(restoration) = directory.restoration() else {
+        return state == expected;
+    };
+    let kept_out = source.upstreams().filter(|(id, known)| {
+        let mine = directory.get(*id);
+        mine.is_none_or(|mine| mine.awaits_write) && known.version <= restoration.start
+    });
+    for (id, _) in kept_out {
+        state.remove(&id.to_string());
+        expected.remove(&id.to_string());
+    }
+    if directory.awaited() > 0 {
+        for zone in [HOME, AWAY].iter().filter(|zone| directory.is_out(zone)) {
+            expected.insert((*zone).into(), true.to_string());
+        }
+        let kept = version(directory).max(version(source));
+        expected.insert("version".into(), kept.to_string());
+    }
+    state == expected
+}
+
+/// Passes the changes of one daemon on to another, as a request between them does.
+fn pass_on(from: &Directory, to: &mut Directory, synced_from: SyncedFrom, now: Instant) -> bool {
+    let known = to.version();
+    let changes = from.changes_since(known, synced_from, now);
+    let recovered_at = from.recovered_at();
+    if let Some(at) = recovered_at.filter(|at| Some(*at) > to.recovered_at()) {
+        to.record_recovery(at);
+    }
+    to.merge_changes(&changes, now);
+    changes.version >= known
+}
+
 #[test]
 fn a_follower_reaches_the_state_of_its_reader_and_never_goes_back() {
     fn property(history: Vec<(u8, u8)>) -> bool {
         let mut daemons = vec![Directory::default(); DAEMONS];
         let mut now = Instant::now();
-        let mut revision = 0;
-        // The daemon that each one asked last, and its own revision after the answer.
-        let mut last_sync = [(DAEMONS, 0); DAEMONS];
+        let mut store = Store::default();
+        let mut cfg = 0;
+        // The daemon that each one asked last, and its own version after the answer.
+        let mut last_sync = [(DAEMONS, Version::default()); DAEMONS];
         for (kind, which) in history {
             now += STEP;
-            match kind % 16 {
+            match kind % 18 {
                 // A daemon asks the reader, or its predecessor, which may lag behind.
                 10..=13 => {
                     let asker = 1 + usize::from(which) % (DAEMONS - 1);
@@ -117,31 +198,38 @@
                         0 => asker - 1,
                         _ => 0,
                     };
-                    let from = match last_sync[asker] == (source, daemons[asker].revision()) {
+                    let from = match last_sync[asker] == (source, daemons[asker].version()) {
                         true => SyncedFrom::ThisDaemon,
                         false => SyncedFrom::Other,
                     };
-                    let changes =
-                        daemons[source].changes_since(daemons[asker].revision(), from, now);
-                    let before = (daemons[asker].revision(), version(&daemons[asker]));
-                    let expected = snapshot(&daemons[source], now);
-                    let is_newer = changes.revision >= before.0;
-                    daemons[asker].merge_changes(&changes, now);
-                    last_sync[asker] = (source, daemons[asker].revision());
-                    let after = (daemons[asker].revision(), version(&daemons[asker]));
+                    let source_state = daemons[source].clone();
+                    let before = (daemons[asker].version(), version(&daemons[asker]));
+                    let is_newer = pass_on(&source_state, &mut daemons[asker], from, now);
+                    last_sync[asker] = (source, daemons[asker].version());
+                    let after = (daemons[asker].version(), version(&daemons[asker]));
                     if after.0 < before.0 || after.1 < before.1 {
                         return false;
                     }
-                    if is_newer && snapshot(&daemons[asker], now) != expected {
+                    if is_newer && !agrees(&daemons[asker], &source_state, now) {
                         return false;
                     }
                 }
                 14 => daemons[usize::from(which) % DAEMONS].evict(KEEP, now),
                 15 => now += KEEP,
+                16 => store.copy = (store.version.revision, store.entries.clone()),
+                17 => {
+                    let before = version(&daemons[0]);
+                    let items = store.restore();
+                    daemons[0].replace(store.version, &items, now);
+                    daemons[0].confirm(now);
+                    if version(&daemons[0]) < before || daemons[0].version() != store.version {
+                        return false;
+                    }
+                }
                 _ => {
-                    revision += 1;
-                    let change = change(kind % 16, which, revision);
-                    daemons[0].apply(revision, &[item(revision, change)], now);
+                    cfg += 1;
+                    let item = store.write(kind % 18, which, cfg);
+                    daemons[0].apply(store.version, &[item], now);
                 }
             }
         }
@@ -173,24 +261,29 @@
     for beat in 0..20 {
         let left = Duration::from_millis(20_000 - 1_000 * beat);
         let at = now + Duration::from_millis(1_000 * beat + 80 * (beat % 3));
-        reader.apply(beat + 1, &[listed(1, beat + 1, left)], at);
+        reader.apply((beat + 1).into(), &[listed(1, beat + 1, left)], at);
     }
     let at = now + Duration::from_secs(20);
     assert_eq!(
-        reader.changes_since(0, SyncedFrom::Other, at).items.len(),
+        reader
+            .changes_since(0.into(), SyncedFrom::Other, at)
+            .items
+            .len(),
         1,
         "the first heartbeat"
     );
     assert_eq!(
-        reader.changes_since(1, SyncedFrom::ThisDaemon, at).items,
+        reader
+            .changes_since(1.into(), SyncedFrom::ThisDaemon, at)
+            .items,
         [],
         "the others change nothing significant"
     );
     let restarted = listed(1, 30, Duration::from_secs(20));
-    reader.apply(30, &[restarted], at);
+    reader.apply(30.into(), &[restarted], at);
     assert_eq!(
         reader
-            .changes_since(20, SyncedFrom::ThisDaemon, at)
+            .changes_since(20.into(), SyncedFrom::ThisDaemon, at)
             .items
             .len(),
         1,
@@ -210,12 +303,12 @@
         let at = now + ms(1_000 * beat + late);
         let revision = beat + 1;
         reader.apply(
-            revision,
+            revision.into(),
             &[listed(1, revision, ms(10_000 - 1_000 * beat))],
             at,
         );
         passed_on += reader
-            .changes_since(beat, SyncedFrom::ThisDaemon, at)
+            .changes_since(beat.into(), SyncedFrom::ThisDaemon, at)
             .items
             .len();
         let known = reader.get(UpstreamId(1)).unwrap();
@@ -233,14 +326,14 @@
     let now = Instant::now();
     let mut reader = Directory::default();
     let all: Vec<_> = (1..=4).map(|id| listed(id, id, Duration::ZERO)).collect();
-    reader.apply(4, &all, now);
+    reader.apply(4.into(), &all, now);
     let gone: Vec<_> = (1..=4)
         .map(|id| item(4 + id, Change::Unlisted(UpstreamId(id), None)))
         .collect();
-    reader.apply(8, &gone, now);
+    reader.apply(8.into(), &gone, now);
     let mut new = Directory::default();
     new.record_recovery(reader.recovered_at().expect("the entries lapsed together"));
-    new.merge_changes(&reader.changes_since(0, SyncedFrom::Other, now), now);
+    new.merge_changes(&reader.changes_since(0.into(), SyncedFrom::Other, now), now);
     for id in 1..=4 {
         assert!(new.get(UpstreamId(id)).unwrap().is_serving(now), "{id}");
         let later = now + LAPSE_GRACE;
@@ -253,16 +346,16 @@
     let now = Instant::now();
     let mut reader = Directory::default();
     let all: Vec<_> = (1..=3).map(|id| listed(id, id, Duration::ZERO)).collect();
-    reader.apply(3, &all, now);
+    reader.apply(3.into(), &all, now);
     let mut follower = reader.clone();
     for id in 1..=2 {
         let gone = item(3 + id, Change::Unlisted(UpstreamId(id), None));
         let at = now + Duration::from_secs(10 * id);
-        reader.apply(3 + id, &[gone], at);
+        reader.apply((3 + id).into(), &[gone], at);
     }
     let now = now + Duration::from_secs(30);
     assert!(reader.get(UpstreamId(1)).unwrap().is_gone(now));
-    follower.merge_changes(&reader.changes_since(3, SyncedFrom::Other, now), now);
+    follower.merge_changes(&reader.changes_since(3.into(), SyncedFrom::Other, now), now);
     assert!(follower.get(UpstreamId(1)).unwrap().is_gone(now));
 }
 
@@ -271,22 +364,26 @@
     let now = Instant::now();
     let mut behind = Directory::default();
     behind.apply(
-        2,
+        2.into(),
         &[listed(1, 1, Duration::ZERO), listed(2, 2, Duration::ZERO)],
         now,
     );
     let mut ahead = behind.clone();
-    ahead.apply(3, &[item(3, Change::Unlisted(UpstreamId(1), None))], now);
+    ahead.apply(
+        3.into(),
+        &[item(3, Change::Unlisted(UpstreamId(1), None))],
+        now,
+    );
     for changes in [
-        behind.changes_since(0, SyncedFrom::Other, now),
-        behind.changes_since(3, SyncedFrom::Other, now),
+        behind.changes_since(0.into(), SyncedFrom::Other, now),
+        behind.changes_since(3.into(), SyncedFrom::Other, now),
         ChangeSet {
             is_whole: true,
-            ..behind.changes_since(0, SyncedFrom::Other, now)
+            ..behind.changes_since(0.into(), SyncedFrom::Other, now)
         },
     ] {
         ahead.merge_changes(&changes, now);
-        assert_eq!(ahead.revision(), 3);
+        assert_eq!(ahead.version(), 3.into());
         assert!(ahead.get(UpstreamId(1)).unwrap().unlisted.is_some());
     }
 }
--- a/crates/policy/tests/packets/directory.rs
+++ b/crates/policy/tests/packets/directory.rs
@@ -63,7 +63,7 @@
     let old = scene.item(Change::Listed(UpstreamId(1), upstream()));
     let new = scene.item(Change::Listed(UpstreamId(1), draining));
     let now = scene.now;
-    let outcomes = scene.directory.apply(new.revision, &[new, old], now);
+    let outcomes = scene.directory.apply(new.version, &[new, old], now);
     assert_eq!(outcomes, [Outcome::Applied, Outcome::Stale]);
     assert_eq!(scene.open(1, 0), NO_UPSTREAM);
 }
@@ -72,7 +72,7 @@
 fn a_list_that_is_older_than_the_view_is_refused() {
     let mut scene = Scene::new().upstream(1, upstream());
     let now = scene.now;
-    assert_eq!(scene.directory.replace(1, &[], now), None);
+    assert_eq!(scene.directory.replace(1.into(), &[], now), None);
     assert_eq!(scene.choose(1).id, UpstreamId(1));
 }
 
@@ -84,7 +84,7 @@
         .with(zone(AWAY, true));
     let now = scene.now;
     let kept = scene.item(Change::Listed(UpstreamId(2), upstream()));
-    let outcome = scene.directory.replace(kept.revision, &[kept], now);
+    let outcome = scene.directory.replace(kept.version, &[kept], now);
     assert!(outcome.is_some());
     assert!(scene
         .directory
@@ -264,9 +264,9 @@
     let mut scene = Scene::new();
     let now = scene.now;
     let none: [Item; 0] = [];
-    scene.directory.apply(40, &none, now);
-    scene.directory.apply(30, &none, now);
-    assert_eq!(scene.directory.revision(), 40);
+    scene.directory.apply(40.into(), &none, now);
+    scene.directory.apply(30.into(), &none, now);
+    assert_eq!(scene.directory.version(), 40.into());
 }
 
 impl Scene {
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -8,6 +8,8 @@
 mod opening;
 mod poll_schedule;
 mod readers;
+mod restoration;
+mod restoration_model;
 mod routes;
 mod scene;
 mod shared_evidence;
--- a/crates/policy/tests/packets/restoration.rs
+++ b/crates/policy/tests/packets/restoration.rs
@@ -263,6 +263,23 @@
     assert!(!directory.is_out(AWAY));
 }
 
+#[test]
+fn another_list_in_the_same_era_ends_nothing_that_is_awaited() {
+    let (mut store, mut directory) = start();
+    store.write_watched(&mut directory, "away", zone(true));
+    store.write_watched(&mut directory, "1", unlisted(1));
+    store.write_watched(&mut directory, "4", serving(4));
+    store.write_watched(&mut directory, "cfg", configured(5));
+    store.restore();
+    store.list(&mut directory);
+    store.write("5", serving(5));
+    store.list(&mut directory);
+    assert!(directory.is_out(AWAY));
+    assert!(!store.is_used(&directory, 1) && store.is_used(&directory, 4));
+    assert_eq!(directory.configuration().unwrap().version, 5);
+    assert_eq!(directory.awaited(), 4);
+}
+
 #[test]
 fn an_evacuation_that_is_not_written_again_ends() {
     let (mut store, mut directory) = start();
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -149,7 +149,7 @@
     /// Applies a change with the next revision.
     pub(crate) fn change(&mut self, change: Change) -> Outcome {
         let item = self.item(change);
-        let mut outcomes = self.directory.apply(item.revision, &[item], self.now);
+        let mut outcomes = self.directory.apply(item.version, &[item], self.now);
         outcomes.remove(0)
     }
 
@@ -159,7 +159,7 @@
             .into_iter()
             .map(|change| self.item(change))
             .collect();
-        self.directory.apply(self.revision, &items, self.now);
+        self.directory.apply(self.revision.into(), &items, self.now);
     }
 
     /// Creates an item with the next revision.
@@ -167,7 +167,7 @@
         self.revision += 1;
         Item {
             key: "key".into(),
-            revision: self.revision,
+            version: self.revision.into(),
             change,
         }
     }
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -48,6 +48,8 @@
     /// Deployment: kalahari or southern-cross; by default the seeds alternate between them
     #[bpaf(argument("NAME"), optional)]
     deployment: Option<Deployment>,
+    /// Also restore the store from older copies
+    restorations: bool,
     /// List the faults of the seeds without running them
     list: bool,
     /// Path of the daemon's program; by default the one of the same build
@@ -126,6 +128,7 @@
     let mut spec = SoakSpec::new(program, options.deployment.unwrap_or(alternating));
     spec.daemons = options.daemons;
     spec.fault_window = Duration::from_secs(options.seconds);
+    spec.restorations = options.restorations;
     spec
 }
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -56,6 +56,9 @@
     ReadersRefused,
     /// The store compacts its history, so that watches from older revisions fail.
     HistoryLost,
+    /// The store is restored at the end of the fault from a copy taken at its start, and operators write what it lost
+    /// again.
+    StoreRestored,
     /// A zone is out of service.
     ZoneOut(usize),
     /// A new configuration is published at the start of the fault, and the former one at its end.
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     fault::Kind,
-    schedule::FaultSchedule, //
+    schedule::FaultSchedule,
+    soak::REWRITE_DELAY, //
 };
 use foxtailhinge_standins::packets::{
     fleet::PacketFleet,
@@ -183,11 +184,22 @@
         let since = at.saturating_sub(bound);
         from <= since
             && at < to
+            && !self.may_be_lost(at, from, bound)
             && !self
                 .schedule
                 .delays_updates(since, at, READ_RETRY_DELAY_MAX)
     }
 
+    /// Whether the store lost a change from `from` on before all daemons knew it, so that it takes effect only after it
+    /// was written again. A change that was in force before a restoration stays in force.
+    fn may_be_lost(&self, at: Duration, from: Duration, bound: Duration) -> bool {
+        let mut restorations = self.schedule.restorations();
+        restorations.any(|restored| {
+            let rewritten = restored + REWRITE_DELAY;
+            (from..from + bound).contains(&restored) && at < rewritten + bound
+        })
+    }
+
     /// Describes the share of requests after the recovery that were answered in time, if it is too small.
     fn late_answers_violation(&self, outcomes: &[&Outcome]) -> Option<String> {
         let calm = self.calm? + SETTLING_TIME;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -36,6 +36,11 @@
 /// Maximum occurrences of a repeated fault.
 const OCCURRENCES_MAX: u32 = 4;
 
+/// Number of restorations of the store, if there are any.
+const RESTORATIONS: std::ops::RangeInclusive<usize> = 1..=3;
+/// Maximum age of the copy from which the store is restored.
+const COPY_AGE_MAX: Duration = Duration::from_secs(6);
+
 /// Faults in the order of their starts.
 #[derive(Clone, Debug)]
 pub struct FaultSchedule {
@@ -88,6 +93,33 @@
         }
     }
 
+    /// Adds restorations of the store, which do not overlap because there is one copy.
+    pub(crate) fn with_restorations(mut self, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed.wrapping_mul(2).wrapping_add(1));
+        let count = rng.random_range(RESTORATIONS);
+        let each = (self.end - LEAD_TIME) / count as u32;
+        for index in 0..count {
+            let longest = COPY_AGE_MAX.min(each);
+            let age = DURATION_MIN + (longest - DURATION_MIN).mul_f64(rng.random());
+            let from = LEAD_TIME + each * index as u32;
+            self.faults.push(Fault {
+                kind: Kind::StoreRestored,
+                at: from + (each - age).mul_f64(rng.random()),
+                duration: age,
+            });
+        }
+        self.faults.sort_by_key(|fault| fault.at);
+        self
+    }
+
+    /// Times at which the store is restored.
+    pub(crate) fn restorations(&self) -> impl Iterator<Item = Duration> + '_ {
+        let faults = self.faults.iter();
+        faults
+            .filter(|fault| fault.kind == Kind::StoreRestored)
+            .map(Fault::end)
+    }
+
     /// Describes the faults, one a line.
     pub(crate) fn lines(&self) -> Vec<String> {
         let line = |fault: &Fault| {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -25,6 +25,8 @@
     },
 };
 
+/// Time after a restoration of the store until operators write again what it has lost.
+pub(crate) const REWRITE_DELAY: Duration = Duration::from_secs(1);
 /// Interval between two checks of the faults that are due and of the processes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for which the load goes on after the fleet has recovered from the last fault.
@@ -52,13 +54,15 @@
     /// Daemons that read the store for others, as of the start of the last fault that affects such daemons.
     pub(crate) readers: BTreeSet<usize>,
     pub(crate) checker: PromiseChecker,
+    /// When operators write again what the restored store has lost.
+    pub(crate) rewrite_at: Option<Instant>,
     pub(crate) next_id: u64,
 }
 
 impl Soak {
     /// Describes the faults of a seed, one a line.
     pub fn list(spec: &SoakSpec, seed: u64) -> Vec<String> {
-        FaultSchedule::draw(seed, spec.fault_window, spec.shape()).lines()
+        spec.schedule(seed).lines()
     }
 
     /// Runs the faults of a seed and reports the broken promises.
@@ -76,7 +80,7 @@
         }
         fleet.await_rotation()?;
         let callers = start_callers(&fleet, spec.feeds, seed)?;
-        let schedule = FaultSchedule::draw(seed, spec.fault_window, spec.shape());
+        let schedule = spec.schedule(seed);
         let soak = Self {
             checker: PromiseChecker::new(schedule.clone()),
             fleet,
@@ -85,6 +89,7 @@
             active: BTreeSet::new(),
             zones_out: BTreeSet::new(),
             readers: BTreeSet::new(),
+            rewrite_at: None,
             next_id: UPSTREAM_ID_BASE,
         };
         soak.run(seed, callers)
@@ -134,6 +139,13 @@
             self.end_fault(self.schedule.faults[index].kind)?;
         }
         self.apply_lasting_faults();
+        if self
+            .rewrite_at
+            .take_if(|at| Instant::now() >= *at)
+            .is_some()
+        {
+            self.write_again();
+        }
         self.check_processes()
     }
 
@@ -169,6 +181,7 @@
             } => self.edit_settings(daemon, signal, wrong)?,
             Kind::StoreAway => self.fleet.store.expire_prefix("servers/"),
             Kind::HistoryLost => self.fleet.store.compact_history(),
+            Kind::StoreRestored => self.fleet.store.take_copy(),
             Kind::Configured => self.fleet.configure(&[ROUTE_PORT, ROUTE_PORT + 1, 7_000]),
             Kind::UpstreamSilent(upstream) => self.fleet.upstreams[upstream].silence(),
             Kind::UpstreamDrained(upstream) => self.fleet.upstreams[upstream].drain(),
@@ -191,6 +204,10 @@
         match kind {
             Kind::Edited { daemon, signal, .. } => self.restore_settings(daemon, signal)?,
             Kind::Configured => self.fleet.configure(&[ROUTE_PORT, ROUTE_PORT + 1]),
+            Kind::StoreRestored => {
+                self.fleet.store.restore();
+                self.rewrite_at = Some(Instant::now() + REWRITE_DELAY);
+            }
             Kind::UpstreamSilent(upstream) | Kind::UpstreamDrained(upstream) => {
                 self.fleet.upstreams[upstream].end();
             }
@@ -199,6 +216,17 @@
         Ok(())
     }
 
+    /// Writes the configuration, the evacuations and their ends again after a restoration of the store.
+    fn write_again(&self) {
+        self.fleet.configure_again();
+        for (index, zone) in self.fleet.zones().iter().enumerate() {
+            match self.zones_out.contains(&index) {
+                true => self.fleet.evacuate(zone),
+                false => self.fleet.end_evacuation(zone),
+            }
+        }
+    }
+
     fn edit_settings(&mut self, daemon: usize, signal: bool, wrong: bool) -> anyhow::Result<()> {
         self.fleet.edit_settings(daemon, |text| match wrong {
             true => text.replace("\"flow_s\"", "\"flow_seconds\""),
@@ -243,10 +271,8 @@
     /// Waits until the fleet has recovered, and records a violation if it has not.
     fn await_recovery(&mut self) -> anyhow::Result<()> {
         let until = Instant::now() + STOP_TIMEOUT;
-        while self
-            .proxied_daemons
-            .iter()
-            .any(|proxied| proxied.stopping.is_some())
+        let is_stopping = |one: &ProxiedDaemon| one.stopping.is_some();
+        while (self.proxied_daemons.iter().any(is_stopping) || self.rewrite_at.is_some())
             && Instant::now() < until
         {
             self.step(Duration::MAX)?;
--- a/crates/soak/src/spec.rs
+++ b/crates/soak/src/spec.rs
@@ -1,6 +1,9 @@
 //! Parameters of a soak.
 
-use crate::fault::FleetShape;
+use crate::{
+    fault::FleetShape,
+    schedule::FaultSchedule, //
+};
 use foxtailhinge_standins::{
     fleet::{
         Deployment,
@@ -28,6 +31,8 @@
     pub feeds: usize,
     /// Time from the first fault's earliest start to the last fault's latest end.
     pub fault_window: Duration,
+    /// Whether the store is also restored from copies. The other faults of a seed are the same with and without.
+    pub restorations: bool,
 }
 
 impl SoakSpec {
@@ -40,6 +45,7 @@
             upstreams: [14, 4],
             feeds: 16,
             fault_window: Duration::from_secs(14),
+            restorations: false,
         }
     }
 
@@ -51,11 +57,21 @@
         }
     }
 
+    /// Draws the faults of a seed.
+    pub(crate) fn schedule(&self, seed: u64) -> FaultSchedule {
+        let schedule = FaultSchedule::draw(seed, self.fault_window, self.shape());
+        match self.restorations {
+            true => schedule.with_restorations(seed),
+            false => schedule,
+        }
+    }
+
     pub(crate) fn builder(&self) -> Builder {
         let [first, second] = self.upstreams;
         Builder::new(self.deployment)
             .daemons(self.daemons)
             .upstreams(first, second)
             .hash(HashKind::of(self.deployment))
+            .name_eras(self.restorations)
     }
 }
--- a/crates/standins/examples/local_fleet/packets.rs
+++ b/crates/standins/examples/local_fleet/packets.rs
@@ -5,14 +5,20 @@
     DAEMON, //
 };
 use anyhow::Context;
-use foxtailhinge_config::packet_report::StoreRole;
+use foxtailhinge_config::packet_report::{
+    StoreRole,
+    UpstreamStanding, //
+};
 use foxtailhinge_standins::{
     fleet::Program,
     packets::{
         builder::Builder,
         callers::Callers,
         fabric::HashKind,
-        fleet::PacketFleet,
+        fleet::{
+            PacketFleet,
+            ROUTE_PORT, //
+        },
         results::{
             repeated_runs,
             Outcome,
@@ -44,15 +50,19 @@
 const ZONE_QUIET_AFTER: Duration = Duration::from_secs(5);
 /// Time after which no new flow may open at a draining upstream.
 const DRAINED_AFTER: Duration = Duration::from_secs(3);
+/// Time for which the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(300);
 /// Minimum share of requests that must be answered within the target time in a phase with planned events.
 const IN_TIME_MIN: f64 = 0.95;
 
 /// Events, each with the share of the run at which it happens.
-const EVENTS: [(f64, Event); 9] = [
+const EVENTS: [(f64, Event); 11] = [
     (0.10, Event::ZoneOut),
     (0.25, Event::StoreLost),
     (0.38, Event::StoreBack),
+    (0.42, Event::StoreCopied),
     (0.45, Event::ZoneIn),
+    (0.50, Event::StoreRestored),
     (0.55, Event::UpstreamSilent),
     (0.65, Event::UpstreamDrains),
     (0.72, Event::DaemonStops),
@@ -65,7 +75,9 @@
     ZoneOut,
     StoreLost,
     StoreBack,
+    StoreCopied,
     ZoneIn,
+    StoreRestored,
     UpstreamSilent,
     UpstreamDrains,
     DaemonStops,
@@ -83,7 +95,9 @@
         path: std::env::current_exe().context("this program has no path")?,
         args: vec![DAEMON.to_owned()],
     };
-    let builder = Builder::new(options.deployment).daemons(options.daemons);
+    let builder = Builder::new(options.deployment)
+        .daemons(options.daemons)
+        .name_eras(true);
     let hash = HashKind::of(options.deployment);
     let mut fleet = builder.hash(hash).start(&program)?;
     let callers = start_callers(&fleet, options.seed)?;
@@ -128,7 +142,18 @@
             fleet.store.set_fault(Fault::Busy);
             fleet.store.expire_prefix("servers/");
         }
-        Event::StoreBack => fleet.store.set_fault(Fault::None),
+        Event::StoreBack => {
+            fleet.store.set_fault(Fault::None);
+            print_return(fleet)?;
+        }
+        Event::StoreCopied => fleet.store.take_copy(),
+        Event::StoreRestored => {
+            fleet.store.set_fault(Fault::Busy);
+            thread::sleep(AWAY);
+            fleet.store.restore();
+            fleet.store.set_fault(Fault::None);
+            print_return(fleet)?;
+        }
         Event::UpstreamSilent => fleet.upstreams[0].silence(),
         Event::UpstreamDrains => fleet.upstreams[1].drain(),
         Event::DaemonStops => fleet.terminate(0),
@@ -143,6 +168,29 @@
     Ok(())
 }
 
+/// Publishes a configuration when the store is back, and prints when it is in force, when all upstreams are used again
+/// and how often the store was called until then.
+fn print_return(fleet: &mut PacketFleet) -> anyhow::Result<()> {
+    let (began, calls) = (Instant::now(), fleet.store.calls());
+    fleet.configure(&[ROUTE_PORT, ROUTE_PORT + 1]);
+    fleet.await_configuration()?;
+    let in_force = began.elapsed();
+    fleet.wait_until("all daemons use all upstreams", |fleet| {
+        let statuses = (0..fleet.len()).map(|index| fleet.status(index));
+        statuses.flatten().all(|status| {
+            let mut upstreams = status.upstreams.iter();
+            upstreams.all(|u| u.standing != UpstreamStanding::Unlisted)
+        })
+    })?;
+    println!(
+        "         a change in force after {:.2} s, all upstreams listed after {:.2} s, {} calls of the store",
+        in_force.as_secs_f64(),
+        began.elapsed().as_secs_f64(),
+        fleet.store.calls() - calls
+    );
+    Ok(())
+}
+
 /// Prints the number of calls of the store, and how many daemons read it.
 fn print_calls(fleet: &PacketFleet, time: Duration) {
     let calls = fleet.store.calls();
@@ -196,6 +244,11 @@
             (
                 "zone in",
                 self.at(Event::ZoneIn),
+                self.at(Event::StoreRestored),
+            ),
+            (
+                "store restored",
+                self.at(Event::StoreRestored),
                 self.at(Event::UpstreamSilent),
             ),
             (
@@ -229,6 +282,7 @@
             "store lost, entries lapse",
             "store back",
             "zone in",
+            "store restored",
             "an upstream drains",
             "a daemon stops",
         ];
--- a/crates/standins/src/packets/builder.rs
+++ b/crates/standins/src/packets/builder.rs
@@ -17,6 +17,8 @@
     pub hash: HashKind,
     /// Mean service time of a request at an upstream.
     pub work: Duration,
+    /// Whether the store names its era in each answer.
+    pub names_eras: bool,
 }
 
 impl Builder {
@@ -28,6 +30,7 @@
             upstreams: [14, 4],
             hash: HashKind::Rendezvous,
             work: Duration::from_millis(50),
+            names_eras: false,
         }
     }
 
@@ -43,6 +46,12 @@
         self
     }
 
+    /// Lets the store name its era in each answer, so that it can be restored from a copy.
+    pub fn name_eras(mut self, names_eras: bool) -> Self {
+        self.names_eras = names_eras;
+        self
+    }
+
     /// Sets how the routers choose the daemon of a flow.
     pub fn hash(mut self, hash: HashKind) -> Self {
         self.hash = hash;
--- a/crates/standins/src/packets/fleet.rs
+++ b/crates/standins/src/packets/fleet.rs
@@ -21,7 +21,10 @@
     bail,
     Context, //
 };
-use serde_json::json;
+use serde_json::{
+    json,
+    Value, //
+};
 use std::{
     fs,
     net::{
@@ -60,6 +63,8 @@
     pub(super) program: Program,
     pub(super) daemons: Vec<Daemon>,
     pub(super) version: u64,
+    /// The last published configuration.
+    pub(super) configuration: Value,
     pub(super) keep_logs: bool,
     /// The store, which tests write to and inject faults into.
     pub store: Store,
@@ -105,6 +110,12 @@
             "limits": {"idle_timeout_ms": 15_000},
         });
         self.store.put("op/config", &configuration);
+        self.configuration = configuration;
+    }
+
+    /// Writes the last configuration again, as operators do after a restoration of the store.
+    pub fn configure_again(&self) {
+        self.store.put("op/config", &self.configuration);
     }
 
     /// Returns the version of the last published configuration.
--- a/crates/standins/src/packets/start.rs
+++ b/crates/standins/src/packets/start.rs
@@ -13,6 +13,7 @@
     block::Block,
     Program, //
 };
+use serde_json::Value;
 use std::{
     fs,
     sync::Arc, //
@@ -42,6 +43,9 @@
         let block = Block::claim()?;
         let addrs = (0..self.daemons).map(|index| block.store(index));
         let store = Store::start(addrs.collect())?;
+        if self.names_eras {
+            store.name_eras();
+        }
         let dir = std::env::temp_dir().join(format!(
             "foxtailhinge-packets-{}-{}",
             std::process::id(),
@@ -55,6 +59,7 @@
             daemons: Vec::new(),
             upstreams: Vec::new(),
             version: 0,
+            configuration: Value::Null,
             keep_logs: false,
             builder: self,
             store,
--- a/crates/standins/src/packets/store.rs
+++ b/crates/standins/src/packets/store.rs
@@ -58,6 +58,12 @@
 /// Most changes in one answer to a watch, as on the platform.
 const CHANGES_MAX: usize = 500;
 
+/// Prefix of the keys of upstreams.
+const UPSTREAMS: &str = "servers/";
+
+/// Time after a restoration in which an upstream has to write its entry again: three heartbeats of the platform.
+const LEASE: Duration = Duration::from_millis(3_600);
+
 /// Fault that is injected into calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -91,9 +97,23 @@
     /// Revision and entries that stale reads are answered with, when they are frozen.
     frozen: Option<(u64, BTreeMap<String, Entry>)>,
     calls: u64,
+    /// Number of the era, sent with each answer if there is one.
+    era: Option<u64>,
+    /// Contents that the store can be restored from.
+    copy: Option<Contents>,
+    /// Revision and time of the latest restoration, until the leases of entries in the copy have expired.
+    restored: Option<(u64, Instant)>,
     ended: bool,
 }
 
+/// Contents of the store at a revision.
+#[derive(Clone, Debug, Default)]
+struct Contents {
+    revision: u64,
+    entries: BTreeMap<String, Entry>,
+    oldest_revision: u64,
+}
+
 /// Handle to a store that tests write to.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -176,6 +196,42 @@
         state.frozen = Some((state.revision, state.entries.clone()));
     }
 
+    /// Names the era in all answers from now on.
+    pub fn name_eras(&self) {
+        self.state().era.get_or_insert(1);
+    }
+
+    /// Returns the number of the era, if the store names it.
+    pub fn era(&self) -> Option<u64> {
+        self.state().era
+    }
+
+    /// Takes a copy of the current contents.
+    pub fn take_copy(&self) {
+        let mut state = self.state();
+        state.copy = Some(Contents {
+            revision: state.revision,
+            entries: state.entries.clone(),
+            oldest_revision: state.oldest_revision,
+        });
+    }
+
+    /// Goes back to the last copy, if there is one, and begins a new era.
+    ///
+    /// Revisions since the copy are assigned again. Entries of upstreams in the copy expire unless they are written
+    /// again.
+    pub fn restore(&self) {
+        let mut state = self.state();
+        let Some(copy) = state.copy.clone() else {
+            return;
+        };
+        state.revision = copy.revision;
+        state.entries = copy.entries;
+        state.oldest_revision = copy.oldest_revision;
+        state.era = Some(state.era.unwrap_or(1) + 1);
+        state.restored = Some((copy.revision, Instant::now()));
+    }
+
     /// Returns the number of calls so far; a waiting watch is one call.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -232,12 +288,30 @@
                 }
             }
             while !self.state().ended {
+                self.expire_leases();
                 sleep(TICK).await;
             }
         });
         std::mem::forget(runtime);
     }
 
+    /// Removes the entries of upstreams that have not been written again for [`LEASE`] after a restoration.
+    fn expire_leases(&self) {
+        let mut state = self.state();
+        let Some((revision, _)) = state.restored.take_if(|(_, at)| at.elapsed() >= LEASE) else {
+            return;
+        };
+        let entries = state.entries.iter();
+        let expired = entries.filter(|(key, entry)| {
+            key.starts_with(UPSTREAMS) && entry.value.is_some() && entry.revision <= revision
+        });
+        let expired: Vec<_> = expired.map(|(key, _)| key.clone()).collect();
+        drop(state);
+        for key in expired {
+            self.remove(&key);
+        }
+    }
+
     async fn listen(self, addr: SocketAddr, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             monoio::spawn(serve(self.clone(), stream, addr));
@@ -258,6 +332,18 @@
         addr: SocketAddr,
     ) -> Option<Response<Full<Bytes>>> {
         self.state().calls += 1;
+        let mut response = self.answer_without_era(req, addr).await?;
+        if let Some(era) = self.era() {
+            response.headers_mut().insert("Store-Era", era.into());
+        }
+        Some(response)
+    }
+
+    async fn answer_without_era(
+        &self,
+        req: Request<Incoming>,
+        addr: SocketAddr,
+    ) -> Option<Response<Full<Bytes>>> {
         match self.fault(addr) {
             Fault::None => (),
             Fault::Busy => return Some(respond(StatusCode::SERVICE_UNAVAILABLE, json!({}))),
@@ -301,7 +387,11 @@
         let wait = Duration::from_millis(query.text("wait_ms").parse().unwrap_or(0));
         let deadline = Instant::now() + wait;
         loop {
-            if self.state().oldest_revision > after + 1 {
+            let has_history = {
+                let state = self.state();
+                (state.oldest_revision..=state.revision + 1).contains(&(after + 1))
+            };
+            if !has_history {
                 return Some(respond(StatusCode::GONE, json!({})));
             }
             match self.fault(addr) {
--- a/crates/standins/src/packets/upstream.rs
+++ b/crates/standins/src/packets/upstream.rs
@@ -150,6 +150,7 @@
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
             warm_at: Instant::now() + upstream.spec.warmup,
+            era: store.era(),
         };
         upstream.register(upstream.spec.warmup);
         thread::spawn(move || worker.run());
@@ -184,7 +185,8 @@
 
     /// Stops the upstream and removes its entry from the store.
     pub fn end(&self) {
-        *self.lock() = Mode::Ended;
+        let mut mode = self.lock();
+        *mode = Mode::Ended;
         self.store.remove(&self.spec.key());
     }
 
@@ -192,10 +194,13 @@
         self.mode.lock().expect("no holder of the lock panics")
     }
 
+    /// Writes the entry, unless the upstream has ended; the lock keeps `end` from removing it in between.
     fn register(&self, warmup_left: Duration) {
-        let state = match self.mode() {
+        let mode = self.lock();
+        let state = match *mode {
+            Mode::Ended => return,
             Mode::Draining => "draining",
-            Mode::Serving | Mode::Silent | Mode::Ended => "ready",
+            Mode::Serving | Mode::Silent => "ready",
         };
         let spec = &self.spec;
         let entry = json!({
@@ -234,6 +239,8 @@
     running: BTreeMap<(Instant, u64), Segment>,
     waiting: VecDeque<Request>,
     warm_at: Instant,
+    /// Era of the store in which the entry was written last.
+    era: Option<u64>,
 }
 
 impl Worker {
@@ -262,8 +269,10 @@
             self.finish();
             let now = Instant::now();
             let became_warm = !was_warm && self.is_warm();
-            if became_warm || (now >= heartbeat && self.is_unregistered()) {
-                self.upstream.register(Duration::ZERO);
+            if became_warm || (now >= heartbeat && self.is_lost_from_store()) {
+                let warmup_left = self.warm_at.saturating_duration_since(now);
+                self.upstream.register(warmup_left);
+                self.era = self.upstream.store.era();
             }
             was_warm = self.is_warm();
             if now >= heartbeat {
@@ -276,8 +285,10 @@
         Instant::now() >= self.warm_at
     }
 
-    fn is_unregistered(&self) -> bool {
-        !self.upstream.store.contains(&self.upstream.spec.key())
+    /// Whether the store has no entry of this upstream, or was restored from a copy since the last one was written.
+    fn is_lost_from_store(&self) -> bool {
+        let store = &self.upstream.store;
+        store.era() != self.era || !store.contains(&self.upstream.spec.key())
     }
 
     fn next_wait(&self) -> Duration {
