--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -1,12 +1,12 @@
 //! This daemon's copy of the store's entries, and its age.
 
+mod era;
 mod log;
 mod shared;
 
 use self::log::{
     log_change,
-    log_changes,
-    log_era, //
+    log_changes, //
 };
 use super::metrics::PacketMetrics;
 use crate::{
@@ -29,11 +29,9 @@
 use foxtailhinge_platform::store::{
     list_path,
     read_changes,
-    read_era,
     read_list,
     watch_path,
-    ReadConsistency,
-    ERA_HEADER, //
+    ReadConsistency, //
 };
 use foxtailhinge_policy::packets::{
     directory::{
@@ -48,10 +46,7 @@
     Version, //
 };
 use futures::future::select;
-use http::{
-    HeaderMap,
-    StatusCode, //
-};
+use http::StatusCode;
 use rand::Rng;
 use std::{
     cell::{
@@ -304,40 +299,6 @@
         }
     }
 
-    /// Returns the era of an answer and records it, whatever the status of the answer. An answer without the header is
-    /// taken to be of the current era.
-    fn record_era(&self, headers: &HeaderMap) -> Result<u64, StoreError> {
-        let known = self.era.get();
-        let Some(value) = headers.get(ERA_HEADER) else {
-            return Ok(known);
-        };
-        let answered =
-            read_era(value.as_bytes()).map_err(|err| StoreError::Body(err.to_string()))?;
-        if answered < known {
-            return Err(StoreError::EarlierEra { known, answered });
-        }
-        self.set_era(answered);
-        Ok(answered)
-    }
-
-    /// Records a restoration of the store if the directory went from `before` to a later era.
-    fn record_restoration(&self, directory: &Directory, before: Version) {
-        let began = directory.restoration().filter(|one| one.before == before);
-        if let Some(restoration) = began.filter(|_| before.era < directory.version().era) {
-            self.metrics.restorations.inc();
-            log_era(restoration, directory.version());
-        }
-    }
-
-    /// Sets the era; the history of an earlier one cannot be watched any more.
-    fn set_era(&self, era: u64) {
-        self.era.set(era);
-        if self.position.get().is_some_and(|at| at.era < era) {
-            self.position.set(None);
-            self.consistency.set(ReadConsistency::Exact);
-        }
-    }
-
     async fn list_pages(&self) -> Result<(Version, Vec<Item>), StoreError> {
         let mut items = Vec::new();
         let mut version: Option<Version> = None;
--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -1,10 +1,7 @@
 //! Exchange of a view's state with other daemons of its zone.
 
 use super::{
-    log::{
-        log_change,
-        log_era_settled, //
-    },
+    log::log_change,
     watch_interval,
     View, //
 };
@@ -121,20 +118,6 @@
         self.fresh_until().is_some()
     }
 
-    /// Whether this daemon knows the state from before the current era of the store.
-    pub fn has_lived_through_restoration(&self) -> bool {
-        let directory = self.directory.borrow();
-        let restoration = directory.restoration();
-        restoration.is_some_and(|one| one.before != Version::default())
-    }
-
-    /// Gives up changes that a restored store had lost and that were not written again in time.
-    pub fn expire_awaited(&self, now: Instant) {
-        if let Some(restoration) = self.directory.borrow_mut().expire_awaited(now) {
-            log_era_settled(&restoration, now);
-        }
-    }
-
     /// Time until which the reports of readers make a call of the store unnecessary.
     pub(super) fn fresh_until(&self) -> Option<Instant> {
         let interval = watch_interval(&self.limits.borrow());
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -6,6 +6,14 @@
 //! [`REWRITE_TIME`], and the configuration never goes back. An entry that is later than the start of the era was
 //! written since and always applies.
 
+mod list;
+
+pub(super) use self::list::NewEra;
+
+use self::list::{
+    Listed,
+    ListedState, //
+};
 use super::{
     directory::{
         Directory,
@@ -23,7 +31,6 @@
     version::Version,
 };
 use std::{
-    collections::HashMap,
     rc::Rc,
     time::{
         Duration,
@@ -38,42 +45,6 @@
 /// its revision.
 const RECENT: Duration = Duration::from_secs(10);
 
-/// Beginning of an era, as a list shows it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct NewEra {
-    /// Version of the list.
-    pub(super) version: Version,
-    /// First known version of the era.
-    pub(super) start: Version,
-    /// Whether the list is the store's own.
-    pub(super) is_of_store: bool,
-    /// Version that the daemon that passes the list on had before the era.
-    pub(super) before: Version,
-}
-
-impl NewEra {
-    /// The beginning of an era in a list of the store.
-    pub(super) fn of_store(version: Version) -> Self {
-        Self {
-            version,
-            start: version,
-            is_of_store: true,
-            before: Version::default(),
-        }
-    }
-
-    /// Whether no era has passed unseen since a version.
-    fn is_next_after(self, version: Version) -> bool {
-        self.start.era == version.era + 1
-    }
-
-    /// Whether another daemon passes the list on that knew at least as much of the former era: it has kept what is newer
-    /// than the copy, and says so.
-    fn is_passed_on_by_one_ahead_of(self, version: Version) -> bool {
-        self.before.era == version.era && self.before >= version
-    }
-}
-
 /// The latest restoration of the store in the life of the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Restoration {
@@ -418,60 +389,3 @@
         change,
     }
 }
-
-/// State of an upstream in a list.
-#[derive(Clone, Copy, Debug)]
-enum ListedState {
-    /// Serving, possibly by the copy alone.
-    Serving,
-    /// Draining, possibly by the copy alone.
-    Draining,
-    /// Written since the restoration.
-    Written,
-    /// Removed; a reader passes this on for an upstream that may return.
-    Removed,
-}
-
-/// Entries of a list with their revisions.
-struct Listed<'i> {
-    upstreams: HashMap<UpstreamId, (u64, ListedState)>,
-    /// Whether zones are out of service.
-    zones: HashMap<&'i str, (u64, bool)>,
-    /// Version of the configuration.
-    configuration: Option<u64>,
-}
-
-impl<'i> Listed<'i> {
-    /// Collects the entries of a list; those up to `start` may come from the copy.
-    fn new(start: Version, items: &'i [Item]) -> Self {
-        let mut listed = Self {
-            upstreams: HashMap::new(),
-            zones: HashMap::new(),
-            configuration: None,
-        };
-        for item in items {
-            let at = item.version.revision;
-            match &item.change {
-                Change::Listed(id, upstream) => {
-                    let state = match upstream.state {
-                        _ if item.version > start => ListedState::Written,
-                        UpstreamState::Serving => ListedState::Serving,
-                        UpstreamState::Draining => ListedState::Draining,
-                    };
-                    listed.upstreams.insert(*id, (at, state));
-                }
-                Change::Unlisted(id, _) => {
-                    listed.upstreams.insert(*id, (at, ListedState::Removed));
-                }
-                Change::Zone { zone, out } => {
-                    listed.zones.insert(zone, (at, *out));
-                }
-                Change::Configured(cfg) => {
-                    listed.configuration = Some(cfg.version);
-                }
-                Change::Unusable(_) | Change::Foreign => (),
-            }
-        }
-        listed
-    }
-}
