--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -138,7 +138,7 @@
     /// A listed entry with a higher revision than the known state was written after it, in whichever era.
     fn states_newer_than_copy(&self, era: NewEra, items: &[Item], now: Instant) -> Vec<Item> {
         let listed = Listed::new(era.start, items);
-        let mut changes = self.newer_upstreams(era, &listed, now);
+        let mut changes = self.newer_upstreams(era.start, &listed, now);
         changes.extend(self.newer_zones(era, &listed));
         let cfg = self.configuration().filter(|known| {
             let listed = listed.configuration;
@@ -149,8 +149,8 @@
         changes.map(|change| item(era.version, change)).collect()
     }
 
-    fn newer_upstreams(&self, era: NewEra, listed: &Listed<'_>, now: Instant) -> Vec<Change> {
-        let is_recent = era.start.revision <= self.version().revision
+    fn newer_upstreams(&self, start: Version, listed: &Listed<'_>, now: Instant) -> Vec<Change> {
+        let is_recent = start.revision <= self.version().revision
             || self.as_of().is_some_and(|as_of| now < as_of + RECENT);
         let newer = self.upstreams().filter_map(|(id, known)| {
             let unchanged = || Change::Listed(id, known.upstream.clone());
@@ -171,12 +171,11 @@
                 _ => is_draining.then(unchanged),
             }
         });
-        // An entry from before the known version that is not known was removed in between. This does not hold if an era
-        // has passed unseen, whose revisions the copy has.
-        let is_next_era = era.is_next_after(self.version());
+        // An entry from before the known version that is not known was removed in between, or else it was written in an
+        // era that has passed unseen, and its next heartbeat brings it back.
         let removed = listed.upstreams.iter().filter(|(id, (at, state))| {
             let is_written = matches!(state, ListedState::Written);
-            is_next_era && !is_written && *at <= self.version().revision && self.get(**id).is_none()
+            !is_written && *at <= self.version().revision && self.get(**id).is_none()
         });
         let removed = removed.map(|(id, _)| Change::Unlisted(*id, None));
         newer.chain(removed).collect()
@@ -351,6 +350,9 @@
 
     /// States that stay in force until their entries are written again, which has not happened up to the current version.
     pub(super) fn awaited_items(&self, now: Instant) -> Vec<Item> {
+        if self.restoration.is_none_or(|one| one.is_settled) {
+            return Vec::new();
+        }
         let version = self.version();
         let upstreams = self.upstreams().filter(|(_, known)| known.awaits_write);
         let upstreams = upstreams.map(|(id, known)| {
