--- a/crates/standins/src/scenario/command.rs
+++ b/crates/standins/src/scenario/command.rs
@@ -134,7 +134,8 @@
     },
     /// Changes the state of the platform: `platform down`.
     Platform {
-        /// `down`, `up`, `stale`, `fresh` or `rewound` (by the last two changes).
+        /// `down`, `up`, `stale`, `fresh`, `rewound` (by the last two changes) or `restored` (from a copy from before
+        /// them).
         change: String,
     },
     /// Publishes a service's document, which may be invalid: `publish certvault "{"`.
--- a/crates/standins/src/scenario/execute.rs
+++ b/crates/standins/src/scenario/execute.rs
@@ -288,6 +288,7 @@
             "up" => platform.resume(),
             "stale" => platform.stale(true),
             "rewound" => platform.rewind(REWOUND_CHANGES),
+            "restored" => platform.restore(REWOUND_CHANGES),
             "fresh" => platform.stale(false),
             _ => bail!("unknown state of the platform: {change}"),
         }
