Apply full lists of the store and of peers by one function, and make items without a key in one place

The steps of a list that may begin an era stood in Directory::replace and in merge_changes; NewEra had a flag that repeated the origin of the list. Three places built the same item without a key.

--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -65,14 +65,17 @@
         let is_newer = |version: Version| is_whole || version > after;
         let mut items = Vec::new();
         if let Some((version, cfg)) = self.configured().filter(|(at, _)| is_newer(*at)) {
-            items.push(item(version, Change::Configured((**cfg).clone())));
+            items.push(Item::without_key(
+                version,
+                Change::Configured((**cfg).clone()),
+            ));
         }
         for (name, zone) in self.zones.iter().filter(|(_, z)| is_newer(z.version)) {
             let change = Change::Zone {
                 zone: Rc::clone(name),
                 out: zone.out,
             };
-            items.push(item(zone.version, change));
+            items.push(Item::without_key(zone.version, change));
         }
         let changed = |known: &TrackedUpstream| match synced_from {
             SyncedFrom::ThisDaemon => known.announced,
@@ -104,19 +107,13 @@
         let version = changes.version;
         let outcomes = match changes.is_whole {
             true => {
-                let all = self.add_implied_removals(version, &changes.items)?;
                 let era = NewEra {
                     version,
                     start: changes.era_start,
-                    is_of_store: false,
+                    origin: Origin::Peer,
                     before: changes.before_era,
                 };
-                let awaited = self.begin_era(era, &changes.items, now);
-                let outcomes = self.apply_items(version, &all, Origin::Peer, now);
-                if let Some(awaited) = awaited {
-                    self.end_restoration(&awaited, now);
-                }
-                outcomes
+                self.replace_all(era, &changes.items, now)?
             }
             false if version.era != self.version().era => return None,
             false => self.apply_items(version, &changes.items, Origin::Peer, now),
@@ -152,18 +149,13 @@
 ) {
     let is_listed = known.unlisted.is_none();
     if is_listed || !known.is_gone(now) {
-        items.push(item(known.version, Change::Listed(id, known.current(now))));
+        items.push(Item::without_key(
+            known.version,
+            Change::Listed(id, known.current(now)),
+        ));
     }
     let is_implied = is_whole && known.is_gone(now);
     if !is_listed && !is_implied {
-        items.push(item(known.version, Change::Unlisted(id, None)));
-    }
-}
-
-fn item(version: Version, change: Change) -> Item {
-    Item {
-        key: "".into(),
-        version,
-        change,
+        items.push(Item::without_key(known.version, Change::Unlisted(id, None)));
     }
 }
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -296,9 +296,22 @@
         items: &[Item],
         now: Instant,
     ) -> Option<Vec<Outcome>> {
-        let all = self.add_implied_removals(version, items)?;
-        let awaited = self.begin_era(NewEra::of_store(version), items, now);
-        let outcomes = self.apply(version, &all, now);
+        self.replace_all(NewEra::of_store(version), items, now)
+    }
+
+    /// Applies a full list of the store or of another daemon, as [`Directory::replace`] does.
+    pub(super) fn replace_all(
+        &mut self,
+        era: NewEra,
+        items: &[Item],
+        now: Instant,
+    ) -> Option<Vec<Outcome>> {
+        let all = self.add_implied_removals(era.version, items)?;
+        let awaited = self.begin_era(era, items, now);
+        let outcomes = match era.origin {
+            Origin::Store => self.apply(era.version, &all, now),
+            Origin::Peer => self.apply_items(era.version, &all, Origin::Peer, now),
+        };
         if let Some(awaited) = awaited {
             self.end_restoration(&awaited, now);
         }
@@ -307,11 +320,7 @@
 
     /// Returns the removals that a full list implies, followed by its entries; `None` if it is older than the
     /// directory.
-    pub(super) fn add_implied_removals(
-        &mut self,
-        version: Version,
-        items: &[Item],
-    ) -> Option<Vec<Item>> {
+    fn add_implied_removals(&mut self, version: Version, items: &[Item]) -> Option<Vec<Item>> {
         if version < self.version {
             return None;
         }
@@ -358,11 +367,7 @@
                 Change::Configured(_) | Change::Unusable(_) | Change::Foreign => (),
             }
         }
-        let item = |change| Item {
-            key: "".into(),
-            version,
-            change,
-        };
+        let item = |change| Item::without_key(version, change);
         let gone = self
             .upstreams
             .iter()
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -116,3 +116,14 @@
     /// Change that the entry makes.
     pub change: Change,
 }
+
+impl Item {
+    /// An item that was not read from the store, and so has no key.
+    pub(super) fn without_key(version: Version, change: Change) -> Self {
+        Self {
+            key: "".into(),
+            version,
+            change,
+        }
+    }
+}
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -17,6 +17,7 @@
 use super::{
     directory::{
         Directory,
+        Origin,
         TrackedUpstream,
         Zone,
         LAPSE_GRACE, //
@@ -146,7 +147,9 @@
         });
         changes.extend(cfg.map(|known| Change::Configured((**known).clone())));
         let changes = changes.into_iter();
-        changes.map(|change| item(era.version, change)).collect()
+        changes
+            .map(|change| Item::without_key(era.version, change))
+            .collect()
     }
 
     fn newer_upstreams(&self, start: Version, listed: &Listed<'_>, now: Instant) -> Vec<Change> {
@@ -185,7 +188,7 @@
     /// the one that ended. An evacuation with another revision is a new one, and may be one if an era has passed unseen or
     /// another daemon passes it on.
     fn newer_zones(&self, era: NewEra, listed: &Listed<'_>) -> Vec<Change> {
-        let may_have_ended = era.is_of_store && era.is_next_after(self.version());
+        let may_have_ended = era.origin == Origin::Store && era.is_next_after(self.version());
         let newer = self.zones.iter().filter_map(|(name, zone)| {
             let is_newer = match listed.zones.get(&**name) {
                 Some((at, out)) => {
@@ -361,7 +364,7 @@
                 true => Change::Unlisted(id, None),
                 false => Change::Listed(id, known.current(now)),
             };
-            item(version, change)
+            Item::without_key(version, change)
         });
         let zones = self.zones.iter().filter(|(_, zone)| zone.awaits_write);
         let zones = zones.map(|(name, zone)| {
@@ -369,12 +372,13 @@
                 zone: Rc::clone(name),
                 out: zone.out,
             };
-            item(version, change)
+            Item::without_key(version, change)
         });
         let cfg = self
             .configured()
             .filter(|_| self.configuration_awaits_write);
-        let cfg = cfg.map(|(_, cfg)| item(version, Change::Configured((**cfg).clone())));
+        let cfg =
+            cfg.map(|(_, cfg)| Item::without_key(version, Change::Configured((**cfg).clone())));
         upstreams.chain(zones).chain(cfg).collect()
     }
 }
@@ -383,11 +387,3 @@
 fn is_kept(change: &Change) -> bool {
     matches!(change, Change::Listed(_, upstream) if upstream.state == UpstreamState::Serving)
 }
-
-fn item(version: Version, change: Change) -> Item {
-    Item {
-        key: "".into(),
-        version,
-        change,
-    }
-}
--- a/crates/policy/src/packets/restoration/list.rs
+++ b/crates/policy/src/packets/restoration/list.rs
@@ -1,6 +1,7 @@
 //! A list that begins an era, and what may come from the copy in it.
 
 use crate::packets::{
+    directory::Origin,
     entry::{
         Change,
         Item,
@@ -18,8 +19,8 @@
     pub(in crate::packets) version: Version,
     /// First known version of the era.
     pub(in crate::packets) start: Version,
-    /// Whether the list is the store's own.
-    pub(in crate::packets) is_of_store: bool,
+    /// Where the list comes from.
+    pub(in crate::packets) origin: Origin,
     /// Version that the daemon that passes the list on had before the era.
     pub(in crate::packets) before: Version,
 }
@@ -30,7 +31,7 @@
         Self {
             version,
             start: version,
-            is_of_store: true,
+            origin: Origin::Store,
             before: Version::default(),
         }
     }
