--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,6 +14,7 @@
 mod long_packets;
 mod new_routes;
 mod same_slot;
+mod silent;
 
 use fleet::Fleet;
 use std::sync::Arc;
@@ -40,6 +41,7 @@
         "drill" => drill::play(&record, has_trouble),
         "long-packets" => long_packets::play(&record, has_trouble),
         "same-slot" => same_slot::play(&record, has_trouble),
+        "silent" => silent::play(&record, has_trouble),
         "new-routes" => new_routes::play(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -20,6 +20,16 @@
     era: u64,
     /// While the store is away it closes every connection without an answer.
     away: bool,
+    /// Connections accepted so far, and how many of the first ones have gone silent for good.
+    accepted: u64,
+    silent: u64,
+}
+
+/// What a call gets.
+enum Answer {
+    Whole(&'static str, String, u64),
+    Closed,
+    Nothing,
 }
 
 #[derive(Clone)]
@@ -29,7 +39,7 @@
     pub fn start(addr: SocketAddrV4) -> std::io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
         let now = Contents { revision: 1, ..Contents::default() };
-        let store = Store(Arc::new((Mutex::new(State { now, era: 1, away: false }), Condvar::new())));
+        let store = Store(Arc::new((Mutex::new(State { now, era: 1, away: false, accepted: 0, silent: 0 }), Condvar::new())));
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -71,6 +81,13 @@
         self.0 .1.notify_all();
     }
 
+    /// Lets all connections that are open go silent for good, without a reset; new ones work.
+    pub fn silence_connections(&self) {
+        let mut state = self.0 .0.lock().unwrap();
+        state.silent = state.accepted;
+        self.0 .1.notify_all();
+    }
+
     /// Puts a copy in the place of the contents; the era rises by one.
     pub fn restore(&self, copy: Contents) {
         let mut state = self.0 .0.lock().unwrap();
@@ -81,6 +98,11 @@
 
     fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
+        let number = {
+            let mut state = self.0 .0.lock().unwrap();
+            state.accepted += 1;
+            state.accepted
+        };
         let mut lines = BufReader::new(stream.try_clone()?);
         loop {
             let mut first = String::new();
@@ -94,8 +116,10 @@
                 }
             }
             let target = first.split(' ').nth(1).unwrap_or("").to_owned();
-            let Some((status, body, era)) = self.answer(&target) else {
-                return Ok(());
+            let (status, body, era) = match self.answer(&target, number) {
+                Answer::Whole(status, body, era) => (status, body, era),
+                Answer::Closed => return Ok(()),
+                Answer::Nothing => continue,
             };
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
@@ -106,15 +130,18 @@
         }
     }
 
-    fn answer(&self, target: &str) -> Option<(&'static str, String, u64)> {
+    fn answer(&self, target: &str, connection: u64) -> Answer {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let arg = |name: &str| {
             let pair = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
             pair.map(decode).unwrap_or_default()
         };
         let mut state = self.0 .0.lock().unwrap();
+        if connection <= state.silent {
+            return Answer::Nothing;
+        }
         if state.away {
-            return None;
+            return Answer::Closed;
         }
         let prefix = arg("prefix");
         if path == "/api/kv-range" {
@@ -132,20 +159,23 @@
                 found.len() > 500,
                 state.now.revision
             );
-            return Some(("200 OK", body, state.era));
+            return Answer::Whole("200 OK", body, state.era);
         }
         if path != "/api/kv-watch" {
-            return Some(("404 Not Found", String::new(), state.era));
+            return Answer::Whole("404 Not Found", String::new(), state.era);
         }
         let after: u64 = arg("after").parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(arg("wait_ms").parse().unwrap_or(0));
         let era = state.era;
         loop {
+            if connection <= state.silent {
+                return Answer::Nothing;
+            }
             if state.away || state.era != era {
-                return None;
+                return Answer::Closed;
             }
             if after > state.now.revision {
-                return Some(("410 Gone", String::new(), era));
+                return Answer::Whole("410 Gone", String::new(), era);
             }
             let newer = state.now.history.range(after + 1..).filter(|(_, (key, ..))| key.starts_with(&prefix));
             let events: Vec<_> =
@@ -153,7 +183,7 @@
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let body = format!("{{\"events\":[{}],\"store_revision\":{}}}", events.join(","), state.now.revision);
-                return Some(("200 OK", body, era));
+                return Answer::Whole("200 OK", body, era);
             }
             state = self.0 .1.wait_timeout(state, left).unwrap().0;
         }
