--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
@@ -64,6 +64,9 @@
 
 impl Fleet {
     pub fn start(plan: &Plan, record: Arc<Record>) -> std::io::Result<Fleet> {
+        if !Path::new(PROGRAM).exists() {
+            return Err(std::io::Error::other(format!("no {PROGRAM}; run the build line of the deploy file")));
+        }
         let mut rng = Rng::new(u64::from(std::process::id()) ^ 0xfeed);
         let (block, ports) = claim(&mut rng)?;
         let at = |group: u8, n: usize, port: u16| {
@@ -278,7 +281,9 @@
 
     /// Ends the daemons and the stand-ins.
     pub fn end(&self) {
-        self.stop.store(true, Ordering::Relaxed);
+        if self.stop.swap(true, Ordering::Relaxed) {
+            return;
+        }
         pause(600);
         for daemon in &self.daemons {
             if let Some(mut child) = daemon.child.lock().unwrap().take() {
@@ -293,6 +298,12 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 impl Daemon {
     fn run(&self, record: &Record) {
         let log = File::options().create(true).append(true).open(&self.log).expect("log file");
