Forward open flows whose route this daemon has not received yet

Cause: a view counts as fresh when it holds every change that must be in force, up to 3 s; but another daemon may have opened a flow by a newer configuration. A fresh view without the route reset every packet of such a flow.

Evidence: a run with the logs kept has 21 lines flow_reset kind=Data reason=NoRoute, by views 529 to 1,761 ms old, with labels of known upstreams. Ruled out: removed routes (the case removes none), unknown labels (dropped, not reset), wrong ages of the views.

Fix: a packet of an open flow without a route is forwarded by its label. It is reset once the route is known to be removed: this daemon has forwarded the flow by a configuration that had the route, or the view was confirmed as of a time after the flow's first packet here. Why it works: a route that is missing at a time when the flow was open already was removed after the flow was opened.

Test: routes::an_open_flow_is_not_reset_by_a_configuration_that_is_older_than_its_route; with the old condition it fails with "the packet is not forwarded: Reset(NoRoute)". routes::a_missing_route_resets_by_a_fresh_view_only asserted the fault itself (data on a route that no configuration had was reset at once); it asserts now that such a packet is forwarded first, and reset after the view is confirmed later.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -53,7 +53,7 @@
 /// Reason for resetting a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResetReason {
-    /// No route has the address and port of the packet.
+    /// No route has the address and port of an opening packet, or the route of an open flow was removed.
     NoRoute,
     /// The service has no usable upstream, and none is about to register again.
     NoUpstream,
@@ -172,10 +172,14 @@
         let route = cfg.routes.get(&packet.flow.route);
         match (packet.kind, route) {
             (Kind::Open, Some(route)) => self.open(packet, route, directory, is_fresh, now),
-            (Kind::Reset, _) | (_, Some(_)) => self.forward(packet, route, directory, now),
-            (_, None) if is_fresh => Verdict::Reset(ResetReason::NoRoute),
+            (Kind::Open, None) if is_fresh => Verdict::Reset(ResetReason::NoRoute),
             (Kind::Open, None) => Verdict::Drop(DropReason::UncertainRoute),
-            (_, None) => self.forward(packet, None, directory, now),
+            (Kind::Data, None)
+                if is_fresh && self.is_route_removed(packet.flow, directory, now) =>
+            {
+                Verdict::Reset(ResetReason::NoRoute)
+            }
+            (_, route) => self.forward(packet, route, directory, now),
         }
     }
 
@@ -316,6 +320,16 @@
         }
     }
 
+    /// Whether the route of a flow, which the directory lacks, was removed after the flow was opened.
+    ///
+    /// Otherwise another daemon may have opened the flow by a newer configuration, which this daemon has not received.
+    fn is_route_removed(&self, flow: FlowId, directory: &Directory, now: Instant) -> bool {
+        let was_open = self.flows.first_seen(flow);
+        let is_confirmed = was_open.is_some_and(|at| Some(at) < directory.as_of());
+        let was_opened_here = !self.openings.tried(flow, now).is_empty();
+        is_confirmed || was_opened_here || self.flows.had_route(flow)
+    }
+
     /// Forwards a packet of an open flow to the upstream that its label names.
     fn forward(
         &mut self,
@@ -328,7 +342,7 @@
         let Some((id, known)) = ids.first().and_then(|id| Some((*id, directory.get(*id)?))) else {
             return Verdict::Drop(DropReason::UnknownLabel);
         };
-        let event = self.flows.record(packet, id, now);
+        let event = self.flows.record(packet, id, route.is_some(), now);
         self.observe_answer(packet, (id, known), event, now);
         if let Some(route) = route.filter(|route| route.is_idempotent) {
             if let FlowEvent::Retransmission(_) = event {
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -74,7 +74,10 @@
     sent: u32,
     /// Last acknowledgement of the caller.
     received: u32,
+    first_seen: Instant,
     last_seen: Instant,
+    /// Whether this daemon has forwarded a packet of the flow by a configuration that has its route.
+    had_route: bool,
 }
 
 /// Progress of a flow that a packet reveals.
@@ -101,14 +104,20 @@
 }
 
 impl Flows {
-    /// Records a packet of an open flow that is forwarded to `upstream`.
-    pub fn record(&mut self, packet: &Packet, upstream: UpstreamId, now: Instant) -> FlowEvent {
+    /// Records a packet of an open flow that is forwarded to `upstream`, and whether the configuration has its route.
+    pub fn record(
+        &mut self,
+        packet: &Packet,
+        upstream: UpstreamId,
+        has_route: bool,
+        now: Instant,
+    ) -> FlowEvent {
         if matches!(packet.kind, Kind::End | Kind::Reset) {
             self.flows.remove(&packet.flow);
             return FlowEvent::Answered(self.finish_request(packet.flow, upstream));
         }
         let Some(flow) = self.flows.get_mut(&packet.flow) else {
-            self.insert(packet, now);
+            self.insert(packet, has_route, now);
             return match packet.len {
                 0 => FlowEvent::Nothing,
                 _ => {
@@ -118,6 +127,7 @@
             };
         };
         flow.last_seen = now;
+        flow.had_route |= has_route;
         let end = packet.seq.wrapping_add(packet.len.into());
         let answered = is_after(packet.ack, flow.received);
         let is_new = is_after(end, flow.sent);
@@ -159,6 +169,16 @@
         self.pending.get(&upstream)?.get(&flow).copied()
     }
 
+    /// When this daemon forwarded the first packet of a flow after its opening; `None` if the flow is not tracked.
+    pub fn first_seen(&self, flow: FlowId) -> Option<Instant> {
+        Some(self.flows.get(&flow)?.first_seen)
+    }
+
+    /// Whether this daemon has forwarded a packet of the flow by a configuration that has its route.
+    pub fn had_route(&self, flow: FlowId) -> bool {
+        self.flows.get(&flow).is_some_and(|flow| flow.had_route)
+    }
+
     /// Removes a flow that was reset.
     pub fn end(&mut self, flow: FlowId, upstream: UpstreamId) {
         self.flows.remove(&flow);
@@ -184,14 +204,16 @@
         });
     }
 
-    fn insert(&mut self, packet: &Packet, now: Instant) {
+    fn insert(&mut self, packet: &Packet, has_route: bool, now: Instant) {
         if self.flows.len() >= CAPACITY {
             return;
         }
         let flow = Flow {
             sent: packet.seq.wrapping_add(packet.len.into()),
             received: packet.ack,
+            first_seen: now,
             last_seen: now,
+            had_route: has_route,
         };
         self.flows.insert(packet.flow, flow);
     }
--- a/crates/policy/tests/packets/flows.rs
+++ b/crates/policy/tests/packets/flows.rs
@@ -43,7 +43,7 @@
             ack,
             len,
         };
-        self.flows.record(&packet, UPSTREAM, self.now)
+        self.flows.record(&packet, UPSTREAM, true, self.now)
     }
 
     fn evict(&mut self, idle: Duration) {
--- a/crates/policy/tests/packets/routes.rs
+++ b/crates/policy/tests/packets/routes.rs
@@ -52,6 +52,9 @@
     let reset = Verdict::Reset(ResetReason::NoRoute);
     let opening = syn(flow(1, OTHER_PORT), 0);
     assert_eq!(scene.decide(opening), reset);
+    assert_eq!(target(scene.decide(data(OTHER_PORT, 1))).0, 1);
+    scene.after(1);
+    scene.directory.confirm(scene.now);
     assert_eq!(scene.decide(data(OTHER_PORT, 1)), reset);
     scene.is_fresh = false;
     assert_eq!(
@@ -61,6 +64,35 @@
     assert_eq!(target(scene.decide(data(OTHER_PORT, 1))).0, 1);
 }
 
+/// A daemon that lags behind by one configuration reset the flows that another daemon had opened on a new route.
+#[test]
+fn an_open_flow_is_not_reset_by_a_configuration_that_is_older_than_its_route() {
+    let mut scene = Scene::new().upstream(1, upstream());
+    scene.directory.confirm(scene.now);
+    for _ in 0..5 {
+        scene.after(400);
+        assert_eq!(target(scene.decide(data(OTHER_PORT, 1))).0, 1);
+    }
+    let added = configuration(2, &[(PORT, &[(SERVICE, 1)]), (OTHER_PORT, &[(SERVICE, 1)])]);
+    scene.change(Change::Configured(added));
+    scene.directory.confirm(scene.now);
+    assert_eq!(target(scene.after(400).decide(data(OTHER_PORT, 1))).0, 1);
+}
+
+/// A daemon that starts after a route was removed knows neither the route nor the flow, and still ends the flow.
+#[test]
+fn a_flow_without_a_route_is_reset_once_the_view_is_confirmed_after_its_first_packet() {
+    let mut scene = Scene::new().upstream(1, upstream());
+    let first = scene.now;
+    assert_eq!(target(scene.decide(data(OTHER_PORT, 1))).0, 1);
+    scene.directory.confirm(first);
+    assert_eq!(target(scene.after(100).decide(data(OTHER_PORT, 1))).0, 1);
+    scene.directory.confirm(scene.now);
+    let reset = Verdict::Reset(ResetReason::NoRoute);
+    assert_eq!(scene.decide(data(OTHER_PORT, 1)), reset);
+    assert_eq!(scene.decide(data(OTHER_PORT, 1)), reset);
+}
+
 #[test]
 fn a_route_that_is_removed_ends_its_flows_and_a_new_one_opens_them() {
     let mut scene = Scene::new().upstream(1, upstream());
