--- a/crates/daemon/tests/packets/store.rs
+++ b/crates/daemon/tests/packets/store.rs
@@ -143,6 +143,50 @@
     assert_eq!(scene.events(0, "entry_refused").len(), 3);
 }
 
+/// Odd entries among those of the servers end no daemon and hide no later change.
+#[test]
+fn daemons_follow_the_store_beside_odd_entries() {
+    let mut scene = Scene::start().load(2, 5.0);
+    let deep = "[".repeat(200_000) + &"]".repeat(200_000);
+    let entry = |service: &str, port: &str, slots: &str, warmup: &str| {
+        format!(
+            r#"{{"service":{service},"address":"127.0.0.1:{port}","zone":"z","version":"v","slots":{slots},
+                "state":"ready","warmup_left_ms":{warmup},"sequence":1}}"#
+        )
+    };
+    let huge = u64::MAX.to_string();
+    let odd = [
+        entry(&deep, "1", "1", "0"),
+        entry(r#""odd""#, "65536", "1", "0"),
+        entry(r#""odd""#, "0", "1", "0"),
+        entry(r#""odd""#, "1", "1e999", "0"),
+        entry(r#""odd""#, "1", "1", &format!("{huge}0")),
+        entry(r#""odd""#, "1", &u32::MAX.to_string(), &huge),
+        entry(&format!("{:?}", "x".repeat(500_000)), "1", "1", "0"),
+    ];
+    for (index, value) in odd.iter().enumerate() {
+        let key = format!("servers/i-00000000f{index}");
+        scene.store.put_bytes(&key, value.clone().into_bytes());
+    }
+    scene.run(2_000);
+    scene.add_upstream(0, 0x7777, Duration::ZERO).unwrap();
+    scene
+        .wait_until("the daemons know a server that came later", |fleet| {
+            (0..fleet.len()).all(|index| {
+                let status = fleet.status(index).unwrap();
+                status.upstreams.iter().any(|u| u.id.ends_with("7777"))
+            })
+        })
+        .unwrap();
+    for index in 0..scene.len() {
+        assert!(scene.try_wait(index).is_none(), "daemon {index} runs on");
+        assert!(scene.events(index, "panic").is_empty());
+    }
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+    assert_eq!(scene.events(0, "entry_refused").len(), 5);
+}
+
 #[test]
 fn an_idle_store_is_called_rarely() {
     let scene = Scene::start();
