Parse each entry of the platform's lists by itself

Seen by operators of the own interface: one VM or document that another writer left in an unusable form (port over 65,535, number too large, unknown state, missing field) kept all daemons from following the list.

Cause: the list was deserialized as a whole, so one entry failed it, again with each read. Deep nesting was harmful only in a known field, where it is a wrong type; unknown fields are skipped without recursion.

Fix: entries are kept as raw text and parsed one by one; a refused one is logged with its position and cause.

--- a/crates/daemon/src/platform/message.rs
+++ b/crates/daemon/src/platform/message.rs
@@ -1,11 +1,54 @@
 //! Answers of the platform.
 
-use serde::Deserialize;
+use serde::{
+    de::DeserializeOwned,
+    Deserialize,
+    Deserializer, //
+};
+use serde_json::value::RawValue;
 use std::{
     net::SocketAddr,
     rc::Rc, //
 };
 
+/// The entries of a list, each parsed by itself, so that one that cannot be parsed does not affect the others.
+#[derive(Clone, Debug)]
+pub struct Entries<T> {
+    /// Entries that were parsed.
+    pub usable: Vec<T>,
+    /// Entries that could not be parsed.
+    pub refused: Vec<RefusedEntry>,
+}
+
+/// An entry that could not be parsed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedEntry {
+    /// Position in the list, from zero.
+    pub index: usize,
+    /// Why the entry could not be parsed.
+    pub cause: String,
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Entries<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let mut entries = Self {
+            usable: Vec::new(),
+            refused: Vec::new(),
+        };
+        let raw = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+        for (index, raw) in raw.iter().enumerate() {
+            match serde_json::from_str(raw.get()) {
+                Ok(entry) => entries.usable.push(entry),
+                Err(err) => entries.refused.push(RefusedEntry {
+                    index,
+                    cause: err.to_string(),
+                }),
+            }
+        }
+        Ok(entries)
+    }
+}
+
 /// All documents, or those changed since a revision.
 #[derive(Clone, Debug, Deserialize)]
 pub struct DocumentList {
@@ -15,7 +58,7 @@
     /// Highest revision that the list covers.
     pub revision: u64,
     /// Documents, removed ones included.
-    pub documents: Vec<PlatformDocument>,
+    pub documents: Entries<PlatformDocument>,
 }
 
 /// A service document as the platform stores it.
@@ -44,7 +87,7 @@
     /// Revision at which the list last changed.
     pub revision: u64,
     /// Entries of the list.
-    pub vms: Vec<PlatformVm>,
+    pub vms: Entries<PlatformVm>,
 }
 
 /// A VM in the platform's list.
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -8,6 +8,7 @@
     client::Client,
     message::{
         DocumentList,
+        RefusedEntry,
         VmList,
         VmState, //
     },
@@ -97,7 +98,8 @@
             log::warn!("event=platform_stale revision={revision} known={since}");
             return;
         }
-        for document in list.documents {
+        log_refused("documents", &list.documents.refused);
+        for document in list.documents.usable {
             let record = DocumentRecord {
                 service: document.service,
                 revision: with_era(document.era, document.revision),
@@ -122,7 +124,8 @@
             return false;
         }
         self.vms_revision.set(Some(revision));
-        let listed = list.vms.into_iter().map(|vm| ListedVm {
+        log_refused("vms", &list.vms.refused);
+        let listed = list.vms.usable.into_iter().map(|vm| ListedVm {
             vm: vm.id,
             zone: vm.zone,
             relay: vm.relay,
@@ -211,7 +214,8 @@
 impl DocumentSource<'_> {
     fn apply(&self, list: DocumentList, since: u64, began: Instant) -> Progress {
         self.listed.set(true);
-        let has_changes = !list.documents.is_empty() && with_era(list.era, list.revision) >= since;
+        let has_changes =
+            !list.documents.usable.is_empty() && with_era(list.era, list.revision) >= since;
         self.reader.apply_documents(list, since, began);
         self.reader.progress(has_changes, began)
     }
@@ -300,6 +304,12 @@
     }
 }
 
+fn log_refused(list: &str, refused: &[RefusedEntry]) {
+    for RefusedEntry { index, cause } in refused {
+        log::warn!("event=platform_entry_refused list={list} index={index} cause={cause:?}");
+    }
+}
+
 /// Returns whether a daemon with this control state is one of the readers of its zone.
 pub fn is_reader(control: &Control) -> bool {
     let members = control.members();
