--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -337,7 +337,7 @@
 impl Daemon {
     /// Whether the fabric should send packets to this daemon.
     pub(super) fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.view.directory().is_ready()
+        !self.stopping.get() && self.path.is_running() && self.view.directory().is_ready()
     }
 
     async fn evict_periodically(&self) -> anyhow::Result<()> {
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -41,6 +41,7 @@
 use rand::rngs::SmallRng;
 use std::{
     cell::{
+        Cell,
         Ref,
         RefCell, //
     },
@@ -80,6 +81,16 @@
     /// Delayed packets with the ends of their delays.
     delayed: RefCell<VecDeque<(Instant, Vec<u8>)>>,
     wake: Wake,
+    is_running: Cell<bool>,
+}
+
+/// Marks a path as running until it is dropped, also by a panic.
+struct Running<'p>(&'p PacketPath);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.is_running.set(false);
+    }
 }
 
 impl PacketPath {
@@ -100,11 +111,19 @@
             metrics,
             delayed: RefCell::default(),
             wake: Wake::default(),
+            is_running: Cell::new(false),
         }
     }
 
+    /// Whether packets are forwarded; false before [`PacketPath::run`] and between two runs.
+    pub fn is_running(&self) -> bool {
+        self.is_running.get()
+    }
+
     /// Forwards packets until the socket fails.
     pub async fn run(&self) -> io::Result<()> {
+        self.is_running.set(true);
+        let _running = Running(self);
         self.socket
             .read_each(|datagram, _| self.handle(datagram), || ())
             .await
--- a/crates/daemon/tests/packets/lifecycle.rs
+++ b/crates/daemon/tests/packets/lifecycle.rs
@@ -7,12 +7,20 @@
 };
 use foxtailhinge_standins::packets::{
     fabric::HashKind,
+    fleet::ROUTE_PORT,
+    segment::{
+        Segment,
+        SYN, //
+    },
     store::Fault, //
 };
 use rstest::rstest;
-use std::time::{
-    Duration,
-    Instant, //
+use std::{
+    net::UdpSocket,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 #[test]
@@ -145,3 +153,45 @@
     }
     scene.finish();
 }
+
+/// Packets with more data than the protocol allows stopped the forwarding of all packets, while the daemon stayed in
+/// rotation, and ended the process after some more.
+#[rstest]
+#[case::one_byte_more(1_201)]
+#[case::longest_that_is_read(2_016)]
+#[case::truncated(9_000)]
+fn packets_that_are_too_long_stop_no_daemon(#[case] len: u16) {
+    const PACKETS: usize = 20;
+    let mut scene = Scene::start().load(4, 5.0);
+    let opening = Segment {
+        echo: 0,
+        src: "127.0.0.1:40001".parse().unwrap(),
+        dst: scene.route(ROUTE_PORT),
+        seq: 1,
+        ack: 0,
+        flags: SYN,
+        data: vec![0; len.into()],
+        has_checksum: true,
+    };
+    let packet = opening.encode();
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for _ in 0..PACKETS {
+        for index in 0..scene.len() {
+            let addr = scene.packets_addr(index);
+            socket.send_to(&packet, addr).unwrap();
+        }
+        scene.run(100);
+    }
+    for index in 0..scene.len() {
+        assert!(scene.try_wait(index).is_none(), "daemon {index} runs on");
+        assert!(scene.events(index, "panic").is_empty());
+        let metrics = scene.metrics(index).unwrap();
+        let malformed = metrics
+            .lines()
+            .find(|line| line.contains("malformed"))
+            .and_then(|line| line.rsplit(' ').next());
+        assert_eq!(malformed, Some("20"), "daemon {index}");
+    }
+    let report = scene.finish();
+    assert_eq!((report.unanswered(), report.resets()), (0, 0));
+}
--- a/crates/standins/src/packets/fleet.rs
+++ b/crates/standins/src/packets/fleet.rs
@@ -307,6 +307,11 @@
         }
     }
 
+    /// Address at which a daemon receives packets.
+    pub fn packets_addr(&self, index: usize) -> SocketAddrV4 {
+        self.block.packets(index)
+    }
+
     /// Returns the address at which a daemon answers the other daemons of its zone.
     pub fn zone_addr(&self, index: usize) -> SocketAddr {
         self.block.relay(index)
