Ask daemons of other zones, too, for what a restored store has lost

Cause: a daemon that starts in a later era asked only members of its own zone for what the store has lost. Related paths with the same cause: one that lived through the restoration but had not read the last changes asked nobody; daemons of one zone that start together asked only each other; a member of the earlier era counted as asked.

Fix: policy::packets::lost_changes decides whom to ask, once in an era for every daemon: three members of the own zone, and three of other zones if none that answered in the own zone has lived through the restoration. What other zones say of silent upstreams is left out. The answers hold the states that others keep in force, which is what the asker lacks.

--- a/crates/daemon/src/packets/view/era.rs
+++ b/crates/daemon/src/packets/view/era.rs
@@ -55,13 +55,6 @@
         }
     }
 
-    /// Whether this daemon knows the state from before the current era of the store.
-    pub fn has_lived_through_restoration(&self) -> bool {
-        let directory = self.directory.borrow();
-        let restoration = directory.restoration();
-        restoration.is_some_and(|one| one.before != Version::default())
-    }
-
     /// Gives up changes that a restored store had lost and that were not written again in time.
     pub fn expire_awaited(&self, now: Instant) {
         if let Some(restoration) = self.directory.borrow_mut().expire_awaited(now) {
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Whether the sender knows the state from before the era.
+    pub fn lived_through(&self) -> bool {
+        self.before_era != VersionRecord::default()
+    }
+
     /// Decodes the change set.
     ///
     /// # Errors
--- a/crates/daemon/src/packets/zone/follower.rs
+++ b/crates/daemon/src/packets/zone/follower.rs
@@ -1,7 +1,10 @@
 //! The follower: gets changes of the store from a reader.
 
 use super::{
-    change_set::NameError,
+    change_set::{
+        ChangeSetRecord,
+        NameError, //
+    },
     message::{
         Changes,
         ZoneReply,
@@ -18,6 +21,7 @@
 use foxtailhinge_policy::{
     members::Member,
     packets::{
+        Answered,
         FreshnessReport,
         Role, //
     },
@@ -45,9 +49,6 @@
 /// it answers.
 const FIRST_VIEW: Duration = Duration::from_millis(300);
 
-/// Number of other daemons that a daemon asks for changes which the store has lost, after a start in a later era.
-const ASKED_FOR_LOST: usize = 3;
-
 /// Why a reader could not provide a fresh view.
 #[derive(Debug, thiserror::Error)]
 enum SyncError {
@@ -75,21 +76,19 @@
             self.parts.view.set_reader(role == Role::Reader);
             self.parts.view.set_has_reader(!role.sources().is_empty());
             let has_no_view = !self.parts.view.is_ready();
-            let before_era = match has_no_view {
-                true => None,
-                false => self.member_from_before_era(),
-            };
-            let is_at_once = has_no_view || before_era.is_some();
+            if !has_no_view && self.ask_for_lost_changes().await {
+                continue;
+            }
             let source = match has_no_view {
                 true => self.any_other(),
-                false => before_era.or_else(|| source(&role, turn)),
+                false => source(&role, turn),
             };
             let Some(source) = source else {
                 self.followed.take();
                 self.parts.timer.sleep(ROLE_PERIOD).await;
                 continue;
             };
-            let wait = match is_at_once {
+            let wait = match has_no_view {
                 true => Duration::ZERO,
                 false => WAIT,
             };
@@ -120,25 +119,67 @@
         others.choose(&mut rand::rng()).cloned()
     }
 
-    /// A daemon that may have lived through the restoration of the store, if this one has not and has asked fewer than
-    /// [`ASKED_FOR_LOST`] others: it may know changes that the store has lost.
-    fn member_from_before_era(&self) -> Option<Member> {
-        let view = &self.parts.view;
-        if view.version().era == 0 || view.has_lived_through_restoration() {
-            return None;
-        }
-        let mut asked = self.asked_for_lost.borrow_mut();
-        if asked.len() >= ASKED_FOR_LOST {
-            return None;
+    /// Asks one daemon for changes that the store lost when it was restored; returns whether there was one to ask.
+    async fn ask_for_lost_changes(&self) -> bool {
+        let era = self.parts.view.version().era;
+        let member = {
+            let members = self.members.borrow();
+            let mut lost_changes = self.lost_changes.borrow_mut();
+            lost_changes.next(era, &members, &mut rand::rng()).cloned()
+        };
+        let Some(member) = member else {
+            return false;
+        };
+        let asked = Instant::now();
+        let outcome = self.request_lost_changes(&member).await;
+        let answered = match &outcome {
+            Ok(lived_through) => Answered::SameEra {
+                lived_through: *lived_through,
+            },
+            Err(SyncError::EarlierEra(_)) => Answered::EarlierEra,
+            Err(_) => Answered::Nothing,
+        };
+        let is_in_zone = member.zone == self.members.borrow().me().zone;
+        self.lost_changes
+            .borrow_mut()
+            .record(&member.vm, is_in_zone, answered);
+        let event = Event::new("lost_changes_asked")
+            .field("vm", &member.vm)
+            .field("zone", &member.zone)
+            .field("era", era);
+        match outcome {
+            Ok(lived_through) => event
+                .field("lived_through", lived_through)
+                .field("awaited", self.parts.view.directory().awaited())
+                .info(),
+            Err(err) => event.field("cause", err).info(),
         }
-        let members = self.members.borrow();
-        let me = members.me();
-        let others = members
-            .live_in_zone(&me.zone)
-            .filter(|member| member.vm != me.vm && !asked.contains(&member.vm));
-        let member = others.choose(&mut rand::rng()).cloned()?;
-        asked.push(Rc::clone(&member.vm));
-        Some(member)
+        self.parts
+            .timer
+            .sleep(GAP.saturating_sub(asked.elapsed()))
+            .await;
+        true
+    }
+
+    /// Applies what another daemon, which may be of another zone, keeps in force; returns whether that daemon knows the
+    /// state from before the era.
+    async fn request_lost_changes(&self, member: &Member) -> Result<bool, SyncError> {
+        let request = ZoneRequest::Watch {
+            after: self.parts.view.version().into(),
+            is_here: false,
+            belief: 0,
+            wait_ms: 0,
+            members: self.member_updates(),
+        };
+        let reply = self
+            .request(member.control, &request, Duration::ZERO)
+            .await?;
+        let ZoneReply::Changes(changes) = reply else {
+            return Err(SyncError::BadReply);
+        };
+        self.merge_members(changes.members);
+        self.merge_news(&changes.news, changes.regained_ms)?;
+        Ok(changes.news.lived_through())
     }
 
     /// Logs when this daemon starts to follow another daemon, or loses the one that it follows.
@@ -195,15 +236,25 @@
         }
     }
 
-    fn apply(&self, changes: Changes, asked: Instant) -> Result<(), SyncError> {
-        self.merge_members(changes.members);
-        self.apply_silent(&changes.silent);
-        let since_recovery = changes.regained_ms.map(Duration::from_millis);
-        let news = changes.news.decode()?;
+    /// Applies changes of a daemon that is of no earlier era.
+    fn merge_news(
+        &self,
+        news: &ChangeSetRecord,
+        regained_ms: Option<u64>,
+    ) -> Result<(), SyncError> {
+        let news = news.decode()?;
         if news.version.era < self.parts.view.version().era {
             return Err(SyncError::EarlierEra(news.version.era));
         }
+        let since_recovery = regained_ms.map(Duration::from_millis);
         self.parts.view.merge_changes(&news, since_recovery);
+        Ok(())
+    }
+
+    fn apply(&self, changes: Changes, asked: Instant) -> Result<(), SyncError> {
+        self.merge_members(changes.members);
+        self.apply_silent(&changes.silent);
+        self.merge_news(&changes.news, changes.regained_ms)?;
         if !self.parts.view.is_ready() {
             return Err(SyncError::NoView);
         }
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -45,6 +45,7 @@
     },
     packets::{
         readers,
+        LostChanges,
         Role,
         Version, //
     },
@@ -109,8 +110,8 @@
     lost: Wake,
     /// When another daemon last asked for changes.
     asked: Cell<Option<Instant>>,
-    /// Daemons that were asked for changes which a restored store has lost.
-    asked_for_lost: RefCell<Vec<Rc<str>>>,
+    /// Daemons that are asked for changes which a restored store has lost.
+    lost_changes: RefCell<LostChanges>,
 }
 
 impl Zone {
@@ -134,7 +135,7 @@
             last: RefCell::default(),
             lost: Wake::default(),
             asked: Cell::new(None),
-            asked_for_lost: RefCell::default(),
+            lost_changes: RefCell::default(),
         })
     }
 
--- a/crates/daemon/tests/packets/restoration.rs
+++ b/crates/daemon/tests/packets/restoration.rs
@@ -240,6 +240,45 @@
     scene.await_configuration().unwrap();
 }
 
+/// A daemon that started after the restoration, and was the only one of its zone, used the zone that was out.
+#[test]
+fn a_daemon_alone_in_its_zone_learns_at_its_start_what_the_store_has_lost() {
+    const ALONE: usize = 1;
+    let mut scene = start(4);
+    scene.upstreams[0].end();
+    scene.evacuate(ZONE);
+    scene.configure(&[ROUTE_PORT, ROUTE_PORT + 1, 8_443]);
+    await_standing(&scene, 0, UpstreamStanding::Unlisted);
+    await_standing(&scene, 1, UpstreamStanding::Out);
+    scene.await_configuration().unwrap();
+    restore(&scene);
+    scene.run(300);
+    scene.kill(ALONE);
+    scene.start_daemon(ALONE).unwrap();
+    scene.await_rotation().unwrap();
+    scene.run(1_500);
+    assert_eq!(count(&scene, 0, UpstreamStanding::Unlisted), scene.len());
+    check_standing(&scene, 1, UpstreamStanding::Out, Duration::from_secs(1));
+    scene.await_configuration().unwrap();
+}
+
+/// A daemon that had not read the last changes before the store lost them did not learn of them from others either.
+#[test]
+fn a_daemon_that_was_behind_at_the_restoration_learns_what_the_store_has_lost() {
+    const BEHIND: usize = 1;
+    let mut scene = start(4);
+    let addr = scene.store_addr(BEHIND);
+    scene.store.refuse(&[addr]);
+    scene.run(300);
+    scene.evacuate(ZONE);
+    scene.configure(&[ROUTE_PORT, ROUTE_PORT + 1, 8_443]);
+    restore(&scene);
+    scene.store.refuse(&[]);
+    scene.run(3_000);
+    check_standing(&scene, 1, UpstreamStanding::Out, Duration::from_secs(1));
+    scene.await_configuration().unwrap();
+}
+
 #[test]
 fn one_daemon_of_a_zone_lists_the_store_for_the_others() {
     let scene = start(20);
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod feed;
 pub mod flows;
+pub mod lost_changes;
 pub mod openings;
 pub mod outlier_ejection;
 pub mod packet;
@@ -56,6 +57,10 @@
         FreshnessReport, //
     },
     flows::FlowEvent,
+    lost_changes::{
+        Answered,
+        LostChanges, //
+    },
     packet::{
         Kind,
         Packet, //
