Count the pause before a watch as time in which the connection may be silent

Cause: the wait of a watch bounds the detection of a lost answer for a connection that goes silent during the watch. One that goes silent in the pause of up to 1.8 s before it was given up 1.8 + 2.5 + 0.8 = 5.1 s later. Ruled out as a remedy: TCP keepalive, which sends no probes while the watch is unacknowledged.

Fix: the time since the last answer on the connection is taken off the wait, and a connection that was idle for longer than the rest allows is replaced before the watch. So it is given up within limits.notice_ms of its last answer, whenever it went silent.

--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -119,6 +119,8 @@
     /// the history in between.
     consistency: Cell<ReadConsistency>,
     failing_since: Cell<Option<Instant>>,
+    /// When the last answer arrived on the open connection.
+    heard: Cell<Option<Instant>>,
     schedule: RefCell<PollSchedule>,
     missing: Wake,
     /// Whether this daemon reads the store for others of its zone.
@@ -163,6 +165,7 @@
             era: Cell::new(0),
             consistency: Cell::new(ReadConsistency::Stale),
             failing_since: Cell::new(None),
+            heard: Cell::new(None),
         }
     }
 
@@ -230,9 +233,14 @@
 
     /// Wait of a watch that starts at `began`: until a lost answer must be detected, or until the upstreams of a
     /// returned zone have reported their state.
+    ///
+    /// The connection may have gone silent just after the last answer, so the time since then is part of the time in
+    /// which that must be detected.
     fn wait(&self, began: Instant) -> Duration {
         let notice = self.limits.borrow().notice;
-        let wait = notice.saturating_sub(ANSWER + NOTICE_MARGIN).max(WAIT_MIN);
+        let silent_for = self.heard.get().map_or(Duration::ZERO, |at| began - at);
+        let wait = notice.saturating_sub(silent_for + ANSWER + NOTICE_MARGIN);
+        let wait = wait.max(WAIT_MIN);
         let wait = match self.is_reader.get() {
             true => wait.min(READER_WAIT),
             false => wait,
@@ -243,6 +251,20 @@
         }
     }
 
+    /// Drops the connection if it has been idle for so long that a watch on it could not be given up in time.
+    fn disconnect_if_silent(&self, now: Instant) {
+        let notice = self.limits.borrow().notice;
+        let silence_max = notice.saturating_sub(WAIT_MIN + ANSWER + NOTICE_MARGIN);
+        if self.heard.get().is_some_and(|at| now - at > silence_max) {
+            self.disconnect();
+        }
+    }
+
+    fn disconnect(&self) {
+        self.client.disconnect();
+        self.heard.set(None);
+    }
+
     /// Records an answer that contains all changes up to `at`.
     fn confirm(&self, at: Instant) {
         self.confirm_as_of(at);
@@ -284,6 +306,7 @@
     ) -> Result<(Bytes, u64), StoreError> {
         let began = Instant::now();
         let answer = self.client.get(self.store.get(), path, wait).await?;
+        self.heard.set(Some(Instant::now()));
         let took = began.elapsed().as_secs_f64();
         let era = self.record_era(answer.headers())?;
         let body = ok_body(answer)?;
@@ -391,6 +414,7 @@
 
     async fn watch(&self, after: u64) -> Result<Progress, StoreError> {
         let began = Instant::now();
+        self.disconnect_if_silent(began);
         let wait = self.wait(began);
         let era = self.era.get();
         let (body, _) = self.get(&watch_path(after, wait), wait, Some(era)).await?;
@@ -442,7 +466,7 @@
 
     fn record_failure(&self, err: &StoreError) {
         self.metrics.store_calls.inc(PlatformResult::Failed);
-        self.client.disconnect();
+        self.disconnect();
         let is_history_lost = matches!(err, StoreError::Status(StatusCode::GONE));
         let is_other_history = matches!(
             err,
--- a/crates/daemon/tests/store_answers.rs
+++ b/crates/daemon/tests/store_answers.rs
@@ -40,6 +40,10 @@
         Mutex, //
     },
     thread,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// One step of a store's script: the response to a call. The connection is closed after a response that `closes`, or
@@ -199,6 +203,52 @@
     assert_eq!(store.connections(), 2);
 }
 
+/// Answers nothing, and leaves the connection open.
+fn silence() -> Step {
+    step(Vec::new())
+}
+
+/// A connection went silent during the pause between two watches, and the next watch waited on it as long as on one that
+/// had just been used.
+#[rstest]
+#[case::short_pause(Duration::from_millis(1_000))]
+#[case::longest_pause(Duration::from_millis(1_800))]
+fn a_connection_that_goes_silent_between_two_watches_is_given_up_in_time(#[case] pause: Duration) {
+    let store = Store::start(vec![
+        list(),
+        step(changes(&[6], 6)),
+        silence(),
+        step(changes(&[7], 7)),
+    ]);
+    let notice = PacketLimits::default().notice;
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        view.watch(5).await.unwrap();
+        let heard = Instant::now();
+        monoio::time::sleep(pause).await;
+        let err = view.watch(6).await.unwrap_err();
+        assert!(heard.elapsed() < notice, "{:?}", heard.elapsed());
+        view.record_failure(&err);
+        view.watch(6).await.unwrap();
+        assert_eq!(view.version(), 7.into());
+    });
+}
+
+/// A daemon that follows a reader calls the store rarely; its connection may have gone silent at any time.
+#[test]
+fn a_connection_that_was_idle_for_long_is_not_used_again() {
+    let store = Store::start(vec![list(), step(changes(&[6], 6)), step(changes(&[7], 7))]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        view.watch(5).await.unwrap();
+        monoio::time::sleep(PacketLimits::default().notice).await;
+        view.watch(6).await.unwrap();
+    });
+    assert_eq!(store.connections(), 2);
+}
+
 /// Adds the header with the store's era, and a status, to a response.
 fn with_era(bytes: Vec<u8>, status: &str, era: &str) -> Step {
     let text = String::from_utf8(bytes).unwrap();
