Keep the label of open flows at their upstream when another one has the same

Cause: of several upstreams with one label the first of an order got all packets, serving before draining, then the lower id. So the label of open flows changed its upstream when that began to drain, or when another one with a lower id registered.

Fix: an upstream keeps its label as long as it is known. Of two that agree in the low half of their ids the older one has it, and new flows of the other carry an alternate label, mixed from all digits of the id. Packets keep the label that they came with, and both labels of an upstream are understood, because daemons with differing views may assign either.

--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -23,6 +23,7 @@
     RECIPIENT_LEN, //
 };
 use foxtailhinge_policy::packets::{
+    packet::Label,
     Balancer,
     Choice,
     Directory,
@@ -229,9 +230,9 @@
 
     fn execute(&self, datagram: &[u8], packet: &Packet, verdict: &Verdict, now: Instant) {
         match verdict {
-            Verdict::Open(choice) => self.forward(datagram, choice.id, choice.to),
+            Verdict::Open(choice) => self.forward(datagram, choice.id, choice.to, choice.label),
             Verdict::Forward { id, to, event } => {
-                self.forward(datagram, *id, *to);
+                self.forward(datagram, *id, *to, packet.label);
                 self.observe(*event, now);
             }
             Verdict::Wait { until } => self.delay(datagram, *until),
@@ -269,12 +270,12 @@
         }
     }
 
-    fn forward(&self, datagram: &[u8], id: UpstreamId, to: SocketAddrV4) {
+    fn forward(&self, datagram: &[u8], id: UpstreamId, to: SocketAddrV4, label: Label) {
         let mut buf = [0; RECIPIENT_LEN + DATAGRAM_MAX];
         let end = RECIPIENT_LEN + datagram.len();
         buf[..RECIPIENT_LEN].copy_from_slice(&recipient(id.0));
         buf[RECIPIENT_LEN..end].copy_from_slice(datagram);
-        set_label(&mut buf[RECIPIENT_LEN..end], id.label());
+        set_label(&mut buf[RECIPIENT_LEN..end], label);
         self.send(&buf[..end], to);
     }
 
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -10,6 +10,7 @@
     Configuration,
     Item,
     Route,
+    Seniority,
     Target,
     Upstream,
     UpstreamId,
@@ -113,6 +114,8 @@
     slots: u32,
     is_draining: bool,
     warmup_left_ms: u32,
+    started_ms: u64,
+    created: u64,
 }
 
 /// A route of the configuration.
@@ -210,6 +213,8 @@
             slots: upstream.slots,
             is_draining: upstream.state == UpstreamState::Draining,
             warmup_left_ms: millis(upstream.warmup_left),
+            started_ms: upstream.seniority.started_ms,
+            created: upstream.seniority.created,
         }),
         Change::Unlisted(id, _) => ChangeRecord::Unlisted(id.0),
         Change::Configured(cfg) => ChangeRecord::Configured {
@@ -295,6 +300,10 @@
             false => UpstreamState::Serving,
         },
         warmup_left: Duration::from_millis(record.warmup_left_ms.into()),
+        seniority: Seniority {
+            started_ms: record.started_ms,
+            created: record.created,
+        },
     })
 }
 
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -19,6 +19,7 @@
     Configuration,
     Item,
     Route,
+    Seniority,
     Target,
     Upstream,
     UpstreamId,
@@ -62,6 +63,10 @@
             _ => UpstreamState::Serving,
         },
         warmup_left: Duration::from_millis(number * 37),
+        seniority: Seniority {
+            started_ms: 1_790_000_000_000 + number,
+            created: number,
+        },
     };
     item(
         200_000 + number,
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -77,9 +77,9 @@
 /// Decision about a packet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
-    /// Open a flow: forward the packet to the chosen upstream, with the label of that upstream.
+    /// Open a flow: forward the packet to the chosen upstream, with the label of the choice.
     Open(Choice),
-    /// Forward the packet to the upstream of its flow.
+    /// Forward the packet, with its label, to the upstream of its flow.
     Forward {
         /// Id of the upstream, which the forwarded datagram names as its recipient.
         id: UpstreamId,
@@ -338,8 +338,8 @@
         directory: &Directory,
         now: Instant,
     ) -> Verdict {
-        let ids = directory.with_label(packet.label);
-        let Some((id, known)) = ids.first().and_then(|id| Some((*id, directory.get(*id)?))) else {
+        let id = directory.with_label(packet.label);
+        let Some((id, known)) = id.and_then(|id| Some((id, directory.get(id)?))) else {
             return Verdict::Drop(DropReason::UnknownLabel);
         };
         let event = self.flows.record(packet, id, route.is_some(), now);
--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -10,6 +10,7 @@
     flows::Flows,
     openings::Attempts,
     outlier_ejection::OutlierEjection,
+    packet::Label, //
 };
 use rand::Rng;
 use std::{
@@ -47,6 +48,8 @@
     pub id: UpstreamId,
     /// Address of the upstream.
     pub to: SocketAddrV4,
+    /// Label that the packets of the flow carry.
+    pub label: Label,
     /// Eligibility of the upstream.
     pub standing: Standing,
     /// Number of requests in progress at the upstream, counting only those that this daemon forwarded.
@@ -92,11 +95,15 @@
             let Some(known) = self.directory.get(*id) else {
                 continue;
             };
-            if !self.is_usable(*id, known, now) {
+            let Some(label) = self.directory.label_of(*id) else {
+                continue;
+            };
+            if !self.is_usable(known, now) {
                 continue;
             }
             candidates += 1;
             let choice = Choice {
+                label,
                 zone_failure_rate: failure_rates.of(&known.upstream.zone),
                 ..self.weigh(*id, known, tried, now)
             };
@@ -129,6 +136,7 @@
         Choice {
             id,
             to: known.upstream.address,
+            label: id.label(),
             standing,
             in_progress: self.flows.in_progress(id, now),
             is_remote: *known.upstream.zone != *self.zone,
@@ -139,13 +147,10 @@
     }
 
     /// Whether an upstream accepts new flows at all.
-    ///
-    /// Of several upstreams that share a label only the first one does, because a label identifies one upstream.
-    fn is_usable(&self, id: UpstreamId, known: &TrackedUpstream, now: Instant) -> bool {
+    fn is_usable(&self, known: &TrackedUpstream, now: Instant) -> bool {
         let zone = &known.upstream.zone;
         let cold = known.is_cold(now) || self.directory.has_returned(zone, now);
-        let first = self.directory.with_label(id.label()).first() == Some(&id);
-        known.is_serving(now) && !cold && !self.directory.is_out(zone) && first
+        known.is_serving(now) && !cold && !self.directory.is_out(zone)
     }
 }
 
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -10,6 +10,7 @@
         UpstreamId,
         UpstreamState, //
     },
+    labels::Labels,
     packet::Label,
     restoration::{
         NewEra,
@@ -17,7 +18,6 @@
     },
     version::Version,
 };
-use smallvec::SmallVec;
 use std::{
     collections::{
         HashMap,
@@ -135,7 +135,7 @@
     pub(super) configuration_awaits_write: bool,
     pub(super) upstreams: HashMap<UpstreamId, TrackedUpstream>,
     services: HashMap<Rc<str>, Vec<UpstreamId>>,
-    labels: HashMap<Label, SmallVec<[UpstreamId; 1]>>,
+    labels: Labels,
     pub(super) zones: HashMap<Rc<str>, Zone>,
     /// First known version of the era: entries up to it may come from a copy, later ones were written in this era.
     pub(super) era_start: Version,
@@ -192,9 +192,20 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Upstreams with a label; the first one gets the flows.
-    pub fn with_label(&self, label: Label) -> &[UpstreamId] {
-        self.labels.get(&label).map_or(&[], SmallVec::as_slice)
+    /// The upstream whose flows carry a label.
+    pub fn with_label(&self, label: Label) -> Option<UpstreamId> {
+        self.labels.upstream(label).or_else(|| {
+            // Daemons that know other upstreams than this one may give this upstream another of its labels.
+            let known = self.upstreams.iter();
+            let known = known.filter(|(id, _)| id.has_label(label));
+            let oldest = known.min_by_key(|(id, known)| (known.upstream.seniority, **id));
+            oldest.map(|(id, _)| *id)
+        })
+    }
+
+    /// Label for new flows of an upstream; `None` if other upstreams have both of its labels.
+    pub fn label_of(&self, id: UpstreamId) -> Option<Label> {
+        self.labels.of(id)
     }
 
     /// Whether a zone is out of service.
@@ -273,15 +284,8 @@
         let outcomes = items.iter().map(|item| self.update(item, origin, now));
         let outcomes = outcomes.collect();
         self.version = self.version.max(version);
-        // Without changes, the order of upstreams with one label can only differ because the deadline of a lapsed entry
-        // has passed.
-        if !items.is_empty()
-            || self
-                .upstreams
-                .values()
-                .any(|known| known.lapse_deadline.is_some())
-        {
-            self.rebuild_indexes(now);
+        if !items.is_empty() {
+            self.rebuild_indexes();
         }
         outcomes
     }
@@ -348,7 +352,7 @@
         });
         self.raise_compacted(compacted);
         if self.upstreams.len() < before {
-            self.rebuild_indexes(now);
+            self.rebuild_indexes();
         }
     }
 
@@ -545,24 +549,16 @@
         Outcome::Applied
     }
 
-    /// Rebuilds the indexes by service and label.
-    ///
-    /// Of several upstreams with one label, those with a serving entry come first, then older ones (lower ids), so that
-    /// all daemons choose the same one.
-    pub(super) fn rebuild_indexes(&mut self, now: Instant) {
+    /// Rebuilds the index by service, and assigns labels to new upstreams.
+    pub(super) fn rebuild_indexes(&mut self) {
         self.services.clear();
-        self.labels.clear();
         let mut ids: Vec<_> = self.upstreams.keys().copied().collect();
         ids.sort_unstable();
         for id in ids {
             let known = &self.upstreams[&id];
             let service = Rc::clone(&known.upstream.service);
             self.services.entry(service).or_default().push(id);
-            self.labels.entry(id.label()).or_default().push(id);
-        }
-        let upstreams = &self.upstreams;
-        for ids in self.labels.values_mut().filter(|ids| ids.len() > 1) {
-            ids.sort_by_key(|id| (!upstreams[id].is_serving(now), *id));
         }
+        self.labels.assign(&self.upstreams);
     }
 }
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -1,6 +1,9 @@
 //! Entries that the platform publishes: upstreams, zones and the configuration.
 
-use super::version::Version;
+use super::{
+    packet::Label,
+    version::Version, //
+};
 use smallvec::SmallVec;
 use std::{
     collections::HashMap,
@@ -14,11 +17,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamId(pub u64);
 
+/// Odd multiplier that spreads the bits of an id: the golden ratio times 2^64.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
 impl UpstreamId {
-    /// Label that the flows of this upstream carry: the low half of the id.
-    pub fn label(self) -> u32 {
+    /// Label of the upstream's flows, unless another upstream has it: the low half of the id.
+    pub fn label(self) -> Label {
         self.0 as u32
     }
+
+    /// Label of the upstream's flows if another upstream has the first one; it depends on all digits of the id.
+    pub fn alternate_label(self) -> Label {
+        let mixed = (self.0 ^ (self.0 >> 32)).wrapping_mul(SPREAD);
+        (mixed >> 32) as u32
+    }
+
+    /// Whether a label is one of the upstream's two.
+    pub fn has_label(self, label: Label) -> bool {
+        self.label() == label || self.alternate_label() == label
+    }
 }
 
 impl fmt::Display for UpstreamId {
@@ -51,6 +68,19 @@
     pub state: UpstreamState,
     /// Remaining warm-up time at the time of registration.
     pub warmup_left: Duration,
+    /// Age of the upstream.
+    pub seniority: Seniority,
+}
+
+/// When an upstream started and registered; the older of two upstreams has the lesser value.
+///
+/// The start comes first, because an entry that lapses in an outage is created again later.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Seniority {
+    /// Start of the process in Unix milliseconds; 0 if the entry does not say.
+    pub started_ms: u64,
+    /// Revision of the store at which the entry was created; 0 if the store does not say.
+    pub created: u64,
 }
 
 /// Weighted target of a route's new flows.
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod feed;
 pub mod flows;
+mod labels;
 pub mod lost_changes;
 pub mod openings;
 pub mod outlier_ejection;
@@ -47,6 +48,7 @@
         Configuration,
         Item,
         Route,
+        Seniority,
         Target,
         Upstream,
         UpstreamId,
--- a/crates/policy/src/packets/poll_schedule.rs
+++ b/crates/policy/src/packets/poll_schedule.rs
@@ -33,7 +33,7 @@
     pub fn is_in(self, change: &Change) -> bool {
         match (self, change) {
             (Self::Upstream, Change::Listed(..) | Change::Configured(_)) => true,
-            (Self::Label(label), Change::Listed(id, _)) => id.label() == label,
+            (Self::Label(label), Change::Listed(id, _)) => id.has_label(label),
             _ => false,
         }
     }
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -223,7 +223,7 @@
             }
         }
         if !awaited.is_empty() {
-            self.rebuild_indexes(now);
+            self.rebuild_indexes();
         }
     }
 
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -5,6 +5,7 @@
 mod dead_upstream;
 mod directory;
 mod flows;
+mod labels;
 mod lost_changes;
 mod names;
 mod opening;
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -16,6 +16,7 @@
     Directory,
     Packet,
     Route,
+    Seniority,
     Target,
     Upstream,
     UpstreamId,
@@ -60,6 +61,7 @@
         slots: 4,
         state: UpstreamState::Serving,
         warmup_left: Duration::ZERO,
+        seniority: Seniority::default(),
     }
 }
 
