Print what the caller of a broken feed sent and received

The daemons' logs do not tell whether the caller of a silent feed got no answers, old notifications or refusals. Its steps since the last notification are now printed with the break.

--- a/crates/standins/examples/local_fleet/table.rs
+++ b/crates/standins/examples/local_fleet/table.rs
@@ -113,6 +113,9 @@
     let at = flow.at.map(|at| seconds(at - record.times.start));
     let (cause, upstream) = (flow.cause, &flow.upstream);
     println!("    {cause} at {}, {upstream}", at.unwrap_or_default());
+    for (at, step) in &flow.trail {
+        println!("      {} {step:?}", seconds(*at - record.times.start));
+    }
 }
 
 fn print_requests(record: &Record, figures: &Figures) {
--- a/crates/standins/src/breaks.rs
+++ b/crates/standins/src/breaks.rs
@@ -5,7 +5,8 @@
     feed::{
         Break,
         FeedStats,
-        Reason, //
+        Reason,
+        Step, //
     },
     load::Sample, //
 };
@@ -67,6 +68,8 @@
     pub upstream: String,
     /// Time of the break, as far as it is known.
     pub at: Option<Instant>,
+    /// What the caller of a feed sent and received since the last notification.
+    pub trail: Vec<(Instant, Step)>,
 }
 
 /// Ends of flows, divided into broken and accepted ones.
@@ -130,6 +133,9 @@
         };
         let accepted = self.ended_with_zone(&end.upstream, end.last_received, end.at);
         self.add(accepted, cause, &end.upstream, end.at);
+        if let Some(flow) = self.broken.last_mut().filter(|_| !accepted) {
+            flow.trail.clone_from(&end.trail);
+        }
     }
 
     /// Records as broken a feed that receives no further notification at the end of a run.
@@ -172,6 +178,7 @@
             cause,
             upstream: upstream.to_owned(),
             at: Some(at),
+            trail: Vec::new(),
         });
     }
 
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -71,8 +71,30 @@
     pub last_received: Instant,
     /// Name of the upstream that sent the last notification.
     pub upstream: String,
+    /// What the caller sent and received since the last notification.
+    pub trail: Vec<(Instant, Step)>,
 }
 
+/// A packet that a feed's caller sent or received, other than a notification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The caller sent a new registration.
+    Registered,
+    /// The caller sent its registration again.
+    Retransmitted,
+    /// The caller got a notification that is older than the last one.
+    Reordered,
+    /// The caller got a new ticket, and sends its registration again with it.
+    Challenged,
+    /// The caller was told to come back later.
+    Refused,
+    /// The caller got another answer without a notification.
+    Answered,
+}
+
+/// Maximum number of steps that are kept.
+const TRAIL_MAX: usize = 64;
+
 /// Statistics of a feed.
 #[derive(Clone, Debug, Default)]
 pub struct FeedStats {
@@ -195,6 +217,7 @@
     expires_at: Option<Instant>,
     last: Option<(Instant, u64)>,
     finished: bool,
+    trail: Vec<(Instant, Step)>,
 }
 
 impl<'a> Session<'a> {
@@ -211,6 +234,13 @@
             expires_at: None,
             last: None,
             finished: false,
+            trail: Vec::new(),
+        }
+    }
+
+    fn record(&mut self, step: Step, now: Instant) {
+        if self.trail.len() < TRAIL_MAX {
+            self.trail.push((now, step));
         }
     }
 
@@ -252,6 +282,7 @@
                 pending.retransmit_at = now + pending.wait;
                 self.caller.send(&pending.packet);
                 self.caller.counts().retransmissions += 1;
+                self.record(Step::Retransmitted, now);
             }
             None if now >= self.renew_at => self.register(now),
             _ => {}
@@ -276,6 +307,7 @@
         );
         self.caller.send(&packet);
         self.inner.stats().registrations += 1;
+        self.record(Step::Registered, now);
         let wait = self.caller.initial_timeout();
         self.pending = Some(Pending {
             packet,
@@ -301,6 +333,7 @@
             Some(ResponseType::Unauthorized) if message::ticket(packet).is_some() => {
                 self.pending = None;
                 self.renew_at = now;
+                self.record(Step::Challenged, now);
             }
             Some(ResponseType::Unauthorized) => {
                 self.caller.retire(self.generation);
@@ -308,9 +341,13 @@
             }
             Some(ResponseType::ServiceUnavailable) => {
                 self.inner.stats().refused += 1;
+                self.record(Step::Refused, now);
                 self.renew_at = now + message::max_age(packet);
             }
-            _ => self.renew_at = now + self.caller.spec.ack_timeout,
+            _ => {
+                self.record(Step::Answered, now);
+                self.renew_at = now + self.caller.spec.ack_timeout;
+            }
         }
     }
 
@@ -328,6 +365,8 @@
             None => stats.established += 1,
             Some((_, last)) if is_older(value, last) => {
                 stats.reordered += 1;
+                drop(stats);
+                self.record(Step::Reordered, now);
                 return;
             }
             Some((at, _)) => stats.largest_gap = stats.largest_gap.max(now - at),
@@ -336,6 +375,7 @@
         stats.last_received = Some(now);
         stats.upstream = upstream;
         drop(stats);
+        self.trail.clear();
         self.last = Some((now, value));
         self.expires_at = Some(now + age + MAX_AGE_GRACE);
     }
@@ -353,6 +393,7 @@
                 at: Instant::now(),
                 last_received,
                 upstream: upstream.unwrap_or_default(),
+                trail: std::mem::take(&mut self.trail),
             });
         }
         drop(stats);
