Let all requests with one token wait for its answer

Seen by callers of the own interface, as far as shown: a feed moves off an upstream that serves, and a stop takes 2.5 s longer, when a caller renews a feed that its next owner is registering again.

Cause: exchanges are kept by token with one receiver. A second request with the token took the receiver's place: the first waited for its timeout of 2.5 s, and by giving up then removed the receiver of the second, which ended as refused. A refused idempotent request moves, and its feed is removed.

Fix: an exchange keeps all that wait for its answer; a request that gives up removes only itself.

--- a/crates/daemon/src/exchange/call.rs
+++ b/crates/daemon/src/exchange/call.rs
@@ -18,7 +18,10 @@
     Status, //
 };
 use local_sync::oneshot;
-use smallvec::SmallVec;
+use smallvec::{
+    smallvec,
+    SmallVec, //
+};
 use std::{
     rc::Rc,
     time::{
@@ -98,14 +101,19 @@
         req: &Datagram,
     ) -> oneshot::Receiver<Datagram> {
         let (tx, rx) = oneshot::channel();
-        let pending = Pending {
-            answer: Some(tx),
+        let mut pending = Pending {
+            waiters: smallvec![tx],
             slot,
             sent: Instant::now(),
         };
-        let previous = self.pending.borrow_mut().insert(token, pending);
-        // The upstream may still run an earlier attempt with the same token.
-        self.replaced.borrow_mut().extend(previous);
+        let mut all = self.pending.borrow_mut();
+        if let Some(mut previous) = all.remove(&token) {
+            // The answer is for both, but the upstream may still run the earlier attempt.
+            pending.waiters.append(&mut previous.waiters);
+            self.replaced.borrow_mut().push(previous);
+        }
+        all.insert(token, pending);
+        drop(all);
         // A refusal reported here belongs to an earlier datagram; the task that reads the socket sees it as well.
         let _ = self.socket.send(&req.to_bytes());
         rx
@@ -131,7 +139,7 @@
 
     fn abandon(&self, token: UpstreamToken, waited: Duration) {
         if let Some(pending) = self.pending.borrow_mut().get_mut(&token) {
-            pending.answer = None;
+            pending.waiters.retain(|waiter| !waiter.is_closed());
         }
         let mut load = self.load_mut();
         if load.is_overdue(waited) {
@@ -165,18 +173,23 @@
     }
 
     fn on_answer(&self, pending: Pending, rsp: Datagram) -> UpstreamEvent {
-        let Pending { answer, slot, sent } = pending;
+        let Pending {
+            waiters,
+            slot,
+            sent,
+        } = pending;
         if let Some(slot) = slot {
             self.record_answer(&slot, sent, &rsp);
             drop(slot);
         }
-        match answer {
-            Some(tx) => {
-                let _ = tx.send(rsp);
-                UpstreamEvent::Handled
-            }
-            None => UpstreamEvent::Late,
+        if waiters.is_empty() {
+            return UpstreamEvent::Late;
+        }
+        for waiter in waiters {
+            // A waiter that has just given up needs no answer.
+            let _ = waiter.send(rsp.clone());
         }
+        UpstreamEvent::Handled
     }
 
     fn record_answer(&self, slot: &Slot, sent: Instant, rsp: &Datagram) {
@@ -215,7 +228,7 @@
             .pending
             .borrow()
             .iter()
-            .filter(|(_, pending)| pending.answer.is_none() && pending.is_expired(now))
+            .filter(|(_, pending)| pending.waiters.is_empty() && pending.is_expired(now))
             .map(|(token, _)| *token)
             .collect();
         for token in abandoned {
--- a/crates/daemon/src/exchange/upstream.rs
+++ b/crates/daemon/src/exchange/upstream.rs
@@ -21,6 +21,7 @@
     ticket::zone_hash, //
 };
 use local_sync::oneshot;
+use smallvec::SmallVec;
 use std::{
     cell::{
         Cell,
@@ -327,7 +328,9 @@
 /// An exchange whose answer has not arrived.
 #[derive(Debug)]
 pub(super) struct Pending {
-    pub(super) answer: Option<oneshot::Sender<Datagram>>,
+    /// Those who wait for the answer: several if a registration was sent again while it was in progress, none if all have
+    /// given up.
+    pub(super) waiters: SmallVec<[oneshot::Sender<Datagram>; 1]>,
     /// The slot in use; probes use none.
     pub(super) slot: Option<Slot>,
     pub(super) sent: Instant,
