--- a/crates/standins/tests/breaks.rs
+++ b/crates/standins/tests/breaks.rs
@@ -53,6 +53,7 @@
         at: at(40),
         last_received: at(30),
         upstream: "syncdesk-2".into(),
+        trail: Vec::new(),
     });
     breaks.broken.len()
 }
@@ -91,6 +92,7 @@
         at: at(9_010),
         last_received: at(8_990),
         upstream: "syncdesk-2".into(),
+        trail: Vec::new(),
     };
     let mut breaks = Breaks::new(places.clone(), Vec::new(), Vec::new());
     breaks.add_observed_outages(vec![outage(at(9_000), at(9_020))]);
