Ask daemons of an earlier era last for what a restored store has lost

A daemon whose only peer in the zone is cut off from the store, and so still in the earlier era, asked that peer up to 24 times and no daemon of another zone, so it did not learn of an evacuation that others keep.

Fix: members of an earlier era are asked again only when nobody else is left. Test: lost_changes::daemons_of_an_earlier_era_are_asked_again_last, which on the code before asks the own zone four times in a row. Besides, the label is passed to the weighing of a choice, rather than replaced after it.

--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -103,9 +103,8 @@
             }
             candidates += 1;
             let choice = Choice {
-                label,
                 zone_failure_rate: failure_rates.of(&known.upstream.zone),
-                ..self.weigh(*id, known, tried, now)
+                ..self.weigh((*id, label), known, tried, now)
             };
             let score = score(&choice, known) + rng.random::<f64>() * JITTER;
             let rank = (choice.standing, score);
@@ -121,7 +120,7 @@
 
     fn weigh(
         &self,
-        id: UpstreamId,
+        (id, label): (UpstreamId, Label),
         known: &TrackedUpstream,
         tried: &Attempts,
         now: Instant,
@@ -136,7 +135,7 @@
         Choice {
             id,
             to: known.upstream.address,
-            label: id.label(),
+            label,
             standing,
             in_progress: self.flows.in_progress(id, now),
             is_remote: *known.upstream.zone != *self.zone,
--- a/crates/policy/src/packets/lost_changes.rs
+++ b/crates/policy/src/packets/lost_changes.rs
@@ -8,10 +8,7 @@
     Member,
     Members, //
 };
-use rand::{
-    seq::IteratorRandom,
-    Rng, //
-};
+use rand::Rng;
 use std::rc::Rc;
 
 /// Number of members that have to answer in the own zone, and as many in other zones.
@@ -41,6 +38,8 @@
     requests: usize,
     /// Members that are not asked again.
     done: Vec<Rc<str>>,
+    /// Members of an earlier era, which are asked again when nobody else is left.
+    behind: Vec<Rc<str>>,
     answers_in_zone: usize,
     answers_elsewhere: usize,
     has_witness_in_zone: bool,
@@ -70,19 +69,29 @@
             .iter()
             .filter(|member| member.is_live() && member.vm != me.vm);
         let others = others.filter(|member| !self.done.contains(&member.vm));
-        let (near, far): (Vec<_>, Vec<_>) = others.partition(|member| member.zone == me.zone);
-        let near = near
-            .into_iter()
-            .filter(|_| self.answers_in_zone < ANSWERS)
-            .choose(rng);
+        let is_near_asked = self.answers_in_zone < ANSWERS;
         let is_far_asked = !self.has_witness_in_zone && self.answers_elsewhere < ANSWERS;
-        near.or_else(|| far.into_iter().filter(|_| is_far_asked).choose(rng))
+        let asked = others.filter(|member| match member.zone == me.zone {
+            true => is_near_asked,
+            false => is_far_asked,
+        });
+        let rank = |member: &&Member| {
+            (
+                self.behind.contains(&member.vm),
+                member.zone != me.zone,
+                rng.random::<u32>(),
+            )
+        };
+        asked.min_by_key(rank)
     }
 
     /// Records how a member of this zone (`is_in_zone`), or of another one, answered.
     pub fn record(&mut self, vm: &Rc<str>, is_in_zone: bool, answered: Answered) {
         self.requests += 1;
         if answered == Answered::EarlierEra {
+            if !self.behind.contains(vm) {
+                self.behind.push(Rc::clone(vm));
+            }
             return;
         }
         self.done.push(Rc::clone(vm));
--- a/crates/policy/tests/packets/lost_changes.rs
+++ b/crates/policy/tests/packets/lost_changes.rs
@@ -134,3 +134,19 @@
     let asked = ask_all(&mut lost, 3, &members(1, 0), witness);
     assert_eq!(asked, [HOME], "a further restoration starts again");
 }
+
+/// The only other daemon of a zone was cut off from the store, and was asked again instead of the daemons of other zones.
+#[test]
+fn daemons_of_an_earlier_era_are_asked_again_last() {
+    let asked = ask_all(
+        &mut LostChanges::default(),
+        2,
+        &members(1, 5),
+        |member| match &*member.zone == HOME {
+            true => Answered::EarlierEra,
+            false => witness(member),
+        },
+    );
+    assert_eq!(asked[..4], [HOME, AWAY, AWAY, AWAY]);
+    assert!(asked[4..].iter().all(|zone| zone == HOME));
+}
