Add the types for the load of services and the priority of routes

The priority of a route is read from the configuration and passed on between daemons, so the version of their messages rises to 4.

--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -44,6 +44,10 @@
     ResetNoUpstream,
     /// The flow was reset because its upstream is considered dead.
     ResetDeadUpstream,
+    /// The opening was rejected because the service cannot serve all callers in time.
+    ResetOverload,
+    /// The opening was rejected because this daemon's link, socket or processor is overloaded.
+    ResetOwnDelay,
     /// Dropped: the daemon has no configuration yet.
     DroppedNoView,
     /// Dropped: no route is known, and the view is too old to exclude one.
@@ -67,6 +71,8 @@
         Self::ResetNoRoute,
         Self::ResetNoUpstream,
         Self::ResetDeadUpstream,
+        Self::ResetOverload,
+        Self::ResetOwnDelay,
         Self::DroppedNoView,
         Self::DroppedUncertainRoute,
         Self::DroppedUnknownLabel,
@@ -87,6 +93,8 @@
             Self::ResetNoRoute => "reset_no_route",
             Self::ResetNoUpstream => "reset_no_upstream",
             Self::ResetDeadUpstream => "reset_dead_upstream",
+            Self::ResetOverload => "reset_overload",
+            Self::ResetOwnDelay => "reset_own_delay",
             Self::DroppedNoView => "dropped_no_view",
             Self::DroppedUncertainRoute => "dropped_uncertain_route",
             Self::DroppedUnknownLabel => "dropped_unknown_label",
@@ -106,6 +114,8 @@
             Verdict::Reset(ResetReason::NoRoute) => Self::ResetNoRoute,
             Verdict::Reset(ResetReason::NoUpstream) => Self::ResetNoUpstream,
             Verdict::Reset(ResetReason::DeadUpstream) => Self::ResetDeadUpstream,
+            Verdict::Reset(ResetReason::Overload) => Self::ResetOverload,
+            Verdict::Reset(ResetReason::OwnDelay) => Self::ResetOwnDelay,
             Verdict::Drop(DropReason::NoView) => Self::DroppedNoView,
             Verdict::Drop(DropReason::UncertainRoute) => Self::DroppedUncertainRoute,
             Verdict::Drop(DropReason::UnknownLabel) => Self::DroppedUnknownLabel,
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -127,6 +127,7 @@
     targets: Vec<(Name, u32)>,
     aim_ms: u32,
     is_idempotent: bool,
+    priority: u8,
 }
 
 /// A record uses an index that is not in the list of names.
@@ -248,6 +249,7 @@
         targets,
         aim_ms: millis(route.target_latency),
         is_idempotent: route.is_idempotent,
+        priority: route.priority,
     }
 }
 
@@ -319,6 +321,7 @@
         targets: targets.collect::<Result<_, _>>()?,
         target_latency: Duration::from_millis(record.aim_ms.into()),
         is_idempotent: record.is_idempotent,
+        priority: record.priority,
     };
     let address = SocketAddrV4::new(Ipv4Addr::from(record.ip), record.port);
     Ok((address, route))
--- a/crates/daemon/src/packets/zone/message.rs
+++ b/crates/daemon/src/packets/zone/message.rs
@@ -22,7 +22,7 @@
 
 /// Version of the messages, sent as their first byte. A daemon rejects messages of another version, so daemons of
 /// different versions each read the store themselves.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Maximum number of member updates in one message.
 pub(super) const MEMBER_UPDATES_MAX: usize = 8;
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -87,6 +87,7 @@
             .collect(),
         target_latency: Duration::from_millis(150),
         is_idempotent: true,
+        priority: 1,
     };
     let cfg = Configuration {
         version: 19,
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -26,12 +26,20 @@
         FlowEvent,
         Flows, //
     },
+    load::LoadReport,
+    load_status::{
+        AdmissionReason,
+        LoadEvent,
+        LoadSettings,
+        ServiceLoad, //
+    },
     openings::{
         Attempt,
         Attempts,
         Openings, //
     },
     outlier_ejection::OutlierEjection,
+    overload::Overload,
     packet::{
         FlowId,
         Kind,
@@ -42,7 +50,10 @@
 };
 use rand::Rng;
 use std::{
-    net::SocketAddrV4,
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
     rc::Rc,
     time::{
         Duration,
@@ -59,6 +70,10 @@
     NoUpstream,
     /// The upstream seems to have died, and the caller may safely repeat the request at another one.
     DeadUpstream,
+    /// The service cannot serve all callers in time, and this one comes after those that are served.
+    Overload,
+    /// This daemon's own link, socket or processor is overloaded; the caller reaches another daemon with its next attempt.
+    OwnDelay,
 }
 
 /// Reason for dropping a packet.
@@ -135,6 +150,7 @@
     failure: CorrelatedFailure,
     dead: DeadUpstreams,
     herd: ThunderingHerd,
+    overload: Overload,
     health_changes: Vec<HealthChange>,
     /// Openings that failed here since the last call of `take_failed`.
     failed: Vec<FailedOpening>,
@@ -152,6 +168,7 @@
             failure: CorrelatedFailure::default(),
             dead: DeadUpstreams::default(),
             herd: ThunderingHerd::default(),
+            overload: Overload::default(),
             health_changes: Vec::new(),
             failed: Vec::new(),
         }
@@ -234,6 +251,56 @@
         self.flows.in_progress(id, now)
     }
 
+    /// Applies the settings of the decisions under load.
+    pub fn set_load_settings(&mut self, settings: LoadSettings) {
+        self.overload.set_settings(settings);
+    }
+
+    /// Sets the time of day and the number of live daemons in the zone, this one included; to be called every second.
+    pub fn set_surroundings(&mut self, unix: Duration, live_daemons: usize, now: Instant) {
+        self.overload.set_surroundings(unix, live_daemons, now);
+    }
+
+    /// Load that this daemon observes by itself.
+    pub fn load_report(&self) -> LoadReport {
+        self.overload.report()
+    }
+
+    /// Applies the sum of the loads that all other daemons of the zone observe.
+    pub fn apply_zone_load(&mut self, others: LoadReport, now: Instant) {
+        self.overload.apply_zone_load(others, now);
+    }
+
+    /// Whether a service of this daemon is so busy that the daemons of the zone should exchange their loads.
+    pub fn is_load_exchange_due(&self) -> bool {
+        self.overload.is_exchange_due()
+    }
+
+    /// Loads of the services with traffic, sorted by name.
+    pub fn service_loads(&self) -> Vec<ServiceLoad> {
+        self.overload.service_loads()
+    }
+
+    /// Time for which this daemon's own link, socket or processor delays packets.
+    pub fn own_delay(&self) -> Duration {
+        self.overload.own_delay()
+    }
+
+    /// Why an opening of a caller on a route would be admitted or rejected now.
+    pub fn explain_admission(
+        &self,
+        caller: Ipv4Addr,
+        route: &Route,
+        now: Instant,
+    ) -> AdmissionReason {
+        self.overload.explain(caller, route, now)
+    }
+
+    /// Removes and returns the changes in the decisions under load since the last call.
+    pub fn take_load_events(&mut self) -> Vec<LoadEvent> {
+        self.overload.take_events()
+    }
+
     /// Number of tracked flows.
     pub fn flow_count(&self) -> usize {
         self.flows.len()
--- a/crates/policy/src/packets/entry.rs
+++ b/crates/policy/src/packets/entry.rs
@@ -92,6 +92,9 @@
     pub weight: u32,
 }
 
+/// Priority of a route that names none.
+pub const PRIORITY_LOWEST: u8 = u8::MAX;
+
 /// Services behind an address and port.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -103,6 +106,8 @@
     pub target_latency: Duration,
     /// Whether requests are idempotent, so that a caller may repeat one at another upstream.
     pub is_idempotent: bool,
+    /// Priority of the requests under overload; 0 is the highest, and [`PRIORITY_LOWEST`] that of a route without one.
+    pub priority: u8,
 }
 
 /// Complete configuration.
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -13,9 +13,12 @@
 pub mod feed;
 pub mod flows;
 mod labels;
+pub mod load;
+pub mod load_status;
 pub mod lost_changes;
 pub mod openings;
 pub mod outlier_ejection;
+pub mod overload;
 pub mod packet;
 pub mod poll_schedule;
 pub mod readers;
@@ -59,6 +62,19 @@
         FreshnessReport, //
     },
     flows::FlowEvent,
+    load::{
+        Counts,
+        LoadReport,
+        Pool,
+        Reporter,
+        ZoneLoad, //
+    },
+    load_status::{
+        AdmissionReason,
+        LoadEvent,
+        LoadSettings,
+        ServiceLoad, //
+    },
     lost_changes::{
         Answered,
         LostChanges, //
--- a/crates/policy/tests/packets/scene.rs
+++ b/crates/policy/tests/packets/scene.rs
@@ -98,6 +98,7 @@
             targets: targets.collect(),
             target_latency: Duration::from_millis(300),
             is_idempotent: true,
+            priority: 1,
         };
         (flow(0, *port).route, route)
     };
