Judge the load of services and reject openings under overload

A service is overloaded while its answers take longer than half of the target latency, or 2.5 times the time without load, and there are more requests than slots. Callers are rejected before their flow opens, the lowest priority first and inside a priority by a rank that all daemons compute alike. Not measured yet.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -160,7 +160,6 @@
     /// Creates a balancer in `zone` that has seen no packets.
     pub fn new(zone: Rc<str>, rng: R) -> Self {
         Self {
-            zone,
             rng,
             openings: Openings::default(),
             flows: Flows::default(),
@@ -168,9 +167,10 @@
             failure: CorrelatedFailure::default(),
             dead: DeadUpstreams::default(),
             herd: ThunderingHerd::default(),
-            overload: Overload::default(),
+            overload: Overload::new(Rc::clone(&zone)),
             health_changes: Vec::new(),
             failed: Vec::new(),
+            zone,
         }
     }
 
@@ -189,6 +189,7 @@
         };
         self.herd.begin(now);
         self.record_failed_openings(directory, now);
+        self.overload.update(directory, now);
         let route = cfg.routes.get(&packet.flow.route);
         match (packet.kind, route) {
             (Kind::Open, Some(route)) => self.open(packet, route, directory, is_fresh, now),
@@ -324,7 +325,12 @@
         now: Instant,
     ) -> Verdict {
         let mut tried = self.openings.tried(packet.flow, now);
+        let service = draw_service(route, &mut self.rng);
         if tried.is_empty() {
+            let caller = *packet.flow.caller.ip();
+            if !self.overload.admit(caller, service, route, now) {
+                return Verdict::Reset(ResetReason::Overload);
+            }
             if let Some(until) = self.herd.delay_until(packet.ack, route.target_latency, now) {
                 return Verdict::Wait { until };
             }
@@ -342,7 +348,6 @@
             ejection: &self.ejection,
             failure: &self.failure,
         };
-        let service = draw_service(route, &mut self.rng);
         let Some(choice) = chooser.choose(service, &tried, &mut self.rng, now) else {
             return match is_fresh && directory.is_settled(now) {
                 true => Verdict::Reset(ResetReason::NoUpstream),
@@ -351,6 +356,10 @@
         };
         self.openings.record(packet.flow, choice.id, now);
         self.flows.open(packet.flow, choice.id, now);
+        if let Some(known) = directory.get(choice.id) {
+            let Upstream { service, zone, .. } = &known.upstream;
+            self.overload.record_opened(service, zone);
+        }
         Verdict::Open(choice)
     }
 
@@ -378,6 +387,7 @@
                 continue;
             };
             let failure_rate = self.failure.record(&known.service, &known.zone, true, now);
+            self.overload.record_failed(&known.service, &known.zone);
             self.failed.push(FailedOpening { upstream, at });
             let is_silent = match failure_rate >= correlated_failure::MAJORITY {
                 true => self.ejection.record(upstream, at, now),
@@ -413,6 +423,10 @@
             return Verdict::Drop(DropReason::UnknownLabel);
         };
         let event = self.flows.record(packet, id, route.is_some(), now);
+        if let Some(response) = self.flows.take_response() {
+            let Upstream { service, zone, .. } = &known.upstream;
+            self.overload.record_response(service, zone, response);
+        }
         self.observe_answer(packet, (id, known), event, now);
         if let Some(route) = route.filter(|route| route.is_idempotent) {
             if let FlowEvent::Retransmission(_) = event {
@@ -439,9 +453,11 @@
         now: Instant,
     ) {
         let opened = self.openings.opened(packet.flow, id);
-        if opened.is_some() {
+        if let Some(at) = opened {
             let Upstream { service, zone, .. } = &known.upstream;
             self.failure.record(service, zone, false, now);
+            let took = now.saturating_duration_since(at);
+            self.overload.record_connected(service, zone, took);
         }
         let answered = match event {
             FlowEvent::Answered(at) | FlowEvent::Request(at) => at,
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -5,6 +5,7 @@
 
 use super::{
     entry::UpstreamId,
+    overload::Response, //
     packet::{
         FlowId,
         Kind,
@@ -78,6 +79,21 @@
     last_seen: Instant,
     /// Whether this daemon has forwarded a packet of the flow by a configuration that has its route.
     had_route: bool,
+    /// When the last data of the request that is not answered was forwarded.
+    requested: Option<Instant>,
+    /// Acknowledgement of the caller when it sent that request.
+    acknowledged: u32,
+}
+
+impl Flow {
+    /// The response that a packet acknowledges, if this daemon forwarded the request.
+    fn response(&self, packet: &Packet, now: Instant) -> Option<Response> {
+        let took = now.saturating_duration_since(self.requested?);
+        is_after(packet.ack, self.acknowledged).then(|| Response {
+            took,
+            len: packet.ack.wrapping_sub(self.acknowledged),
+        })
+    }
 }
 
 /// Progress of a flow that a packet reveals.
@@ -100,6 +116,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Flows {
     flows: HashMap<FlowId, Flow>,
+    /// Response that the last packet showed.
+    response: Option<Response>,
     pending: HashMap<UpstreamId, Requests>,
 }
 
@@ -113,7 +131,10 @@
         now: Instant,
     ) -> FlowEvent {
         if matches!(packet.kind, Kind::End | Kind::Reset) {
-            self.flows.remove(&packet.flow);
+            let flow = self.flows.remove(&packet.flow);
+            if packet.kind == Kind::End {
+                self.response = flow.and_then(|flow| flow.response(packet, now));
+            }
             return FlowEvent::Answered(self.finish_request(packet.flow, upstream));
         }
         let Some(flow) = self.flows.get_mut(&packet.flow) else {
@@ -132,8 +153,15 @@
         let answered = is_after(packet.ack, flow.received);
         let is_new = is_after(end, flow.sent);
         flow.received = packet.ack;
+        if answered {
+            // A request that acknowledges the response comes after a pause of the caller.
+            self.response = flow.response(packet, now).filter(|_| packet.len == 0);
+            flow.requested = None;
+        }
         if is_new {
             flow.sent = end;
+            flow.requested = Some(now);
+            flow.acknowledged = packet.ack;
         }
         let finished = answered.then(|| self.finish_request(packet.flow, upstream));
         match (packet.len, is_new) {
@@ -146,6 +174,11 @@
         }
     }
 
+    /// Removes and returns the response that the last packet showed.
+    pub fn take_response(&mut self) -> Option<Response> {
+        self.response.take()
+    }
+
     /// Records that the opening packet of a flow is forwarded to `upstream`.
     ///
     /// The opening is treated as a request until the next packet of the flow.
@@ -214,6 +247,8 @@
             first_seen: now,
             last_seen: now,
             had_route: has_route,
+            requested: (packet.len > 0).then_some(now),
+            acknowledged: packet.ack,
         };
         self.flows.insert(packet.flow, flow);
     }
--- a/crates/policy/src/packets/load.rs
+++ b/crates/policy/src/packets/load.rs
@@ -171,6 +171,8 @@
     pub pools: SmallVec<[(Pool, Counts); 4]>,
     /// Share of its openings that each service admits, where it is under 1; the mean over the daemons.
     pub admitted: SmallVec<[(Rc<str>, f64); 2]>,
+    /// Mean service time without load of each service, in seconds; the least of the daemons.
+    pub baseline_s: SmallVec<[(Rc<str>, f64); 2]>,
 }
 
 impl LoadReport {
@@ -200,6 +202,12 @@
             (Rc::clone(name), sum / (mine + theirs).max(1.0))
         };
         self.admitted = services.iter().map(share).collect();
+        for (service, baseline_s) in &other.baseline_s {
+            match self.baseline_s.iter_mut().find(|(n, _)| n == service) {
+                Some((_, known)) => *known = known.min(*baseline_s),
+                None => self.baseline_s.push((Rc::clone(service), *baseline_s)),
+            }
+        }
         for (pool, counts) in &other.pools {
             match self.pools.iter_mut().find(|(known, _)| known == pool) {
                 Some((_, known)) => *known += *counts,
@@ -274,6 +282,7 @@
             daemons: 1,
             pools: pools.collect(),
             admitted: SmallVec::new(),
+            baseline_s: SmallVec::new(),
         }
     }
 }
@@ -316,7 +325,11 @@
             && report
                 .admitted
                 .iter()
-                .all(|(_, admitted)| (0.0..=1.0).contains(admitted));
+                .all(|(_, admitted)| (0.0..=1.0).contains(admitted))
+            && report
+                .baseline_s
+                .iter()
+                .all(|(_, baseline_s)| baseline_s.is_finite() && *baseline_s > 0.0);
         if is_plausible {
             let received = ReceivedReport {
                 report,
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -1,10 +1,23 @@
 //! Decisions under load: measures the load of services, rejects openings and sends flows to other zones.
 
 use super::{
+    congestion::{
+        Congestion,
+        Observation, //
+    },
+    directory::Directory,
     entry::Route,
     load::{
+        Counts,
         LoadMeter,
-        LoadReport, //
+        LoadReport,
+        REPORT_TTL, //
+    },
+    load_shedding::{
+        rank,
+        AdmissionOrder,
+        AdmittedShare,
+        Place, //
     },
     load_status::{
         AdmissionReason,
@@ -13,7 +26,9 @@
         ServiceLoad, //
     },
 };
+use smallvec::SmallVec;
 use std::{
+    collections::HashMap,
     net::Ipv4Addr,
     rc::Rc,
     time::{
@@ -22,42 +37,179 @@
     },
 };
 
+/// Utilization from which the daemons of a zone exchange their loads.
+const EXCHANGE_UTILIZATION: f64 = 0.5;
+
+/// Own pressure from which the admitted share of other daemons counts: no daemon rejects on the word of others alone.
+const TRUSTED_PRESSURE: f64 = 0.5;
+
+/// Weight of a new connect time in the moving average.
+const CONNECT_GAIN: f64 = 0.125;
+
+/// Length up to which a response has no room for content: a status line and headers only, as an upstream that sheds load
+/// sends them.
+const REFUSAL_LEN_MAX: u32 = 256;
+
+/// Time after which the shortest target latency of a service's routes is determined anew.
+const TARGET_TTL: Duration = Duration::from_secs(10);
+
+/// Time without traffic after which the state of a service is evicted.
+const SERVICE_TTL: Duration = Duration::from_secs(60);
+
+/// Response of an upstream, as the next packet of the caller shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// Time from the request to the packet that acknowledges the response.
+    pub took: Duration,
+    /// Number of bytes that the packet acknowledges.
+    pub len: u32,
+}
+
+/// Load of one service, and the decisions about its openings.
+#[derive(Clone, Debug)]
+struct Service {
+    /// Mean connect times by zone, in seconds.
+    connect_s: SmallVec<[(Rc<str>, f64); 4]>,
+    target_latency: Duration,
+    target_since: Instant,
+    last_used: Instant,
+    congestion: Congestion,
+    admitted: AdmittedShare,
+    order: AdmissionOrder,
+    /// Pressure that this daemon observes by itself.
+    own_pressure: f64,
+    load: ServiceLoad,
+}
+
+impl Service {
+    fn new(name: Rc<str>, target_latency: Duration, now: Instant) -> Self {
+        Self {
+            connect_s: SmallVec::new(),
+            target_latency,
+            target_since: now,
+            last_used: now,
+            congestion: Congestion::default(),
+            admitted: AdmittedShare::default(),
+            order: AdmissionOrder::default(),
+            own_pressure: 0.0,
+            load: ServiceLoad {
+                service: name,
+                slots: 0,
+                utilization: 0.0,
+                service_time: None,
+                goal: target_latency,
+                refusal_rate: 0.0,
+                admitted: 1.0,
+                leaving: Vec::new(),
+                daemons: 1,
+            },
+        }
+    }
+
+    fn record_target(&mut self, target_latency: Duration, now: Instant) {
+        let is_expired = now >= self.target_since + TARGET_TTL;
+        if is_expired || target_latency < self.target_latency {
+            self.target_latency = target_latency;
+            self.target_since = now;
+        }
+    }
+
+    fn record_connect_time(&mut self, zone: &Rc<str>, took_s: f64) {
+        match self.connect_s.iter_mut().find(|(known, _)| known == zone) {
+            Some((_, mean_s)) => *mean_s += (took_s - *mean_s) * CONNECT_GAIN,
+            None => self.connect_s.push((Rc::clone(zone), took_s)),
+        }
+    }
+
+    fn connect_s(&self, zone: &str) -> f64 {
+        let found = self.connect_s.iter().find(|(known, _)| **known == *zone);
+        found.map_or(0.0, |(_, mean_s)| *mean_s)
+    }
+}
+
 /// Load of all services, and the decisions that follow from it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Overload {
+    zone: Rc<str>,
     settings: LoadSettings,
     meter: LoadMeter,
+    services: HashMap<Rc<str>, Service>,
+    /// Sum of the loads that the other daemons of the zone observe, with the time of its arrival.
     others: Option<(LoadReport, Instant)>,
+    /// Number of live daemons in the zone, this one included.
+    live_daemons: usize,
+    /// A time of day and the instant to which it belongs.
+    clock: Option<(Duration, Instant)>,
     events: Vec<LoadEvent>,
 }
 
 impl Overload {
+    /// Creates the state of a daemon in `zone` that has seen no packets.
+    pub fn new(zone: Rc<str>) -> Self {
+        Self {
+            zone,
+            settings: LoadSettings::default(),
+            meter: LoadMeter::default(),
+            services: HashMap::new(),
+            others: None,
+            live_daemons: 1,
+            clock: None,
+            events: Vec::new(),
+        }
+    }
+
     /// Applies settings.
     pub fn set_settings(&mut self, settings: LoadSettings) {
         self.settings = settings;
     }
 
     /// Sets the time of day and the number of live daemons in the zone, this one included.
-    pub fn set_surroundings(&mut self, _unix: Duration, _live_daemons: usize, _now: Instant) {}
+    pub fn set_surroundings(&mut self, unix: Duration, live_daemons: usize, now: Instant) {
+        self.clock = Some((unix, now));
+        self.live_daemons = live_daemons.max(1);
+    }
 
     /// Load that this daemon observes by itself.
     pub fn report(&self) -> LoadReport {
-        self.meter.report()
+        let mut report = self.meter.report();
+        for (name, service) in &self.services {
+            if service.admitted.get() < 1.0 {
+                report
+                    .admitted
+                    .push((Rc::clone(name), service.admitted.get()));
+            }
+            if let Some(baseline_s) = service.congestion.baseline_s() {
+                report.baseline_s.push((Rc::clone(name), baseline_s));
+            }
+        }
+        report
     }
 
     /// Applies the sum of the loads that all other daemons of the zone observe.
     pub fn apply_zone_load(&mut self, others: LoadReport, now: Instant) {
+        for (name, service) in &mut self.services {
+            if let Some((_, baseline_s)) = others.baseline_s.iter().find(|(n, _)| n == name) {
+                service.congestion.adopt_baseline(*baseline_s);
+            }
+            if others.daemons > 0 && service.own_pressure >= TRUSTED_PRESSURE {
+                service.admitted.approach(others.admitted(name));
+            }
+        }
         self.others = Some((others, now));
     }
 
     /// Whether a service is so busy that the daemons of the zone should exchange their loads.
     pub fn is_exchange_due(&self) -> bool {
-        false
+        self.services.values().any(|service| {
+            service.load.utilization > EXCHANGE_UTILIZATION || service.admitted.get() < 1.0
+        })
     }
 
     /// Loads of the services with traffic, sorted by name.
     pub fn service_loads(&self) -> Vec<ServiceLoad> {
-        Vec::new()
+        let mut loads: Vec<_> = self.services.values().map(|s| s.load.clone()).collect();
+        loads.sort_by(|a, b| a.service.cmp(&b.service));
+        loads
     }
 
     /// Time for which this daemon's own link, socket or processor delays packets.
@@ -65,24 +217,211 @@
         Duration::ZERO
     }
 
+    /// Removes and returns the changes since the last call.
+    pub fn take_events(&mut self) -> Vec<LoadEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Why an opening of a caller on a route would be admitted or rejected now.
-    pub fn explain(&self, caller: Ipv4Addr, route: &Route, _now: Instant) -> AdmissionReason {
+    pub fn explain(&self, caller: Ipv4Addr, route: &Route, now: Instant) -> AdmissionReason {
+        let name = route.targets.first().map(|target| &target.service);
+        let service = name.and_then(|name| self.services.get(name));
+        let place = service.map(|s| self.place(s, caller, route.priority, now));
+        let admitted = service.map_or(1.0, |s| s.admitted.get());
         AdmissionReason {
             caller,
-            service: route
-                .targets
-                .first()
-                .map_or_else(|| Rc::from(""), |target| Rc::clone(&target.service)),
+            service: name.map_or_else(|| "".into(), Rc::clone),
             priority: route.priority,
-            place: 0.0,
-            admitted: 1.0,
-            is_heavy: false,
-            is_admitted: true,
+            place: place.map_or(0.0, |place| place.place),
+            admitted,
+            is_heavy: place.is_some_and(|place| place.is_heavy),
+            is_admitted: place.is_none_or(|place| self.is_within(place, admitted)),
         }
     }
 
-    /// Removes and returns the changes since the last call.
-    pub fn take_events(&mut self) -> Vec<LoadEvent> {
-        std::mem::take(&mut self.events)
+    /// Decides whether an opening of a caller is admitted, and records it.
+    pub fn admit(&mut self, caller: Ipv4Addr, service: &str, route: &Route, now: Instant) -> bool {
+        let Some((name, _)) = self.services.get_key_value(service) else {
+            let target = route.targets.iter().find(|t| *t.service == *service);
+            if let Some(target) = target {
+                let state = Service::new(Rc::clone(&target.service), route.target_latency, now);
+                self.services.insert(Rc::clone(&target.service), state);
+            }
+            return true;
+        };
+        let name = Rc::clone(name);
+        if let Some(service) = self.services.get_mut(&name) {
+            service.last_used = now;
+            service.record_target(route.target_latency, now);
+            service.order.record(caller, route.priority, now);
+        }
+        let service = &self.services[&name];
+        if !self.settings.shed || service.admitted.get() >= 1.0 {
+            return true;
+        }
+        let place = self.place(service, caller, route.priority, now);
+        self.is_within(place, service.admitted.get())
+    }
+
+    /// Records an opening that is forwarded.
+    pub fn record_opened(&mut self, service: &Rc<str>, zone: &Rc<str>) {
+        self.meter.pool(service, zone).opened += 1.0;
+    }
+
+    /// Records an opening that no packet followed in time.
+    pub fn record_failed(&mut self, service: &Rc<str>, zone: &Rc<str>) {
+        self.meter.pool(service, zone).failed += 1.0;
+    }
+
+    /// Records the connect time of a flow.
+    pub fn record_connected(&mut self, service: &Rc<str>, zone: &Rc<str>, took: Duration) {
+        let took_s = took.as_secs_f64();
+        let counts = self.meter.pool(service, zone);
+        counts.connects += 1.0;
+        counts.connect_s += took_s;
+        if let Some(service) = self.services.get_mut(service) {
+            service.record_connect_time(zone, took_s);
+        }
+    }
+
+    /// Records a response of an upstream.
+    pub fn record_response(&mut self, service: &Rc<str>, zone: &Rc<str>, response: Response) {
+        let connect_s = self
+            .services
+            .get(service)
+            .map_or(0.0, |s| s.connect_s(zone));
+        let service_s = (response.took.as_secs_f64() - connect_s).max(0.0);
+        let counts = self.meter.pool(service, zone);
+        counts.answers += 1.0;
+        counts.service_s += service_s;
+        if response.len < REFUSAL_LEN_MAX {
+            counts.refusals += 1.0;
+            counts.refusal_s += service_s;
+        }
+    }
+
+    /// Judges the load of each service again if a window has ended.
+    pub fn update(&mut self, directory: &Directory, now: Instant) {
+        let windows = self.meter.roll(now);
+        if windows == 0 {
+            return;
+        }
+        let others = self.others.take_if(|(_, at)| now >= *at + REPORT_TTL);
+        drop(others);
+        let own = self.meter.report();
+        let names: SmallVec<[Rc<str>; 4]> = self.services.keys().cloned().collect();
+        for name in names {
+            self.update_service(&name, &own, directory, windows, now);
+        }
+        self.services
+            .retain(|_, service| now < service.last_used + SERVICE_TTL);
+    }
+
+    fn update_service(
+        &mut self,
+        name: &Rc<str>,
+        own: &LoadReport,
+        directory: &Directory,
+        windows: u32,
+        now: Instant,
+    ) {
+        let others = self.others.as_ref().map(|(others, _)| others);
+        let zone = Rc::clone(&self.zone);
+        let total = Total::new(own, others, self.live_daemons);
+        let slots = usable_slots(directory, name, &zone, now);
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.order.roll(windows);
+        let own_counts = own.counts(name, &zone);
+        let (counts, answers) = total.counts(name, &zone);
+        let observation = Observation {
+            counts,
+            answers,
+            slots,
+            target_latency: service.target_latency,
+        };
+        let goal_s = service.congestion.goal_s(service.target_latency);
+        service.own_pressure = own_counts.service_time().map_or(0.0, |mean| mean / goal_s);
+        let verdict = service.congestion.update(&observation, windows);
+        let before = service.admitted.get();
+        service.admitted.update(verdict, windows);
+        let after = service.admitted.get();
+        service.load = ServiceLoad {
+            service: Rc::clone(name),
+            slots,
+            utilization: Congestion::utilization(&observation),
+            service_time: counts.service_time().map(Duration::from_secs_f64),
+            goal: Duration::from_secs_f64(goal_s),
+            refusal_rate: counts.refusal_rate(),
+            admitted: after,
+            leaving: Vec::new(),
+            daemons: total.daemons,
+        };
+        match (before < 1.0, after < 1.0) {
+            (false, true) => self
+                .events
+                .push(LoadEvent::OverloadBegan(service.load.clone())),
+            (true, false) => self
+                .events
+                .push(LoadEvent::OverloadEnded(service.load.clone())),
+            _ => (),
+        }
+    }
+
+    fn place(&self, service: &Service, caller: Ipv4Addr, priority: u8, now: Instant) -> Place {
+        let unix = self.clock.map_or(Duration::ZERO, |(unix, at)| {
+            unix + now.saturating_duration_since(at)
+        });
+        service.order.place(caller, priority, rank(caller, unix))
+    }
+
+    fn is_within(&self, place: Place, admitted: f64) -> bool {
+        place.is_guaranteed || place.place <= admitted
+    }
+}
+
+/// Observations of this daemon together with those of the others of its zone.
+struct Total<'r> {
+    own: &'r LoadReport,
+    others: Option<&'r LoadReport>,
+    /// Number of daemons whose observations are included.
+    daemons: u32,
+    /// Factor from these daemons to all of the zone: the fabric spreads flows evenly.
+    scale: f64,
+}
+
+impl<'r> Total<'r> {
+    fn new(own: &'r LoadReport, others: Option<&'r LoadReport>, live_daemons: usize) -> Self {
+        let daemons = 1 + others.map_or(0, |others| others.daemons);
+        Self {
+            own,
+            others,
+            daemons,
+            scale: (live_daemons as f64 / f64::from(daemons)).max(1.0),
+        }
+    }
+
+    /// Observations of a pool for the whole zone, and the number of answers that were observed, not extrapolated.
+    fn counts(&self, service: &str, zone: &str) -> (Counts, f64) {
+        let mut counts = self.own.counts(service, zone);
+        if let Some(others) = self.others {
+            counts += others.counts(service, zone);
+        }
+        (counts * self.scale, counts.answers)
+    }
+}
+
+/// Slots of the upstreams of a service in a zone that take new flows.
+fn usable_slots(directory: &Directory, service: &str, zone: &str, now: Instant) -> u32 {
+    if directory.is_out(zone) || directory.has_returned(zone, now) {
+        return 0;
     }
+    let upstreams = directory.of_service(service).iter();
+    let upstreams = upstreams.filter_map(|id| directory.get(*id));
+    upstreams
+        .filter(|known| *known.upstream.zone == *zone)
+        .filter(|known| known.is_serving(now) && !known.is_cold(now))
+        .map(|known| known.upstream.slots)
+        .sum()
 }
