Divide the upstreams of a busy zone among its daemons, and admit urgent requests that fit by themselves

The requests of a higher priority are no longer rejected for those of lower priorities on flows that were open before.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -20,7 +20,8 @@
     entry::{
         Route,
         Upstream,
-        UpstreamId, //
+        UpstreamId,
+        PRIORITY_LOWEST, //
     },
     flows::{
         FlowEvent,
@@ -46,6 +47,7 @@
         Packet, //
     },
     shared_evidence::FailedOpening,
+    subset::Position,
     thundering_herd::ThunderingHerd,
 };
 use rand::Rng;
@@ -257,9 +259,9 @@
         self.overload.set_settings(settings);
     }
 
-    /// Sets the time of day and the number of live daemons in the zone, this one included; to be called every second.
-    pub fn set_surroundings(&mut self, unix: Duration, live_daemons: usize, now: Instant) {
-        self.overload.set_surroundings(unix, live_daemons, now);
+    /// Sets the time of day and the position among the live daemons of the zone; to be called every second.
+    pub fn set_surroundings(&mut self, unix: Duration, position: Position, now: Instant) {
+        self.overload.set_surroundings(unix, position, now);
     }
 
     /// Load that this daemon observes by itself.
@@ -343,6 +345,8 @@
         tried.extend(refused);
         let chooser = Chooser {
             zone: &self.zone,
+            preferred: &self.zone,
+            busy: self.overload.busy(service),
             directory,
             flows: &self.flows,
             ejection: &self.ejection,
@@ -425,7 +429,9 @@
         let event = self.flows.record(packet, id, route.is_some(), now);
         if let Some(response) = self.flows.take_response() {
             let Upstream { service, zone, .. } = &known.upstream;
-            self.overload.record_response(service, zone, response);
+            let priority = route.map_or(PRIORITY_LOWEST, |route| route.priority);
+            self.overload
+                .record_response(service, zone, priority, response);
         }
         self.observe_answer(packet, (id, known), event, now);
         if let Some(route) = route.filter(|route| route.is_idempotent) {
--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -10,7 +10,8 @@
     flows::Flows,
     openings::Attempts,
     outlier_ejection::OutlierEjection,
-    packet::Label, //
+    packet::Label,
+    subset::Position, //
 };
 use rand::Rng;
 use std::{
@@ -27,6 +28,13 @@
 /// [`REMOTE_PENALTY`].
 const FAILURE_PENALTY: f64 = 2.2;
 
+/// Penalty for an upstream that other daemons prefer, in requests per slot: their requests in progress are known only on
+/// average.
+const FOREIGN_PENALTY: f64 = 0.5;
+
+/// Smallest part of an upstream that makes it this daemon's own: a smaller one would rarely be chosen.
+const PART_MIN: f64 = 0.1;
+
 /// Upper bound of the random part of a score, which spreads flows over equivalent upstreams.
 const JITTER: f64 = 0.02;
 
@@ -64,11 +72,24 @@
     pub candidates: usize,
 }
 
+/// Load of a service whose upstreams are divided among the daemons of the zone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Busy {
+    /// Requests per slot, on average.
+    pub utilization: f64,
+    /// Position of this daemon.
+    pub position: Position,
+}
+
 /// Inputs of a choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Chooser<'c> {
     /// Zone of this daemon.
     pub zone: &'c str,
+    /// Zone whose upstreams are preferred.
+    pub preferred: &'c str,
+    /// Load of the service in the own zone, if it is so high that the upstreams are divided among the daemons.
+    pub busy: Option<Busy>,
     /// Known upstreams and zones.
     pub directory: &'c Directory,
     /// Open flows and their requests.
@@ -90,6 +111,7 @@
     ) -> Option<Choice> {
         let mut best: Option<((Standing, f64), Choice)> = None;
         let mut candidates = 0;
+        let mut local = Local::new(self, service, now);
         let failure_rates = self.failure.failure_rates(service, now);
         for id in self.directory.of_service(service) {
             let Some(known) = self.directory.get(*id) else {
@@ -106,7 +128,8 @@
                 zone_failure_rate: failure_rates.of(&known.upstream.zone),
                 ..self.weigh((*id, label), known, tried, now)
             };
-            let score = score(&choice, known) + rng.random::<f64>() * JITTER;
+            let score = self.score(&choice, known, local.next_part(self.zone, known), now);
+            let score = score + rng.random::<f64>() * JITTER;
             let rank = (choice.standing, score);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, choice));
@@ -145,6 +168,33 @@
         }
     }
 
+    /// Load of an upstream in requests per slot, with penalties; `part` of it belongs to this daemon, if the upstreams of
+    /// its zone are divided among the daemons.
+    fn score(
+        &self,
+        choice: &Choice,
+        known: &TrackedUpstream,
+        part: Option<f64>,
+        now: Instant,
+    ) -> f64 {
+        let slots = f64::from(known.upstream.slots);
+        let load = match (self.busy, part) {
+            (Some(_), Some(part)) if part >= PART_MIN => {
+                self.flows.outstanding(choice.id, now) as f64 / (slots * part)
+            }
+            (Some(busy), Some(_)) => {
+                let own = self.flows.outstanding(choice.id, now) as f64 / slots;
+                busy.utilization.max(own) + own + FOREIGN_PENALTY
+            }
+            _ => choice.in_progress as f64 / slots,
+        };
+        let load = load + choice.zone_failure_rate.powi(2) * FAILURE_PENALTY;
+        match *known.upstream.zone == *self.preferred {
+            true => load,
+            false => load + REMOTE_PENALTY,
+        }
+    }
+
     /// Whether an upstream accepts new flows at all.
     fn is_usable(&self, known: &TrackedUpstream, now: Instant) -> bool {
         let zone = &known.upstream.zone;
@@ -153,11 +203,39 @@
     }
 }
 
-fn score(choice: &Choice, known: &TrackedUpstream) -> f64 {
-    let load = choice.in_progress as f64 / f64::from(known.upstream.slots);
-    let load = load + choice.zone_failure_rate.powi(2) * FAILURE_PENALTY;
-    match choice.is_remote {
-        true => load + REMOTE_PENALTY,
-        false => load,
+/// Counts through the usable upstreams of the own zone, which are divided among its daemons.
+struct Local {
+    position: Option<Position>,
+    upstreams: usize,
+    next: usize,
+}
+
+impl Local {
+    fn new(chooser: &Chooser<'_>, service: &str, now: Instant) -> Self {
+        let position = chooser.busy.map(|busy| busy.position);
+        let is_local = |known: &TrackedUpstream| {
+            *known.upstream.zone == *chooser.zone && chooser.is_usable(known, now)
+        };
+        let ids = chooser.directory.of_service(service).iter();
+        let upstreams = match position {
+            Some(_) => ids
+                .filter_map(|id| chooser.directory.get(*id))
+                .filter(|known| is_local(known))
+                .count(),
+            None => 0,
+        };
+        Self {
+            position,
+            upstreams,
+            next: 0,
+        }
+    }
+
+    /// Part of the next usable upstream that belongs to this daemon; `None` if the upstreams are not divided.
+    fn next_part(&mut self, zone: &str, known: &TrackedUpstream) -> Option<f64> {
+        let position = self.position.filter(|_| *known.upstream.zone == *zone)?;
+        let part = position.part_of(self.next, self.upstreams);
+        self.next += 1;
+        Some(part)
     }
 }
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -5,6 +5,7 @@
 
 use super::{
     entry::UpstreamId,
+    outstanding::Outstanding,
     overload::Response, //
     packet::{
         FlowId,
@@ -119,6 +120,7 @@
     /// Response that the last packet showed.
     response: Option<Response>,
     pending: HashMap<UpstreamId, Requests>,
+    outstanding: Outstanding,
 }
 
 impl Flows {
@@ -140,7 +142,10 @@
         let Some(flow) = self.flows.get_mut(&packet.flow) else {
             self.insert(packet, has_route, now);
             return match packet.len {
-                0 => FlowEvent::Nothing,
+                0 => {
+                    self.outstanding.finish(packet.flow, upstream);
+                    FlowEvent::Nothing
+                }
                 _ => {
                     self.start_request(packet.flow, upstream, now);
                     FlowEvent::Request(None)
@@ -197,6 +202,11 @@
             .count()
     }
 
+    /// Number of requests at an upstream that are not answered, however long ago they were forwarded.
+    pub fn outstanding(&self, upstream: UpstreamId, now: Instant) -> usize {
+        self.outstanding.count(upstream, now)
+    }
+
     /// Returns the request of a flow that `upstream` has not answered, if there is one.
     pub fn unanswered(&self, flow: FlowId, upstream: UpstreamId) -> Option<Request> {
         self.pending.get(&upstream)?.get(&flow).copied()
@@ -235,6 +245,7 @@
             pending.retain(|_, request| request.is_in_progress(now));
             !pending.is_empty()
         });
+        self.outstanding.evict(now);
     }
 
     fn insert(&mut self, packet: &Packet, has_route: bool, now: Instant) {
@@ -257,6 +268,7 @@
         let pending = self.pending.entry(upstream).or_default();
         pending.retain(|_, request| request.is_in_progress(now));
         pending.insert(flow, Request::at(now));
+        self.outstanding.start(flow, upstream, now);
     }
 
     fn record_retransmission(
@@ -273,6 +285,7 @@
     }
 
     fn finish_request(&mut self, flow: FlowId, upstream: UpstreamId) -> Option<Instant> {
+        self.outstanding.finish(flow, upstream);
         let pending = self.pending.get_mut(&upstream)?.remove(&flow)?;
         Some(pending.first)
     }
--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -21,11 +21,17 @@
 /// Largest decrease of the admitted share in a window, as a factor.
 const DECREASE_MAX: f64 = 0.7;
 
-/// Increase of the admitted share in a window, for each unit of pressure under 1.
-const INCREASE: f64 = 0.4;
+/// Utilization at which the increase of the admitted share aims: nearly all slots in use.
+const UTILIZATION_AIM: f64 = 0.95;
 
-/// Increase in a window without a verdict, as a factor, so that a service without answers is tried again.
-const RECOVERY: f64 = 1.05;
+/// Exponent of the increase. The sums cover about five windows, so a full step in each window would overshoot.
+const INCREASE_EXPONENT: f64 = 0.3;
+
+/// Largest increase of the admitted share in a window, as a factor.
+const INCREASE_MAX: f64 = 1.3;
+
+/// Smallest increase in a window without overload, as a factor, so that rejected callers are tried again.
+const RECOVERY: f64 = 1.02;
 
 /// Number of overloaded windows in a row after which the admitted share falls: one may be a chance.
 const CONFIRMED_AFTER: u32 = 2;
@@ -71,9 +77,10 @@
             }
             Some(verdict) => {
                 self.overloaded = 0;
-                (1.0 + INCREASE * (1.0 - verdict.pressure)).max(RECOVERY)
+                let room = UTILIZATION_AIM / verdict.utilization.max(f64::MIN_POSITIVE);
+                room.powf(INCREASE_EXPONENT).clamp(RECOVERY, INCREASE_MAX)
             }
-            None => RECOVERY,
+            None => INCREASE_MAX,
         };
         self.share = (self.share * factor.powf(windows)).clamp(ADMITTED_MIN, 1.0);
     }
@@ -166,8 +173,8 @@
     }
 }
 
-/// Factor by which counts of openings shrink in a window.
-const OFFERED_DECAY: f64 = 0.9;
+/// Factor by which sums by priority shrink in a window.
+const DECAY: f64 = 0.9;
 
 /// Place of a caller among all callers of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -180,41 +187,84 @@
     pub is_guaranteed: bool,
 }
 
+/// Sums by priority, the highest priority first.
+#[derive(Clone, Debug, Default)]
+struct ByPriority(SmallVec<[(u8, f64); 4]>);
+
+impl ByPriority {
+    fn add(&mut self, priority: u8, value: f64) {
+        let at = self.0.partition_point(|(known, _)| *known < priority);
+        match self.0.get_mut(at) {
+            Some((known, sum)) if *known == priority => *sum += value,
+            _ => self.0.insert(at, (priority, value)),
+        }
+    }
+
+    fn decay(&mut self, factor: f64) {
+        for (_, sum) in &mut self.0 {
+            *sum *= factor;
+        }
+        self.0.retain(|(_, sum)| *sum > f64::EPSILON);
+    }
+
+    fn total(&self) -> f64 {
+        self.0.iter().map(|(_, sum)| sum).sum()
+    }
+
+    fn above(&self, priority: u8) -> f64 {
+        let higher = self.0.iter().filter(|(known, _)| *known < priority);
+        higher.map(|(_, sum)| sum).sum()
+    }
+
+    fn of(&self, priority: u8) -> f64 {
+        let found = self.0.iter().find(|(known, _)| *known == priority);
+        found.map_or(0.0, |(_, sum)| *sum)
+    }
+}
+
 /// Callers of one service, in the order in which their openings are admitted.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionOrder {
-    /// Recent openings for each priority, highest first, whether admitted or not.
-    offered: SmallVec<[(u8, f64); 4]>,
+    /// Recent openings, whether admitted or not.
+    offered: ByPriority,
+    /// Service time of recent requests, also of those on flows that were open before.
+    served_s: ByPriority,
     callers: Callers,
 }
 
 impl AdmissionOrder {
     /// Records an opening.
     pub fn record(&mut self, caller: Ipv4Addr, priority: u8, now: Instant) {
-        let at = self.offered.partition_point(|(known, _)| *known < priority);
-        match self.offered.get_mut(at) {
-            Some((known, offered)) if *known == priority => *offered += 1.0,
-            _ => self.offered.insert(at, (priority, 1.0)),
-        }
+        self.offered.add(priority, 1.0);
         self.callers.record(caller, now);
     }
 
+    /// Records the service time of a request.
+    pub fn record_served(&mut self, priority: u8, service_s: f64) {
+        self.served_s.add(priority, service_s);
+    }
+
     /// Ends `windows` windows.
     pub fn roll(&mut self, windows: u32) {
-        let factor = OFFERED_DECAY.powf(f64::from(windows));
-        for (_, offered) in &mut self.offered {
-            *offered *= factor;
+        let factor = DECAY.powf(f64::from(windows));
+        self.offered.decay(factor);
+        self.served_s.decay(factor);
+    }
+
+    /// Share of the service time that requests of a priority and of higher ones take.
+    pub fn served_share(&self, priority: u8) -> f64 {
+        match self.served_s.total() {
+            total if total > 0.0 => {
+                (self.served_s.above(priority) + self.served_s.of(priority)) / total
+            }
+            _ => 1.0,
         }
-        self.offered.retain(|(_, offered)| *offered > 0.01);
     }
 
     /// Place of an opening of a caller with a rank.
     pub fn place(&self, caller: Ipv4Addr, priority: u8, rank: f64) -> Place {
-        let total: f64 = self.offered.iter().map(|(_, offered)| offered).sum();
-        let higher = self.offered.iter().filter(|(other, _)| *other < priority);
-        let higher: f64 = higher.map(|(_, offered)| offered).sum();
-        let own = self.offered.iter().find(|(other, _)| *other == priority);
-        let own = own.map_or(0.0, |(_, offered)| *offered);
+        let total = self.offered.total();
+        let (higher, own) = (self.offered.above(priority), self.offered.of(priority));
         let excess = self.callers.excess(caller);
         let adjusted = 1.0 - (1.0 - rank) / excess;
         Place {
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -20,12 +20,14 @@
 pub mod lost_changes;
 pub mod openings;
 pub mod outlier_ejection;
+pub mod outstanding;
 pub mod overload;
 pub mod packet;
 pub mod poll_schedule;
 pub mod readers;
 pub mod restoration;
 pub mod shared_evidence;
+pub mod subset;
 pub mod thundering_herd;
 pub mod version;
 
@@ -95,5 +97,6 @@
         FailedOpening,
         SilenceReports, //
     },
+    subset::Position,
     version::Version,
 };
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -1,6 +1,7 @@
 //! Decisions under load: measures the load of services, rejects openings and sends flows to other zones.
 
 use super::{
+    choice::Busy,
     congestion::{
         Congestion,
         Observation, //
@@ -25,6 +26,7 @@
         LoadSettings,
         ServiceLoad, //
     },
+    subset::Position, //
 };
 use smallvec::SmallVec;
 use std::{
@@ -40,6 +42,9 @@
 /// Utilization from which the daemons of a zone exchange their loads.
 const EXCHANGE_UTILIZATION: f64 = 0.5;
 
+/// Utilization from which the upstreams of a zone are divided among its daemons.
+const BUSY_UTILIZATION: f64 = 0.6;
+
 /// Own pressure from which the admitted share of other daemons counts: no daemon rejects on the word of others alone.
 const TRUSTED_PRESSURE: f64 = 0.5;
 
@@ -136,8 +141,7 @@
     services: HashMap<Rc<str>, Service>,
     /// Sum of the loads that the other daemons of the zone observe, with the time of its arrival.
     others: Option<(LoadReport, Instant)>,
-    /// Number of live daemons in the zone, this one included.
-    live_daemons: usize,
+    position: Position,
     /// A time of day and the instant to which it belongs.
     clock: Option<(Duration, Instant)>,
     events: Vec<LoadEvent>,
@@ -152,7 +156,7 @@
             meter: LoadMeter::default(),
             services: HashMap::new(),
             others: None,
-            live_daemons: 1,
+            position: Position::ALONE,
             clock: None,
             events: Vec::new(),
         }
@@ -163,10 +167,10 @@
         self.settings = settings;
     }
 
-    /// Sets the time of day and the number of live daemons in the zone, this one included.
-    pub fn set_surroundings(&mut self, unix: Duration, live_daemons: usize, now: Instant) {
+    /// Sets the time of day and the position among the live daemons of the zone.
+    pub fn set_surroundings(&mut self, unix: Duration, position: Position, now: Instant) {
         self.clock = Some((unix, now));
-        self.live_daemons = live_daemons.max(1);
+        self.position = position;
     }
 
     /// Load that this daemon observes by itself.
@@ -235,7 +239,8 @@
             place: place.map_or(0.0, |place| place.place),
             admitted,
             is_heavy: place.is_some_and(|place| place.is_heavy),
-            is_admitted: place.is_none_or(|place| self.is_within(place, admitted)),
+            is_admitted: service.is_none_or(|s| fits_alone(s, route.priority))
+                || place.is_none_or(|place| self.is_within(place, admitted)),
         }
     }
 
@@ -260,7 +265,16 @@
             return true;
         }
         let place = self.place(service, caller, route.priority, now);
-        self.is_within(place, service.admitted.get())
+        self.is_within(place, service.admitted.get()) || fits_alone(service, route.priority)
+    }
+
+    /// Load of a service if it is so high that its upstreams are divided among the daemons of the zone.
+    pub fn busy(&self, service: &str) -> Option<Busy> {
+        let utilization = self.services.get(service)?.load.utilization;
+        (utilization > BUSY_UTILIZATION).then_some(Busy {
+            utilization,
+            position: self.position,
+        })
     }
 
     /// Records an opening that is forwarded.
@@ -285,12 +299,19 @@
     }
 
     /// Records a response of an upstream.
-    pub fn record_response(&mut self, service: &Rc<str>, zone: &Rc<str>, response: Response) {
-        let connect_s = self
-            .services
-            .get(service)
-            .map_or(0.0, |s| s.connect_s(zone));
-        let service_s = (response.took.as_secs_f64() - connect_s).max(0.0);
+    pub fn record_response(
+        &mut self,
+        service: &Rc<str>,
+        zone: &Rc<str>,
+        priority: u8,
+        response: Response,
+    ) {
+        let took_s = response.took.as_secs_f64();
+        let mut service_s = took_s;
+        if let Some(service) = self.services.get_mut(service) {
+            service_s = (took_s - service.connect_s(zone)).max(0.0);
+            service.order.record_served(priority, service_s);
+        }
         let counts = self.meter.pool(service, zone);
         counts.answers += 1.0;
         counts.service_s += service_s;
@@ -327,7 +348,7 @@
     ) {
         let others = self.others.as_ref().map(|(others, _)| others);
         let zone = Rc::clone(&self.zone);
-        let total = Total::new(own, others, self.live_daemons);
+        let total = Total::new(own, others, self.position.daemons);
         let slots = usable_slots(directory, name, &zone, now);
         let Some(service) = self.services.get_mut(name) else {
             return;
@@ -381,6 +402,17 @@
     }
 }
 
+/// Utilization up to which requests of a priority and of higher ones fit the slots.
+const FITTING_UTILIZATION: f64 = 0.9;
+
+/// Whether the requests of a priority and of higher ones fit the slots by themselves.
+///
+/// They are admitted then: requests of lower priorities on flows that were open before cannot be rejected, and they
+/// must not crowd out urgent callers.
+fn fits_alone(service: &Service, priority: u8) -> bool {
+    service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
+}
+
 /// Observations of this daemon together with those of the others of its zone.
 struct Total<'r> {
     own: &'r LoadReport,
