--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -32,6 +32,9 @@
 /// average.
 const FOREIGN_PENALTY: f64 = 0.5;
 
+/// Further penalty for an upstream outside of the preferred zone while the service is busy, in requests per slot.
+const BUSY_REMOTE_PENALTY: f64 = 2.0;
+
 /// Smallest part of an upstream that makes it this daemon's own: a smaller one would rarely be chosen.
 const PART_MIN: f64 = 0.1;
 
@@ -186,6 +189,10 @@
                 let own = self.flows.outstanding(choice.id, now) as f64 / slots;
                 busy.utilization.max(own) + own + FOREIGN_PENALTY
             }
+            // How much leaves a busy zone is decided for all its flows together, not by this comparison.
+            (Some(busy), None) if *known.upstream.zone != *self.preferred => {
+                busy.utilization + choice.in_progress as f64 / slots + BUSY_REMOTE_PENALTY
+            }
             _ => choice.in_progress as f64 / slots,
         };
         let load = load + choice.zone_failure_rate.powi(2) * FAILURE_PENALTY;
--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -21,6 +21,9 @@
 /// Largest decrease of the admitted share in a window, as a factor.
 const DECREASE_MAX: f64 = 0.7;
 
+/// Increase of the admitted share in a window, for each unit of pressure under 1.
+const INCREASE: f64 = 0.5;
+
 /// Utilization at which the increase of the admitted share aims: nearly all slots in use.
 const UTILIZATION_AIM: f64 = 0.95;
 
@@ -78,7 +81,10 @@
             Some(verdict) => {
                 self.overloaded = 0;
                 let room = UTILIZATION_AIM / verdict.utilization.max(f64::MIN_POSITIVE);
-                room.powf(INCREASE_EXPONENT).clamp(RECOVERY, INCREASE_MAX)
+                let spare = 1.0 + INCREASE * (1.0 - verdict.pressure);
+                room.powf(INCREASE_EXPONENT)
+                    .max(spare)
+                    .clamp(RECOVERY, INCREASE_MAX)
             }
             None => INCREASE_MAX,
         };
