Estimate a daemon's own delay from the connect times of its flows

The least increase over the baseline among the pools is what the daemon itself adds. Baselines rise only while the delay is under half the goal: the admitted share holds the delay near the goal, and a baseline that rose there would hide a long overload.

--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -19,6 +19,7 @@
 pub mod openings;
 pub mod outlier_ejection;
 pub mod overload;
+pub mod own_delay;
 pub mod packet;
 pub mod poll_schedule;
 pub mod readers;
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -9,6 +9,7 @@
 mod lost_changes;
 mod names;
 mod opening;
+mod own_delay;
 mod poll_schedule;
 mod readers;
 mod restoration;
