Handle packets of open flows before the openings of a burst, and bound the delay of packets

No packet overtakes an opening of its own flow: the flow would be known as open when the opening comes, which would then count as unanswered at another upstream.

--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -56,6 +56,8 @@
     DroppedUnknownLabel,
     /// Dropped: the service has no usable upstream now, but may get one.
     DroppedNoUpstream,
+    /// Dropped: the opening packet could not be delayed, or was delayed for too long.
+    DroppedDelayed,
     /// The datagram is not a valid packet.
     Malformed,
     /// The kernel had no room to send the packet.
@@ -77,6 +79,7 @@
         Self::DroppedUncertainRoute,
         Self::DroppedUnknownLabel,
         Self::DroppedNoUpstream,
+        Self::DroppedDelayed,
         Self::Malformed,
         Self::Unsent,
     ];
@@ -99,6 +102,7 @@
             Self::DroppedUncertainRoute => "dropped_uncertain_route",
             Self::DroppedUnknownLabel => "dropped_unknown_label",
             Self::DroppedNoUpstream => "dropped_no_upstream",
+            Self::DroppedDelayed => "dropped_delayed",
             Self::Malformed => "malformed",
             Self::Unsent => "unsent",
         }
--- a/crates/daemon/src/packets/mod.rs
+++ b/crates/daemon/src/packets/mod.rs
@@ -1,7 +1,9 @@
 //! The packet path: forwards packets by the label that both ends of a flow repeat, to the upstreams that the platform's
 //! store lists.
 
+pub mod burst;
 pub mod daemon;
+pub mod delayed;
 pub mod evidence;
 pub mod metrics;
 pub mod path;
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -1,6 +1,11 @@
 //! Forwards packets from callers to upstreams.
 
 use super::{
+    burst::{
+        Burst,
+        Turn, //
+    },
+    delayed::DelayedPackets,
     evidence::Evidence,
     metrics::{
         PacketMetrics,
@@ -46,7 +51,6 @@
         Ref,
         RefCell, //
     },
-    collections::VecDeque,
     io,
     net::{
         SocketAddr,
@@ -62,9 +66,6 @@
 /// Idle time after which the state of a flow is evicted; its packets are still forwarded, by their label.
 const IDLE: Duration = Duration::from_secs(15);
 
-/// Maximum number of packets that are delayed at a time.
-const DELAYED_MAX: usize = 4_096;
-
 /// Number of retransmissions of a packet from which they are logged.
 const RETRANSMISSIONS_LOGGED: u32 = 2;
 
@@ -79,8 +80,9 @@
     /// Observations of upstreams to report to other daemons of the zone.
     evidence: Rc<Evidence>,
     metrics: Rc<PacketMetrics>,
-    /// Delayed packets with the ends of their delays.
-    delayed: RefCell<VecDeque<(Instant, Vec<u8>)>>,
+    /// Openings that are held back until the end of a burst.
+    burst: RefCell<Burst>,
+    delayed: RefCell<DelayedPackets>,
     wake: Wake,
     is_running: Cell<bool>,
 }
@@ -110,34 +112,55 @@
             view,
             evidence,
             metrics,
+            burst: RefCell::default(),
             delayed: RefCell::default(),
             wake: Wake::default(),
             is_running: Cell::new(false),
         }
     }
 
+    /// Address at which packets are received.
+    pub fn addr(&self) -> SocketAddr {
+        self.socket.addr()
+    }
+
     /// Whether packets are forwarded; false before [`PacketPath::run`] and between two runs.
     pub fn is_running(&self) -> bool {
         self.is_running.get()
     }
 
-    /// Forwards packets until the socket fails.
+    /// Forwards packets until the socket fails. Within a burst, packets of open flows come before openings.
     pub async fn run(&self) -> io::Result<()> {
         self.is_running.set(true);
         let _running = Running(self);
+        // A run that ended by a panic may have left openings of its last burst.
+        self.burst.borrow_mut().end();
         self.socket
-            .read_each(|datagram, _| self.handle(datagram), || ())
+            .read_bursts(
+                |datagram, _| self.read(datagram),
+                || (),
+                || {
+                    self.handle_held();
+                    self.burst.borrow_mut().end();
+                },
+            )
             .await
     }
 
     /// Handles delayed packets again when their delays end.
     pub async fn run_delayed(&self, timer: &Rc<Timer>) {
         loop {
-            let next = self.delayed.borrow_mut().pop_front();
+            let next = self.delayed.borrow_mut().pop();
             match next {
-                Some((until, datagram)) => {
-                    timer.sleep_until(until).await;
-                    self.handle(&datagram);
+                Some(delayed) => {
+                    timer.sleep_until(delayed.until).await;
+                    let now = Instant::now();
+                    match decode(&delayed.datagram) {
+                        Some(packet) if !delayed.is_expired(now) => {
+                            self.handle(&delayed.datagram, &packet, delayed.arrived, now);
+                        }
+                        _ => self.metrics.packets.inc(PacketResult::DroppedDelayed),
+                    }
                 }
                 None => self.wake.wait().await,
             }
@@ -158,7 +181,8 @@
         self.balancer.borrow()
     }
 
-    fn handle(&self, datagram: &[u8]) {
+    /// Handles a datagram of a burst, or holds it back until the end of the burst.
+    fn read(&self, datagram: &[u8]) {
         let Some(packet) = decode(datagram) else {
             self.metrics.packets.inc(PacketResult::Malformed);
             Event::new("packet_malformed")
@@ -166,21 +190,40 @@
                 .debug();
             return;
         };
+        let turn = self.burst.borrow_mut().next(&packet, datagram);
+        match turn {
+            Turn::Held => return,
+            Turn::AfterHeld => self.handle_held(),
+            Turn::Now => (),
+        }
         let now = Instant::now();
+        self.handle(datagram, &packet, now, now);
+    }
+
+    /// Handles the openings that are held back.
+    fn handle_held(&self) {
+        for (packet, datagram) in self.burst.borrow().held() {
+            let now = Instant::now();
+            self.handle(datagram, packet, now, now);
+        }
+        self.burst.borrow_mut().clear();
+    }
+
+    fn handle(&self, datagram: &[u8], packet: &Packet, arrived: Instant, now: Instant) {
         let directory = self.view.directory();
         let age = self.view.age(now);
         let mut balancer = self.balancer.borrow_mut();
-        let verdict = balancer.decide(&packet, &directory, self.view.is_fresh(now), now);
+        let verdict = balancer.decide(packet, &directory, self.view.is_fresh(now), now);
         let health_changes = balancer.take_health_changes();
         self.evidence.add_failed(balancer.take_failed());
         drop(balancer);
         self.metrics.packets.inc(PacketResult::from(&verdict));
-        self.execute(datagram, &packet, &verdict, now);
+        self.execute(datagram, packet, &verdict, arrived, now);
         self.share(&health_changes, now);
         for change in health_changes {
-            log_health_change(change, &packet);
+            log_health_change(change, packet);
         }
-        self.log(&packet, &verdict, &directory, age, now);
+        self.log(packet, &verdict, &directory, age, now);
     }
 
     /// Applies evidence about upstreams from other daemons of the zone.
@@ -229,14 +272,21 @@
         self.view.notify();
     }
 
-    fn execute(&self, datagram: &[u8], packet: &Packet, verdict: &Verdict, now: Instant) {
+    fn execute(
+        &self,
+        datagram: &[u8],
+        packet: &Packet,
+        verdict: &Verdict,
+        arrived: Instant,
+        now: Instant,
+    ) {
         match verdict {
             Verdict::Open(choice) => self.forward(datagram, choice.id, choice.to, choice.label),
             Verdict::Forward { id, to, event } => {
                 self.forward(datagram, *id, *to, packet.label);
                 self.observe(*event, now);
             }
-            Verdict::Wait { until } => self.delay(datagram, *until),
+            Verdict::Wait { until } => self.delay(datagram, arrived, *until),
             Verdict::Reset(reason) => {
                 self.reset(packet);
                 if *reason == ResetReason::NoUpstream {
@@ -262,12 +312,11 @@
         }
     }
 
-    /// Delays a packet; without room it is dropped, as the network would.
-    fn delay(&self, datagram: &[u8], until: Instant) {
-        let mut delayed = self.delayed.borrow_mut();
-        if delayed.len() < DELAYED_MAX {
-            delayed.push_back((until, datagram.to_vec()));
-            self.wake.set();
+    /// Delays a packet. Without room, or if the delay would be too long, it is dropped, as the network would.
+    fn delay(&self, datagram: &[u8], arrived: Instant, until: Instant) {
+        match self.delayed.borrow_mut().push(datagram, arrived, until) {
+            true => self.wake.set(),
+            false => self.metrics.packets.inc(PacketResult::DroppedDelayed),
         }
     }
 
--- a/crates/daemon/src/socket.rs
+++ b/crates/daemon/src/socket.rs
@@ -25,7 +25,7 @@
 pub const DATAGRAM_MAX: usize = 2048;
 
 /// Maximum number of datagrams read in a row before other tasks can run.
-const BURST_MAX: usize = 64;
+pub const BURST_MAX: usize = 64;
 
 /// A UDP socket that one task reads and any task writes.
 ///
@@ -102,7 +102,7 @@
         res.map(|_| ())
     }
 
-    /// Ends [`Socket::read_each`].
+    /// Ends [`Socket::read_each`] and [`Socket::read_bursts`].
     pub fn close(&self) {
         self.closed.set();
     }
@@ -115,7 +115,18 @@
         handle: impl FnMut(&[u8], SocketAddr),
         refused: impl FnMut(),
     ) -> io::Result<()> {
-        let reading = pin!(self.read_loop(handle, refused));
+        self.read_bursts(handle, refused, || ()).await
+    }
+
+    /// Like [`Socket::read_each`], and calls `end_burst` after the datagrams that were read in a row, also when the socket
+    /// fails among them.
+    pub async fn read_bursts(
+        &self,
+        handle: impl FnMut(&[u8], SocketAddr),
+        refused: impl FnMut(),
+        end_burst: impl FnMut(),
+    ) -> io::Result<()> {
+        let reading = pin!(self.read_loop(handle, refused, end_burst));
         match select(pin!(self.closed.wait()), reading).await {
             Either::Left(((), _)) => Ok(()),
             Either::Right((failed, _)) => failed,
@@ -126,10 +137,13 @@
         &self,
         mut handle: impl FnMut(&[u8], SocketAddr),
         mut refused: impl FnMut(),
+        mut end_burst: impl FnMut(),
     ) -> io::Result<()> {
         loop {
             self.rx.readable(false).await?;
-            self.read_burst(&mut handle, &mut refused)?;
+            let burst = self.read_burst(&mut handle, &mut refused);
+            end_burst();
+            burst?;
         }
     }
 
