--- a/crates/policy/tests/packets/own_delay.rs
+++ b/crates/policy/tests/packets/own_delay.rs
@@ -228,12 +228,15 @@
     assert_near(delay, 100.0);
 }
 
-/// Connect times that are not numbers must not reach the share of admitted openings.
+/// Connect times that no pool can have must neither hide a delay nor become a baseline.
 #[test]
 fn implausible_connect_times_are_ignored() {
     let mut daemon = Daemon::calm();
-    for connect_ms in [f64::NAN, f64::INFINITY, -1.0] {
-        let delay = daemon.windows(1, [connect_ms; 2], [MANY, MANY]);
+    let [_, delayed_ms] = delayed(100.0);
+    for connect_ms in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0] {
+        let delay = daemon.windows(1, [connect_ms, delayed_ms], [MANY, MANY]);
+        assert_near(delay, 100.0);
+        let delay = daemon.windows(1, CALM_MS, [MANY, MANY]);
         assert_near(delay, 0.0);
     }
 }
@@ -293,3 +296,26 @@
     admission.update(OWN_DELAY_GOAL * 8, 100);
     assert!((admission.admitted() - 0.7).abs() < 1e-6);
 }
+
+/// At the smallest share a daemon may observe too few connects to notice that its link is free, and would reject openings
+/// for ever.
+#[test]
+fn the_share_recovers_when_nothing_is_observed_any_more() {
+    let mut daemon = Daemon::calm();
+    let mut admission = OwnAdmission::default();
+    let mut windows = |daemon: &mut Daemon, n: u32, connects: f64| {
+        for _ in 0..n {
+            daemon.update(delayed(400.0), [connects, connects], 1);
+            admission.update(daemon.own_delay.delay(), 1);
+        }
+        admission.admitted()
+    };
+    assert_eq!(windows(&mut daemon, 20, MANY), 0.05);
+    assert_eq!(windows(&mut daemon, WINDOWS_PER_S, FEW), 0.05, "held");
+    let mut recovering = 0;
+    while windows(&mut daemon, 1, FEW) < 1.0 {
+        recovering += 1;
+        assert!(recovering < 30, "3 s after the delay was held for 1 s");
+    }
+    assert!(recovering > 10, "the delay decays first: {recovering}");
+}
