--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -22,6 +22,7 @@
 pub mod outlier_ejection;
 pub mod outstanding;
 pub mod overload;
+pub mod own_delay;
 pub mod packet;
 pub mod poll_schedule;
 pub mod readers;
