--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -24,6 +24,7 @@
 pub mod readers;
 pub mod restoration;
 pub mod shared_evidence;
+pub mod spillover;
 pub mod thundering_herd;
 pub mod version;
 
@@ -93,5 +94,9 @@
         FailedOpening,
         SilenceReports, //
     },
+    spillover::{
+        PoolLoad,
+        Spillover, //
+    },
     version::Version,
 };
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -16,5 +16,6 @@
 mod routes;
 mod scene;
 mod shared_evidence;
+mod spillover;
 mod spread_model;
 mod thundering_herd;
