--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -28,6 +28,7 @@
 pub mod readers;
 pub mod restoration;
 pub mod shared_evidence;
+pub mod spillover;
 pub mod subset;
 pub mod thundering_herd;
 pub mod version;
@@ -98,6 +99,10 @@
         FailedOpening,
         SilenceReports, //
     },
+    spillover::{
+        PoolLoad,
+        Spillover, //
+    },
     subset::Position,
     version::Version,
 };
