Sum load reports with their mean age and without repeated loads

A daemon that changes the daemon that it follows, or its role, held the load of the zone twice until the earlier report expired. The number of daemons in a sum could overflow, and finite values had no upper bound.

--- a/crates/policy/src/packets/load.rs
+++ b/crates/policy/src/packets/load.rs
@@ -5,7 +5,11 @@
 
 use smallvec::SmallVec;
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
     ops::{
         AddAssign,
         Mul, //
@@ -102,7 +106,18 @@
 
     /// Whether all sums are finite and not negative, and no part is larger than its whole.
     pub fn is_plausible(&self) -> bool {
-        let sums = [
+        let sums = self.sums();
+        sums.iter().all(|sum| sum.is_finite() && *sum >= 0.0)
+            && self.refusals <= self.answers
+            && self.refusal_s <= self.service_s
+    }
+
+    fn largest(&self) -> f64 {
+        self.sums().into_iter().fold(0.0, f64::max)
+    }
+
+    fn sums(&self) -> [f64; 8] {
+        [
             self.opened,
             self.failed,
             self.connects,
@@ -111,10 +126,7 @@
             self.service_s,
             self.refusals,
             self.refusal_s,
-        ];
-        sums.iter().all(|sum| sum.is_finite() && *sum >= 0.0)
-            && self.refusals <= self.answers
-            && self.refusal_s <= self.service_s
+        ]
     }
 
     fn is_empty(&self) -> bool {
@@ -125,6 +137,13 @@
 /// Sum of events below which a pool is treated as without traffic.
 const EMPTY: f64 = 0.01;
 
+/// Largest plausible sum of events, or of seconds, that one daemon observes: no daemon forwards a million openings in the
+/// time that the sums cover.
+const EVENTS_MAX: f64 = 1e6;
+
+/// Largest plausible number of daemons in a zone, three times that of the largest deployment.
+const DAEMONS_MAX: u32 = 1_024;
+
 /// Smallest number of events for a mean.
 const MEAN_MIN: f64 = 0.05;
 
@@ -193,8 +212,7 @@
     pub fn merge(&mut self, other: &Self) {
         let (mine, theirs) = (f64::from(self.daemons), f64::from(other.daemons));
         let services = self.admitted.iter().chain(&other.admitted);
-        let services: std::collections::BTreeSet<_> =
-            services.map(|(name, _)| Rc::clone(name)).collect();
+        let services: BTreeSet<_> = services.map(|(name, _)| Rc::clone(name)).collect();
         let share = |name: &Rc<str>| {
             let sum = self.admitted(name) * mine + other.admitted(name) * theirs;
             (Rc::clone(name), sum / (mine + theirs).max(1.0))
@@ -206,14 +224,29 @@
                 None => self.pools.push((pool.clone(), *counts)),
             }
         }
-        self.daemons += other.daemons;
+        self.daemons = self.daemons.saturating_add(other.daemons);
+    }
+
+    /// Whether all values are in the ranges that daemons of one zone can observe.
+    pub fn is_plausible(&self) -> bool {
+        let most = EVENTS_MAX * f64::from(self.daemons);
+        let is_possible = |counts: &Counts| counts.is_plausible() && counts.largest() <= most;
+        (1..=DAEMONS_MAX).contains(&self.daemons)
+            && self.pools.iter().all(|(_, counts)| is_possible(counts))
+            && self
+                .admitted
+                .iter()
+                .all(|(_, admitted)| (0.0..=1.0).contains(admitted))
     }
 }
 
+/// Observations by the zone of the upstreams.
+type ByZone = SmallVec<[(Rc<str>, Counts); 4]>;
+
 /// Observations of this daemon.
 #[derive(Clone, Debug, Default)]
 pub struct LoadMeter {
-    pools: HashMap<Rc<str>, SmallVec<[(Rc<str>, Counts); 4]>>,
+    pools: HashMap<Rc<str>, ByZone>,
     decayed: Option<Instant>,
 }
 
@@ -285,6 +318,20 @@
     Follower,
     /// It is a reader like this daemon, and its report holds the loads of its followers.
     Peer,
+    /// This daemon follows it, and its report holds the loads of all other daemons of the zone.
+    Source,
+}
+
+/// A report with the mean age of the observations in it.
+///
+/// The oldest age would not do: in a zone with relays, a report that passes several daemons at the interval of the
+/// exchange would expire without any failure.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgedReport {
+    /// The report.
+    pub report: LoadReport,
+    /// Mean age over the daemons in the report.
+    pub age: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -295,15 +342,18 @@
 }
 
 /// Latest load reports of other daemons of the zone.
+///
+/// They are summed in the order of the names, so that simulations are reproducible.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneLoad {
-    received: HashMap<Rc<str>, ReceivedReport>,
+    received: BTreeMap<Rc<str>, ReceivedReport>,
 }
 
 impl ZoneLoad {
     /// Records the report of a VM, observed at `at`; a report with implausible values is discarded.
     ///
-    /// Returns whether the report is used.
+    /// The report of a source holds what other sources and peers report, so that these are removed; the report of a
+    /// peer removes that of a source. Returns whether the report is used.
     pub fn record(
         &mut self,
         vm: Rc<str>,
@@ -311,21 +361,51 @@
         reporter: Reporter,
         at: Instant,
     ) -> bool {
-        let is_plausible = report.daemons > 0
-            && report.pools.iter().all(|(_, counts)| counts.is_plausible())
-            && report
-                .admitted
-                .iter()
-                .all(|(_, admitted)| (0.0..=1.0).contains(admitted));
-        if is_plausible {
-            let received = ReceivedReport {
-                report,
-                reporter,
-                at,
-            };
-            self.received.insert(vm, received);
+        if !report.is_plausible() {
+            return false;
+        }
+        match reporter {
+            Reporter::Follower => (),
+            Reporter::Peer => self
+                .received
+                .retain(|_, received| received.reporter != Reporter::Source),
+            Reporter::Source => self
+                .received
+                .retain(|_, received| received.reporter == Reporter::Follower),
+        }
+        let received = ReceivedReport {
+            report,
+            reporter,
+            at,
+        };
+        self.received.insert(vm, received);
+        true
+    }
+
+    /// Report for the daemon `vm`: the observations of this daemon, and those of others that reach `vm` through it.
+    ///
+    /// `recipient` is the relation of `vm` to this daemon. What `vm` itself reported is left out.
+    pub fn report_for(
+        &self,
+        vm: &str,
+        recipient: Reporter,
+        own: LoadReport,
+        now: Instant,
+    ) -> AgedReport {
+        let is_wanted = |other: &str, reporter| match recipient {
+            Reporter::Follower => other != vm,
+            Reporter::Peer | Reporter::Source => other != vm && reporter == Reporter::Follower,
+        };
+        let age: Duration = self
+            .recent(now, is_wanted)
+            .map(|received| now.saturating_duration_since(received.at) * received.report.daemons)
+            .sum();
+        let mut report = own;
+        report.merge(&self.sum(now, is_wanted));
+        AgedReport {
+            age: age / report.daemons.max(1),
+            report,
         }
-        is_plausible
     }
 
     /// Sum of the recent reports of all daemons but `except`.
@@ -351,11 +431,20 @@
 
     fn sum(&self, now: Instant, is_wanted: impl Fn(&str, Reporter) -> bool) -> LoadReport {
         let mut sum = LoadReport::default();
-        for (vm, received) in &self.received {
-            if now < received.at + REPORT_TTL && is_wanted(vm, received.reporter) {
-                sum.merge(&received.report);
-            }
+        for received in self.recent(now, is_wanted) {
+            sum.merge(&received.report);
         }
         sum
     }
+
+    fn recent(
+        &self,
+        now: Instant,
+        is_wanted: impl Fn(&str, Reporter) -> bool,
+    ) -> impl Iterator<Item = &ReceivedReport> {
+        let wanted = self.received.iter().filter(move |(vm, received)| {
+            now < received.at + REPORT_TTL && is_wanted(vm, received.reporter)
+        });
+        wanted.map(|(_, received)| received)
+    }
 }
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -63,6 +63,7 @@
     },
     flows::FlowEvent,
     load::{
+        AgedReport,
         Counts,
         LoadReport,
         Pool,
--- a/crates/policy/src/packets/readers.rs
+++ b/crates/policy/src/packets/readers.rs
@@ -87,6 +87,20 @@
     })
 }
 
+/// Daemons with which one that follows no other exchanges loads: all others of a small zone, and the other readers of
+/// a larger one.
+pub fn peers(members: &Members) -> Vec<Member> {
+    let me = &members.me().vm;
+    let live = members.live_in_zone(&members.me().zone);
+    let names: Vec<&str> = live.map(|member| &*member.vm).collect();
+    let readers = match names.len() <= ALONE_MAX {
+        true => names,
+        false => rendezvous::ranked(READER, names.iter().copied(), READERS).to_vec(),
+    };
+    let others = readers.into_iter().filter(|vm| *vm != &**me);
+    others.filter_map(|vm| members.get(vm).cloned()).collect()
+}
+
 /// Picks two of these daemons in an order specific to this daemon, which distributes the followers evenly.
 fn sources(members: &Members, from: &[&str]) -> Vec<Member> {
     let me = &members.me().vm;
