Exchange load reports between the daemons of a zone

While its own services are busy, a follower reports to the daemon that it follows, over the open link, and gets the sum of all others. Readers, and the daemons of small zones, exchange as peers and keep a link for as long as the exchange lasts. The balancer is told the time of day and the number of live daemons once a second.

--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -59,13 +59,18 @@
     rc::Rc,
     time::{
         Duration,
-        Instant, //
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
     },
 };
 
 /// Interval at which expired state is evicted.
 const EVICTION_PERIOD: Duration = Duration::from_secs(1);
 
+/// Interval at which the balancer is told the time of day and the number of live daemons.
+const SURROUNDINGS_PERIOD: Duration = Duration::from_secs(1);
+
 /// Interval at which the settings file is read again, because it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
 
@@ -232,6 +237,11 @@
         let daemon = Rc::clone(&evicting);
         async move { daemon.evict_periodically().await }
     });
+    let surrounded = Rc::clone(daemon);
+    supervisor.child("surroundings", Restart::Always, move |_| {
+        let daemon = Rc::clone(&surrounded);
+        async move { daemon.update_surroundings().await }
+    });
     start_reload(daemon, hangup, supervisor);
     start_zone(daemon, supervisor)?;
     start_ready(daemon, supervisor)?;
@@ -257,6 +267,7 @@
     zone_child(supervisor, "zone_members", &zone, Zone::exchange_members);
     zone_child(supervisor, "zone_evidence", &zone, Zone::report_failures);
     zone_child(supervisor, "zone_feed", &zone, Zone::follow);
+    zone_child(supervisor, "zone_load", &zone, Zone::exchange_loads);
     Ok(())
 }
 
@@ -348,6 +359,19 @@
         }
     }
 
+    /// Tells the balancer the time of day and the number of live daemons in the zone.
+    async fn update_surroundings(&self) -> anyhow::Result<()> {
+        let mut ticks = self.timer.subscribe(SURROUNDINGS_PERIOD);
+        loop {
+            let live_daemons = self.zone.as_ref().map_or(1, |zone| zone.member_count());
+            // A clock before 1970 only changes the ranks of callers.
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+            self.path
+                .set_surroundings(unix.unwrap_or_default(), live_daemons);
+            ticks.tick().await;
+        }
+    }
+
     async fn watch_settings(&self) -> anyhow::Result<()> {
         let mut ticks = self.timer.subscribe(SETTINGS_PERIOD);
         loop {
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -31,6 +31,7 @@
     FailedOpening,
     FlowEvent,
     HealthChange,
+    LoadReport,
     Missing,
     Packet,
     PeerReport,
@@ -158,6 +159,17 @@
         self.balancer.borrow()
     }
 
+    /// Sets the time of day and the number of live daemons in the zone, this one included.
+    pub fn set_surroundings(&self, unix: Duration, live_daemons: usize) {
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.set_surroundings(unix, live_daemons, Instant::now());
+    }
+
+    /// Applies the sum of the loads that all other daemons of the zone observe.
+    pub fn apply_zone_load(&self, others: LoadReport, now: Instant) {
+        self.balancer.borrow_mut().apply_zone_load(others, now);
+    }
+
     fn handle(&self, datagram: &[u8]) {
         let Some(packet) = decode(datagram) else {
             self.metrics.packets.inc(PacketResult::Malformed);
--- a/crates/daemon/src/packets/zone/follower.rs
+++ b/crates/daemon/src/packets/zone/follower.rs
@@ -232,7 +232,7 @@
                 });
                 applied
             }
-            ZoneReply::Met(_) | ZoneReply::Noted => Err(SyncError::BadReply),
+            ZoneReply::Met(_) | ZoneReply::Noted | ZoneReply::Load(_) => Err(SyncError::BadReply),
         }
     }
 
--- a/crates/daemon/src/packets/zone/message.rs
+++ b/crates/daemon/src/packets/zone/message.rs
@@ -1,8 +1,11 @@
 //! Messages between the daemons of a zone.
 
-use super::change_set::{
-    ChangeSetRecord,
-    VersionRecord, //
+use super::{
+    change_set::{
+        ChangeSetRecord,
+        VersionRecord, //
+    },
+    load_record::LoadRecord,
 };
 use crate::links::message;
 use bincode::{
@@ -34,6 +37,15 @@
 /// 2 KB/s.
 pub(super) const EVIDENCE_MAX: usize = 16;
 
+/// Maximum number of services in one load report.
+pub(super) const LOAD_SERVICES_MAX: usize = 32;
+
+/// Maximum number of pools in one load report; with services and names of the maximum number and length it takes 11 KB.
+pub(super) const LOAD_POOLS_MAX: usize = 32;
+
+/// Maximum length of a name in a load report, in bytes.
+pub(super) const LOAD_NAME_MAX: usize = 128;
+
 /// Memory that a decoded message may claim, in bytes.
 const DECODED_MAX: usize = 2 * super::BODY_MAX;
 
@@ -58,6 +70,8 @@
     },
     /// Reports openings that failed.
     Tell(Vec<FailedOpeningRecord>),
+    /// Reports the load that the sender and its followers observe, and asks for that of others.
+    Load(LoadRecord),
 }
 
 /// An opening that failed.
@@ -95,8 +109,10 @@
     Met(Vec<MemberUpdate>),
     /// Changes after the version asked for.
     Changes(Changes),
-    /// The reported openings are recorded.
+    /// The request needs no other answer, or is not answered because the daemons disagree on their roles.
     Noted,
+    /// Load that the answering daemon and others observe, without that of the asker.
+    Load(LoadRecord),
 }
 
 /// Changes after a version, and how fresh they are.
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -7,11 +7,14 @@
 mod discovery;
 mod failure_reports;
 mod follower;
+mod load_exchange;
+pub mod load_record;
 pub mod message;
 mod server;
 
 pub use self::{
     change_set::ChangeSetRecord,
+    load_record::LoadRecord,
     message::{
         Changes,
         ZoneReply,
@@ -19,6 +22,7 @@
     },
 };
 
+use self::load_exchange::LoadExchange;
 use super::{
     evidence::Evidence,
     metrics::PacketMetrics,
@@ -112,6 +116,7 @@
     asked: Cell<Option<Instant>>,
     /// Daemons that are asked for changes which a restored store has lost.
     lost_changes: RefCell<LostChanges>,
+    loads: LoadExchange,
 }
 
 impl Zone {
@@ -136,6 +141,7 @@
             lost: Wake::default(),
             asked: Cell::new(None),
             lost_changes: RefCell::default(),
+            loads: LoadExchange::default(),
         })
     }
 
@@ -194,6 +200,15 @@
         if let ZoneRequest::Watch { .. } = request {
             *self.link.borrow_mut() = Some((addr, tx.clone()));
         }
+        self.send(tx, request).await
+    }
+
+    /// Sends a request over an open link.
+    async fn send(
+        &self,
+        tx: SendRequest<Bytes>,
+        request: &ZoneRequest,
+    ) -> Result<ZoneReply, LinkError> {
         let request = message::encode(request);
         self.parts
             .metrics
--- a/crates/daemon/src/packets/zone/server.rs
+++ b/crates/daemon/src/packets/zone/server.rs
@@ -126,6 +126,7 @@
                 self.watch(after.into(), synced_from, belief, wait).await
             }
             ZoneRequest::Tell(failed) => self.apply_failed(&failed),
+            ZoneRequest::Load(record) => self.answer_load(&record),
         };
         let body = message::encode(&reply);
         self.parts.metrics.zone_bytes_sent.inc_by(body.len() as u64);
--- a/crates/daemon/tests/packets/zone.rs
+++ b/crates/daemon/tests/packets/zone.rs
@@ -6,11 +6,17 @@
     Scene, //
 };
 use foxtailhinge::packets::zone::{
+    load_record::{
+        PoolRecord,
+        ReporterRecord,
+        ServiceRecord, //
+    },
     message::{
         decode,
         encode,
         FailedOpeningRecord, //
     },
+    LoadRecord,
     ZoneReply,
     ZoneRequest, //
 };
@@ -311,6 +317,77 @@
     }
 }
 
+/// Load report of a daemon that has forwarded 5 openings to one pool.
+fn load(vm: &str, reporter: ReporterRecord) -> LoadRecord {
+    let pool = PoolRecord {
+        zone: "windhoek-1".to_owned(),
+        opened: 5_000,
+        ..PoolRecord::default()
+    };
+    LoadRecord {
+        vm: vm.to_owned(),
+        reporter,
+        daemons: 1,
+        age_ms: 0,
+        services: vec![ServiceRecord {
+            name: "syncdesk-api".to_owned(),
+            admitted: None,
+            pools: vec![pool],
+        }],
+    }
+}
+
+/// Number of daemons, and of openings in thousandths, in the answer of a daemon to a load report.
+fn loads_from(addr: SocketAddr, record: LoadRecord) -> Option<(u32, u64)> {
+    match post(addr, &ZoneRequest::Load(record)) {
+        ZoneReply::Load(answer) => {
+            assert_eq!(answer.reporter, ReporterRecord::Source);
+            let pools = answer.services.iter().flat_map(|service| &service.pools);
+            Some((answer.daemons, pools.map(|pool| pool.opened).sum()))
+        }
+        ZoneReply::Noted => None,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Guards against loads that do not reach other followers, that cross zones, that are false, or that stay after their
+// daemon has gone.
+#[test]
+fn a_reader_passes_loads_on_between_its_followers() {
+    let scene = start();
+    let reader = readers(&scene)[0];
+    let addr = scene.zone_addr(reader);
+    let statuses: Vec<_> = (0..DAEMONS)
+        .map(|index| scene.status(index).unwrap())
+        .collect();
+    let zone = &statuses[reader].zone;
+    let followers = (0..DAEMONS).filter(|index| {
+        let status = &statuses[*index];
+        status.zone == *zone && status.role == StoreRole::Follower
+    });
+    let followers: Vec<_> = followers.collect();
+    let [one, two, ..] = followers[..] else {
+        panic!("{followers:?} of {zone}");
+    };
+    let vm = |index: usize| &*statuses[index].vm;
+    let far = statuses.iter().find(|status| status.zone != *zone).unwrap();
+    let follower = ReporterRecord::Follower;
+    assert_eq!(loads_from(addr, load(vm(one), follower)), Some((1, 0)));
+    assert_eq!(loads_from(addr, load(&far.vm, follower)), None);
+    assert_eq!(loads_from(addr, load("vm-unknown", follower)), None);
+    let mut false_load = load(vm(one), follower);
+    false_load.daemons = u32::MAX;
+    assert_eq!(loads_from(addr, false_load), Some((1, 0)));
+    assert_eq!(loads_from(addr, load(vm(two), follower)), Some((2, 5_000)));
+    assert_eq!(scene.events(reader, "load_report_dropped").len(), 1);
+    let asked = scene.zone_addr(one);
+    let peer = load(vm(two), ReporterRecord::Peer);
+    assert_eq!(loads_from(asked, peer), None, "a follower is nobody's peer");
+    // The lifetime of a report, and some.
+    scene.run(1_200);
+    assert_eq!(loads_from(addr, load(vm(two), follower)), Some((1, 0)));
+}
+
 #[test]
 fn daemons_that_all_start_without_the_store_and_its_history_do_not_wait_for_each_other() {
     let mut scene = start();
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -5,19 +5,31 @@
         ChangeRecord,
         ItemRecord, //
     },
+    load_record::{
+        LoadRecordError,
+        PoolRecord,
+        ReporterRecord,
+        ServiceRecord, //
+    },
     message::{
         decode,
         encode, //
     },
     ChangeSetRecord,
+    LoadRecord,
     ZoneReply,
     ZoneRequest, //
 };
 use foxtailhinge_policy::packets::{
+    AgedReport,
     Change,
     ChangeSet,
     Configuration,
+    Counts,
     Item,
+    LoadReport,
+    Pool,
+    Reporter,
     Route,
     Seniority,
     Target,
@@ -30,7 +42,10 @@
     Gen,
     QuickCheck, //
 };
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Generated cases of each property.
 const CASES: u64 = 20_000;
@@ -40,6 +55,10 @@
 const INPUT_MAX: usize = 300;
 /// Largest encoded size of one upstream, in bytes.
 const UPSTREAM_BYTES_MAX: usize = 40;
+/// Largest encoded size of the load of one service in one zone, in bytes, with names and values of a busy daemon.
+const POOL_BYTES_MAX: usize = 50;
+/// Largest encoded size of a load report, in bytes.
+const LOAD_BYTES_MAX: usize = 11 << 10;
 
 fn item(revision: u64, change: Change, key: &str) -> Item {
     Item {
@@ -150,6 +169,177 @@
     assert!(record.decode().is_err());
 }
 
+fn load_counts(number: usize) -> Counts {
+    let events = number as f64 + 1.0;
+    Counts {
+        opened: events * 9.0,
+        failed: events / 8.0,
+        connects: events * 8.5,
+        connect_s: events / 16.0,
+        answers: events * 8.0,
+        service_s: events / 5.0,
+        refusals: events,
+        refusal_s: events / 250.0,
+    }
+}
+
+/// Report of two daemons with traffic to `services` services in two zones each.
+fn load(services: usize) -> AgedReport {
+    let names = (0..services).map(|number| format!("syncdesk-{number:02}"));
+    let pools = names.flat_map(|service| {
+        ["whk-a", "whk-b"].map(|zone| Pool {
+            service: (*service).into(),
+            zone: zone.into(),
+        })
+    });
+    AgedReport {
+        report: LoadReport {
+            daemons: 2,
+            pools: (0..)
+                .zip(pools)
+                .map(|(number, pool)| (pool, load_counts(number)))
+                .collect(),
+            admitted: [("certvault".into(), 0.25), ("syncdesk-00".into(), 0.0)]
+                .into_iter()
+                .collect(),
+        },
+        age: Duration::from_millis(120),
+    }
+}
+
+fn load_record(services: usize) -> LoadRecord {
+    LoadRecord::new("vm-1", Reporter::Follower, &load(services))
+}
+
+// Guards against a field that is left out, mixed up with another one, or scaled differently by the two directions.
+#[test]
+fn a_load_report_round_trips() {
+    let sent = Instant::now();
+    let request = ZoneRequest::Load(load_record(2));
+    let Some(ZoneRequest::Load(record)) = decode(&encode(&request)) else {
+        panic!("the request decodes to a load report");
+    };
+    assert_eq!(record.vm, "vm-1");
+    assert_eq!(record.reporter, ReporterRecord::Follower);
+    let (report, at) = record.decode(sent).unwrap();
+    assert_eq!(sent - at, Duration::from_millis(120));
+    let original = load(2).report;
+    assert_eq!(report.daemons, original.daemons);
+    for (pool, counts) in &original.pools {
+        assert_eq!(report.counts(&pool.service, &pool.zone), *counts);
+    }
+    assert_eq!(report.pools.len(), original.pools.len());
+    for service in ["certvault", "syncdesk-00", "syncdesk-01"] {
+        assert_eq!(report.admitted(service), original.admitted(service));
+    }
+}
+
+// Guards against reports that exceed the traffic allowed between daemons.
+#[test]
+fn a_load_report_is_encoded_compactly() {
+    let len = |services| encode(&ZoneRequest::Load(load_record(services))).len();
+    let each = (len(12) - len(2)) / 20;
+    assert!(each <= POOL_BYTES_MAX, "{each} bytes");
+}
+
+// Guards against a report of unbounded length, and against one that leaves out the busiest pools.
+#[test]
+fn a_long_load_report_is_cut_to_the_busiest_pools() {
+    let mut aged = load(100);
+    let long: String = "n".repeat(128);
+    for (number, (pool, counts)) in aged.report.pools.iter_mut().enumerate() {
+        pool.service = format!("{number:03}{}", &long[3..]).as_str().into();
+        pool.zone = long.as_str().into();
+        *counts = load_counts(number * 100) * 1e9;
+    }
+    aged.report.daemons = 1_024;
+    let record = LoadRecord::new(&long, Reporter::Peer, &aged);
+    let zones = record.services.iter().map(|service| service.pools.len());
+    assert_eq!(zones.sum::<usize>(), 32);
+    let names = record.services.iter().map(|service| &service.name[..3]);
+    assert!(names.clone().all(|name| name >= "168"), "{names:?}");
+    let bytes = encode(&ZoneRequest::Load(record)).len();
+    assert!(bytes <= LOAD_BYTES_MAX, "{bytes} bytes");
+    let too_long = Pool {
+        service: "n".repeat(129).as_str().into(),
+        zone: "whk-a".into(),
+    };
+    aged.report.pools = [(too_long, load_counts(1))].into_iter().collect();
+    let record = LoadRecord::new("vm-1", Reporter::Peer, &aged);
+    assert!(record.services.iter().all(|one| one.pools.is_empty()));
+}
+
+// Guards against values that overflow or are not numbers, which must not end the daemon that sends them.
+#[test]
+fn values_out_of_range_saturate() {
+    let mut aged = load(1);
+    aged.report.pools[0].1 = Counts {
+        opened: f64::MAX,
+        failed: f64::NAN,
+        connects: -1.0,
+        connect_s: f64::INFINITY,
+        ..Counts::default()
+    };
+    aged.age = Duration::MAX;
+    let record = LoadRecord::new("vm-1", Reporter::Peer, &aged);
+    assert_eq!(record.age_ms, u32::MAX);
+    let service = &record.services[1];
+    let expected = PoolRecord {
+        zone: "whk-a".into(),
+        opened: u64::MAX,
+        connect_us: u64::MAX,
+        ..PoolRecord::default()
+    };
+    assert!(service.pools.contains(&expected), "{service:?}");
+    assert_eq!(
+        record.decode(Instant::now()),
+        Err(LoadRecordError::Implausible)
+    );
+}
+
+// Guards against false or old values of another daemon that enter the sums, and against lists that take much memory.
+#[test]
+fn a_load_report_that_cannot_be_true_is_rejected() {
+    fn decoded(change: fn(&mut LoadRecord)) -> LoadRecordError {
+        let mut record = load_record(2);
+        change(&mut record);
+        record.decode(Instant::now()).unwrap_err()
+    }
+    use LoadRecordError::{
+        Expired,
+        Implausible,
+        LongName,
+        TooLong, //
+    };
+    let busy = |record: &mut LoadRecord| record.services[1].pools[0].opened = u64::MAX;
+    assert_eq!(decoded(busy), Implausible);
+    let refusing = |record: &mut LoadRecord| record.services[1].pools[0].refusals = 1_000_000;
+    assert_eq!(decoded(refusing), Implausible);
+    let admitting = |record: &mut LoadRecord| record.services[1].admitted = Some(10_001);
+    assert_eq!(decoded(admitting), Implausible);
+    assert_eq!(decoded(|record| record.daemons = 0), Implausible);
+    assert_eq!(decoded(|record| record.daemons = u32::MAX), Implausible);
+    assert_eq!(decoded(|record| record.age_ms = 1_000), Expired);
+    assert_eq!(decoded(|record| record.age_ms = u32::MAX), Expired);
+    let named = |record: &mut LoadRecord| record.services[1].pools[0].zone = "z".repeat(129);
+    assert_eq!(decoded(named), LongName);
+    let named = |record: &mut LoadRecord| record.services[1].name = "n".repeat(129);
+    assert_eq!(decoded(named), LongName);
+    let many = |record: &mut LoadRecord| {
+        record.services[1].pools = vec![PoolRecord::default(); 33];
+    };
+    assert_eq!(decoded(many), TooLong);
+    let many = |record: &mut LoadRecord| {
+        let service = ServiceRecord {
+            name: "certvault".into(),
+            admitted: None,
+            pools: Vec::new(),
+        };
+        record.services = vec![service; 33];
+    };
+    assert_eq!(decoded(many), TooLong);
+}
+
 #[test]
 fn a_message_of_another_version_is_rejected() {
     let mut bytes = encode(&ZoneRequest::Meet(Vec::new()));
@@ -171,7 +361,9 @@
         if let (true, Some(first)) = (is_versioned, bytes.first_mut()) {
             *first = encode(&())[0];
         }
-        let _ = decode::<ZoneRequest>(&bytes);
+        if let Some(ZoneRequest::Load(record)) = decode::<ZoneRequest>(&bytes) {
+            let _ = record.decode(Instant::now());
+        }
         if let Some(ZoneReply::Changes(changes)) = decode::<ZoneReply>(&bytes) {
             let _ = changes.news.decode();
         }
@@ -196,6 +388,22 @@
     check(property as fn(usize, u8) -> bool);
 }
 
+// Guards against a damaged load report that ends the daemon, or that passes with values out of range.
+#[test]
+fn a_changed_byte_of_a_load_report_is_decoded_or_rejected() {
+    fn property(at: usize, to: u8) -> bool {
+        let mut bytes = encode(&ZoneRequest::Load(load_record(3)));
+        let at = at % bytes.len();
+        bytes[at] = to;
+        let Some(ZoneRequest::Load(record)) = decode(&bytes) else {
+            return true;
+        };
+        let decoded = record.decode(Instant::now()).ok();
+        decoded.is_none_or(|(report, _)| report.is_plausible())
+    }
+    check(property as fn(usize, u8) -> bool);
+}
+
 fn check<A: quickcheck::Testable>(property: A) {
     let gen = Gen::from_size_and_seed(INPUT_MAX, SEED);
     QuickCheck::new().rng(gen).tests(CASES).quickcheck(property);
--- a/crates/policy/tests/packets/readers.rs
+++ b/crates/policy/tests/packets/readers.rs
@@ -9,6 +9,7 @@
     },
     packets::{
         readers::{
+            peers,
             role,
             ALONE_MAX,
             FANOUT,
@@ -100,6 +101,29 @@
     }
 }
 
+// Guards against daemons whose followers never learn of each other's load, and against loads that cross zones.
+#[test]
+fn readers_and_the_daemons_of_a_small_zone_are_peers() {
+    for daemons in [1, 2, 3, 4, 49] {
+        let mut views = views(1..daemons + 1);
+        for view in &mut views {
+            view.merge_without_gossip(member(400, "b"), Instant::now());
+        }
+        let readers = match daemons <= ALONE_MAX {
+            true => views.iter().map(|view| view.me().vm.to_string()).collect(),
+            false => readers(&views),
+        };
+        for view in &views {
+            let mut expected = readers.clone();
+            expected.retain(|vm| **vm != *view.me().vm);
+            let mut found: Vec<_> = peers(view).iter().map(|m| m.vm.to_string()).collect();
+            expected.sort();
+            found.sort();
+            assert_eq!(found, expected);
+        }
+    }
+}
+
 #[test]
 fn daemons_of_other_zones_do_not_count() {
     let mut view = views(1..3).remove(0);
