--- a/crates/daemon/src/packets/zone/load_exchange.rs
+++ b/crates/daemon/src/packets/zone/load_exchange.rs
@@ -257,10 +257,15 @@
 }
 
 fn log_failure(vm: &Rc<str>, outcome: &Result<(), LoadError>) {
-    if let Err(err) = outcome {
-        Event::new("load_not_exchanged")
-            .field("vm", vm)
-            .field("cause", err)
-            .info();
+    let Err(err) = outcome else {
+        return;
+    };
+    let event = Event::new("load_not_exchanged")
+        .field("vm", vm)
+        .field("cause", err);
+    match err {
+        // Lists of members differ for a while after each change.
+        LoadError::Declined => event.debug(),
+        LoadError::Link(_) | LoadError::BadReply => event.info(),
     }
 }
