--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -36,9 +36,11 @@
     FailedOpening,
     FlowEvent,
     HealthChange,
+    LoadReport,
     Missing,
     Packet,
     PeerReport,
+    Position,
     ResetReason,
     Standing,
     UpstreamId,
@@ -181,6 +183,17 @@
         self.balancer.borrow()
     }
 
+    /// Sets the time of day and the position among the live daemons of the zone.
+    pub fn set_surroundings(&self, unix: Duration, position: Position) {
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.set_surroundings(unix, position, Instant::now());
+    }
+
+    /// Applies the sum of the loads that all other daemons of the zone observe.
+    pub fn apply_zone_load(&self, others: LoadReport, now: Instant) {
+        self.balancer.borrow_mut().apply_zone_load(others, now);
+    }
+
     /// Handles a datagram of a burst, or holds it back until the end of the burst.
     fn read(&self, datagram: &[u8]) {
         let Some(packet) = decode(datagram) else {
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -40,7 +40,10 @@
         Openings, //
     },
     outlier_ejection::OutlierEjection,
-    overload::Overload,
+    overload::{
+        Admission,
+        Overload, //
+    },
     packet::{
         FlowId,
         Kind,
@@ -328,10 +331,12 @@
     ) -> Verdict {
         let mut tried = self.openings.tried(packet.flow, now);
         let service = draw_service(route, &mut self.rng);
+        let mut admission = Admission::HERE;
         if tried.is_empty() {
             let caller = *packet.flow.caller.ip();
-            if !self.overload.admit(caller, service, route, now) {
-                return Verdict::Reset(ResetReason::Overload);
+            admission = self.overload.admit(caller, service, route, now);
+            if let Admission::Rejected(reason) = admission {
+                return Verdict::Reset(reason);
             }
             if let Some(until) = self.herd.delay_until(packet.ack, route.target_latency, now) {
                 return Verdict::Wait { until };
@@ -343,9 +348,11 @@
         };
         self.eject_silent(&tried, &refused, now);
         tried.extend(refused);
+        let draw = self.rng.random();
+        let leaves_for = self.overload.zone_for(service, admission, draw);
         let chooser = Chooser {
             zone: &self.zone,
-            preferred: &self.zone,
+            preferred: leaves_for.as_ref().unwrap_or(&self.zone),
             busy: self.overload.busy(service),
             directory,
             flows: &self.flows,
@@ -438,7 +445,9 @@
             if let FlowEvent::Retransmission(_) = event {
                 self.suspect(packet.flow, (id, known), route.target_latency, now);
             }
-            if packet.len > 0 && self.dead.is_dead(id, now) {
+            let service = &known.upstream.service;
+            let is_evidence = self.overload.unanswered_allowance(service).is_some();
+            if packet.len > 0 && is_evidence && self.dead.is_dead(id, now) {
                 self.flows.end(packet.flow, id);
                 return Verdict::Reset(ResetReason::DeadUpstream);
             }
@@ -489,11 +498,15 @@
         let Some(asked) = self.flows.unanswered(flow, id) else {
             return;
         };
+        let service = &known.upstream.service;
+        let Some(allowance) = self.overload.unanswered_allowance(service) else {
+            return;
+        };
         let request = Unanswered {
             caller: *flow.caller.ip(),
             since: asked.first,
             target_latency,
-            allowance: Duration::ZERO,
+            allowance,
             is_unlisted: known.is_gone(now),
         };
         if self.dead.record(id, request, now) {
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -69,6 +69,7 @@
     },
     flows::FlowEvent,
     load::{
+        AgedReport,
         Counts,
         LoadReport,
         Pool,
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -1,6 +1,7 @@
 //! Decisions under load: measures the load of services, rejects openings and sends flows to other zones.
 
 use super::{
+    balancer::ResetReason,
     choice::Busy,
     congestion::{
         Congestion,
@@ -26,6 +27,14 @@
         LoadSettings,
         ServiceLoad, //
     },
+    own_delay::{
+        OwnAdmission,
+        OwnDelay, //
+    },
+    spillover::{
+        PoolLoad,
+        Spillover, //
+    },
     subset::Position, //
 };
 use smallvec::SmallVec;
@@ -48,6 +57,18 @@
 /// Own pressure from which the admitted share of other daemons counts: no daemon rejects on the word of others alone.
 const TRUSTED_PRESSURE: f64 = 0.5;
 
+/// Own delay above which unanswered requests say nothing about an upstream.
+const OWN_DELAY_MAX: Duration = Duration::from_millis(100);
+
+/// Own delay up to which the failure detector ignores it.
+const OWN_DELAY_MIN: Duration = Duration::from_millis(10);
+
+/// Own delay from which operators are told that it began; at half of it they are told that it ended.
+const OWN_DELAY_REPORTED: Duration = Duration::from_millis(50);
+
+/// Multiple of a mean delay within which nearly all packets arrive.
+const ALLOWANCE_FACTOR: u32 = 4;
+
 /// Weight of a new connect time in the moving average.
 const CONNECT_GAIN: f64 = 0.125;
 
@@ -61,6 +82,25 @@
 /// Time without traffic after which the state of a service is evicted.
 const SERVICE_TTL: Duration = Duration::from_secs(60);
 
+/// Decision about an opening.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// The caller is served, at this place among the admitted callers, from 0 (first) to 1.
+    Admitted {
+        /// The place.
+        among_admitted: f64,
+    },
+    /// The opening is rejected.
+    Rejected(ResetReason),
+}
+
+impl Admission {
+    /// The caller is served in the own zone.
+    pub const HERE: Self = Self::Admitted {
+        among_admitted: 0.0,
+    };
+}
+
 /// Response of an upstream, as the next packet of the caller shows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Response {
@@ -80,6 +120,7 @@
     last_used: Instant,
     congestion: Congestion,
     admitted: AdmittedShare,
+    spillover: Spillover,
     order: AdmissionOrder,
     /// Pressure that this daemon observes by itself.
     own_pressure: f64,
@@ -95,6 +136,7 @@
             last_used: now,
             congestion: Congestion::default(),
             admitted: AdmittedShare::default(),
+            spillover: Spillover::default(),
             order: AdmissionOrder::default(),
             own_pressure: 0.0,
             load: ServiceLoad {
@@ -145,6 +187,9 @@
     /// A time of day and the instant to which it belongs.
     clock: Option<(Duration, Instant)>,
     events: Vec<LoadEvent>,
+    own_delay: OwnDelay,
+    own_admission: OwnAdmission,
+    is_delaying: bool,
 }
 
 impl Overload {
@@ -159,6 +204,9 @@
             position: Position::ALONE,
             clock: None,
             events: Vec::new(),
+            own_delay: OwnDelay::default(),
+            own_admission: OwnAdmission::default(),
+            is_delaying: false,
         }
     }
 
@@ -218,7 +266,24 @@
 
     /// Time for which this daemon's own link, socket or processor delays packets.
     pub fn own_delay(&self) -> Duration {
-        Duration::ZERO
+        self.own_delay.delay()
+    }
+
+    /// Time that is added to that without an answer after which an upstream is considered dead; `None` if unanswered
+    /// requests are no evidence now, because this daemon itself delays them.
+    pub fn unanswered_allowance(&self, service: &str) -> Option<Duration> {
+        let own_delay = self.own_delay();
+        if own_delay > OWN_DELAY_MAX {
+            return None;
+        }
+        let own_delay = match own_delay > OWN_DELAY_MIN {
+            true => own_delay,
+            false => Duration::ZERO,
+        };
+        let load = self.services.get(service).map(|service| &service.load);
+        let busy = load.filter(|load| load.utilization > BUSY_UTILIZATION);
+        let service_time = busy.and_then(|load| load.service_time).unwrap_or_default();
+        Some((own_delay + service_time) * ALLOWANCE_FACTOR)
     }
 
     /// Removes and returns the changes since the last call.
@@ -240,19 +305,25 @@
             admitted,
             is_heavy: place.is_some_and(|place| place.is_heavy),
             is_admitted: service.is_none_or(|s| fits_alone(s, route.priority))
-                || place.is_none_or(|place| self.is_within(place, admitted)),
+                || place.is_none_or(|place| is_within(place, admitted)),
         }
     }
 
-    /// Decides whether an opening of a caller is admitted, and records it.
-    pub fn admit(&mut self, caller: Ipv4Addr, service: &str, route: &Route, now: Instant) -> bool {
+    /// Records an opening of a caller and decides whether it is admitted.
+    pub fn admit(
+        &mut self,
+        caller: Ipv4Addr,
+        service: &str,
+        route: &Route,
+        now: Instant,
+    ) -> Admission {
         let Some((name, _)) = self.services.get_key_value(service) else {
             let target = route.targets.iter().find(|t| *t.service == *service);
             if let Some(target) = target {
                 let state = Service::new(Rc::clone(&target.service), route.target_latency, now);
                 self.services.insert(Rc::clone(&target.service), state);
             }
-            return true;
+            return Admission::HERE;
         };
         let name = Rc::clone(name);
         if let Some(service) = self.services.get_mut(&name) {
@@ -261,11 +332,32 @@
             service.order.record(caller, route.priority, now);
         }
         let service = &self.services[&name];
-        if !self.settings.shed || service.admitted.get() >= 1.0 {
-            return true;
+        let (admitted, own) = match self.settings.shed {
+            true => (service.admitted.get(), self.own_admission.admitted()),
+            false => (1.0, 1.0),
+        };
+        let is_leaving = self.settings.spill && service.spillover.leaving() > 0.0;
+        if admitted >= 1.0 && own >= 1.0 && !is_leaving {
+            return Admission::HERE;
         }
         let place = self.place(service, caller, route.priority, now);
-        self.is_within(place, service.admitted.get()) || fits_alone(service, route.priority)
+        if !is_within(place, admitted) && !fits_alone(service, route.priority) {
+            return Admission::Rejected(ResetReason::Overload);
+        }
+        if !is_within(place, own) {
+            return Admission::Rejected(ResetReason::OwnDelay);
+        }
+        let among_admitted = (place.place / admitted.min(own)).min(1.0);
+        Admission::Admitted { among_admitted }
+    }
+
+    /// Zone for which a flow of a service leaves, if it does; `draw` from 0 to 1 picks one of several zones.
+    pub fn zone_for(&self, service: &str, admission: Admission, draw: f64) -> Option<Rc<str>> {
+        let Admission::Admitted { among_admitted } = admission else {
+            return None;
+        };
+        let service = self.services.get(service).filter(|_| self.settings.spill)?;
+        service.spillover.zone_for(among_admitted, draw).cloned()
     }
 
     /// Load of a service if it is so high that its upstreams are divided among the daemons of the zone.
@@ -330,6 +422,7 @@
         let others = self.others.take_if(|(_, at)| now >= *at + REPORT_TTL);
         drop(others);
         let own = self.meter.report();
+        self.update_own_delay(&own, windows);
         let names: SmallVec<[Rc<str>; 4]> = self.services.keys().cloned().collect();
         for name in names {
             self.update_service(&name, &own, directory, windows, now);
@@ -338,6 +431,23 @@
             .retain(|_, service| now < service.last_used + SERVICE_TTL);
     }
 
+    fn update_own_delay(&mut self, own: &LoadReport, windows: u32) {
+        let pools = own.pools.iter().filter_map(|(pool, counts)| {
+            let connect_s = counts.connect_time()?;
+            Some((pool, connect_s, counts.connects))
+        });
+        self.own_delay.update(pools, windows);
+        let delay = self.own_delay();
+        self.own_admission.update(delay, windows);
+        if !self.is_delaying && delay > OWN_DELAY_REPORTED {
+            self.is_delaying = true;
+            self.events.push(LoadEvent::OwnDelayBegan(delay));
+        } else if self.is_delaying && delay < OWN_DELAY_REPORTED / 2 {
+            self.is_delaying = false;
+            self.events.push(LoadEvent::OwnDelayEnded(delay));
+        }
+    }
+
     fn update_service(
         &mut self,
         name: &Rc<str>,
@@ -349,7 +459,19 @@
         let others = self.others.as_ref().map(|(others, _)| others);
         let zone = Rc::clone(&self.zone);
         let total = Total::new(own, others, self.position.daemons);
-        let slots = usable_slots(directory, name, &zone, now);
+        let slots = usable_slots(directory, name, now);
+        let pool = |zone: &Rc<str>| PoolLoad {
+            zone: Rc::clone(zone),
+            slots: slots.iter().find(|(z, _)| z == zone).map_or(0, |(_, n)| *n),
+            counts: total.counts(name, zone).0,
+        };
+        let home = pool(&zone);
+        let others: SmallVec<[PoolLoad; 4]> = slots
+            .iter()
+            .filter(|(other, _)| *other != zone)
+            .map(|(other, _)| pool(other))
+            .collect();
+        let slots = home.slots;
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
@@ -365,6 +487,12 @@
         let goal_s = service.congestion.goal_s(service.target_latency);
         service.own_pressure = own_counts.service_time().map_or(0.0, |mean| mean / goal_s);
         let verdict = service.congestion.update(&observation, windows);
+        let price = self.settings.zone_price;
+        let left_before = service.spillover.leaving();
+        service
+            .spillover
+            .update(&home, &others, service.target_latency, price, windows);
+        let left_after = service.spillover.leaving();
         let before = service.admitted.get();
         service.admitted.update(verdict, windows);
         let after = service.admitted.get();
@@ -376,16 +504,22 @@
             goal: Duration::from_secs_f64(goal_s),
             refusal_rate: counts.refusal_rate(),
             admitted: after,
-            leaving: Vec::new(),
+            leaving: service
+                .spillover
+                .shares()
+                .map(|(zone, share)| (Rc::clone(zone), share))
+                .collect(),
             daemons: total.daemons,
         };
+        let load = &service.load;
         match (before < 1.0, after < 1.0) {
-            (false, true) => self
-                .events
-                .push(LoadEvent::OverloadBegan(service.load.clone())),
-            (true, false) => self
-                .events
-                .push(LoadEvent::OverloadEnded(service.load.clone())),
+            (false, true) => self.events.push(LoadEvent::OverloadBegan(load.clone())),
+            (true, false) => self.events.push(LoadEvent::OverloadEnded(load.clone())),
+            _ => (),
+        }
+        match (left_before > 0.0, left_after > 0.0) {
+            (false, true) => self.events.push(LoadEvent::SpilloverBegan(load.clone())),
+            (true, false) => self.events.push(LoadEvent::SpilloverEnded(load.clone())),
             _ => (),
         }
     }
@@ -396,10 +530,10 @@
         });
         service.order.place(caller, priority, rank(caller, unix))
     }
+}
 
-    fn is_within(&self, place: Place, admitted: f64) -> bool {
-        place.is_guaranteed || place.place <= admitted
-    }
+fn is_within(place: Place, admitted: f64) -> bool {
+    place.is_guaranteed || place.place <= admitted
 }
 
 /// Utilization up to which requests of a priority and of higher ones fit the slots.
@@ -444,16 +578,30 @@
     }
 }
 
-/// Slots of the upstreams of a service in a zone that take new flows.
-fn usable_slots(directory: &Directory, service: &str, zone: &str, now: Instant) -> u32 {
-    if directory.is_out(zone) || directory.has_returned(zone, now) {
-        return 0;
-    }
+/// Slots of the upstreams of a service that take new flows, by zone.
+fn usable_slots(
+    directory: &Directory,
+    service: &str,
+    now: Instant,
+) -> SmallVec<[(Rc<str>, u32); 8]> {
+    let mut slots = SmallVec::<[(Rc<str>, u32); 8]>::new();
     let upstreams = directory.of_service(service).iter();
-    let upstreams = upstreams.filter_map(|id| directory.get(*id));
-    upstreams
-        .filter(|known| *known.upstream.zone == *zone)
-        .filter(|known| known.is_serving(now) && !known.is_cold(now))
-        .map(|known| known.upstream.slots)
-        .sum()
+    for known in upstreams.filter_map(|id| directory.get(*id)) {
+        let zone = &known.upstream.zone;
+        let is_usable = known.is_serving(now) && !known.is_cold(now);
+        let added = match is_usable && !is_closed(directory, zone, now) {
+            true => known.upstream.slots,
+            false => 0,
+        };
+        match slots.iter_mut().find(|(name, _)| name == zone) {
+            Some((_, sum)) => *sum += added,
+            None => slots.push((Rc::clone(zone), added)),
+        }
+    }
+    slots
+}
+
+/// Whether a zone takes no new flows.
+fn is_closed(directory: &Directory, zone: &str, now: Instant) -> bool {
+    directory.is_out(zone) || directory.has_returned(zone, now)
 }
