Set the admitted share from what the upstreams serve, and count the flows that callers want for the spillover

Multiplying the share while the sums still show the past let it fall to 1 % and the slots idle. It now follows from the openings that were forwarded and the requests that were served in the same time. Flows that are admitted whatever the share stay in the zone: they were all sent away.

--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -202,7 +202,7 @@
             admitted: [("certvault".into(), 0.25), ("syncdesk-00".into(), 0.0)]
                 .into_iter()
                 .collect(),
-            baseline_s: [("syncdesk-api".into(), 0.02)].into_iter().collect(),
+            baseline_s: [("syncdesk-00".into(), 0.02)].into_iter().collect(),
         },
         age: Duration::from_millis(120),
     }
--- a/crates/policy/src/packets/load.rs
+++ b/crates/policy/src/packets/load.rs
@@ -25,7 +25,7 @@
 pub const WINDOW: Duration = Duration::from_millis(100);
 
 /// Factor by which sums shrink in one window; they cover the last 0.5 s, mostly.
-const DECAY: f64 = 0.8;
+pub const DECAY: f64 = 0.8;
 
 /// Age from which the report of another daemon is ignored.
 pub const REPORT_TTL: Duration = Duration::from_secs(1);
--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -4,7 +4,10 @@
 //! give a caller the same rank, so its further attempts do not add up to more chances, and it is served wholly or not at
 //! all for some seconds.
 
-use super::congestion::Verdict;
+use super::{
+    congestion::Verdict,
+    load::Counts, //
+};
 use smallvec::SmallVec;
 use std::{
     collections::HashMap,
@@ -15,23 +18,12 @@
     },
 };
 
-/// Decrease of the admitted share in a window, for each unit of pressure over 1.
-const DECREASE: f64 = 0.5;
-
-/// Largest decrease of the admitted share in a window, as a factor.
-const DECREASE_MAX: f64 = 0.7;
-
-/// Increase of the admitted share in a window, for each unit of pressure under 1.
-const INCREASE: f64 = 0.5;
+/// Part of the way to its target that the admitted share goes in a window.
+const APPROACH: f64 = 0.4;
 
-/// Utilization at which the increase of the admitted share aims: nearly all slots in use.
-const UTILIZATION_AIM: f64 = 0.95;
-
-/// Exponent of the increase. The sums cover about five windows, so a full step in each window would overshoot.
-const INCREASE_EXPONENT: f64 = 0.3;
-
-/// Largest increase of the admitted share in a window, as a factor.
-const INCREASE_MAX: f64 = 1.3;
+/// Largest change of the admitted share at a time, as a factor of its recent mean. The sums cover about five windows, and
+/// requests that were rejected show only indirectly how many there are.
+const CHANGE_MAX: f64 = 1.5;
 
 /// Smallest increase in a window without overload, as a factor, so that rejected callers are tried again.
 const RECOVERY: f64 = 1.02;
@@ -40,15 +32,61 @@
 const CONFIRMED_AFTER: u32 = 2;
 
 /// Smallest admitted share.
-const ADMITTED_MIN: f64 = 0.01;
+pub const ADMITTED_MIN: f64 = 0.01;
+
+/// Weight of a window in the recent mean of the admitted share, as in the sums of the load.
+const MEAN_GAIN: f64 = 0.2;
+
+/// Time within which a queue that is too long is to be drained, in seconds.
+const DRAIN_S: f64 = 0.5;
+
+/// Least and greatest part of the throughput that is admitted, to drain queues or to fill them.
+const KEPT: (f64, f64) = (0.7, 1.1);
 
 /// Share of the ranks of each priority that is always admitted, so that nobody is locked out for ever.
 const GUARANTEED: f64 = 0.02;
 
-/// Share of its openings that a service or a daemon admits: falls while there is overload, rises while there is not.
+/// Openings of a service that were forwarded, and what its upstreams can serve.
+#[derive(Clone, Copy, Debug)]
+pub struct Supply {
+    /// Sums over the upstreams of the own zone.
+    pub home: Counts,
+    /// Requests per slot of the own zone.
+    pub utilization: f64,
+    /// Openings that were forwarded to other zones.
+    pub left: f64,
+    /// Openings that other zones are to get.
+    pub leaving: f64,
+    /// Mean service time in seconds that is to be reached.
+    pub goal_s: f64,
+    /// Part of the openings that was admitted because of the admitted share, and not for another reason.
+    pub conditional: f64,
+}
+
+impl Supply {
+    /// Factor from the openings that were admitted by the admitted share to those that can be served in time.
+    fn factor(&self) -> Option<f64> {
+        let served = self.home.answers - self.home.refusals;
+        let wanted = self.home.answers.max(self.home.opened);
+        let forwarded = self.home.opened + self.left;
+        if served <= 0.0 || forwarded <= 0.0 || self.conditional <= 0.0 {
+            return None;
+        }
+        let over_s = self.home.service_time().map_or(0.0, |s| s - self.goal_s);
+        let kept = (1.0 - over_s / DRAIN_S).clamp(KEPT.0, KEPT.1);
+        let here = kept * served / self.utilization.clamp(f64::MIN_POSITIVE, 1.0) / wanted;
+        let all = (here * self.home.opened + self.left.max(self.leaving)) / forwarded;
+        let unconditional = 1.0 - self.conditional;
+        Some(((all - unconditional) / self.conditional).max(0.0))
+    }
+}
+
+/// Share of its openings that a service admits: falls while there is overload, rises while there is not.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmittedShare {
     share: f64,
+    /// Mean over the time that the sums of the load cover.
+    recent: f64,
     overloaded: u32,
 }
 
@@ -56,6 +94,7 @@
     fn default() -> Self {
         Self {
             share: 1.0,
+            recent: 1.0,
             overloaded: 0,
         }
     }
@@ -67,28 +106,36 @@
         self.share
     }
 
+    /// Mean of the share over the time that the sums of the load cover.
+    pub fn recent(&self) -> f64 {
+        self.recent
+    }
+
     /// Adapts the share to the verdict on the last `windows` windows.
-    pub fn update(&mut self, verdict: Option<Verdict>, windows: u32) {
-        let windows = f64::from(windows.min(10));
-        let factor = match verdict {
-            Some(verdict) if verdict.is_overloaded() => {
-                self.overloaded += 1;
-                match self.overloaded >= CONFIRMED_AFTER {
-                    true => (1.0 - DECREASE * (verdict.pressure - 1.0)).max(DECREASE_MAX),
-                    false => 1.0,
-                }
-            }
-            Some(verdict) => {
-                self.overloaded = 0;
-                let room = UTILIZATION_AIM / verdict.utilization.max(f64::MIN_POSITIVE);
-                let spare = 1.0 + INCREASE * (1.0 - verdict.pressure);
-                room.powf(INCREASE_EXPONENT)
-                    .max(spare)
-                    .clamp(RECOVERY, INCREASE_MAX)
+    pub fn update(&mut self, verdict: Option<Verdict>, supply: &Supply, windows: u32) {
+        let is_overloaded = verdict.is_some_and(|verdict| verdict.is_overloaded());
+        self.overloaded = match is_overloaded {
+            true => self.overloaded.saturating_add(1),
+            false => 0,
+        };
+        let is_confirmed = self.overloaded >= CONFIRMED_AFTER;
+        for _ in 0..windows.min(10) {
+            self.recent += (self.share - self.recent) * MEAN_GAIN;
+            if self.share < 1.0 || is_confirmed {
+                self.step(is_overloaded, supply);
             }
-            None => INCREASE_MAX,
+        }
+    }
+
+    fn step(&mut self, is_overloaded: bool, supply: &Supply) {
+        let factor = supply.factor().unwrap_or(CHANGE_MAX);
+        let target = self.recent * factor.clamp(1.0 / CHANGE_MAX, CHANGE_MAX);
+        let next = self.share + (target - self.share) * APPROACH;
+        let next = match is_overloaded {
+            true => next,
+            false => next.max(self.share * RECOVERY),
         };
-        self.share = (self.share * factor.powf(windows)).clamp(ADMITTED_MIN, 1.0);
+        self.share = next.clamp(ADMITTED_MIN, 1.0);
     }
 
     /// Moves half of the way to the share of other daemons.
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -13,13 +13,16 @@
         Counts,
         LoadMeter,
         LoadReport,
+        DECAY,
         REPORT_TTL, //
     },
     load_shedding::{
         rank,
         AdmissionOrder,
         AdmittedShare,
-        Place, //
+        Place,
+        Supply,
+        ADMITTED_MIN, //
     },
     load_status::{
         AdmissionReason,
@@ -69,6 +72,9 @@
 /// Multiple of a mean delay within which nearly all packets arrive.
 const ALLOWANCE_FACTOR: u32 = 4;
 
+/// Smallest part of the openings that counts as admitted because of the admitted share.
+const CONDITIONAL_MIN: f64 = 0.05;
+
 /// Weight of a new connect time in the moving average.
 const CONNECT_GAIN: f64 = 0.125;
 
@@ -122,6 +128,9 @@
     admitted: AdmittedShare,
     spillover: Spillover,
     order: AdmissionOrder,
+    /// Openings that were admitted because of the admitted share, and for other reasons, as sums that decay.
+    conditional: f64,
+    unconditional: f64,
     /// Pressure that this daemon observes by itself.
     own_pressure: f64,
     load: ServiceLoad,
@@ -138,6 +147,8 @@
             admitted: AdmittedShare::default(),
             spillover: Spillover::default(),
             order: AdmissionOrder::default(),
+            conditional: 0.0,
+            unconditional: 0.0,
             own_pressure: 0.0,
             load: ServiceLoad {
                 service: name,
@@ -168,6 +179,25 @@
         }
     }
 
+    /// Part of the openings that was admitted because of the admitted share; ends `windows` windows.
+    fn conditional_part(&mut self, windows: u32) -> f64 {
+        let all = self.conditional + self.unconditional;
+        let part = match all > 0.0 {
+            true => (self.conditional / all).max(CONDITIONAL_MIN),
+            false => 1.0,
+        };
+        let factor = DECAY.powf(f64::from(windows));
+        self.conditional *= factor;
+        self.unconditional *= factor;
+        part
+    }
+
+    /// Factor from the openings that are forwarded to those that callers want; further attempts of rejected callers are
+    /// not counted.
+    fn wanted_factor(&self, conditional: f64) -> f64 {
+        1.0 - conditional + conditional / self.admitted.recent().max(ADMITTED_MIN)
+    }
+
     fn connect_s(&self, zone: &str) -> f64 {
         let found = self.connect_s.iter().find(|(known, _)| **known == *zone);
         found.map_or(0.0, |(_, mean_s)| *mean_s)
@@ -305,7 +335,7 @@
             admitted,
             is_heavy: place.is_some_and(|place| place.is_heavy),
             is_admitted: service.is_none_or(|s| fits_alone(s, route.priority))
-                || place.is_none_or(|place| is_within(place, admitted)),
+                || place.is_none_or(|place| place.is_guaranteed || place.place <= admitted),
         }
     }
 
@@ -331,7 +361,9 @@
             service.record_target(route.target_latency, now);
             service.order.record(caller, route.priority, now);
         }
-        let service = &self.services[&name];
+        let Some(service) = self.services.get(&name) else {
+            return Admission::HERE;
+        };
         let (admitted, own) = match self.settings.shed {
             true => (service.admitted.get(), self.own_admission.admitted()),
             false => (1.0, 1.0),
@@ -341,13 +373,26 @@
             return Admission::HERE;
         }
         let place = self.place(service, caller, route.priority, now);
-        if !is_within(place, admitted) && !fits_alone(service, route.priority) {
+        let is_unconditional = place.is_guaranteed || fits_alone(service, route.priority);
+        if !is_unconditional && place.place > admitted {
             return Admission::Rejected(ResetReason::Overload);
         }
-        if !is_within(place, own) {
+        if !place.is_guaranteed && place.place > own {
             return Admission::Rejected(ResetReason::OwnDelay);
         }
-        let among_admitted = (place.place / admitted.min(own)).min(1.0);
+        let service = self.services.get_mut(&name);
+        let counted = service.map(|service| match is_unconditional {
+            true => &mut service.unconditional,
+            false => &mut service.conditional,
+        });
+        if let Some(count) = counted {
+            *count += 1.0;
+        }
+        // The last ones of all admitted callers leave first.
+        let among_admitted = match is_unconditional {
+            true => 0.0,
+            false => (place.place + 1.0 - admitted).min(1.0),
+        };
         Admission::Admitted { among_admitted }
     }
 
@@ -466,6 +511,11 @@
             counts: total.counts(name, zone).0,
         };
         let home = pool(&zone);
+        let left: f64 = slots
+            .iter()
+            .filter(|(other, _)| *other != zone)
+            .map(|(other, _)| total.counts(name, other).0.opened)
+            .sum();
         let others: SmallVec<[PoolLoad; 4]> = slots
             .iter()
             .filter(|(other, _)| *other != zone)
@@ -489,12 +539,24 @@
         let verdict = service.congestion.update(&observation, windows);
         let price = self.settings.zone_price;
         let left_before = service.spillover.leaving();
+        let conditional = service.conditional_part(windows);
+        let wanted = (home.counts.opened + left) * service.wanted_factor(conditional);
+        let mut home = home;
+        home.counts.opened = wanted - left;
         service
             .spillover
             .update(&home, &others, service.target_latency, price, windows);
         let left_after = service.spillover.leaving();
         let before = service.admitted.get();
-        service.admitted.update(verdict, windows);
+        let supply = Supply {
+            home: counts,
+            utilization: Congestion::utilization(&observation),
+            left,
+            leaving: service.spillover.leaving() * wanted,
+            goal_s,
+            conditional,
+        };
+        service.admitted.update(verdict, &supply, windows);
         let after = service.admitted.get();
         service.load = ServiceLoad {
             service: Rc::clone(name),
@@ -532,10 +594,6 @@
     }
 }
 
-fn is_within(place: Place, admitted: f64) -> bool {
-    place.is_guaranteed || place.place <= admitted
-}
-
 /// Utilization up to which requests of a priority and of higher ones fit the slots.
 const FITTING_UTILIZATION: f64 = 0.9;
 
