--- a/crates/policy/src/packets/congestion.rs
+++ b/crates/policy/src/packets/congestion.rs
@@ -22,6 +22,12 @@
 /// Pressure that each share of refusals over the maximum adds.
 const REFUSAL_WEIGHT: f64 = 2.0;
 
+/// Time ahead for which the service time is predicted, in seconds: about the age of the observations.
+const AHEAD_S: f64 = 0.15;
+
+/// Largest growth of the load that is believed: more openings than answers, relative to the answers.
+const GROWTH_MAX: f64 = 0.5;
+
 /// Smallest number of answers for a verdict.
 const ANSWERS_MIN: f64 = 8.0;
 
@@ -111,7 +117,12 @@
         }
         let utilization = Self::utilization(observation);
         let goal_s = self.goal_s(target_latency);
-        let waiting = counts.service_time().map_or(0.0, |mean| mean / goal_s);
+        let ahead_s = match utilization > 1.0 {
+            true => growth(&counts) * AHEAD_S,
+            false => 0.0,
+        };
+        let waiting = counts.service_time();
+        let waiting = waiting.map_or(0.0, |mean| (mean + ahead_s) / goal_s);
         let refused = match counts.refusal_rate() {
             rate if rate > REFUSALS_MAX => 1.0 + (rate - REFUSALS_MAX) * REFUSAL_WEIGHT,
             _ => 0.0,
@@ -143,3 +154,12 @@
         }
     }
 }
+
+/// Openings that exceed the answers, relative to the answers: while all slots are in use, the queue grows by so much in
+/// the time in which it would be served.
+fn growth(counts: &Counts) -> f64 {
+    match counts.answers > 0.0 {
+        true => (counts.opened / counts.answers - 1.0).clamp(0.0, GROWTH_MAX),
+        false => 0.0,
+    }
+}
--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -21,9 +21,12 @@
 /// Part of the way to its target that the admitted share goes in a window.
 const APPROACH: f64 = 0.4;
 
-/// Largest change of the admitted share at a time, as a factor of its recent mean. The sums cover about five windows, and
-/// requests that were rejected show only indirectly how many there are.
-const CHANGE_MAX: f64 = 1.5;
+/// Largest decrease of the admitted share at a time, as a factor of its recent mean.
+const DECREASE_MAX: f64 = 0.4;
+
+/// Largest increase of the admitted share at a time, as a factor of its recent mean: how many callers were rejected shows
+/// only indirectly.
+const INCREASE_MAX: f64 = 1.5;
 
 /// Smallest increase in a window without overload, as a factor, so that rejected callers are tried again.
 const RECOVERY: f64 = 1.02;
@@ -38,10 +41,10 @@
 const MEAN_GAIN: f64 = 0.2;
 
 /// Time within which a queue that is too long is to be drained, in seconds.
-const DRAIN_S: f64 = 0.5;
+const DRAIN_S: f64 = 0.25;
 
 /// Least and greatest part of the throughput that is admitted, to drain queues or to fill them.
-const KEPT: (f64, f64) = (0.7, 1.1);
+const KEPT: (f64, f64) = (0.6, 1.15);
 
 /// Share of the ranks of each priority that is always admitted, so that nobody is locked out for ever.
 const GUARANTEED: f64 = 0.02;
@@ -128,8 +131,8 @@
     }
 
     fn step(&mut self, is_overloaded: bool, supply: &Supply) {
-        let factor = supply.factor().unwrap_or(CHANGE_MAX);
-        let target = self.recent * factor.clamp(1.0 / CHANGE_MAX, CHANGE_MAX);
+        let factor = supply.factor().unwrap_or(INCREASE_MAX);
+        let target = self.recent * factor.clamp(DECREASE_MAX, INCREASE_MAX);
         let next = self.share + (target - self.share) * APPROACH;
         let next = match is_overloaded {
             true => next,
--- a/crates/policy/src/packets/spillover.rs
+++ b/crates/policy/src/packets/spillover.rs
@@ -57,7 +57,7 @@
 const SHIFT: f64 = 0.1;
 
 /// Waiting time in another zone, relative to the service time without load, above which its share is limited.
-const WAITING_MAX: f64 = 0.25;
+const WAITING_MAX: f64 = 0.6;
 
 /// Longest waiting time in another zone, relative to the service time without load, that leaving flows may cause. A
 /// zone counts as overloaded from 1.5 on.
