--- a/crates/policy/src/packets/spillover.rs
+++ b/crates/policy/src/packets/spillover.rs
@@ -41,7 +41,7 @@
 /// Most work per slot that stays in the own zone; the excess fills its queues.
 const KEPT_MAX: f64 = 1.1;
 
-/// Part of the way to its goal that a share goes in one window.
+/// Part of the way to its goal that a share goes in one window; up to twice that, the more leaving saves.
 const APPROACH: f64 = 0.4;
 
 /// Part of itself by which the total shrinks per window while flows wait here and leaving costs twice as much.
@@ -76,7 +76,7 @@
 const FAILED_PAUSE: u32 = 50;
 
 /// Answers for a mean service time.
-const ANSWERS_MIN: f64 = 4.0;
+const ANSWERS_MIN: f64 = 2.0;
 
 /// Failed openings that are evidence against a zone.
 const FAILED_MIN: f64 = 3.0;
@@ -87,6 +87,9 @@
 /// Standard deviation of service times relative to their mean, for the error of a mean of few samples.
 const DEVIATION: f64 = 0.5;
 
+/// Standard errors that are added to the mean service time of another zone.
+const ERRORS: f64 = 2.0;
+
 /// Relative growth of the lowest known service time per window, so that a permanent change is accepted.
 const BASELINE_GROWTH: f64 = 0.002;
 
@@ -196,7 +199,7 @@
     /// As many flows as are answered keep the queues there as they are, and the difference between the waiting time and
     /// `justified`, the one that the own zone's waiting time permits, fills or drains them.
     fn follow_waiting(&mut self, other: &PoolLoad, seen: &Seen, justified: f64, flows: &Flows) {
-        if seen.waiting - 2.0 * seen.error <= seen.unloaded * WAITING_MAX {
+        if seen.waiting - seen.error <= seen.unloaded * WAITING_MAX {
             self.limit = (self.limit + LIMIT_GROWTH * flows.elapsed).min(LEAVING_MAX);
             return;
         }
@@ -238,7 +241,7 @@
     unloaded: f64,
     /// Mean time that requests wait for a slot.
     waiting: f64,
-    /// Standard error of the mean service time.
+    /// Error of the mean service time that few samples exceed.
     error: f64,
 }
 
@@ -322,12 +325,17 @@
         let is_busy = home.utilization() > UTILIZATION_MIN || home.loss() > LOSS_MAX;
         let probes =
             is_busy && here.is_some_and(|here| self.is_probe_due(home, here, &cost, &flows));
+        let urgency = match (here, best) {
+            (Some(here), Some(best)) => (1.0 - best / here).max(0.0),
+            _ => 0.0,
+        };
+        let step = approach(APPROACH * (1.0 + urgency), elapsed);
         let parts = self.divide(due);
         for ((remote, state), part) in self.remotes.iter_mut().zip(states).zip(parts) {
             match state {
                 Observation::Seen(_) => {
                     if is_busy || part < remote.share {
-                        remote.share += (part - remote.share) * approach(APPROACH, elapsed);
+                        remote.share += (part - remote.share) * step;
                     }
                     if due <= 0.0 {
                         remote.pause = PROBE_PAUSE;
@@ -542,7 +550,9 @@
         if other.is_failing(self.home) {
             return Observation::Failing;
         }
-        let loss = other.loss();
+        // Refusals arrive earlier than the answers of requests that wait, and last less long after the last opening.
+        let refused = other.counts.refusals / other.counts.opened.max(1.0);
+        let loss = other.loss().max(refused.min(1.0));
         let Some(time) = other.service_time() else {
             if loss <= LOSS_MAX || other.counts.answers < ANSWERS_MIN {
                 return Observation::Unknown;
@@ -558,7 +568,9 @@
         let unloaded = [baseline, self.baseline].into_iter().flatten();
         let unloaded = unloaded.fold(time, f64::min);
         let waiting = time - unloaded;
-        let error = other.error(time);
+        // The first answers are those that waited least, so their mean says little about the deviation.
+        let deviating = self.home.service_time().unwrap_or(0.0).max(time);
+        let error = ERRORS * other.error(deviating);
         let connects = (other.counts.connect_time(), self.home.counts.connect_time());
         let distance = match connects {
             (Some(there), Some(here)) => (there - here).max(0.0),
