--- a/crates/policy/src/packets/spillover.rs
+++ b/crates/policy/src/packets/spillover.rs
@@ -93,6 +93,9 @@
 /// Relative growth of the lowest known service time per window, so that a permanent change is accepted.
 const BASELINE_GROWTH: f64 = 0.002;
 
+/// Part of the way to the observed number of answers per slot that the known one goes in one window.
+const PER_SLOT: f64 = 0.05;
+
 /// Utilization below which answers keep up with openings, so that their ratio is the number of requests per flow.
 const UNLOADED: f64 = 0.9;
 
@@ -271,6 +274,8 @@
     opened: f64,
     /// Windows in these sums.
     unloaded: f64,
+    /// Answers per used slot in the own zone, as a decayed sum like the counts.
+    per_slot: Option<f64>,
 }
 
 impl Spillover {
@@ -407,6 +412,12 @@
             follow_lowest(&mut remote.baseline, other, elapsed);
             remote.pause = remote.pause.saturating_sub(windows);
         }
+        let used = home.utilization().min(1.0) * f64::from(home.slots);
+        if used > 0.0 && home.served() >= ANSWERS_MIN {
+            let observed = home.served() / used;
+            let known = self.per_slot.get_or_insert(observed);
+            *known += (observed - *known) * approach(PER_SLOT, elapsed);
+        }
         let decay = REQUESTS_DECAY.powf(elapsed);
         self.answers *= decay;
         self.opened *= decay;
@@ -430,10 +441,9 @@
             true => answers / openings,
             false => 1.0,
         };
-        let used = home.utilization().clamp(f64::MIN_POSITIVE, 1.0);
         Flows {
             opened: (home.counts.opened + opened).max(1.0),
-            capacity: home.served() / used / requests,
+            capacity: self.per_slot.unwrap_or(0.0) * f64::from(home.slots) / requests,
             slots: f64::from(home.slots),
             requests,
             elapsed,
