Add the settings of the handling of overload

The section "load" of the packet settings (shed, spill, zone_price_ms) reaches the balancer at the start and after a reload. The price is bounded at 1 s: beyond that no flow leaves, which "spill": false says more clearly.

--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -48,3 +48,6 @@
 pub const NOTICE_MS: RangeInclusive<u64> = 1_000..=60_000;
 /// Time within which a published change must be in force, in milliseconds.
 pub const CHANGE_DEADLINE_MS: RangeInclusive<u64> = 500..=600_000;
+/// Time that a flow must save to leave its zone, in milliseconds. At the maximum no flow leaves unless its own zone is
+/// slower by a whole second; `"spill": false` keeps flows in the zone in any case.
+pub const ZONE_PRICE_MS: RangeInclusive<u64> = 0..=1_000;
--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -63,6 +63,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limits of the process and its flows.
     pub limits: PacketLimits,
+    /// Handling of services that cannot serve all their callers.
+    pub load: PacketLoad,
     /// Minimum level of the log lines.
     pub log: LogLevel,
 }
@@ -117,6 +119,30 @@
     }
 }
 
+/// Handling of services that cannot serve all their callers.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PacketLoad {
+    /// Whether openings are rejected when a service cannot serve all its callers.
+    pub shed: bool,
+    /// Whether flows leave the zone when its upstreams are overloaded.
+    pub spill: bool,
+    /// Time that a flow must save to leave the zone.
+    #[serde(rename = "zone_price_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub zone_price: Duration,
+}
+
+impl Default for PacketLoad {
+    fn default() -> Self {
+        Self {
+            shed: true,
+            spill: true,
+            zone_price: Duration::from_millis(5),
+        }
+    }
+}
+
 impl PacketSettings {
     /// Parses settings; `file` is their name in the findings.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
@@ -147,6 +173,7 @@
         let merged = Self {
             store: new.store,
             limits: new.limits,
+            load: new.load,
             log: new.log,
             ..self.clone()
         };
@@ -190,7 +217,7 @@
 /// Maximum number of seeds.
 const SEEDS_MAX: usize = 8;
 
-const FIELDS: [&str; 11] = [
+const FIELDS: [&str; 12] = [
     "interface",
     "vm",
     "zone",
@@ -201,6 +228,7 @@
     "control",
     "seeds",
     "limits",
+    "load",
     "log",
 ];
 const LIMITS_FIELDS: [&str; 6] = [
@@ -211,6 +239,7 @@
     "drain_ms",
     "zone_out_ms",
 ];
+const LOAD_FIELDS: [&str; 3] = ["shed", "spill", "zone_price_ms"];
 
 fn read_settings(reader: &Reader<'_>, object: &Object<'_>) -> Option<PacketSettings> {
     let fields = reader.fields(object, &FIELDS);
@@ -226,6 +255,7 @@
     let control = optional(&fields, "control", |value| reader.address(value));
     let seeds = read_seeds(reader, &fields);
     let limits = read_limits(reader, &fields);
+    let load = read_load(reader, &fields);
     let log = read_log(reader, &fields);
     check_distinct(reader, &fields, "ready", ready, admin);
     check_distinct(reader, &fields, "control", control.flatten(), admin);
@@ -240,6 +270,7 @@
         control: control?,
         seeds: seeds?,
         limits: limits?,
+        load: load?,
         log: log?,
     })
 }
@@ -286,3 +317,23 @@
         zone_out: zone_out?,
     })
 }
+
+fn read_load(reader: &Reader<'_>, fields: &Fields<'_, '_, '_>) -> Option<PacketLoad> {
+    let default = PacketLoad::default();
+    let Some(value) = fields.optional("load") else {
+        return Some(default);
+    };
+    let fields = reader.fields(reader.object(value)?, &LOAD_FIELDS);
+    let boolean = |name, default| match fields.optional(name) {
+        Some(value) => reader.boolean(value),
+        None => Some(default),
+    };
+    let shed = boolean("shed", default.shed);
+    let spill = boolean("spill", default.spill);
+    let zone_price = fields.millis_or("zone_price_ms", &bounds::ZONE_PRICE_MS, default.zone_price);
+    Some(PacketLoad {
+        shed: shed?,
+        spill: spill?,
+        zone_price: zone_price?,
+    })
+}
--- a/crates/config/tests/docs.rs
+++ b/crates/config/tests/docs.rs
@@ -10,6 +10,7 @@
         ColdStart,
         Defaults, //
     },
+    packet_settings::PacketLoad,
     settings::Limits,
 };
 use rstest::rstest;
@@ -68,6 +69,7 @@
 #[case(SETTINGS, "configure_ms", bounds::CHANGE_DEADLINE_MS)]
 #[case(SETTINGS, "drain_ms", bounds::CHANGE_DEADLINE_MS)]
 #[case(SETTINGS, "zone_out_ms", bounds::CHANGE_DEADLINE_MS)]
+#[case(SETTINGS, "zone_price_ms", bounds::ZONE_PRICE_MS)]
 fn bounds_match_the_code(
     #[case] name: &str,
     #[case] field: &str,
@@ -107,6 +109,7 @@
     let cold_start = ColdStart::default();
     let defaults = Defaults::default();
     let limits = Limits::default();
+    let load = PacketLoad::default();
     assert_default(DOCUMENT, "slots", cold_start.slots);
     assert_default(DOCUMENT, "connections", cold_start.connections);
     assert_default(DOCUMENT, "ramp_s", cold_start.ramp.as_secs());
@@ -120,6 +123,9 @@
     assert_default(DOCUMENT, "idle_s", defaults.idle.as_secs());
     assert_default(SETTINGS, "drain_s", limits.drain.as_secs());
     assert_default(SETTINGS, "pause_ms", limits.pause.as_millis());
+    assert_default(SETTINGS, "shed", format_args!("`{}`", load.shed));
+    assert_default(SETTINGS, "spill", format_args!("`{}`", load.spill));
+    assert_default(SETTINGS, "zone_price_ms", load.zone_price.as_millis());
 }
 
 fn assert_default(name: &str, field: &str, default: impl Display) {
@@ -140,6 +146,15 @@
 #[case(SETTINGS, r#"{ "vm": "v", "peers": [{ "?": 0 }] }"#)]
 #[case(SETTINGS, r#"{ "vm": "v", "limits": { "?": 0 } }"#)]
 #[case(SETTINGS, r#"{ "vm": "v", "testing": { "?": 0 } }"#)]
+#[case(SETTINGS, r#"{ "interface": "packets", "vm": "v", "?": 0 }"#)]
+#[case(
+    SETTINGS,
+    r#"{ "interface": "packets", "vm": "v", "limits": { "?": 0 } }"#
+)]
+#[case(
+    SETTINGS,
+    r#"{ "interface": "packets", "vm": "v", "load": { "?": 0 } }"#
+)]
 fn every_field_has_a_row(#[case] name: &str, #[case] text: &str) {
     let findings = Checker::default().check("x", text.as_bytes()).unwrap_err();
     let unknown = findings.iter().find(|f| f.message.contains("\"?\""));
--- a/crates/config/tests/packet_settings.rs
+++ b/crates/config/tests/packet_settings.rs
@@ -2,6 +2,7 @@
 
 use foxtailhinge_config::packet_settings::{
     AnySettings,
+    PacketLoad,
     PacketSettings, //
 };
 use rstest::rstest;
@@ -11,7 +12,8 @@
   "listen": "10.1.0.10:8172", "ready": "10.1.0.10:8167", "admin": "10.1.0.10:7720",
   "store": "10.200.1.7:8169", "log": "debug",
   "control": "10.1.0.10:8166", "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
-  "limits": { "flow_s": 90, "grace_s": 6, "notice_ms": 4000 }
+  "limits": { "flow_s": 90, "grace_s": 6, "notice_ms": 4000 },
+  "load": { "shed": false, "spill": false, "zone_price_ms": 20 }
 }"#;
 
 fn good() -> PacketSettings {
@@ -34,6 +36,7 @@
         r#""limits": { "flow_s": 90, "grace_s": 6, "notice_ms": 4000 }"#,
         r#""limits": {}"#,
     );
+    let text = text.replace(r#""shed": false, "spill": false, "zone_price_ms": 20"#, "");
     insta::assert_json_snapshot!(PacketSettings::parse("small.jsonc", &text).unwrap());
 }
 
@@ -49,6 +52,15 @@
 #[case::seeds_no_list("[\"10.1.0.10:8166\", \"10.2.0.40:8166\"]", "\"10.1.0.10:8166\"")]
 #[case::seed_no_address("\"10.2.0.40:8166\"", "\"vm-2\"")]
 #[case::wrong_type("\"grace_s\": 6", "\"grace_s\": \"6\"")]
+#[case::price_too_high("\"zone_price_ms\": 20", "\"zone_price_ms\": 1001")]
+#[case::price_negative("\"zone_price_ms\": 20", "\"zone_price_ms\": -1")]
+#[case::price_a_string("\"zone_price_ms\": 20", "\"zone_price_ms\": \"20 ms\"")]
+#[case::shed_a_number("\"shed\": false", "\"shed\": 0")]
+#[case::load_no_object(
+    "{ \"shed\": false, \"spill\": false, \"zone_price_ms\": 20 }",
+    "false"
+)]
+#[case::unknown_load_field("\"spill\"", "\"spillover\"")]
 fn findings_name_their_place(#[case] text: &str, #[case] other: &str) {
     let changed = GOOD.replace(text, other);
     assert_ne!(changed, GOOD);
@@ -57,6 +69,14 @@
     insta::assert_snapshot!(name, findings.to_string());
 }
 
+/// Settings of an older version have no section `load`; they must select the documented defaults.
+#[test]
+fn settings_without_load_take_its_defaults() {
+    let (before, _) = GOOD.split_once(",\n  \"load\"").unwrap();
+    let read = PacketSettings::parse("old.jsonc", &format!("{before}\n}}")).unwrap();
+    assert_eq!(read.load, PacketLoad::default());
+}
+
 #[test]
 fn all_findings_are_reported_together() {
     let changed = GOOD
@@ -82,11 +102,15 @@
         .replace("10.200.1.7:8169", "10.200.1.8:8169")
         .replace("\"notice_ms\": 4000", "\"notice_ms\": 5000")
         .replace("10.1.0.10:8172", "10.1.0.10:8173")
+        .replace("\"shed\": false", "\"shed\": true")
+        .replace("\"zone_price_ms\": 20", "\"zone_price_ms\": 30")
         .replace("debug", "warn");
     let new = PacketSettings::parse("new.jsonc", &text).unwrap();
     let (merged, fixed) = good().merge(new.clone());
     assert_eq!(fixed, ["listen"]);
     assert_eq!((merged.store, merged.log), (new.store, new.log));
+    assert_eq!(merged.load, new.load);
+    assert_ne!(merged.load, good().load);
     assert_eq!(
         (merged.limits.notice, merged.listen),
         (new.limits.notice, good().listen)
--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -181,6 +181,7 @@
         Rc::clone(&evidence),
         Rc::clone(&metrics),
     ));
+    path.set_load_settings(&settings.load);
     let timer = Timer::start();
     let zone = settings.control.map(|addr| {
         let parts = Parts {
@@ -362,6 +363,7 @@
         };
         self.view
             .reconfigure(settings.store, settings.limits.clone());
+        self.path.set_load_settings(&settings.load);
         self.logger
             .set_new_spec(logging::spec(logging::level(settings.log)));
     }
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -14,6 +14,7 @@
     timer::Timer,
     wake::Wake, //
 };
+use foxtailhinge_config::packet_settings::PacketLoad;
 use foxtailhinge_platform::packet::{
     decode,
     recipient,
@@ -31,6 +32,7 @@
     FailedOpening,
     FlowEvent,
     HealthChange,
+    LoadSettings,
     Missing,
     Packet,
     PeerReport,
@@ -153,6 +155,16 @@
         self.balancer.borrow_mut().evict(IDLE, now);
     }
 
+    /// Applies the settings of the decisions under load.
+    pub fn set_load_settings(&self, load: &PacketLoad) {
+        let settings = LoadSettings {
+            shed: load.shed,
+            spill: load.spill,
+            zone_price: load.zone_price,
+        };
+        self.balancer.borrow_mut().set_load_settings(settings);
+    }
+
     /// The balancer, for status reports.
     pub fn balancer(&self) -> Ref<'_, Balancer<SmallRng>> {
         self.balancer.borrow()
--- a/crates/daemon/src/packets/reload.rs
+++ b/crates/daemon/src/packets/reload.rs
@@ -61,6 +61,9 @@
         Event::new("settings_reloaded")
             .field("cause", cause)
             .field("store", settings.store)
+            .field("shed", settings.load.shed)
+            .field("spill", settings.load.spill)
+            .field("zone_price_ms", settings.load.zone_price.as_millis())
             .field("after_restart", fixed.join(","))
             .info();
         let settings = Rc::new(settings);
