--- a/crates/policy/src/packets/load_status.rs
+++ b/crates/policy/src/packets/load_status.rs
@@ -50,6 +50,13 @@
     pub daemons: u32,
 }
 
+impl ServiceLoad {
+    /// Share of flows that leave the zone.
+    pub fn leaving_share(&self) -> f64 {
+        self.leaving.iter().map(|(_, share)| share).sum()
+    }
+}
+
 /// Change in the decisions under load.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LoadEvent {
@@ -85,3 +92,34 @@
     /// Whether the opening would be admitted.
     pub is_admitted: bool,
 }
+
+/// Why an opening would be rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// The service cannot serve all callers, and this one opens many more flows than others.
+    HeavyCaller,
+    /// The service cannot serve all callers.
+    Overload,
+    /// The daemon's own link, socket or processor is the bottleneck.
+    OwnDelay,
+}
+
+impl AdmissionReason {
+    /// Why the opening would be rejected; `None` if it would be admitted.
+    ///
+    /// A place within the admitted share is rejected only because of the daemon's own delay.
+    pub fn rejection(&self) -> Option<Rejection> {
+        match (self.is_admitted, self.place > self.admitted, self.is_heavy) {
+            (true, _, _) => None,
+            (false, true, true) => Some(Rejection::HeavyCaller),
+            (false, true, false) => Some(Rejection::Overload),
+            (false, false, _) => Some(Rejection::OwnDelay),
+        }
+    }
+
+    /// Whether the flow would leave the zone, from the share of the service's flows that leave: those with the last
+    /// places among the admitted ones.
+    pub fn leaves_zone(&self, leaving_share: f64) -> bool {
+        self.is_admitted && self.place > self.admitted * (1.0 - leaving_share)
+    }
+}
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -73,6 +73,7 @@
         AdmissionReason,
         LoadEvent,
         LoadSettings,
+        Rejection,
         ServiceLoad, //
     },
     lost_changes::{
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod flows;
 mod labels;
+mod load_status;
 mod lost_changes;
 mod names;
 mod opening;
