Log the decisions under load

Rejected openings get an event of their own, opening_rejected: in a flood they would use up the rate limit of other resets. The limit is asked before the line is formatted.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -171,6 +171,8 @@
 pub struct Event {
     name: &'static str,
     line: String,
+    /// Lines dropped before this one, if the rate limit has admitted it already.
+    left_out: Option<u64>,
 }
 
 impl Event {
@@ -179,6 +181,20 @@
         Self {
             name,
             line: format!("event={name}"),
+            left_out: None,
+        }
+    }
+
+    /// Creates an event if the rate limit admits a line of it now, and counts a dropped line otherwise.
+    ///
+    /// For frequent events: the fields of a dropped line need not be formatted.
+    pub fn if_admitted(name: &'static str) -> Option<Self> {
+        match RATES.with_borrow_mut(|rates| rates.admit(name, Instant::now())) {
+            Admitted::No => None,
+            Admitted::Yes { left_out } => Some(Self {
+                left_out: Some(left_out),
+                ..Self::new(name)
+            }),
         }
     }
 
@@ -220,7 +236,10 @@
         if !log::log_enabled!(target: TARGET, level) {
             return;
         }
-        let admitted = RATES.with_borrow_mut(|rates| rates.admit(self.name, Instant::now()));
+        let admitted = match self.left_out {
+            Some(left_out) => Admitted::Yes { left_out },
+            None => RATES.with_borrow_mut(|rates| rates.admit(self.name, Instant::now())),
+        };
         match admitted {
             Admitted::No => (),
             Admitted::Yes { left_out: 0 } => log::log!(target: TARGET, level, "{}", self.line),
--- a/crates/daemon/src/packets/mod.rs
+++ b/crates/daemon/src/packets/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod daemon;
 pub mod evidence;
+pub mod load_log;
 pub mod metrics;
 pub mod path;
 pub mod ready;
--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -2,6 +2,12 @@
 
 use super::{
     evidence::Evidence,
+    load_log::{
+        add_rejection,
+        is_rejection,
+        load_event,
+        OPENING_REJECTED, //
+    },
     metrics::{
         PacketMetrics,
         PacketResult, //
@@ -32,6 +38,7 @@
     FailedOpening,
     FlowEvent,
     HealthChange,
+    LoadEvent,
     LoadSettings,
     Missing,
     Packet,
@@ -41,6 +48,7 @@
     UpstreamId,
     Verdict, //
 };
+use log::Level;
 use rand::rngs::SmallRng;
 use std::{
     cell::{
@@ -152,7 +160,11 @@
         let now = Instant::now();
         self.view.expire_awaited(now);
         self.view.directory_mut().evict(flow_max, now);
-        self.balancer.borrow_mut().evict(IDLE, now);
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.evict(IDLE, now);
+        let load_events = balancer.take_load_events();
+        drop(balancer);
+        log_load_events(load_events);
     }
 
     /// Applies the settings of the decisions under load.
@@ -184,6 +196,7 @@
         let mut balancer = self.balancer.borrow_mut();
         let verdict = balancer.decide(&packet, &directory, self.view.is_fresh(now), now);
         let health_changes = balancer.take_health_changes();
+        let load_events = balancer.take_load_events();
         self.evidence.add_failed(balancer.take_failed());
         drop(balancer);
         self.metrics.packets.inc(PacketResult::from(&verdict));
@@ -192,6 +205,7 @@
         for change in health_changes {
             log_health_change(change, &packet);
         }
+        log_load_events(load_events);
         self.log(&packet, &verdict, &directory, age, now);
     }
 
@@ -325,6 +339,12 @@
             Verdict::Wait { until } => log_packet("opening_waits", packet)
                 .field("copy", packet.ack)
                 .field("wait_ms", until.saturating_duration_since(now).as_millis()),
+            Verdict::Reset(reason) if is_rejection(*reason) => {
+                match self.log_rejection(packet, *reason, directory, now) {
+                    Some(event) => event,
+                    None => return,
+                }
+            }
             Verdict::Reset(reason) => {
                 log_packet("flow_reset", packet).field("reason", format!("{reason:?}"))
             }
@@ -338,6 +358,30 @@
             None => event.info(),
         }
     }
+
+    /// Starts the log line of a rejected opening, if the rate limit admits it. The limit is asked first, because a daemon
+    /// whose processor is the bottleneck should not format lines that are dropped.
+    fn log_rejection(
+        &self,
+        packet: &Packet,
+        reason: ResetReason,
+        directory: &Directory,
+        now: Instant,
+    ) -> Option<Event> {
+        let event = Event::if_admitted(OPENING_REJECTED)?;
+        let event = add_packet(event, packet)
+            .field("reason", format!("{reason:?}"))
+            .field("copy", packet.ack);
+        let cfg = directory.configuration();
+        let Some(route) = cfg.and_then(|cfg| cfg.routes.get(&packet.flow.route)) else {
+            return Some(event);
+        };
+        let explain = || {
+            let caller = *packet.flow.caller.ip();
+            self.balancer.borrow().explain_admission(caller, route, now)
+        };
+        Some(add_rejection(event, reason, route, explain))
+    }
 }
 
 /// Starts the log line of an opening. A repeated opening, or one at an upstream of lower standing, has an event name of
@@ -362,13 +406,26 @@
 }
 
 fn log_packet(name: &'static str, packet: &Packet) -> Event {
-    Event::new(name)
+    add_packet(Event::new(name), packet)
+}
+
+fn add_packet(event: Event, packet: &Packet) -> Event {
+    event
         .field("caller", packet.flow.caller)
         .field("route", packet.flow.route)
         .field("kind", format!("{:?}", packet.kind))
         .field("label", format!("{:08x}", packet.label))
 }
 
+fn log_load_events(events: Vec<LoadEvent>) {
+    for event in events {
+        match load_event(&event) {
+            (event, Level::Warn) => event.warn(),
+            (event, _) => event.info(),
+        }
+    }
+}
+
 fn log_health_change(change: HealthChange, packet: &Packet) {
     let (name, id, sign, flow) = match change {
         HealthChange::Silent(id) => ("upstream_silent", id, "opened_again", packet.flow),
