--- a/crates/policy/src/packets/load_status.rs
+++ b/crates/policy/src/packets/load_status.rs
@@ -53,7 +53,8 @@
 impl ServiceLoad {
     /// Share of flows that leave the zone.
     pub fn leaving_share(&self) -> f64 {
-        self.leaving.iter().map(|(_, share)| share).sum()
+        // The sum of no numbers is -0.0, which would be shown as such.
+        self.leaving.iter().fold(0.0, |sum, (_, share)| sum + share)
     }
 }
 
