Show the load of services in metrics, status report and foxtailctl

Metrics: gauges of at most 32 services, those first whose callers are rejected or leave the zone, and the daemon's own delay. View: a table of the load, and the own delay of each daemon.

--- a/crates/ctl/src/admin.rs
+++ b/crates/ctl/src/admin.rs
@@ -1,7 +1,10 @@
 //! HTTP client of a daemon's admin interface.
 
 use foxtailhinge_config::{
-    packet_report::PacketStatus,
+    packet_report::{
+        AdmissionReport,
+        PacketStatus, //
+    },
     report::{
         AuditPage,
         ErrorResponse,
@@ -12,7 +15,11 @@
 use serde::de::DeserializeOwned;
 use std::{
     io::Read,
-    net::SocketAddr,
+    net::{
+        Ipv4Addr,
+        SocketAddr,
+        SocketAddrV4, //
+    },
     time::Duration, //
 };
 use thiserror::Error;
@@ -103,6 +110,20 @@
         self.get("/explain", &query)
     }
 
+    /// Fetches what a daemon that forwards packets would do with the openings of a caller to a service or a route.
+    pub(crate) fn explain_admission(
+        &self,
+        caller: Ipv4Addr,
+        target: &str,
+    ) -> Result<AdmissionReport, AdminError> {
+        let name = match target.parse::<SocketAddrV4>() {
+            Ok(_) => "route",
+            Err(_) => "service",
+        };
+        let caller = caller.to_string();
+        self.get("/explain", &[("caller", &caller), (name, target)])
+    }
+
     fn get<T: DeserializeOwned>(
         &self,
         path: &str,
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -87,7 +87,7 @@
         json: bool,
         #[bpaf(external(admins))]
         admin: Vec<SocketAddr>,
-        /// Show upstreams of this service only
+        /// Show load and upstreams of this service only
         #[bpaf(argument("SERVICE"))]
         service: Option<String>,
     },
@@ -111,7 +111,16 @@
         follow: bool,
     },
     /// Show where a flow goes, and why not elsewhere
-    #[bpaf(command, footer("Example:\n\n    foxtailctl explain syncdesk-api"))]
+    #[bpaf(
+        command,
+        footer(
+            "Examples:
+
+    foxtailctl explain syncdesk-api
+    foxtailctl explain --admin 10.1.0.10:7720 --caller 100.67.0.24 syncdesk-api
+    foxtailctl explain --admin 10.1.0.10:7720 --caller 100.67.0.24 198.18.0.1:8080"
+        )
+    )]
     Explain {
         #[bpaf(external)]
         json: bool,
@@ -120,7 +129,10 @@
         /// Ticket of the flow; without it a new flow is explained
         #[bpaf(argument("HEX"))]
         ticket: Option<String>,
-        /// Name of the service
+        /// Show whether a daemon that forwards packets admits this caller
+        #[bpaf(argument("IP"))]
+        caller: Option<Ipv4Addr>,
+        /// Name of the service, or with --caller the address of a route
         #[bpaf(positional("SERVICE"))]
         service: String,
     },
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -36,6 +36,11 @@
     /// A file cannot be read.
     #[error("Name a file that can be read; {} cannot: {}.", .0.display(), .1)]
     File(PathBuf, io::Error),
+    /// A caller of packet mode has no tickets.
+    #[error(
+        "Give --caller for a daemon that forwards packets or --ticket for another one, not both."
+    )]
+    CallerAndTicket,
     /// A URL does not have the form `coap://IP:PORT/PATH`.
     #[error("Write a URL such as coap://10.20.0.1:5601/clearances instead of \"{0}\".")]
     Url(String),
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -5,8 +5,12 @@
     check,
     cli::Command,
     completion,
-    error::Outcome,
+    error::{
+        Outcome,
+        UsageError, //
+    },
     explain,
+    explain_admission,
     request,
     status,
     view, //
@@ -42,8 +46,17 @@
             json,
             admin,
             ticket,
+            caller: None,
             service,
         } => explain::run(admin, &service, ticket.as_deref(), json),
+        Command::Explain {
+            json,
+            admin,
+            ticket: None,
+            caller: Some(caller),
+            service,
+        } => explain_admission::run(admin, caller, &service, json),
+        Command::Explain { .. } => Err(UsageError::CallerAndTicket.into()),
         Command::Request {
             json,
             settings,
--- a/crates/ctl/src/view.rs
+++ b/crates/ctl/src/view.rs
@@ -8,6 +8,7 @@
     },
     daemon_view::print_section,
     error::Outcome,
+    packet_load,
     table::Table, //
 };
 use foxtailhinge_config::packet_report::{
@@ -37,6 +38,7 @@
     DaemonReport::new(admin, AdminClient::new(admin).view(), |status| {
         if let Some(service) = service {
             status.upstreams.retain(|u| *u.service == *service);
+            status.loads.retain(|load| *load.service == *service);
         }
     })
 }
@@ -53,6 +55,7 @@
         "configuration",
         "routes",
         "flows",
+        "own delay",
     ]);
     let reported = report.daemons.iter().filter_map(|d| d.status.as_ref());
     for status in reported.clone() {
@@ -73,6 +76,11 @@
             upstreams.push(upstream(reported));
         }
         println!();
+        print_section(
+            &format!("Load in {} as {} sees it", status.zone, status.vm),
+            &packet_load::table(&status.loads),
+        );
+        println!();
         print_section(&format!("Upstreams as {} sees them", status.vm), &upstreams);
     }
     for error in report.daemons.iter().filter_map(|d| d.error.as_ref()) {
@@ -91,7 +99,7 @@
     }
 }
 
-fn daemon(status: &PacketStatus) -> [String; 10] {
+fn daemon(status: &PacketStatus) -> [String; 11] {
     let store = match (status.store_lost, status.awaited) {
         (Some(lost), _) => format!("lost for {}", ms(lost)),
         (None, 0) => "answers".to_owned(),
@@ -110,6 +118,9 @@
             .map_or_else(|| "-".to_owned(), |version| version.to_string()),
         status.routes.to_string(),
         status.flows.to_string(),
+        status
+            .own_delay
+            .map_or_else(|| "-".to_owned(), packet_load::ms),
     ]
 }
 
--- a/crates/ctl/tests/foxtailctl/reports.rs
+++ b/crates/ctl/tests/foxtailctl/reports.rs
@@ -48,6 +48,37 @@
     {"service":"syncdesk-api","id":"001c6bfad6","address":"10.0.0.2:8080","zone":"windhoek-2","standing":"silent",
         "in_progress":1,"slots":4,"revision":40}]}"#;
 
+/// View of a daemon that rejects openings, sends flows away and is slow itself.
+const LOADED: &str = r#"{"vm":"vm-1","zone":"windhoek-1","ready":true,"revision":62,"age_ms":810,"store_lost_ms":null,
+"configuration":19,"routes":12,"flows":163,"own_delay_ms":62.5,"loads":[
+    {"service":"certvault","slots":8,"utilization":0.3,"service_time_ms":null,"goal_ms":125.0,"refusal_rate":0.0,
+        "admitted":1.0,"leaving":[],"daemons":1},
+    {"service":"syncdesk-api","slots":56,"utilization":1.314,"service_time_ms":41.26,"goal_ms":32.0,"refusal_rate":0.0214,
+        "admitted":0.8512,"leaving":[{"zone":"windhoek-2","share":0.12},{"zone":"windhoek-3","share":0.031}],"daemons":8,
+        "field_of_a_later_version":true}],"upstreams":[]}"#;
+
+/// Loads of a daemon whose version reports other fields.
+const LOAD_OF_OTHER_VERSION: &str = r#"{"vm":"vm-1","zone":"windhoek-1","ready":true,"revision":62,"age_ms":810,"store_lost_ms":null,
+"configuration":19,"routes":12,"flows":163,"loads":[{"service":"syncdesk-api"}],"upstreams":[]}"#;
+
+const ADMISSION: &str = r#"{"vm":"vm-1","caller":"100.67.0.24","openings":[
+{"route":"198.18.0.1:8080","name":"orders","service":"syncdesk-api","priority":1,"place":0.3127,"admitted":0.8512,
+    "is_heavy":false,"rejected":null,"leaves":false,"leaving":[{"zone":"windhoek-2","share":0.12}]},
+{"route":"198.18.0.1:8081","name":"orders-late","service":"syncdesk-api","priority":2,"place":0.8127,"admitted":0.8512,
+    "is_heavy":true,"rejected":null,"leaves":true,"leaving":[{"zone":"windhoek-2","share":0.12}]},
+{"route":"198.18.0.1:8082","name":"reports","service":"syncdesk-api","priority":null,"place":0.9871,"admitted":0.8512,
+    "is_heavy":true,"rejected":"heavy_caller","leaves":false,"leaving":[{"zone":"windhoek-2","share":0.12}]}]}"#;
+
+const REJECTED: &str = r#"{"vm":"vm-1","caller":"100.67.0.24","openings":[
+{"route":"198.18.0.1:8080","name":"orders","service":"certvault","priority":1,"place":0.3127,"admitted":1.0,
+    "is_heavy":false,"rejected":"own_delay","leaves":false},
+{"route":"198.18.0.1:8080","name":"orders","service":"syncdesk-api","priority":1,"place":0.9127,"admitted":0.85,
+    "is_heavy":false,"rejected":"overload","leaves":false}],"left_out":3}"#;
+
+const ADMITTED: &str = r#"{"vm":"vm-1","caller":"100.67.0.24","openings":[
+{"route":"198.18.0.1:8080","name":"orders","service":"syncdesk-api","priority":1,"place":0.9127,"admitted":1.0,
+    "is_heavy":false,"rejected":null,"leaves":false}]}"#;
+
 /// View of a daemon that cannot reach the store.
 const STORE_LOST: &str = r#"{"vm":"vm-2","zone":"windhoek-2","ready":false,"revision":0,"age_ms":null,"store_lost_ms":4100,
 "configuration":null,"routes":0,"flows":0,"upstreams":[]}"#;
@@ -222,3 +253,39 @@
         .run();
     insta::assert_snapshot!(run.all());
 }
+
+/// The load was visible in the metrics only, so that an operator could not tell a full zone from a slow one.
+#[rstest]
+#[case::text("view of a loaded daemon", &["view"], LOADED)]
+#[case::service("view of the load of a service", &["view", "--service", "certvault"], LOADED)]
+#[case::json("view of a loaded daemon in JSON", &["view", "--json"], LOADED)]
+#[case::other_version("view of the load from another version", &["view"], LOAD_OF_OTHER_VERSION)]
+fn view_shows_the_load(#[case] name: &str, #[case] args: &[&str], #[case] status: &str) {
+    let admin = FakeAdmin::default().answer("/status", 200, status).start();
+    insta::assert_snapshot!(name, ctl_with_admin(admin, args).run().all());
+}
+
+/// A caller that is rejected has to be told from one that is sent to another zone, and each cause from the others.
+#[rstest]
+#[case::service("caller of a service", &["syncdesk-api"], "service=syncdesk-api", ADMISSION)]
+#[case::json("caller of a service in JSON", &["syncdesk-api", "--json"], "service=syncdesk-api", ADMISSION)]
+#[case::route("caller of a route", &["198.18.0.1:8080"], "route=198.18.0.1%3A8080", REJECTED)]
+#[case::admitted("admitted caller", &["198.18.0.1:8080"], "route=198.18.0.1%3A8080", ADMITTED)]
+fn explain_shows_the_verdict_on_a_caller(
+    #[case] name: &str,
+    #[case] args: &[&str],
+    #[case] target: &str,
+    #[case] answer: &str,
+) {
+    let target = format!("/explain?caller=100.67.0.24&{target}");
+    let admin = FakeAdmin::default().answer(&target, 200, answer).start();
+    let args = [&["explain", "--caller", "100.67.0.24"], args].concat();
+    insta::assert_snapshot!(name, ctl_with_admin(admin, &args).run().all());
+}
+
+/// A caller of packet mode has no tickets; one of the two options would be ignored.
+#[test]
+fn a_caller_and_a_ticket_exclude_each_other() {
+    let args = ["explain", "--caller", "100.67.0.24", "--ticket", "0f", "x"];
+    insta::assert_snapshot!(ctl_with_admin(closed_port(), &args).run().all());
+}
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -6,10 +6,14 @@
 mod router;
 
 pub use operations::{
+    AdmissionError,
+    AdmissionQuery,
+    AdmissionTarget,
     ExplainError,
     ExplainQuery,
     FaultsError,
     Operations,
+    PacketReports,
     Reports, //
 };
 
@@ -83,8 +87,8 @@
     .await;
 }
 
-/// Serves only the reports on `listener`; never returns.
-pub async fn serve_reports<R: Reports + 'static>(listener: TcpListener, reports: Rc<R>) {
+/// Serves the reports of a daemon that forwards packets on `listener`; never returns.
+pub async fn serve_reports<R: PacketReports + 'static>(listener: TcpListener, reports: Rc<R>) {
     serve_with(listener, move |req| {
         let answer = answer_reports(&req, &*reports);
         async move { answer }
--- a/crates/daemon/src/admin/operations.rs
+++ b/crates/daemon/src/admin/operations.rs
@@ -1,13 +1,20 @@
 //! Interface between the admin server and the daemon.
 
 use crate::audit::AuditQuery;
-use foxtailhinge_config::report::{
-    AuditPage,
-    Explanation,
-    Faults,
-    Status, //
+use foxtailhinge_config::{
+    packet_report::AdmissionReport,
+    report::{
+        AuditPage,
+        Explanation,
+        Faults,
+        Status, //
+    },
 };
 use serde::Serialize;
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
 use thiserror::Error;
 
 /// Reports that each kind of daemon offers.
@@ -22,6 +29,12 @@
     fn status(&self) -> Self::Status;
 }
 
+/// Reports that only daemons that forward packets offer.
+pub trait PacketReports: Reports {
+    /// Explains what would become of a caller's next openings.
+    fn explain_admission(&self, query: &AdmissionQuery) -> Result<AdmissionReport, AdmissionError>;
+}
+
 impl<O: Operations> Reports for O {
     type Status = Status;
 
@@ -61,6 +74,35 @@
     pub ticket: Option<Vec<u8>>,
 }
 
+/// A caller whose next openings are to be explained.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionQuery {
+    /// Address of the caller's VM.
+    pub caller: Ipv4Addr,
+    /// Openings to explain.
+    pub target: AdmissionTarget,
+}
+
+/// Openings to explain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionTarget {
+    /// Those on all routes to the service of this name.
+    Service(String),
+    /// Those on the route at this address.
+    Route(SocketAddrV4),
+}
+
+/// Why openings cannot be explained.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum AdmissionError {
+    /// No route leads to the service.
+    #[error("Name another service; no route of the configuration in force here leads to \"{0}\".")]
+    UnknownService(String),
+    /// There is no such route.
+    #[error("Name another route; the configuration in force here has none at {0}.")]
+    UnknownRoute(SocketAddrV4),
+}
+
 /// Why a flow cannot be explained.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum ExplainError {
--- a/crates/daemon/src/admin/query.rs
+++ b/crates/daemon/src/admin/query.rs
@@ -1,7 +1,11 @@
 //! Query strings of the admin interface.
 
 use crate::{
-    admin::ExplainQuery,
+    admin::{
+        AdmissionQuery,
+        AdmissionTarget,
+        ExplainQuery, //
+    },
     audit::AuditQuery, //
 };
 use std::str::FromStr;
@@ -20,6 +24,12 @@
     Ticket,
     #[error("Add the parameter \"{0}\".")]
     Missing(&'static str),
+    #[error("Write the parameter \"caller\" as an IPv4 address.")]
+    Caller,
+    #[error("Write the parameter \"route\" as an IPv4 address with a port.")]
+    Route,
+    #[error("Write one of the parameters \"service\" and \"route\".")]
+    Target,
 }
 
 /// Parses the query string of `/audit`.
@@ -41,6 +51,25 @@
     })
 }
 
+/// Parses the query string of `/explain` of a daemon that forwards packets.
+pub(super) fn admission(query: &str) -> Result<AdmissionQuery, QueryError> {
+    let [caller, service, route] = parameters(query, ["caller", "service", "route"])?;
+    let caller = caller.ok_or(QueryError::Missing("caller"))?;
+    let target = match (service, route) {
+        (Some(service), None) => AdmissionTarget::Service(service.to_string()),
+        (None, Some(route)) => {
+            // The form encoding of HTTP clients writes the colon before the port as %3A.
+            let route = route.replace("%3A", ":");
+            AdmissionTarget::Route(route.parse().map_err(|_| QueryError::Route)?)
+        }
+        _ => return Err(QueryError::Target),
+    };
+    Ok(AdmissionQuery {
+        caller: caller.parse().map_err(|_| QueryError::Caller)?,
+        target,
+    })
+}
+
 /// Checks that there are no parameters.
 pub(super) fn none(query: &str) -> Result<(), QueryError> {
     parameters(query, []).map(|[]| ())
--- a/crates/daemon/src/admin/router.rs
+++ b/crates/daemon/src/admin/router.rs
@@ -2,9 +2,11 @@
 
 use crate::admin::{
     operations::{
+        AdmissionError,
         ExplainError,
         FaultsError,
         Operations,
+        PacketReports,
         Reports, //
     },
     query::{
@@ -48,7 +50,7 @@
 enum RequestError {
     #[error("Ask for /metrics, /status, /audit or /explain; \"{0}\" is not served.")]
     Path(String),
-    #[error("Ask for /metrics or /status; \"{0}\" is not served.")]
+    #[error("Ask for /metrics, /status or /explain; \"{0}\" is not served.")]
     ReportPath(String),
     #[error("Use the method {0} for this path.")]
     Method(&'static str),
@@ -63,6 +65,8 @@
     #[error(transparent)]
     Explain(#[from] ExplainError),
     #[error(transparent)]
+    Admission(#[from] AdmissionError),
+    #[error(transparent)]
     FaultsRefused(#[from] FaultsError),
     #[error("Report this failure; the response could not be written: {0}.")]
     Response(serde_json::Error),
@@ -72,7 +76,9 @@
     fn status(&self) -> StatusCode {
         match self {
             Self::Path(_) | Self::ReportPath(_) => StatusCode::NOT_FOUND,
-            Self::Explain(ExplainError::UnknownService(_)) => StatusCode::NOT_FOUND,
+            Self::Explain(ExplainError::UnknownService(_)) | Self::Admission(_) => {
+                StatusCode::NOT_FOUND
+            }
             Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::FaultsRefused(FaultsError::NotEnabled) => StatusCode::FORBIDDEN,
             Self::Response(_) => StatusCode::INTERNAL_SERVER_ERROR,
@@ -104,11 +110,12 @@
 }
 
 /// Answers one request of an interface that serves only reports.
-pub(super) fn answer_reports<R: Reports>(req: &Request<Incoming>, reports: &R) -> Answer {
+pub(super) fn answer_reports<R: PacketReports>(req: &Request<Incoming>, reports: &R) -> Answer {
     let path = req.uri().path();
     let answered = match path {
         "/metrics" => read(req, metrics, reports),
         "/status" => read(req, status, reports),
+        "/explain" => read(req, explain_admission, reports),
         _ => Err(RequestError::ReportPath(path.to_owned())),
     };
     answered.unwrap_or_else(RequestError::into_answer)
@@ -161,6 +168,10 @@
     json(&operations.explain(&query::explain(query)?)?)
 }
 
+fn explain_admission<R: PacketReports>(reports: &R, query: &str) -> Result<Answer, RequestError> {
+    json(&reports.explain_admission(&query::admission(query)?)?)
+}
+
 async fn set_faults<S: Operations>(
     req: Request<Incoming>,
     operations: &S,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,6 +9,8 @@
 
 use prometheus::{
     core::Collector,
+    Gauge,
+    GaugeVec,
     Histogram,
     HistogramOpts,
     IntCounter,
@@ -454,6 +456,15 @@
     register(registry, IntGauge::new(name, help))
 }
 
+pub(crate) fn float_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    register(registry, Gauge::new(name, help))
+}
+
+/// Registers gauges with one label whose values come and go; the caller bounds their number.
+pub(crate) fn float_gauges(registry: &Registry, name: &str, help: &str, label: &str) -> GaugeVec {
+    register(registry, GaugeVec::new(Opts::new(name, help), &[label]))
+}
+
 /// Registers a metric. Names are constants, so an invalid or duplicate one is a programming error.
 fn register<C: Collector + Clone + 'static>(
     registry: &Registry,
--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -2,6 +2,8 @@
 
 use crate::metrics::{
     counter,
+    float_gauge,
+    float_gauges,
     gauge,
     histogram,
     render,
@@ -14,14 +16,24 @@
 use foxtailhinge_policy::packets::{
     DropReason,
     ResetReason,
+    ServiceLoad,
     Verdict, //
 };
 use prometheus::{
+    Gauge,
+    GaugeVec,
     Histogram,
     IntCounter,
     IntGauge,
     Registry, //
 };
+use std::{
+    cmp::Ordering,
+    time::Duration, //
+};
+
+/// Maximum number of services with time series of their load; the store may list thousands.
+pub const SERVICES_MAX: usize = 32;
 
 /// Bounds of the histogram of answer times, in seconds: from an ordinary request to the longest time budgets.
 const ANSWER_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0];
@@ -165,6 +177,78 @@
     }
 }
 
+/// Loads of the busiest services, with the service as label.
+#[derive(Clone, Debug)]
+struct LoadGauges {
+    utilization: GaugeVec,
+    service_time: GaugeVec,
+    refusal_rate: GaugeVec,
+    admitted: GaugeVec,
+    leaving: GaugeVec,
+}
+
+impl LoadGauges {
+    fn new(registry: &Registry) -> Self {
+        let gauges = |name, help| float_gauges(registry, name, help, "service");
+        Self {
+            utilization: gauges(
+                "foxtailhinge_service_utilization",
+                "Requests at the service's upstreams in the zone, running or waiting, per slot.",
+            ),
+            service_time: gauges(
+                "foxtailhinge_service_time_seconds",
+                "Mean time of processing and queueing at the service's upstreams in the zone.",
+            ),
+            refusal_rate: gauges(
+                "foxtailhinge_service_refusal_rate",
+                "Share of answers of the service's upstreams in the zone that are refusals.",
+            ),
+            admitted: gauges(
+                "foxtailhinge_service_admitted_share",
+                "Share of openings of the service that are admitted.",
+            ),
+            leaving: gauges(
+                "foxtailhinge_service_leaving_share",
+                "Share of flows of the service that go to other zones.",
+            ),
+        }
+    }
+
+    /// Sets the time series of these services and removes all others.
+    fn set(&self, loads: &[&ServiceLoad]) {
+        let Self {
+            utilization,
+            service_time,
+            refusal_rate,
+            admitted,
+            leaving,
+        } = self;
+        for gauges in [utilization, service_time, refusal_rate, admitted, leaving] {
+            gauges.reset();
+        }
+        for load in loads {
+            let service = [&*load.service];
+            let set = |gauges: &GaugeVec, value| gauges.with_label_values(&service).set(value);
+            set(utilization, load.utilization);
+            set(refusal_rate, load.refusal_rate);
+            set(admitted, load.admitted);
+            set(leaving, load.leaving_share());
+            if let Some(time) = load.service_time {
+                set(service_time, time.as_secs_f64());
+            }
+        }
+    }
+}
+
+/// Services whose callers are rejected or leave the zone come first, then the busiest ones.
+fn by_importance(a: &ServiceLoad, b: &ServiceLoad) -> Ordering {
+    let is_limited = |load: &ServiceLoad| load.admitted < 1.0 || load.leaving_share() > 0.0;
+    is_limited(b)
+        .cmp(&is_limited(a))
+        .then(b.utilization.total_cmp(&a.utilization))
+        .then_with(|| a.service.cmp(&b.service))
+}
+
 /// All metrics of one daemon that forwards packets.
 #[derive(Clone, Debug)]
 pub struct PacketMetrics {
@@ -201,6 +285,10 @@
     pub view_age_ms: IntGauge,
     /// Version of the configuration in force.
     pub configuration: IntGauge,
+    /// Loads of the busiest services.
+    loads: LoadGauges,
+    /// Time for which this daemon's own link, socket or processor delays packets, in seconds.
+    own_delay: Gauge,
     /// Tasks restarted after a failure.
     pub task_restarts: IntCounter,
     /// Log lines lost because nobody read them.
@@ -291,6 +379,12 @@
                 "foxtailhinge_configuration_version",
                 "Version of the configuration in force.",
             ),
+            loads: LoadGauges::new(r),
+            own_delay: float_gauge(
+                r,
+                "foxtailhinge_own_delay_seconds",
+                "Time for which this daemon's own link, socket or processor delays packets.",
+            ),
             task_restarts: counter(
                 r,
                 "foxtailhinge_task_restarts_total",
@@ -305,6 +399,15 @@
         }
     }
 
+    /// Sets the loads of the busiest services, at most [`SERVICES_MAX`], and this daemon's own delay.
+    pub fn set_loads(&self, loads: &[ServiceLoad], own_delay: Duration) {
+        let mut loads: Vec<_> = loads.iter().collect();
+        loads.sort_unstable_by(|a, b| by_importance(a, b));
+        loads.truncate(SERVICES_MAX);
+        self.loads.set(&loads);
+        self.own_delay.set(own_delay.as_secs_f64());
+    }
+
     /// Writes all metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
         render(&self.registry)
--- a/crates/daemon/src/packets/mod.rs
+++ b/crates/daemon/src/packets/mod.rs
@@ -8,6 +8,6 @@
 pub mod path;
 pub mod ready;
 pub mod reload;
-mod report;
+pub mod report;
 pub mod view;
 pub mod zone;
--- a/crates/daemon/tests/packets/settings.rs
+++ b/crates/daemon/tests/packets/settings.rs
@@ -25,6 +25,31 @@
     assert!(scene.status(0).unwrap().ready);
 }
 
+/// Operators switch rejections off while the daemon runs; the log must show what is in force from then on.
+#[test]
+fn the_handling_of_overload_changes_with_a_reload() {
+    let scene = Scene::start();
+    scene
+        .edit_settings(0, |text| {
+            text.replace(
+                "\"limits\"",
+                "\"load\": { \"shed\": false, \"zone_price_ms\": 20 }, \"limits\"",
+            )
+        })
+        .unwrap();
+    scene.reload(0);
+    scene
+        .wait_until("the settings are in force", |f| {
+            f.events(0, "settings_reloaded").len() == 1
+        })
+        .unwrap();
+    let line = &scene.events(0, "settings_reloaded")[0];
+    assert!(
+        line.contains("shed=false spill=true zone_price_ms=20"),
+        "{line}"
+    );
+}
+
 #[test]
 fn settings_are_reloaded_without_a_signal() {
     let scene = Scene::start();
--- a/crates/standins/src/packets/daemons.rs
+++ b/crates/standins/src/packets/daemons.rs
@@ -5,7 +5,10 @@
     WAIT_TIMEOUT, //
 };
 use crate::fleet::daemon::Signal;
-use foxtailhinge_config::packet_report::PacketStatus;
+use foxtailhinge_config::packet_report::{
+    AdmissionReport,
+    PacketStatus, //
+};
 use std::{
     fs,
     path::PathBuf,
@@ -101,6 +104,15 @@
         self.daemons[index].read("/metrics")
     }
 
+    /// Asks a daemon what it would do with the openings of a caller; `query` is the query string.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon does not answer, or refuses the query.
+    pub fn explain_admission(&self, index: usize, query: &str) -> anyhow::Result<AdmissionReport> {
+        self.daemons[index].read_json(&format!("/explain?{query}"))
+    }
+
     /// Returns the lines of a daemon's log that record an event.
     pub fn events(&self, index: usize, event: &str) -> Vec<String> {
         let log = fs::read_to_string(&self.daemons[index].log).unwrap_or_default();
