Give each phase of local_fleet in packet mode time for its requests

The events of a run were at fixed shares of `--seconds`. The restoration of the store waits until a new configuration is in force and all upstreams are listed, 0.3 s plus 0.7 to 1.6 s, and the next event was due 5 % of the run later (1.25 s of 25 s). So the next event followed at once, and the phase after the restoration had no request: "0.00 % in time". The requests during the restoration were counted in the phase before it. The same happened with one late request of 13.

A phase now begins with its event, and ends when its share of the remaining time is over, but at least 1 s after the event is complete. A phase with fewer than 200 requests is reported as "not judged".

The new test fails with the old rules: a phase lasts 0 ns after its event, and 0 requests count as broken.

--- a/crates/standins/examples/local_fleet/main.rs
+++ b/crates/standins/examples/local_fleet/main.rs
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
 struct Options {
-    /// Length of the run in seconds, at least 16
+    /// Length of the run in seconds, at least 16; a run in packet mode takes longer if its events leave a phase no second
     #[bpaf(fallback(20), guard(|seconds| *seconds >= MIN_SECONDS, "must be at least 16"))]
     seconds: u64,
     /// Seed of all random draws
--- a/crates/standins/src/packets/mod.rs
+++ b/crates/standins/src/packets/mod.rs
@@ -5,6 +5,7 @@
 mod daemons;
 pub mod fabric;
 pub mod fleet;
+pub mod phases;
 pub mod results;
 pub mod segment;
 mod start;
