Simulate overload in packet mode in the placement benchmark

Twice the slots, one hot zone, upstreams that leave, a flash crowd with retries and slow upstreams, on 8 and on 90 daemons, and a load under capacity. Each packet goes through the `Balancer` of its daemon. Load reports reach other daemons 250 ms late, and 10 % of them and of their replies are lost. A decider that knows all requests stands beside it.

The queue of events moves from `sim.rs` to `agenda.rs`, so that both simulations use it.

--- a/crates/policy/benches/placement/main.rs
+++ b/crates/policy/benches/placement/main.rs
@@ -3,8 +3,11 @@
 //! `cargo bench -p foxtailhinge-policy --bench placement [-- NAME...]` prints Markdown tables.
 //! All policies of a table are run with the same arrivals.
 
+mod agenda;
 mod herd;
 mod least_bad;
+mod overload;
+mod overload_sim;
 mod report;
 mod scenarios;
 mod setup;
--- a/crates/policy/benches/placement/scenarios.rs
+++ b/crates/policy/benches/placement/scenarios.rs
@@ -95,6 +95,10 @@
         name: "herd",
         run: crate::herd::table,
     },
+    Entry {
+        name: "overload",
+        run: crate::overload::tables,
+    },
     Entry {
         name: "scale",
         run: scale,
--- a/crates/policy/benches/placement/sim.rs
+++ b/crates/policy/benches/placement/sim.rs
@@ -1,6 +1,7 @@
 //! Discrete-event simulation of callers, daemons and upstreams. The decisions are those of this package.
 
 use crate::{
+    agenda::Agenda,
     report::{
         max_over_mean,
         Span, //
@@ -46,13 +47,9 @@
     SeedableRng, //
 };
 use smallvec::SmallVec;
-use std::{
-    cmp::Reverse,
-    collections::BinaryHeap,
-    time::{
-        Duration,
-        Instant, //
-    },
+use std::time::{
+    Duration,
+    Instant, //
 };
 
 /// Refresh interval of the views of the baseline policies.
@@ -114,8 +111,7 @@
     options: Options,
     flows: &'a [Flow],
     states: Vec<FlowState>,
-    events: BinaryHeap<Reverse<Entry>>,
-    order: u64,
+    agenda: Agenda<Event>,
     origin: Instant,
     now: Instant,
     rng: SmallRng,
@@ -133,35 +129,12 @@
     spans: Vec<Span>,
 }
 
-struct Entry {
-    at: Instant,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-impl Eq for Entry {}
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// Runs one policy on a trace.
 pub(crate) fn run(scenario: &Scenario, options: Options, flows: &[Flow]) -> Vec<Span> {
     let mut sim = Sim::new(scenario, options, flows);
-    while let Some(Reverse(entry)) = sim.events.pop() {
-        sim.now = entry.at;
-        sim.handle(entry.event);
+    while let Some((at, event)) = sim.agenda.pop() {
+        sim.now = at;
+        sim.handle(event);
     }
     sim.spans
 }
@@ -184,8 +157,7 @@
             options,
             flows,
             states: Vec::with_capacity(flows.len()),
-            events: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::new(),
             origin,
             now: origin,
             upstreams: Vec::new(),
@@ -255,12 +227,7 @@
     }
 
     fn push(&mut self, at: Instant, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse(Entry {
-            at,
-            order: self.order,
-            event,
-        }));
+        self.agenda.push(at, event);
     }
 
     fn handle(&mut self, event: Event) {
