--- a/crates/daemon/src/packets/daemon.rs
+++ b/crates/daemon/src/packets/daemon.rs
@@ -41,7 +41,10 @@
 };
 use flexi_logger::LoggerHandle;
 use foxtailhinge_config::packet_settings::PacketSettings;
-use foxtailhinge_policy::packets::Balancer;
+use foxtailhinge_policy::packets::{
+    Balancer,
+    Position, //
+};
 use futures::future::{
     select,
     Either, //
@@ -59,13 +62,18 @@
     rc::Rc,
     time::{
         Duration,
-        Instant, //
+        Instant,
+        SystemTime,
+        UNIX_EPOCH, //
     },
 };
 
 /// Interval at which expired state is evicted.
 const EVICTION_PERIOD: Duration = Duration::from_secs(1);
 
+/// Interval at which the balancer is told the time of day and the position of this daemon in its zone.
+const SURROUNDINGS_PERIOD: Duration = Duration::from_secs(1);
+
 /// Interval at which the settings file is read again, because it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
 
@@ -232,6 +240,11 @@
         let daemon = Rc::clone(&evicting);
         async move { daemon.evict_periodically().await }
     });
+    let surrounded = Rc::clone(daemon);
+    supervisor.child("surroundings", Restart::Always, move |_| {
+        let daemon = Rc::clone(&surrounded);
+        async move { daemon.update_surroundings().await }
+    });
     start_reload(daemon, hangup, supervisor);
     start_zone(daemon, supervisor)?;
     start_ready(daemon, supervisor)?;
@@ -257,6 +270,7 @@
     zone_child(supervisor, "zone_members", &zone, Zone::exchange_members);
     zone_child(supervisor, "zone_evidence", &zone, Zone::report_failures);
     zone_child(supervisor, "zone_feed", &zone, Zone::follow);
+    zone_child(supervisor, "zone_load", &zone, Zone::exchange_loads);
     Ok(())
 }
 
@@ -348,6 +362,20 @@
         }
     }
 
+    /// Tells the balancer the time of day and the position of this daemon in its zone.
+    async fn update_surroundings(&self) -> anyhow::Result<()> {
+        let mut ticks = self.timer.subscribe(SURROUNDINGS_PERIOD);
+        loop {
+            let zone = self.zone.as_ref();
+            let position = zone.map_or(Position::ALONE, |zone| zone.position());
+            // A clock before 1970 only changes the ranks of callers.
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+            self.path
+                .set_surroundings(unix.unwrap_or_default(), position);
+            ticks.tick().await;
+        }
+    }
+
     async fn watch_settings(&self) -> anyhow::Result<()> {
         let mut ticks = self.timer.subscribe(SETTINGS_PERIOD);
         loop {
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -7,11 +7,14 @@
 mod discovery;
 mod failure_reports;
 mod follower;
+mod load_exchange;
+pub mod load_record;
 pub mod message;
 mod server;
 
 pub use self::{
     change_set::ChangeSetRecord,
+    load_record::LoadRecord,
     message::{
         Changes,
         ZoneReply,
@@ -19,6 +22,7 @@
     },
 };
 
+use self::load_exchange::LoadExchange;
 use super::{
     evidence::Evidence,
     metrics::PacketMetrics,
@@ -46,6 +50,7 @@
     packets::{
         readers,
         LostChanges,
+        Position,
         Role,
         Version, //
     },
@@ -112,6 +117,7 @@
     asked: Cell<Option<Instant>>,
     /// Daemons that are asked for changes which a restored store has lost.
     lost_changes: RefCell<LostChanges>,
+    loads: LoadExchange,
 }
 
 impl Zone {
@@ -136,6 +142,7 @@
             lost: Wake::default(),
             asked: Cell::new(None),
             lost_changes: RefCell::default(),
+            loads: LoadExchange::default(),
         })
     }
 
@@ -155,6 +162,20 @@
         members.live_in_zone(&members.me().zone).count()
     }
 
+    /// Position of this daemon among the live daemons of the zone, which each daemon orders by VM.
+    pub fn position(&self) -> Position {
+        let members = self.members.borrow();
+        let me = members.me();
+        let live = members.live_in_zone(&me.zone);
+        let (before, others) = live.fold((0, 0), |(before, all), member| {
+            (before + usize::from(member.vm < me.vm), all + 1)
+        });
+        Position {
+            index: before,
+            daemons: others,
+        }
+    }
+
     /// VM of the daemon that this one follows.
     pub fn followed(&self) -> Option<Rc<str>> {
         self.followed.borrow().clone()
@@ -194,6 +215,15 @@
         if let ZoneRequest::Watch { .. } = request {
             *self.link.borrow_mut() = Some((addr, tx.clone()));
         }
+        self.send(tx, request).await
+    }
+
+    /// Sends a request over an open link.
+    async fn send(
+        &self,
+        tx: SendRequest<Bytes>,
+        request: &ZoneRequest,
+    ) -> Result<ZoneReply, LinkError> {
         let request = message::encode(request);
         self.parts
             .metrics
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -20,7 +20,8 @@
     entry::{
         Route,
         Upstream,
-        UpstreamId, //
+        UpstreamId,
+        PRIORITY_LOWEST, //
     },
     flows::{
         FlowEvent,
@@ -39,13 +40,17 @@
         Openings, //
     },
     outlier_ejection::OutlierEjection,
-    overload::Overload,
+    overload::{
+        Admission,
+        Overload, //
+    },
     packet::{
         FlowId,
         Kind,
         Packet, //
     },
     shared_evidence::FailedOpening,
+    subset::Position,
     thundering_herd::ThunderingHerd,
 };
 use rand::Rng;
@@ -160,7 +165,6 @@
     /// Creates a balancer in `zone` that has seen no packets.
     pub fn new(zone: Rc<str>, rng: R) -> Self {
         Self {
-            zone,
             rng,
             openings: Openings::default(),
             flows: Flows::default(),
@@ -168,9 +172,10 @@
             failure: CorrelatedFailure::default(),
             dead: DeadUpstreams::default(),
             herd: ThunderingHerd::default(),
-            overload: Overload::default(),
+            overload: Overload::new(Rc::clone(&zone)),
             health_changes: Vec::new(),
             failed: Vec::new(),
+            zone,
         }
     }
 
@@ -189,6 +194,7 @@
         };
         self.herd.begin(now);
         self.record_failed_openings(directory, now);
+        self.overload.update(directory, now);
         let route = cfg.routes.get(&packet.flow.route);
         match (packet.kind, route) {
             (Kind::Open, Some(route)) => self.open(packet, route, directory, is_fresh, now),
@@ -256,9 +262,9 @@
         self.overload.set_settings(settings);
     }
 
-    /// Sets the time of day and the number of live daemons in the zone, this one included; to be called every second.
-    pub fn set_surroundings(&mut self, unix: Duration, live_daemons: usize, now: Instant) {
-        self.overload.set_surroundings(unix, live_daemons, now);
+    /// Sets the time of day and the position among the live daemons of the zone; to be called every second.
+    pub fn set_surroundings(&mut self, unix: Duration, position: Position, now: Instant) {
+        self.overload.set_surroundings(unix, position, now);
     }
 
     /// Load that this daemon observes by itself.
@@ -324,7 +330,14 @@
         now: Instant,
     ) -> Verdict {
         let mut tried = self.openings.tried(packet.flow, now);
+        let service = draw_service(route, &mut self.rng);
+        let mut admission = Admission::HERE;
         if tried.is_empty() {
+            let caller = *packet.flow.caller.ip();
+            admission = self.overload.admit(caller, service, route, now);
+            if let Admission::Rejected(reason) = admission {
+                return Verdict::Reset(reason);
+            }
             if let Some(until) = self.herd.delay_until(packet.ack, route.target_latency, now) {
                 return Verdict::Wait { until };
             }
@@ -335,14 +348,17 @@
         };
         self.eject_silent(&tried, &refused, now);
         tried.extend(refused);
+        let draw = self.rng.random();
+        let leaves_for = self.overload.zone_for(service, admission, draw);
         let chooser = Chooser {
             zone: &self.zone,
+            preferred: leaves_for.as_ref().unwrap_or(&self.zone),
+            busy: self.overload.busy(service),
             directory,
             flows: &self.flows,
             ejection: &self.ejection,
             failure: &self.failure,
         };
-        let service = draw_service(route, &mut self.rng);
         let Some(choice) = chooser.choose(service, &tried, &mut self.rng, now) else {
             return match is_fresh && directory.is_settled(now) {
                 true => Verdict::Reset(ResetReason::NoUpstream),
@@ -351,6 +367,10 @@
         };
         self.openings.record(packet.flow, choice.id, now);
         self.flows.open(packet.flow, choice.id, now);
+        if let Some(known) = directory.get(choice.id) {
+            let Upstream { service, zone, .. } = &known.upstream;
+            self.overload.record_opened(service, zone);
+        }
         Verdict::Open(choice)
     }
 
@@ -378,6 +398,7 @@
                 continue;
             };
             let failure_rate = self.failure.record(&known.service, &known.zone, true, now);
+            self.overload.record_failed(&known.service, &known.zone);
             self.failed.push(FailedOpening { upstream, at });
             let is_silent = match failure_rate >= correlated_failure::MAJORITY {
                 true => self.ejection.record(upstream, at, now),
@@ -413,12 +434,20 @@
             return Verdict::Drop(DropReason::UnknownLabel);
         };
         let event = self.flows.record(packet, id, route.is_some(), now);
+        if let Some(response) = self.flows.take_response() {
+            let Upstream { service, zone, .. } = &known.upstream;
+            let priority = route.map_or(PRIORITY_LOWEST, |route| route.priority);
+            self.overload
+                .record_response(service, zone, priority, response);
+        }
         self.observe_answer(packet, (id, known), event, now);
         if let Some(route) = route.filter(|route| route.is_idempotent) {
             if let FlowEvent::Retransmission(_) = event {
                 self.suspect(packet.flow, (id, known), route.target_latency, now);
             }
-            if packet.len > 0 && self.dead.is_dead(id, now) {
+            let service = &known.upstream.service;
+            let is_evidence = self.overload.unanswered_allowance(service).is_some();
+            if packet.len > 0 && is_evidence && self.dead.is_dead(id, now) {
                 self.flows.end(packet.flow, id);
                 return Verdict::Reset(ResetReason::DeadUpstream);
             }
@@ -439,9 +468,11 @@
         now: Instant,
     ) {
         let opened = self.openings.opened(packet.flow, id);
-        if opened.is_some() {
+        if let Some(at) = opened {
             let Upstream { service, zone, .. } = &known.upstream;
             self.failure.record(service, zone, false, now);
+            let took = now.saturating_duration_since(at);
+            self.overload.record_connected(service, zone, took);
         }
         let answered = match event {
             FlowEvent::Answered(at) | FlowEvent::Request(at) => at,
@@ -467,10 +498,15 @@
         let Some(asked) = self.flows.unanswered(flow, id) else {
             return;
         };
+        let service = &known.upstream.service;
+        let Some(allowance) = self.overload.unanswered_allowance(service) else {
+            return;
+        };
         let request = Unanswered {
             caller: *flow.caller.ip(),
             since: asked.first,
             target_latency,
+            allowance,
             is_unlisted: known.is_gone(now),
         };
         if self.dead.record(id, request, now) {
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -5,6 +5,8 @@
 
 use super::{
     entry::UpstreamId,
+    outstanding::Outstanding,
+    overload::Response, //
     packet::{
         FlowId,
         Kind,
@@ -78,6 +80,21 @@
     last_seen: Instant,
     /// Whether this daemon has forwarded a packet of the flow by a configuration that has its route.
     had_route: bool,
+    /// When the last data of the request that is not answered was forwarded.
+    requested: Option<Instant>,
+    /// Acknowledgement of the caller when it sent that request.
+    acknowledged: u32,
+}
+
+impl Flow {
+    /// The response that a packet acknowledges, if this daemon forwarded the request.
+    fn response(&self, packet: &Packet, now: Instant) -> Option<Response> {
+        let took = now.saturating_duration_since(self.requested?);
+        is_after(packet.ack, self.acknowledged).then(|| Response {
+            took,
+            len: packet.ack.wrapping_sub(self.acknowledged),
+        })
+    }
 }
 
 /// Progress of a flow that a packet reveals.
@@ -100,7 +117,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Flows {
     flows: HashMap<FlowId, Flow>,
+    /// Response that the last packet showed.
+    response: Option<Response>,
     pending: HashMap<UpstreamId, Requests>,
+    outstanding: Outstanding,
 }
 
 impl Flows {
@@ -113,13 +133,19 @@
         now: Instant,
     ) -> FlowEvent {
         if matches!(packet.kind, Kind::End | Kind::Reset) {
-            self.flows.remove(&packet.flow);
+            let flow = self.flows.remove(&packet.flow);
+            if packet.kind == Kind::End {
+                self.response = flow.and_then(|flow| flow.response(packet, now));
+            }
             return FlowEvent::Answered(self.finish_request(packet.flow, upstream));
         }
         let Some(flow) = self.flows.get_mut(&packet.flow) else {
             self.insert(packet, has_route, now);
             return match packet.len {
-                0 => FlowEvent::Nothing,
+                0 => {
+                    self.outstanding.finish(packet.flow, upstream);
+                    FlowEvent::Nothing
+                }
                 _ => {
                     self.start_request(packet.flow, upstream, now);
                     FlowEvent::Request(None)
@@ -132,8 +158,15 @@
         let answered = is_after(packet.ack, flow.received);
         let is_new = is_after(end, flow.sent);
         flow.received = packet.ack;
+        if answered {
+            // A request that acknowledges the response comes after a pause of the caller.
+            self.response = flow.response(packet, now).filter(|_| packet.len == 0);
+            flow.requested = None;
+        }
         if is_new {
             flow.sent = end;
+            flow.requested = Some(now);
+            flow.acknowledged = packet.ack;
         }
         let finished = answered.then(|| self.finish_request(packet.flow, upstream));
         match (packet.len, is_new) {
@@ -146,6 +179,11 @@
         }
     }
 
+    /// Removes and returns the response that the last packet showed.
+    pub fn take_response(&mut self) -> Option<Response> {
+        self.response.take()
+    }
+
     /// Records that the opening packet of a flow is forwarded to `upstream`.
     ///
     /// The opening is treated as a request until the next packet of the flow.
@@ -164,6 +202,11 @@
             .count()
     }
 
+    /// Number of requests at an upstream that are not answered, however long ago they were forwarded.
+    pub fn outstanding(&self, upstream: UpstreamId, now: Instant) -> usize {
+        self.outstanding.count(upstream, now)
+    }
+
     /// Returns the request of a flow that `upstream` has not answered, if there is one.
     pub fn unanswered(&self, flow: FlowId, upstream: UpstreamId) -> Option<Request> {
         self.pending.get(&upstream)?.get(&flow).copied()
@@ -202,6 +245,7 @@
             pending.retain(|_, request| request.is_in_progress(now));
             !pending.is_empty()
         });
+        self.outstanding.evict(now);
     }
 
     fn insert(&mut self, packet: &Packet, has_route: bool, now: Instant) {
@@ -214,6 +258,8 @@
             first_seen: now,
             last_seen: now,
             had_route: has_route,
+            requested: (packet.len > 0).then_some(now),
+            acknowledged: packet.ack,
         };
         self.flows.insert(packet.flow, flow);
     }
@@ -222,6 +268,7 @@
         let pending = self.pending.entry(upstream).or_default();
         pending.retain(|_, request| request.is_in_progress(now));
         pending.insert(flow, Request::at(now));
+        self.outstanding.start(flow, upstream, now);
     }
 
     fn record_retransmission(
@@ -238,6 +285,7 @@
     }
 
     fn finish_request(&mut self, flow: FlowId, upstream: UpstreamId) -> Option<Instant> {
+        self.outstanding.finish(flow, upstream);
         let pending = self.pending.get_mut(&upstream)?.remove(&flow)?;
         Some(pending.first)
     }
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -6,6 +6,7 @@
 pub mod balancer;
 pub mod change_set;
 pub mod choice;
+pub mod congestion;
 pub mod correlated_failure;
 pub mod dead_upstream;
 pub mod directory;
@@ -14,16 +15,21 @@
 pub mod flows;
 mod labels;
 pub mod load;
+pub mod load_shedding;
 pub mod load_status;
 pub mod lost_changes;
 pub mod openings;
 pub mod outlier_ejection;
+pub mod outstanding;
 pub mod overload;
+pub mod own_delay;
 pub mod packet;
 pub mod poll_schedule;
 pub mod readers;
 pub mod restoration;
 pub mod shared_evidence;
+pub mod spillover;
+pub mod subset;
 pub mod thundering_herd;
 pub mod version;
 
@@ -63,6 +69,7 @@
     },
     flows::FlowEvent,
     load::{
+        AgedReport,
         Counts,
         LoadReport,
         Pool,
@@ -93,5 +100,10 @@
         FailedOpening,
         SilenceReports, //
     },
+    spillover::{
+        PoolLoad,
+        Spillover, //
+    },
+    subset::Position,
     version::Version,
 };
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -1,10 +1,25 @@
 //! Decisions under load: measures the load of services, rejects openings and sends flows to other zones.
 
 use super::{
+    balancer::ResetReason,
+    choice::Busy,
+    congestion::{
+        Congestion,
+        Observation, //
+    },
+    directory::Directory,
     entry::Route,
     load::{
+        Counts,
         LoadMeter,
-        LoadReport, //
+        LoadReport,
+        REPORT_TTL, //
+    },
+    load_shedding::{
+        rank,
+        AdmissionOrder,
+        AdmittedShare,
+        Place, //
     },
     load_status::{
         AdmissionReason,
@@ -12,8 +27,19 @@
         LoadSettings,
         ServiceLoad, //
     },
+    own_delay::{
+        OwnAdmission,
+        OwnDelay, //
+    },
+    spillover::{
+        PoolLoad,
+        Spillover, //
+    },
+    subset::Position, //
 };
+use smallvec::SmallVec;
 use std::{
+    collections::HashMap,
     net::Ipv4Addr,
     rc::Rc,
     time::{
@@ -22,67 +48,560 @@
     },
 };
 
+/// Utilization from which the daemons of a zone exchange their loads.
+const EXCHANGE_UTILIZATION: f64 = 0.5;
+
+/// Utilization from which the upstreams of a zone are divided among its daemons.
+const BUSY_UTILIZATION: f64 = 0.6;
+
+/// Own pressure from which the admitted share of other daemons counts: no daemon rejects on the word of others alone.
+const TRUSTED_PRESSURE: f64 = 0.5;
+
+/// Own delay above which unanswered requests say nothing about an upstream.
+const OWN_DELAY_MAX: Duration = Duration::from_millis(100);
+
+/// Own delay up to which the failure detector ignores it.
+const OWN_DELAY_MIN: Duration = Duration::from_millis(10);
+
+/// Own delay from which operators are told that it began; at half of it they are told that it ended.
+const OWN_DELAY_REPORTED: Duration = Duration::from_millis(50);
+
+/// Multiple of a mean delay within which nearly all packets arrive.
+const ALLOWANCE_FACTOR: u32 = 4;
+
+/// Weight of a new connect time in the moving average.
+const CONNECT_GAIN: f64 = 0.125;
+
+/// Length up to which a response has no room for content: a status line and headers only, as an upstream that sheds load
+/// sends them.
+const REFUSAL_LEN_MAX: u32 = 256;
+
+/// Time after which the shortest target latency of a service's routes is determined anew.
+const TARGET_TTL: Duration = Duration::from_secs(10);
+
+/// Time without traffic after which the state of a service is evicted.
+const SERVICE_TTL: Duration = Duration::from_secs(60);
+
+/// Decision about an opening.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// The caller is served, at this place among the admitted callers, from 0 (first) to 1.
+    Admitted {
+        /// The place.
+        among_admitted: f64,
+    },
+    /// The opening is rejected.
+    Rejected(ResetReason),
+}
+
+impl Admission {
+    /// The caller is served in the own zone.
+    pub const HERE: Self = Self::Admitted {
+        among_admitted: 0.0,
+    };
+}
+
+/// Response of an upstream, as the next packet of the caller shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// Time from the request to the packet that acknowledges the response.
+    pub took: Duration,
+    /// Number of bytes that the packet acknowledges.
+    pub len: u32,
+}
+
+/// Load of one service, and the decisions about its openings.
+#[derive(Clone, Debug)]
+struct Service {
+    /// Mean connect times by zone, in seconds.
+    connect_s: SmallVec<[(Rc<str>, f64); 4]>,
+    target_latency: Duration,
+    target_since: Instant,
+    last_used: Instant,
+    congestion: Congestion,
+    admitted: AdmittedShare,
+    spillover: Spillover,
+    order: AdmissionOrder,
+    /// Pressure that this daemon observes by itself.
+    own_pressure: f64,
+    load: ServiceLoad,
+}
+
+impl Service {
+    fn new(name: Rc<str>, target_latency: Duration, now: Instant) -> Self {
+        Self {
+            connect_s: SmallVec::new(),
+            target_latency,
+            target_since: now,
+            last_used: now,
+            congestion: Congestion::default(),
+            admitted: AdmittedShare::default(),
+            spillover: Spillover::default(),
+            order: AdmissionOrder::default(),
+            own_pressure: 0.0,
+            load: ServiceLoad {
+                service: name,
+                slots: 0,
+                utilization: 0.0,
+                service_time: None,
+                goal: target_latency,
+                refusal_rate: 0.0,
+                admitted: 1.0,
+                leaving: Vec::new(),
+                daemons: 1,
+            },
+        }
+    }
+
+    fn record_target(&mut self, target_latency: Duration, now: Instant) {
+        let is_expired = now >= self.target_since + TARGET_TTL;
+        if is_expired || target_latency < self.target_latency {
+            self.target_latency = target_latency;
+            self.target_since = now;
+        }
+    }
+
+    fn record_connect_time(&mut self, zone: &Rc<str>, took_s: f64) {
+        match self.connect_s.iter_mut().find(|(known, _)| known == zone) {
+            Some((_, mean_s)) => *mean_s += (took_s - *mean_s) * CONNECT_GAIN,
+            None => self.connect_s.push((Rc::clone(zone), took_s)),
+        }
+    }
+
+    fn connect_s(&self, zone: &str) -> f64 {
+        let found = self.connect_s.iter().find(|(known, _)| **known == *zone);
+        found.map_or(0.0, |(_, mean_s)| *mean_s)
+    }
+}
+
 /// Load of all services, and the decisions that follow from it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Overload {
+    zone: Rc<str>,
     settings: LoadSettings,
     meter: LoadMeter,
+    services: HashMap<Rc<str>, Service>,
+    /// Sum of the loads that the other daemons of the zone observe, with the time of its arrival.
     others: Option<(LoadReport, Instant)>,
+    position: Position,
+    /// A time of day and the instant to which it belongs.
+    clock: Option<(Duration, Instant)>,
     events: Vec<LoadEvent>,
+    own_delay: OwnDelay,
+    own_admission: OwnAdmission,
+    is_delaying: bool,
 }
 
 impl Overload {
+    /// Creates the state of a daemon in `zone` that has seen no packets.
+    pub fn new(zone: Rc<str>) -> Self {
+        Self {
+            zone,
+            settings: LoadSettings::default(),
+            meter: LoadMeter::default(),
+            services: HashMap::new(),
+            others: None,
+            position: Position::ALONE,
+            clock: None,
+            events: Vec::new(),
+            own_delay: OwnDelay::default(),
+            own_admission: OwnAdmission::default(),
+            is_delaying: false,
+        }
+    }
+
     /// Applies settings.
     pub fn set_settings(&mut self, settings: LoadSettings) {
         self.settings = settings;
     }
 
-    /// Sets the time of day and the number of live daemons in the zone, this one included.
-    pub fn set_surroundings(&mut self, _unix: Duration, _live_daemons: usize, _now: Instant) {}
+    /// Sets the time of day and the position among the live daemons of the zone.
+    pub fn set_surroundings(&mut self, unix: Duration, position: Position, now: Instant) {
+        self.clock = Some((unix, now));
+        self.position = position;
+    }
 
     /// Load that this daemon observes by itself.
     pub fn report(&self) -> LoadReport {
-        self.meter.report()
+        let mut report = self.meter.report();
+        for (name, service) in &self.services {
+            if service.admitted.get() < 1.0 {
+                report
+                    .admitted
+                    .push((Rc::clone(name), service.admitted.get()));
+            }
+            if let Some(baseline_s) = service.congestion.baseline_s() {
+                report.baseline_s.push((Rc::clone(name), baseline_s));
+            }
+        }
+        report
     }
 
     /// Applies the sum of the loads that all other daemons of the zone observe.
     pub fn apply_zone_load(&mut self, others: LoadReport, now: Instant) {
+        for (name, service) in &mut self.services {
+            if let Some((_, baseline_s)) = others.baseline_s.iter().find(|(n, _)| n == name) {
+                service.congestion.adopt_baseline(*baseline_s);
+            }
+            if others.daemons > 0 && service.own_pressure >= TRUSTED_PRESSURE {
+                service.admitted.approach(others.admitted(name));
+            }
+        }
         self.others = Some((others, now));
     }
 
     /// Whether a service is so busy that the daemons of the zone should exchange their loads.
     pub fn is_exchange_due(&self) -> bool {
-        false
+        self.services.values().any(|service| {
+            service.load.utilization > EXCHANGE_UTILIZATION || service.admitted.get() < 1.0
+        })
     }
 
     /// Loads of the services with traffic, sorted by name.
     pub fn service_loads(&self) -> Vec<ServiceLoad> {
-        Vec::new()
+        let mut loads: Vec<_> = self.services.values().map(|s| s.load.clone()).collect();
+        loads.sort_by(|a, b| a.service.cmp(&b.service));
+        loads
     }
 
     /// Time for which this daemon's own link, socket or processor delays packets.
     pub fn own_delay(&self) -> Duration {
-        Duration::ZERO
+        self.own_delay.delay()
+    }
+
+    /// Time that is added to that without an answer after which an upstream is considered dead; `None` if unanswered
+    /// requests are no evidence now, because this daemon itself delays them.
+    pub fn unanswered_allowance(&self, service: &str) -> Option<Duration> {
+        let own_delay = self.own_delay();
+        if own_delay > OWN_DELAY_MAX {
+            return None;
+        }
+        let own_delay = match own_delay > OWN_DELAY_MIN {
+            true => own_delay,
+            false => Duration::ZERO,
+        };
+        let load = self.services.get(service).map(|service| &service.load);
+        let busy = load.filter(|load| load.utilization > BUSY_UTILIZATION);
+        let service_time = busy.and_then(|load| load.service_time).unwrap_or_default();
+        Some((own_delay + service_time) * ALLOWANCE_FACTOR)
+    }
+
+    /// Removes and returns the changes since the last call.
+    pub fn take_events(&mut self) -> Vec<LoadEvent> {
+        std::mem::take(&mut self.events)
     }
 
     /// Why an opening of a caller on a route would be admitted or rejected now.
-    pub fn explain(&self, caller: Ipv4Addr, route: &Route, _now: Instant) -> AdmissionReason {
+    pub fn explain(&self, caller: Ipv4Addr, route: &Route, now: Instant) -> AdmissionReason {
+        let name = route.targets.first().map(|target| &target.service);
+        let service = name.and_then(|name| self.services.get(name));
+        let place = service.map(|s| self.place(s, caller, route.priority, now));
+        let admitted = service.map_or(1.0, |s| s.admitted.get());
         AdmissionReason {
             caller,
-            service: route
-                .targets
-                .first()
-                .map_or_else(|| Rc::from(""), |target| Rc::clone(&target.service)),
+            service: name.map_or_else(|| "".into(), Rc::clone),
             priority: route.priority,
-            place: 0.0,
-            admitted: 1.0,
-            is_heavy: false,
-            is_admitted: true,
+            place: place.map_or(0.0, |place| place.place),
+            admitted,
+            is_heavy: place.is_some_and(|place| place.is_heavy),
+            is_admitted: service.is_none_or(|s| fits_alone(s, route.priority))
+                || place.is_none_or(|place| is_within(place, admitted)),
         }
     }
 
-    /// Removes and returns the changes since the last call.
-    pub fn take_events(&mut self) -> Vec<LoadEvent> {
-        std::mem::take(&mut self.events)
+    /// Records an opening of a caller and decides whether it is admitted.
+    pub fn admit(
+        &mut self,
+        caller: Ipv4Addr,
+        service: &str,
+        route: &Route,
+        now: Instant,
+    ) -> Admission {
+        let Some((name, _)) = self.services.get_key_value(service) else {
+            let target = route.targets.iter().find(|t| *t.service == *service);
+            if let Some(target) = target {
+                let state = Service::new(Rc::clone(&target.service), route.target_latency, now);
+                self.services.insert(Rc::clone(&target.service), state);
+            }
+            return Admission::HERE;
+        };
+        let name = Rc::clone(name);
+        if let Some(service) = self.services.get_mut(&name) {
+            service.last_used = now;
+            service.record_target(route.target_latency, now);
+            service.order.record(caller, route.priority, now);
+        }
+        let service = &self.services[&name];
+        let (admitted, own) = match self.settings.shed {
+            true => (service.admitted.get(), self.own_admission.admitted()),
+            false => (1.0, 1.0),
+        };
+        let is_leaving = self.settings.spill && service.spillover.leaving() > 0.0;
+        if admitted >= 1.0 && own >= 1.0 && !is_leaving {
+            return Admission::HERE;
+        }
+        let place = self.place(service, caller, route.priority, now);
+        if !is_within(place, admitted) && !fits_alone(service, route.priority) {
+            return Admission::Rejected(ResetReason::Overload);
+        }
+        if !is_within(place, own) {
+            return Admission::Rejected(ResetReason::OwnDelay);
+        }
+        let among_admitted = (place.place / admitted.min(own)).min(1.0);
+        Admission::Admitted { among_admitted }
+    }
+
+    /// Zone for which a flow of a service leaves, if it does; `draw` from 0 to 1 picks one of several zones.
+    pub fn zone_for(&self, service: &str, admission: Admission, draw: f64) -> Option<Rc<str>> {
+        let Admission::Admitted { among_admitted } = admission else {
+            return None;
+        };
+        let service = self.services.get(service).filter(|_| self.settings.spill)?;
+        service.spillover.zone_for(among_admitted, draw).cloned()
+    }
+
+    /// Load of a service if it is so high that its upstreams are divided among the daemons of the zone.
+    pub fn busy(&self, service: &str) -> Option<Busy> {
+        let utilization = self.services.get(service)?.load.utilization;
+        (utilization > BUSY_UTILIZATION).then_some(Busy {
+            utilization,
+            position: self.position,
+        })
+    }
+
+    /// Records an opening that is forwarded.
+    pub fn record_opened(&mut self, service: &Rc<str>, zone: &Rc<str>) {
+        self.meter.pool(service, zone).opened += 1.0;
+    }
+
+    /// Records an opening that no packet followed in time.
+    pub fn record_failed(&mut self, service: &Rc<str>, zone: &Rc<str>) {
+        self.meter.pool(service, zone).failed += 1.0;
+    }
+
+    /// Records the connect time of a flow.
+    pub fn record_connected(&mut self, service: &Rc<str>, zone: &Rc<str>, took: Duration) {
+        let took_s = took.as_secs_f64();
+        let counts = self.meter.pool(service, zone);
+        counts.connects += 1.0;
+        counts.connect_s += took_s;
+        if let Some(service) = self.services.get_mut(service) {
+            service.record_connect_time(zone, took_s);
+        }
+    }
+
+    /// Records a response of an upstream.
+    pub fn record_response(
+        &mut self,
+        service: &Rc<str>,
+        zone: &Rc<str>,
+        priority: u8,
+        response: Response,
+    ) {
+        let took_s = response.took.as_secs_f64();
+        let mut service_s = took_s;
+        if let Some(service) = self.services.get_mut(service) {
+            service_s = (took_s - service.connect_s(zone)).max(0.0);
+            service.order.record_served(priority, service_s);
+        }
+        let counts = self.meter.pool(service, zone);
+        counts.answers += 1.0;
+        counts.service_s += service_s;
+        if response.len < REFUSAL_LEN_MAX {
+            counts.refusals += 1.0;
+            counts.refusal_s += service_s;
+        }
+    }
+
+    /// Judges the load of each service again if a window has ended.
+    pub fn update(&mut self, directory: &Directory, now: Instant) {
+        let windows = self.meter.roll(now);
+        if windows == 0 {
+            return;
+        }
+        let others = self.others.take_if(|(_, at)| now >= *at + REPORT_TTL);
+        drop(others);
+        let own = self.meter.report();
+        self.update_own_delay(&own, windows);
+        let names: SmallVec<[Rc<str>; 4]> = self.services.keys().cloned().collect();
+        for name in names {
+            self.update_service(&name, &own, directory, windows, now);
+        }
+        self.services
+            .retain(|_, service| now < service.last_used + SERVICE_TTL);
+    }
+
+    fn update_own_delay(&mut self, own: &LoadReport, windows: u32) {
+        let pools = own.pools.iter().filter_map(|(pool, counts)| {
+            let connect_s = counts.connect_time()?;
+            Some((pool, connect_s, counts.connects))
+        });
+        self.own_delay.update(pools, windows);
+        let delay = self.own_delay();
+        self.own_admission.update(delay, windows);
+        if !self.is_delaying && delay > OWN_DELAY_REPORTED {
+            self.is_delaying = true;
+            self.events.push(LoadEvent::OwnDelayBegan(delay));
+        } else if self.is_delaying && delay < OWN_DELAY_REPORTED / 2 {
+            self.is_delaying = false;
+            self.events.push(LoadEvent::OwnDelayEnded(delay));
+        }
     }
+
+    fn update_service(
+        &mut self,
+        name: &Rc<str>,
+        own: &LoadReport,
+        directory: &Directory,
+        windows: u32,
+        now: Instant,
+    ) {
+        let others = self.others.as_ref().map(|(others, _)| others);
+        let zone = Rc::clone(&self.zone);
+        let total = Total::new(own, others, self.position.daemons);
+        let slots = usable_slots(directory, name, now);
+        let pool = |zone: &Rc<str>| PoolLoad {
+            zone: Rc::clone(zone),
+            slots: slots.iter().find(|(z, _)| z == zone).map_or(0, |(_, n)| *n),
+            counts: total.counts(name, zone).0,
+        };
+        let home = pool(&zone);
+        let others: SmallVec<[PoolLoad; 4]> = slots
+            .iter()
+            .filter(|(other, _)| *other != zone)
+            .map(|(other, _)| pool(other))
+            .collect();
+        let slots = home.slots;
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        service.order.roll(windows);
+        let own_counts = own.counts(name, &zone);
+        let (counts, answers) = total.counts(name, &zone);
+        let observation = Observation {
+            counts,
+            answers,
+            slots,
+            target_latency: service.target_latency,
+        };
+        let goal_s = service.congestion.goal_s(service.target_latency);
+        service.own_pressure = own_counts.service_time().map_or(0.0, |mean| mean / goal_s);
+        let verdict = service.congestion.update(&observation, windows);
+        let price = self.settings.zone_price;
+        let left_before = service.spillover.leaving();
+        service
+            .spillover
+            .update(&home, &others, service.target_latency, price, windows);
+        let left_after = service.spillover.leaving();
+        let before = service.admitted.get();
+        service.admitted.update(verdict, windows);
+        let after = service.admitted.get();
+        service.load = ServiceLoad {
+            service: Rc::clone(name),
+            slots,
+            utilization: Congestion::utilization(&observation),
+            service_time: counts.service_time().map(Duration::from_secs_f64),
+            goal: Duration::from_secs_f64(goal_s),
+            refusal_rate: counts.refusal_rate(),
+            admitted: after,
+            leaving: service
+                .spillover
+                .shares()
+                .map(|(zone, share)| (Rc::clone(zone), share))
+                .collect(),
+            daemons: total.daemons,
+        };
+        let load = &service.load;
+        match (before < 1.0, after < 1.0) {
+            (false, true) => self.events.push(LoadEvent::OverloadBegan(load.clone())),
+            (true, false) => self.events.push(LoadEvent::OverloadEnded(load.clone())),
+            _ => (),
+        }
+        match (left_before > 0.0, left_after > 0.0) {
+            (false, true) => self.events.push(LoadEvent::SpilloverBegan(load.clone())),
+            (true, false) => self.events.push(LoadEvent::SpilloverEnded(load.clone())),
+            _ => (),
+        }
+    }
+
+    fn place(&self, service: &Service, caller: Ipv4Addr, priority: u8, now: Instant) -> Place {
+        let unix = self.clock.map_or(Duration::ZERO, |(unix, at)| {
+            unix + now.saturating_duration_since(at)
+        });
+        service.order.place(caller, priority, rank(caller, unix))
+    }
+}
+
+fn is_within(place: Place, admitted: f64) -> bool {
+    place.is_guaranteed || place.place <= admitted
+}
+
+/// Utilization up to which requests of a priority and of higher ones fit the slots.
+const FITTING_UTILIZATION: f64 = 0.9;
+
+/// Whether the requests of a priority and of higher ones fit the slots by themselves.
+///
+/// They are admitted then: requests of lower priorities on flows that were open before cannot be rejected, and they
+/// must not crowd out urgent callers.
+fn fits_alone(service: &Service, priority: u8) -> bool {
+    service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
+}
+
+/// Observations of this daemon together with those of the others of its zone.
+struct Total<'r> {
+    own: &'r LoadReport,
+    others: Option<&'r LoadReport>,
+    /// Number of daemons whose observations are included.
+    daemons: u32,
+    /// Factor from these daemons to all of the zone: the fabric spreads flows evenly.
+    scale: f64,
+}
+
+impl<'r> Total<'r> {
+    fn new(own: &'r LoadReport, others: Option<&'r LoadReport>, live_daemons: usize) -> Self {
+        let daemons = 1 + others.map_or(0, |others| others.daemons);
+        Self {
+            own,
+            others,
+            daemons,
+            scale: (live_daemons as f64 / f64::from(daemons)).max(1.0),
+        }
+    }
+
+    /// Observations of a pool for the whole zone, and the number of answers that were observed, not extrapolated.
+    fn counts(&self, service: &str, zone: &str) -> (Counts, f64) {
+        let mut counts = self.own.counts(service, zone);
+        if let Some(others) = self.others {
+            counts += others.counts(service, zone);
+        }
+        (counts * self.scale, counts.answers)
+    }
+}
+
+/// Slots of the upstreams of a service that take new flows, by zone.
+fn usable_slots(
+    directory: &Directory,
+    service: &str,
+    now: Instant,
+) -> SmallVec<[(Rc<str>, u32); 8]> {
+    let mut slots = SmallVec::<[(Rc<str>, u32); 8]>::new();
+    let upstreams = directory.of_service(service).iter();
+    for known in upstreams.filter_map(|id| directory.get(*id)) {
+        let zone = &known.upstream.zone;
+        let is_usable = known.is_serving(now) && !known.is_cold(now);
+        let added = match is_usable && !is_closed(directory, zone, now) {
+            true => known.upstream.slots,
+            false => 0,
+        };
+        match slots.iter_mut().find(|(name, _)| name == zone) {
+            Some((_, sum)) => *sum += added,
+            None => slots.push((Rc::clone(zone), added)),
+        }
+    }
+    slots
+}
+
+/// Whether a zone takes no new flows.
+fn is_closed(directory: &Directory, zone: &str, now: Instant) -> bool {
+    directory.is_out(zone) || directory.has_returned(zone, now)
 }
