--- a/crates/policy/benches/placement/overload_sim.rs
+++ b/crates/policy/benches/placement/overload_sim.rs
@@ -18,6 +18,7 @@
     LoadReport,
     LoadSettings,
     Packet,
+    Position,
     Reporter,
     Route,
     Seniority,
@@ -689,8 +690,11 @@
             .push(self.now + Duration::from_secs(1), Event::Second);
         let unix = Duration::from_secs(1_800_000_000) + (self.now - self.origin);
         for (daemon, balancer) in self.balancers.iter_mut().enumerate() {
-            let in_zone = (self.site.daemons - daemon % ZONES).div_ceil(ZONES);
-            balancer.set_surroundings(unix, in_zone, self.now);
+            let position = Position {
+                index: daemon / ZONES,
+                daemons: (self.site.daemons - daemon % ZONES).div_ceil(ZONES),
+            };
+            balancer.set_surroundings(unix, position, self.now);
             balancer.evict(IDLE, self.now);
         }
     }
