--- a/crates/policy/src/packets/spillover.rs
+++ b/crates/policy/src/packets/spillover.rs
@@ -188,8 +188,10 @@
                 return;
             }
         };
-        // Waiting there limits the share; if it counted here too, flows would swing between zones.
-        let worse = (seen.cost - 2.0 * seen.waiting - best) / (best * WORSE_MAX);
+        // Waiting there limits the share; if it counted here too, flows would swing between zones. The error does not
+        // count either, because a zone without a part would not get the flows that reduce the error.
+        let cost = seen.cost - 2.0 * seen.waiting - seen.error;
+        let worse = (cost - best) / (best * WORSE_MAX);
         let weight = f64::from(other.slots) * (1.0 - worse).clamp(0.0, 1.0);
         match self.weight > 0.0 {
             true => self.weight += (weight - self.weight) * approach(SHIFT, elapsed),
