--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -187,6 +187,7 @@
         self.view.directory_mut().evict(flow_max, now);
         let mut balancer = self.balancer.borrow_mut();
         balancer.evict(IDLE, now);
+        balancer.update_load(&self.view.directory(), now);
         let load_events = balancer.take_load_events();
         drop(balancer);
         log_load_events(load_events);
--- a/crates/daemon/src/packets/zone/load_exchange.rs
+++ b/crates/daemon/src/packets/zone/load_exchange.rs
@@ -190,7 +190,7 @@
 
     /// Loads for the daemon `vm`, which has this relation to this daemon.
     fn load_record(&self, vm: &str, relation: Reporter, now: Instant) -> LoadRecord {
-        let own = self.parts.path.balancer().load_report();
+        let own = self.parts.path.balancer().load_report(now);
         let reports = self.loads.reports.borrow();
         let report = reports.report_for(vm, relation, own, now);
         let members = self.members.borrow();
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -267,9 +267,14 @@
         self.overload.set_surroundings(unix, position, now);
     }
 
+    /// Judges the load of each service again; packets do so too, but there may be none.
+    pub fn update_load(&mut self, directory: &Directory, now: Instant) {
+        self.overload.update(directory, now);
+    }
+
     /// Load that this daemon observes by itself.
-    pub fn load_report(&self) -> LoadReport {
-        self.overload.report()
+    pub fn load_report(&self, now: Instant) -> LoadReport {
+        self.overload.report(now)
     }
 
     /// Applies the sum of the loads that all other daemons of the zone observe.
@@ -348,8 +353,7 @@
         };
         self.eject_silent(&tried, &refused, now);
         tried.extend(refused);
-        let draw = self.rng.random();
-        let leaves_for = self.overload.zone_for(service, admission, draw);
+        let leaves_for = self.overload.zone_for(service, admission, &mut self.rng);
         let chooser = Chooser {
             zone: &self.zone,
             preferred: leaves_for.as_ref().unwrap_or(&self.zone),
--- a/crates/policy/src/packets/load.rs
+++ b/crates/policy/src/packets/load.rs
@@ -311,15 +311,20 @@
         self.pools.keys()
     }
 
-    /// Report of this daemon, without admitted shares.
-    pub fn report(&self) -> LoadReport {
+    /// Report of this daemon at a time after the last call of `roll`, without admitted shares.
+    pub fn report(&self, now: Instant) -> LoadReport {
+        let age = self
+            .decayed
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let windows = (age.as_nanos() / WINDOW.as_nanos()) as f64;
+        let factor = DECAY.powf(windows);
         let pools = self.pools.iter().flat_map(|(service, zones)| {
             zones.iter().map(|(zone, counts)| {
                 let pool = Pool {
                     service: Rc::clone(service),
                     zone: Rc::clone(zone),
                 };
-                (pool, *counts)
+                (pool, *counts * factor)
             })
         });
         LoadReport {
--- a/crates/policy/src/packets/load_status.rs
+++ b/crates/policy/src/packets/load_status.rs
@@ -118,9 +118,10 @@
         }
     }
 
-    /// Whether the flow would leave the zone, from the share of the service's flows that leave: those with the last
-    /// places among the admitted ones.
+    /// Whether the flow would leave the zone, from the share of the wanted flows that leave: those with the last places
+    /// within the admitted share.
     pub fn leaves_zone(&self, leaving_share: f64) -> bool {
-        self.is_admitted && self.place > self.admitted * (1.0 - leaving_share)
+        let is_last = self.place > self.admitted - leaving_share;
+        self.is_admitted && self.place <= self.admitted && is_last
     }
 }
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -40,6 +40,7 @@
     },
     subset::Position, //
 };
+use rand::Rng;
 use smallvec::SmallVec;
 use std::{
     collections::HashMap,
@@ -243,6 +244,14 @@
     /// Applies settings.
     pub fn set_settings(&mut self, settings: LoadSettings) {
         self.settings = settings;
+        for service in self.services.values_mut() {
+            if !settings.shed {
+                service.admitted = AdmittedShare::default();
+            }
+            if !settings.spill {
+                service.spillover = Spillover::default();
+            }
+        }
     }
 
     /// Sets the time of day and the position among the live daemons of the zone.
@@ -252,8 +261,8 @@
     }
 
     /// Load that this daemon observes by itself.
-    pub fn report(&self) -> LoadReport {
-        let mut report = self.meter.report();
+    pub fn report(&self, now: Instant) -> LoadReport {
+        let mut report = self.meter.report(now);
         for (name, service) in &self.services {
             if service.admitted.get() < 1.0 {
                 report
@@ -273,7 +282,8 @@
             if let Some((_, baseline_s)) = others.baseline_s.iter().find(|(n, _)| n == name) {
                 service.congestion.adopt_baseline(*baseline_s);
             }
-            if others.daemons > 0 && service.own_pressure >= TRUSTED_PRESSURE {
+            let is_trusted = self.settings.shed && service.own_pressure >= TRUSTED_PRESSURE;
+            if others.daemons > 0 && is_trusted {
                 service.admitted.approach(others.admitted(name));
             }
         }
@@ -334,8 +344,12 @@
             place: place.map_or(0.0, |place| place.place),
             admitted,
             is_heavy: place.is_some_and(|place| place.is_heavy),
-            is_admitted: service.is_none_or(|s| fits_alone(s, route.priority))
-                || place.is_none_or(|place| place.is_guaranteed || place.place <= admitted),
+            is_admitted: match (service, place) {
+                (Some(service), Some(place)) => {
+                    self.rejection(service, route.priority, place).is_none()
+                }
+                _ => true,
+            },
         }
     }
 
@@ -364,22 +378,16 @@
         let Some(service) = self.services.get(&name) else {
             return Admission::HERE;
         };
-        let (admitted, own) = match self.settings.shed {
-            true => (service.admitted.get(), self.own_admission.admitted()),
-            false => (1.0, 1.0),
-        };
-        let is_leaving = self.settings.spill && service.spillover.leaving() > 0.0;
+        let (admitted, own) = (service.admitted.get(), self.own_admission.admitted());
+        let is_leaving = service.spillover.leaving() > 0.0;
         if admitted >= 1.0 && own >= 1.0 && !is_leaving {
             return Admission::HERE;
         }
         let place = self.place(service, caller, route.priority, now);
-        let is_unconditional = place.is_guaranteed || fits_alone(service, route.priority);
-        if !is_unconditional && place.place > admitted {
-            return Admission::Rejected(ResetReason::Overload);
-        }
-        if !place.is_guaranteed && place.place > own {
-            return Admission::Rejected(ResetReason::OwnDelay);
+        if let Some(reason) = self.rejection(service, route.priority, place) {
+            return Admission::Rejected(reason);
         }
+        let is_unconditional = is_unconditional(service, route.priority, place);
         let service = self.services.get_mut(&name);
         let counted = service.map(|service| match is_unconditional {
             true => &mut service.unconditional,
@@ -396,13 +404,34 @@
         Admission::Admitted { among_admitted }
     }
 
-    /// Zone for which a flow of a service leaves, if it does; `draw` from 0 to 1 picks one of several zones.
-    pub fn zone_for(&self, service: &str, admission: Admission, draw: f64) -> Option<Rc<str>> {
+    /// Why an opening at a place is rejected; `None` if it is admitted.
+    fn rejection(&self, service: &Service, priority: u8, place: Place) -> Option<ResetReason> {
+        if !self.settings.shed {
+            return None;
+        }
+        let is_last = place.place > service.admitted.get();
+        if is_last && !is_unconditional(service, priority, place) {
+            return Some(ResetReason::Overload);
+        }
+        let is_delayed = place.place > self.own_admission.admitted();
+        (is_delayed && !place.is_guaranteed).then_some(ResetReason::OwnDelay)
+    }
+
+    /// Zone for which a flow of a service leaves, if it does; one of several zones is drawn.
+    pub fn zone_for(
+        &self,
+        service: &str,
+        admission: Admission,
+        rng: &mut impl Rng,
+    ) -> Option<Rc<str>> {
         let Admission::Admitted { among_admitted } = admission else {
             return None;
         };
-        let service = self.services.get(service).filter(|_| self.settings.spill)?;
-        service.spillover.zone_for(among_admitted, draw).cloned()
+        let spillover = &self.services.get(service)?.spillover;
+        if spillover.leaving() <= 0.0 {
+            return None;
+        }
+        spillover.zone_for(among_admitted, rng.random()).cloned()
     }
 
     /// Load of a service if it is so high that its upstreams are divided among the daemons of the zone.
@@ -466,7 +495,7 @@
         }
         let others = self.others.take_if(|(_, at)| now >= *at + REPORT_TTL);
         drop(others);
-        let own = self.meter.report();
+        let own = self.meter.report(now);
         self.update_own_delay(&own, windows);
         let names: SmallVec<[Rc<str>; 4]> = self.services.keys().cloned().collect();
         for name in names {
@@ -543,9 +572,11 @@
         let wanted = (home.counts.opened + left) * service.wanted_factor(conditional);
         let mut home = home;
         home.counts.opened = wanted - left;
-        service
-            .spillover
-            .update(&home, &others, service.target_latency, price, windows);
+        if self.settings.spill {
+            service
+                .spillover
+                .update(&home, &others, service.target_latency, price, windows);
+        }
         let left_after = service.spillover.leaving();
         let before = service.admitted.get();
         let supply = Supply {
@@ -556,7 +587,9 @@
             goal_s,
             conditional,
         };
-        service.admitted.update(verdict, &supply, windows);
+        if self.settings.shed {
+            service.admitted.update(verdict, &supply, windows);
+        }
         let after = service.admitted.get();
         service.load = ServiceLoad {
             service: Rc::clone(name),
@@ -597,6 +630,11 @@
 /// Utilization up to which requests of a priority and of higher ones fit the slots.
 const FITTING_UTILIZATION: f64 = 0.9;
 
+/// Whether an opening is admitted whatever the admitted share.
+fn is_unconditional(service: &Service, priority: u8, place: Place) -> bool {
+    place.is_guaranteed || fits_alone(service, priority)
+}
+
 /// Whether the requests of a priority and of higher ones fit the slots by themselves.
 ///
 /// They are admitted then: requests of lower priorities on flows that were open before cannot be rejected, and they
--- a/crates/policy/src/packets/spillover.rs
+++ b/crates/policy/src/packets/spillover.rs
@@ -66,6 +66,10 @@
 /// Growth of the limit of a share per window while no flows wait in the zone.
 const LIMIT_GROWTH: f64 = 0.005;
 
+/// Utilization of the own zone from which another zone is explored whatever it costs, so that its cost is known by the
+/// time when requests wait.
+const PROBE_UTILIZATION: f64 = 0.95;
+
 /// Share of the flows that explores a zone without observations.
 const PROBE: f64 = 0.02;
 
@@ -473,7 +477,8 @@
     /// Whether flows would leave if another zone had no load.
     fn is_probe_due(&self, home: &PoolLoad, here: f64, cost: &Cost<'_>, flows: &Flows) -> bool {
         let best = self.baseline.unwrap_or(here) + cost.price;
-        home.utilization() > 1.0 || here > best && self.due(home, here, best, flows) > PROBE
+        home.utilization() > PROBE_UTILIZATION
+            || here > best && self.due(home, here, best, flows) > PROBE
     }
 
     /// Divides a total by the weights of the zones; what exceeds the limit of one goes to the others.
