--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -72,15 +72,6 @@
 /// within a quarter of a second when it is slow.
 const ANSWER: Duration = Duration::from_millis(800);
 
-/// Largest number of doublings of the time limit for a page of a list. All daemons list the store at the same time after
-/// a loss of all of them; a page of 500 entries is 0.2 MB, so that those of 300 daemons fill a link of 1 Gbit/s for half a
-/// second.
-const PAGE_DOUBLINGS_MAX: u32 = 2;
-
-/// Time for which the pages of a list that failed can be used by the next one. It is well within the time for which the
-/// store keeps its history, which brings the pages up to date.
-const PAGES_TTL: Duration = Duration::from_secs(5);
-
 /// Margin for the reconnection after a lost answer was detected.
 const NOTICE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -127,10 +118,6 @@
     /// Consistency of the next list: a stale one costs less, and a watch brings it up to date unless the store has lost
     /// the history in between.
     consistency: Cell<ReadConsistency>,
-    /// Pages of a list that failed before its end.
-    pages: RefCell<Option<Pages>>,
-    /// Number of lists in a row that have failed for want of time.
-    late_lists: Cell<u32>,
     failing_since: Cell<Option<Instant>>,
     /// When the last answer arrived on the open connection.
     heard: Cell<Option<Instant>>,
@@ -177,8 +164,6 @@
             position: Cell::new(None),
             era: Cell::new(0),
             consistency: Cell::new(ReadConsistency::Stale),
-            pages: RefCell::default(),
-            late_lists: Cell::new(0),
             failing_since: Cell::new(None),
             heard: Cell::new(None),
         }
@@ -319,10 +304,15 @@
         wait: Duration,
         expected: Option<u64>,
     ) -> Result<(Bytes, u64), StoreError> {
+        let began = Instant::now();
         let answer = self.client.get(self.store.get(), path, wait).await?;
         self.heard.set(Some(Instant::now()));
+        let took = began.elapsed().as_secs_f64();
         let era = self.record_era(answer.headers())?;
         let body = ok_body(answer)?;
+        if wait.is_zero() {
+            self.metrics.list_seconds.observe(took);
+        }
         match expected {
             Some(known) if known != era => Err(StoreError::EraBegan {
                 known,
@@ -332,86 +322,33 @@
         }
     }
 
-    /// Lists the store. Pages that were read before a failure are not read again.
     async fn list_pages(&self) -> Result<(Version, Vec<Item>), StoreError> {
-        let consistency = self.consistency.get();
-        let kept = self
-            .pages
-            .take()
-            .filter(|pages| pages.consistency == consistency && pages.began.elapsed() < PAGES_TTL);
-        let mut pages = kept.unwrap_or_else(|| Pages::new(consistency));
-        match self.read_pages(&mut pages).await {
-            Ok(version) => {
-                self.late_lists.set(0);
-                Ok((version, pages.items))
-            }
-            Err(err) => {
-                if let StoreError::Timeout = err {
-                    self.late_lists.set(self.late_lists.get() + 1);
-                }
-                let is_usable = matches!(
-                    err,
-                    StoreError::Timeout | StoreError::Io(_) | StoreError::Status(_)
-                );
-                *self.pages.borrow_mut() = Some(pages).filter(|_| is_usable);
-                Err(err)
-            }
-        }
-    }
-
-    async fn read_pages(&self, pages: &mut Pages) -> Result<Version, StoreError> {
-        let doublings = self.late_lists.get().min(PAGE_DOUBLINGS_MAX);
-        let more_time = ANSWER * (2u32.pow(doublings) - 1);
+        let mut items = Vec::new();
+        let mut version: Option<Version> = None;
+        let mut after: Option<Rc<str>> = None;
         loop {
-            let path = list_path(pages.after.as_deref(), pages.consistency);
-            let expected = pages.version.map(|first| first.era);
-            let began = Instant::now();
-            let (body, era) = self.get(&path, more_time, expected).await?;
-            let took = began.elapsed().as_secs_f64();
-            self.metrics.list_seconds.observe(took);
+            let path = list_path(after.as_deref(), self.consistency.get());
+            let expected = version.map(|first| first.era);
+            let (body, era) = self.get(&path, Duration::ZERO, expected).await?;
             let page = read_list(&body, era).map_err(|err| StoreError::Body(err.to_string()))?;
             let is_next_page = page
                 .items
                 .iter()
-                .all(|item| Some(&item.key) > pages.after.as_ref());
+                .all(|item| Some(&item.key) > after.as_ref());
             if !is_next_page {
                 return Err(StoreError::Mismatched);
             }
-            let first = pages.version.map_or(page.version, |v| v.min(page.version));
-            pages.version = Some(first);
-            pages.items.extend(page.items);
+            let first = version.map_or(page.version, |first| first.min(page.version));
+            version = Some(first);
+            items.extend(page.items);
             match page.next {
-                Some(key) => pages.after = Some(key),
-                None => return Ok(first),
+                Some(key) => after = Some(key),
+                None => return Ok((first, items)),
             }
         }
     }
 }
 
-/// Pages of a list that is not complete.
-#[derive(Debug)]
-struct Pages {
-    began: Instant,
-    consistency: ReadConsistency,
-    /// Version of the oldest page; changes after it are not in all of them.
-    version: Option<Version>,
-    /// Last key of the newest page.
-    after: Option<Rc<str>>,
-    items: Vec<Item>,
-}
-
-impl Pages {
-    fn new(consistency: ReadConsistency) -> Self {
-        Self {
-            began: Instant::now(),
-            consistency,
-            version: None,
-            after: None,
-            items: Vec::new(),
-        }
-    }
-}
-
 impl Source for View {
     fn position(&self) -> Option<u64> {
         self.position.get().map(|version| version.revision)
