Reject callers only when there are clearly more requests than slots

Slow upstreams raise the mean service time while other slots are free: with a fifth of them slow and a zone out 27 % of the callers were admitted at a utilization of 1.1.

--- a/crates/policy/src/packets/congestion.rs
+++ b/crates/policy/src/packets/congestion.rs
@@ -13,6 +13,10 @@
 /// queues a few requests per slot sheds the rest.
 const QUEUEING_MAX: f64 = 2.5;
 
+/// Requests per slot above which slots are in use all the time. Up to it some upstreams have free slots while others queue
+/// requests, or slow upstreams raise the mean service time.
+const SATURATED: f64 = 1.25;
+
 /// Utilization up to which the service time counts as that without load.
 const IDLE_UTILIZATION: f64 = 0.7;
 
@@ -66,7 +70,7 @@
     /// Whether requests wait too long because there are more of them than slots. When slots are free, the cause is not
     /// load, and rejecting callers would not help the others.
     pub fn is_overloaded(&self) -> bool {
-        self.pressure > 1.0 && self.utilization > 1.0
+        self.pressure > 1.0 && self.utilization > SATURATED
     }
 }
 
--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -40,6 +40,9 @@
 /// Weight of a window in the recent mean of the admitted share, as in the sums of the load.
 const MEAN_GAIN: f64 = 0.2;
 
+/// Requests per slot at which the throughput counts as that of all slots.
+const FULL_THROUGHPUT: f64 = 1.25;
+
 /// Time within which a queue that is too long is to be drained, in seconds.
 const DRAIN_S: f64 = 0.25;
 
@@ -77,7 +80,8 @@
         }
         let over_s = self.home.service_time().map_or(0.0, |s| s - self.goal_s);
         let kept = (1.0 - over_s / DRAIN_S).clamp(KEPT.0, KEPT.1);
-        let here = kept * served / self.utilization.clamp(f64::MIN_POSITIVE, 1.0) / wanted;
+        let used = (self.utilization / FULL_THROUGHPUT).clamp(f64::MIN_POSITIVE, 1.0);
+        let here = kept * served / used / wanted;
         let all = (here * self.home.opened + self.left.max(self.leaving)) / forwarded;
         let unconditional = 1.0 - self.conditional;
         Some(((all - unconditional) / self.conditional).max(0.0))
