Keep the baseline of the service time in a plausible range

A baseline near zero, as of a service that answers while its callers connect, could not rise again, and a wrong report with a huge one stopped a fresh daemon when the goal became a duration.

--- a/crates/policy/src/packets/congestion.rs
+++ b/crates/policy/src/packets/congestion.rs
@@ -4,7 +4,10 @@
     Counts,
     WINDOW, //
 };
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 /// Part of the target latency that work and waiting may take on average; the rest is for the spread around the mean.
 const TARGET_PART: f64 = 0.5;
@@ -40,6 +43,10 @@
 /// Rise of the baseline per second towards a higher mean, so that a service whose work grows is not judged by the past.
 const RISE_PER_S: f64 = 0.02;
 
+/// Range of plausible baselines, in seconds. Shorter service times cannot be told from the spread of connect times, and a
+/// baseline near zero would rise too slowly; no caller waits for a minute.
+const BASELINE_S: RangeInclusive<f64> = 0.001..=60.0;
+
 /// Observations of the upstreams of a service in one zone.
 #[derive(Clone, Copy, Debug)]
 pub struct Observation {
@@ -83,9 +90,9 @@
         self.baseline_s
     }
 
-    /// Adopts the baseline of other daemons where this one has none yet.
+    /// Adopts the baseline of other daemons where this one has none yet; an implausible one is ignored.
     pub fn adopt_baseline(&mut self, baseline_s: f64) {
-        if baseline_s.is_finite() && baseline_s > 0.0 {
+        if BASELINE_S.contains(&baseline_s) {
             self.baseline_s.get_or_insert(baseline_s);
         }
     }
@@ -140,6 +147,7 @@
     }
 
     fn learn(&mut self, mean_s: f64, utilization: f64, windows: u32) {
+        let mean_s = mean_s.clamp(*BASELINE_S.start(), *BASELINE_S.end());
         let Some(baseline_s) = &mut self.baseline_s else {
             if utilization < IDLE_UTILIZATION {
                 self.baseline_s = Some(mean_s);
