--- a/crates/standins/src/fleet/block.rs
+++ b/crates/standins/src/fleet/block.rs
@@ -35,6 +35,10 @@
 const SERVICES_HOST: u8 = 200;
 /// Host number of the callers of the first zone; further zones have the next numbers.
 const FIRST_CALLERS_HOST: u8 = 210;
+/// Number of callers from that host number on.
+const CALLERS_HOSTS: usize = 10;
+/// Host number of the first callers after those. Upstreams may have the same hosts, with another port.
+const FURTHER_CALLERS_HOST: u8 = 150;
 /// Host number of the store's address for the first daemon; further daemons have the next numbers.
 const FIRST_STORE_HOST: u8 = 220;
 /// Host number of the platform.
@@ -119,9 +123,13 @@
         socket_addr_v4(self.daemon(daemon), SERVICE_PORT)
     }
 
-    /// Returns the address at which the callers of a zone receive packets.
-    pub(crate) fn packet_callers(&self, zone: usize) -> SocketAddrV4 {
-        socket_addr_v4(self.callers(zone), SERVICE_PORT)
+    /// Returns an address at which callers receive packets; the first ones are those of the zones.
+    pub(crate) fn packet_callers(&self, index: usize) -> SocketAddrV4 {
+        let ip = match index.checked_sub(CALLERS_HOSTS) {
+            Some(further) => self.ip(FURTHER_CALLERS_HOST + further as u8),
+            None => self.callers(index),
+        };
+        socket_addr_v4(ip, SERVICE_PORT)
     }
 
     /// Returns the address of an upstream of the packet interface, counted from zero over all services.
--- a/crates/standins/src/packets/builder.rs
+++ b/crates/standins/src/packets/builder.rs
@@ -9,6 +9,8 @@
 pub struct Builder {
     /// Deployment that sets the zones and services.
     pub deployment: Deployment,
+    /// Number of zones that are used, the first ones of the deployment.
+    pub zones: usize,
     /// Number of daemons, assigned to the zones in turn.
     pub daemons: usize,
     /// Numbers of upstreams of the two services, assigned to the zones in turn.
@@ -26,6 +28,7 @@
     pub fn new(deployment: Deployment) -> Self {
         Self {
             deployment,
+            zones: deployment.zones().len(),
             daemons: 8,
             upstreams: [14, 4],
             hash: HashKind::Rendezvous,
@@ -34,6 +37,12 @@
         }
     }
 
+    /// Uses only the first zones of the deployment.
+    pub fn zones(mut self, zones: usize) -> Self {
+        self.zones = zones;
+        self
+    }
+
     /// Sets the number of daemons.
     pub fn daemons(mut self, daemons: usize) -> Self {
         self.daemons = daemons;
--- a/crates/standins/src/packets/callers.rs
+++ b/crates/standins/src/packets/callers.rs
@@ -15,6 +15,7 @@
         RST,
         SYN, //
     },
+    upstream::REFUSAL_LEN_MAX, //
 };
 use crate::socket;
 use rand::{
@@ -105,9 +106,14 @@
             .clone()
     }
 
+    /// Starts no new requests from now on; those in progress continue.
+    pub fn end_load(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
     /// Starts no new requests, waits for those in progress, and returns the results.
     pub fn stop(mut self) -> Results {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.end_load();
         if let Some(thread) = self.thread.take() {
             thread.join().expect("the callers do not panic");
         }
@@ -321,6 +327,18 @@
         if request.number != number || flow.upstream.is_some_and(|expected| expected != id) {
             results.wrong += 1;
         }
+        if segment.data.len() < REFUSAL_LEN_MAX {
+            results.refusals += 1;
+            drop(results);
+            flow.sent = segment.ack;
+            flow.request = Some(request);
+            let received = segment.end();
+            self.send(port, FIN | ACK, received, Vec::new());
+            if let Some(flow) = self.flows.remove(&port) {
+                self.end_attempt(flow, false);
+            }
+            return;
+        }
         results.outcomes.push(Outcome {
             number: request.number,
             asked: request.asked,
@@ -347,7 +365,10 @@
         let Some(flow) = self.flows.remove(&port) else {
             return;
         };
-        let is_open = matches!(flow.state, State::Open);
+        let opening_took = match flow.state {
+            State::Opening { began, .. } => Some(began.elapsed()),
+            State::Open => None,
+        };
         self.results
             .lock()
             .expect("no holder panics")
@@ -357,8 +378,10 @@
                 upstream: flow.upstream,
                 by_balancer: !segment.has_checksum,
                 route: flow.route.port(),
+                request: flow.request.as_ref().map(|request| request.number),
+                opening_took,
             });
-        self.end_attempt(flow, is_open);
+        self.end_attempt(flow, opening_took.is_none());
     }
 
     /// Retries a request in a new flow if it may run twice or never reached an upstream, until its time or its attempts
--- a/crates/standins/src/packets/fleet.rs
+++ b/crates/standins/src/packets/fleet.rs
@@ -77,16 +77,22 @@
 }
 
 impl PacketFleet {
-    /// Returns the names of the deployment's zones.
+    /// Returns the names of the zones that are used.
     pub fn zones(&self) -> &'static [&'static str] {
-        self.builder.deployment.zones()
+        &self.builder.deployment.zones()[..self.builder.zones]
     }
 
-    /// Publishes a configuration with a route at each of these ports. The port after `ROUTE_PORT` belongs to the second
-    /// service, all others belong to the first.
+    /// Publishes a configuration with a route of priority 1 at each of these ports. The port after `ROUTE_PORT` belongs to
+    /// the second service, all others belong to the first.
     pub fn configure(&mut self, ports: &[u16]) {
+        let routes: Vec<_> = ports.iter().map(|port| (*port, 1)).collect();
+        self.configure_priorities(&routes);
+    }
+
+    /// Publishes a configuration with a route at each of these ports, with its priority.
+    pub fn configure_priorities(&mut self, routes: &[(u16, u8)]) {
         self.version += 3;
-        let routes = ports.iter().map(|port| {
+        let routes = routes.iter().map(|(port, priority)| {
             json!({
                 "name": format!("route-{port}"),
                 "hostname": self.route(*port).ip().to_string(),
@@ -94,7 +100,7 @@
                 "type": "idempotent",
                 "timeout_ms": 1_500,
                 "target_latency_ms": 250,
-                "priority": 1,
+                "priority": priority,
                 "max_attempts": 2,
                 "service": self.service_of(*port),
             })
@@ -163,6 +169,12 @@
         }
     }
 
+    /// Returns the address of further callers, counted from zero over all zones; those with the index of a zone share
+    /// the address with the plan for the zone.
+    pub fn callers_addr(&self, index: usize) -> SocketAddrV4 {
+        self.block.packet_callers(index)
+    }
+
     /// Starts callers.
     ///
     /// # Errors
--- a/crates/standins/src/packets/results.rs
+++ b/crates/standins/src/packets/results.rs
@@ -63,6 +63,10 @@
     pub by_balancer: bool,
     /// Port of the flow's route.
     pub route: u16,
+    /// Number of the request that was sent on the flow or was to be sent on it.
+    pub request: Option<u64>,
+    /// Time since the first packet of the opening; `None` when the flow was open.
+    pub opening_took: Option<Duration>,
 }
 
 /// Results of the callers of a zone.
@@ -72,6 +76,8 @@
     pub outcomes: Vec<Outcome>,
     /// Resets that the callers received.
     pub resets: Vec<ReceivedReset>,
+    /// Number of answers without content from upstreams whose queue was full.
+    pub refusals: u64,
     /// Answers to another request or from another upstream than the flow's, and packets that could not be decoded.
     pub wrong: u64,
 }
--- a/crates/standins/src/packets/upstream.rs
+++ b/crates/standins/src/packets/upstream.rs
@@ -42,8 +42,12 @@
 
 /// Longest wait for one packet.
 const TICK: Duration = Duration::from_millis(5);
-/// Most requests that wait for a slot; further ones are dropped.
+/// Most requests that wait for a slot; further ones are refused and do not run.
 const QUEUE_MAX: usize = 16;
+/// Length of an answer with content, in bytes. The balancer takes answers of fewer than 256 bytes for refusals.
+const ANSWER_LEN: usize = 512;
+/// Length of an answer, in bytes, under which it is a refusal: it has no content, and its request has not run.
+pub const REFUSAL_LEN_MAX: usize = 256;
 /// Interval of heartbeats, which write the entry again when it has expired.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Length of the prefix of each packet that names the upstream it is for, in bytes.
@@ -95,6 +99,8 @@
 pub struct Observations {
     /// How often each request ran, by its number.
     pub runs: HashMap<u64, u32>,
+    /// How often each request was refused because the queue was full, by its number.
+    pub refused: HashMap<u64, u32>,
     /// Openings that upstreams accepted, retransmissions included.
     pub openings: Vec<Opening>,
     /// Packets that were truncated or changed on the way.
@@ -361,6 +367,9 @@
             self.begin(request);
         } else if self.waiting.len() < QUEUE_MAX {
             self.waiting.push_back(request);
+        } else {
+            *self.seen().refused.entry(number).or_default() += 1;
+            self.answer(number, &request.packet, 0);
         }
     }
 
@@ -385,20 +394,24 @@
             let Some(((_, number), packet)) = self.running.pop_first() else {
                 return;
             };
-            self.answer(number, &packet);
+            self.answer(number, &packet, ANSWER_LEN);
             if let Some(next) = self.waiting.pop_front() {
                 self.begin(next);
             }
         }
     }
 
-    fn answer(&mut self, number: u64, packet: &Segment) {
+    /// Answers with the number of the request, content up to a length of `len` bytes, and the id of the upstream.
+    fn answer(&mut self, number: u64, packet: &Segment, len: usize) {
         let Some(flow) = self.flows.get_mut(&packet.src) else {
             return;
         };
         let mut answer = packet.reply(ACK, flow.seq.wrapping_add(1), flow.received);
         answer.data.extend(number.to_be_bytes());
-        answer.data.extend(self.upstream.spec.id.to_be_bytes());
+        let id = self.upstream.spec.id.to_be_bytes();
+        let content_end = len.saturating_sub(id.len()).max(answer.data.len());
+        answer.data.resize(content_end, 0);
+        answer.data.extend(id);
         flow.seq = flow.seq.wrapping_add(answer.data.len() as u32);
         self.send(&answer);
     }
