--- a/crates/daemon/tests/packets/main.rs
+++ b/crates/daemon/tests/packets/main.rs
@@ -2,10 +2,13 @@
 
 mod lifecycle;
 mod load;
+mod load_exchange;
+mod overload;
 mod restoration;
 mod routes;
 mod scene;
 mod settings;
+mod spillover;
 mod store;
 mod upstreams;
 mod zone;
--- a/crates/daemon/tests/packets/scene.rs
+++ b/crates/daemon/tests/packets/scene.rs
@@ -1,5 +1,6 @@
 //! Test harness: a small fleet under load, and the invariants that hold whatever happens to it.
 
+use foxtailhinge_config::packet_report::ServiceLoadReport;
 use foxtailhinge_standins::{
     fleet::{
         Deployment,
@@ -18,11 +19,13 @@
         },
     },
 };
+use serde_json::Value;
 use std::{
     collections::HashSet,
     ops::{
         Deref,
-        DerefMut, //
+        DerefMut,
+        Range, //
     },
     thread,
     time::{
@@ -106,6 +109,73 @@
         self
     }
 
+    /// Starts callers of a zone on `count` VMs, which together send `posts_per_s` requests to the route at a port.
+    ///
+    /// Callers are ranked by VM, so that load from a few VMs would be rejected as a whole or not at all.
+    pub(crate) fn crowd(
+        &self,
+        zone: usize,
+        port: u16,
+        vms: Range<usize>,
+        posts_per_s: f64,
+    ) -> Crowd {
+        let each = posts_per_s / vms.len() as f64;
+        let callers = vms.map(|vm| {
+            let mut plan = self.fleet.plan(zone, vm as u64 + 1);
+            plan.addr = self.fleet.callers_addr(vm);
+            plan.post_route = self.fleet.route(port);
+            plan.posts_per_s = each;
+            self.fleet.callers(plan).unwrap()
+        });
+        Crowd(callers.collect())
+    }
+
+    /// Checks the invariants for callers that have stopped.
+    pub(crate) fn report(&self, results: Vec<Results>) -> Report {
+        let report = Report::new(results, &self.fleet);
+        report.check_invariants(&self.fleet);
+        report
+    }
+
+    /// Returns what a daemon reports of the load of the first service; `None` without traffic.
+    pub(crate) fn load_at(&self, index: usize) -> Option<ServiceLoadReport> {
+        let service = self.fleet.service_of(ROUTE_PORT);
+        let loads = self.fleet.status(index).ok()?.loads;
+        loads.into_iter().find(|load| &*load.service == service)
+    }
+
+    /// Number of events of this name in the logs of all daemons.
+    pub(crate) fn event_count(&self, event: &str) -> usize {
+        let daemons = 0..self.fleet.len();
+        daemons
+            .map(|index| self.fleet.events(index, event).len())
+            .sum()
+    }
+
+    /// Sets the field `load` in the settings of all daemons.
+    pub(crate) fn set_load_settings(&self, load: &Value) {
+        for index in 0..self.fleet.len() {
+            let edit = |text: String| {
+                let mut settings: Value = serde_json::from_str(&text).unwrap();
+                settings["load"] = load.clone();
+                serde_json::to_string_pretty(&settings).unwrap()
+            };
+            self.fleet.edit_settings(index, edit).unwrap();
+        }
+    }
+
+    /// Reloads changed settings of all daemons and waits until they are in force.
+    pub(crate) fn reload_all(&self) {
+        let before = self.event_count("settings_reloaded");
+        for index in 0..self.fleet.len() {
+            self.fleet.reload(index);
+        }
+        self.wait_until("the settings are in force", |_| {
+            self.event_count("settings_reloaded") >= before + self.fleet.len()
+        })
+        .unwrap();
+    }
+
     /// Sleeps while the fleet runs.
     pub(crate) fn run(&self, ms: u64) -> &Self {
         thread::sleep(Duration::from_millis(ms));
@@ -121,6 +191,22 @@
     }
 }
 
+/// Callers on several VMs.
+pub(crate) struct Crowd(Vec<Callers>);
+
+impl Crowd {
+    /// Ends the load at all VMs at once, waits for the requests in progress, and returns the results.
+    pub(crate) fn stop(self) -> Vec<Results> {
+        self.0.iter().for_each(Callers::end_load);
+        self.0.into_iter().map(Callers::stop).collect()
+    }
+
+    /// Results so far.
+    pub(crate) fn results(&self) -> Vec<Results> {
+        self.0.iter().map(Callers::results).collect()
+    }
+}
+
 /// What callers observed.
 pub(crate) struct Report {
     pub(crate) results: Vec<Results>,
