--- a/crates/config/src/finding.rs
+++ b/crates/config/src/finding.rs
@@ -100,3 +100,79 @@
 }
 
 impl Error for Findings {}
+
+/// How serious a finding is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Severity {
+    /// The text is refused, or has another meaning than it appears to have.
+    Error,
+    /// An entry has no effect, or two values do not fit together.
+    Warning,
+}
+
+impl fmt::Display for Severity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Error => "error",
+            Self::Warning => "warning",
+        })
+    }
+}
+
+/// A finding with its severity.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct RatedFinding {
+    /// How serious the finding is.
+    pub severity: Severity,
+    /// The finding.
+    #[serde(flatten)]
+    pub finding: Finding,
+}
+
+impl fmt::Display for RatedFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Finding {
+            file,
+            line,
+            column,
+            message,
+        } = &self.finding;
+        write!(f, "{file}:{line}:{column}: {}: {message}", self.severity)
+    }
+}
+
+/// Result of reading a text that is not refused as a whole for a finding.
+#[derive(Clone, Debug)]
+pub struct Review<T> {
+    /// What was read, as far as it could be.
+    pub value: Option<T>,
+    /// Findings for which the text must be corrected.
+    pub errors: Findings,
+    /// Findings that may be intended.
+    pub warnings: Findings,
+}
+
+impl<T> Review<T> {
+    /// A text of which nothing could be read.
+    pub fn failed(errors: Findings) -> Self {
+        Self {
+            value: None,
+            errors,
+            warnings: Findings::default(),
+        }
+    }
+
+    /// Errors and warnings, sorted by position.
+    pub fn rated(&self) -> Vec<RatedFinding> {
+        let rate = |severity, findings: &Findings| {
+            let findings = findings.iter().cloned();
+            let rated = findings.map(|finding| RatedFinding { severity, finding });
+            rated.collect::<Vec<_>>()
+        };
+        let mut all = rate(Severity::Error, &self.errors);
+        all.extend(rate(Severity::Warning, &self.warnings));
+        all.sort_by_key(|f| (f.finding.line, f.finding.column));
+        all
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,9 @@
 
 pub mod bounds;
 pub mod check;
+pub mod configuration;
+pub mod configuration_check;
+pub mod configuration_difference;
 pub mod document;
 pub mod finding;
 pub mod name_pool;
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -4,7 +4,8 @@
     bounds,
     finding::{
         Finding,
-        Findings, //
+        Findings,
+        Review, //
     }, //
 };
 use jsonc_parser::{
@@ -65,8 +66,34 @@
     if text.len() > bounds::TEXT_BYTES_MAX {
         return Err(too_long(file, text.len()));
     }
+    let (reader, found) = read_object(file, text, &WITH_COMMENTS, read);
+    reader.finish(found)
+}
+
+/// Parses `text` as JSON without comments and trailing commas, and passes its outermost object to `read`.
+///
+/// The result of `read` is kept even if there are findings.
+pub fn review_json<T>(
+    file: &str,
+    bytes: &[u8],
+    read: impl FnOnce(&Reader<'_>, &Object<'_>) -> Option<T>,
+) -> Review<T> {
+    let text = match decode_utf8(file, bytes) {
+        Ok(text) => text,
+        Err(errors) => return Review::failed(errors),
+    };
+    let (reader, found) = read_object(file, text, &PLAIN, read);
+    reader.into_review(found)
+}
+
+fn read_object<'t, T>(
+    file: &str,
+    text: &'t str,
+    options: &ParseOptions,
+    read: impl FnOnce(&Reader<'_>, &Object<'_>) -> Option<T>,
+) -> (Reader<'t>, Option<T>) {
     let reader = Reader::new(file, text);
-    let value = match parse_to_ast(text, &COLLECT, &STRICT) {
+    let value = match parse_to_ast(text, &COLLECT, options) {
         Ok(parsed) => parsed.value,
         Err(e) => {
             reader.report(
@@ -90,7 +117,7 @@
             None
         }
     };
-    reader.finish(found)
+    (reader, found)
 }
 
 const COLLECT: CollectOptions = CollectOptions {
@@ -98,10 +125,16 @@
     tokens: false,
 };
 
-const STRICT: ParseOptions = ParseOptions {
+const WITH_COMMENTS: ParseOptions = ParseOptions {
     allow_comments: true,
-    allow_loose_object_property_names: false,
     allow_trailing_commas: true,
+    ..PLAIN
+};
+
+const PLAIN: ParseOptions = ParseOptions {
+    allow_comments: false,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: false,
     allow_missing_commas: false,
     allow_single_quoted_strings: false,
     allow_hexadecimal_numbers: false,
@@ -129,10 +162,38 @@
     file: Arc<str>,
     text: &'t str,
     line_starts: Vec<usize>,
+    findings: List,
+    warnings: List,
+}
+
+/// Findings of one severity.
+#[derive(Default)]
+struct List {
     findings: RefCell<Vec<Finding>>,
     left_out: Cell<usize>,
 }
 
+impl List {
+    /// Adds a finding unless the list is full.
+    fn add(&self, finding: impl FnOnce() -> Finding) {
+        let mut findings = self.findings.borrow_mut();
+        if findings.len() >= bounds::FINDINGS_MAX {
+            self.left_out.set(self.left_out.get() + 1);
+            return;
+        }
+        findings.push(finding());
+    }
+
+    fn is_empty(&self) -> bool {
+        self.findings.borrow().is_empty()
+    }
+
+    fn into_findings(self) -> Findings {
+        let left_out = self.left_out.get();
+        Findings::new(self.findings.into_inner()).with_left_out(left_out)
+    }
+}
+
 impl<'t> Reader<'t> {
     fn new(file: &str, text: &'t str) -> Self {
         let line_ends = text.match_indices('\n').map(|(at, _)| at + 1);
@@ -140,29 +201,33 @@
             file: file.into(),
             text,
             line_starts: iter::once(0).chain(line_ends).collect(),
-            findings: RefCell::default(),
-            left_out: Cell::new(0),
+            findings: List::default(),
+            warnings: List::default(),
         }
     }
 
     /// Adds a finding at the byte offset `at`.
     pub fn report(&self, at: usize, message: impl Into<String>) {
-        let mut findings = self.findings.borrow_mut();
-        if findings.len() >= bounds::FINDINGS_MAX {
-            self.left_out.set(self.left_out.get() + 1);
-            return;
-        }
+        self.findings.add(|| self.finding(at, message.into()));
+    }
+
+    /// Adds a warning at the byte offset `at`; only a [`Review`] lists it.
+    pub fn warn(&self, at: usize, message: impl Into<String>) {
+        self.warnings.add(|| self.finding(at, message.into()));
+    }
+
+    fn finding(&self, at: usize, message: String) -> Finding {
         let (line, column) = self.position(at);
-        findings.push(Finding {
+        Finding {
             file: self.file.clone(),
             line,
             column,
-            message: message.into(),
-        });
+            message,
+        }
     }
 
     fn report_if_first(&self, at: usize, message: &str) {
-        if self.findings.borrow().is_empty() {
+        if self.findings.is_empty() {
             self.report(at, message);
         }
     }
@@ -184,13 +249,20 @@
     }
 
     fn into_findings(self) -> Findings {
-        let left_out = self.left_out.get();
-        Findings::new(self.findings.into_inner()).with_left_out(left_out)
+        self.findings.into_findings()
+    }
+
+    fn into_review<T>(self, value: Option<T>) -> Review<T> {
+        Review {
+            value,
+            errors: self.findings.into_findings(),
+            warnings: self.warnings.into_findings(),
+        }
     }
 
     fn finish<T>(self, found: Option<T>) -> Result<T, Findings> {
         match found {
-            Some(found) if self.findings.borrow().is_empty() => Ok(found),
+            Some(found) if self.findings.is_empty() => Ok(found),
             Some(_) => Err(self.into_findings()),
             None => {
                 self.report_if_first(0, "Rewrite the text; it could not be read.");
@@ -291,6 +363,27 @@
         number
     }
 
+    /// Reads a number that is not negative.
+    pub fn decimal(&self, value: &Value<'_>) -> Option<f64> {
+        const WANTED: &str = "a number from 0";
+        let Some(found) = value.as_number_lit() else {
+            self.wrong_type(value, WANTED);
+            return None;
+        };
+        let number = found.value.parse().ok();
+        let number = number.filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        if number.is_none() {
+            self.report(start(value), format!("Write {WANTED}."));
+        }
+        number
+    }
+
+    /// The text of a value as it was written.
+    pub fn source(&self, value: &Value<'_>) -> &'t str {
+        let range = value.range();
+        self.text.get(range.start..range.end).unwrap_or_default()
+    }
+
     /// Reads an integer within `bounds`, which must fit into 32 bits.
     pub fn number_u32(&self, value: &Value<'_>, bounds: &RangeInclusive<u64>) -> Option<u32> {
         self.number(value, bounds)
@@ -462,7 +555,7 @@
 const HEX_DIGITS_MAX: usize = 15;
 
 /// Displays a text from a file in quotes, or a placeholder if the text may contain a key.
-pub(crate) struct Quoted<'a>(pub(crate) &'a str);
+pub struct Quoted<'a>(pub &'a str);
 
 impl fmt::Display for Quoted<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
