--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -63,7 +63,7 @@
 }
 
 fn check(checker: &mut Checker, path: &Path) -> Result<FileReport, UsageError> {
-    let bytes = read(path).map_err(|e| UsageError::File(path.to_path_buf(), e))?;
+    let bytes = read(path)?;
     let file = path.display().to_string();
     let (kind, findings) = match checker.check(&file, &bytes) {
         Ok(kind) => (Some(kind), Findings::default()),
@@ -76,9 +76,12 @@
     })
 }
 
-fn read(path: &Path) -> io::Result<Vec<u8>> {
+/// Reads a file as far as the checker accepts it.
+pub(crate) fn read(path: &Path) -> Result<Vec<u8>, UsageError> {
     let mut bytes = Vec::new();
-    File::open(path)?.take(READ_BYTES).read_to_end(&mut bytes)?;
+    let mut read =
+        || -> io::Result<_> { File::open(path)?.take(READ_BYTES).read_to_end(&mut bytes) };
+    read().map_err(|e| UsageError::File(path.to_path_buf(), e))?;
     Ok(bytes)
 }
 
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -32,6 +32,7 @@
 const EXAMPLES: &str = "Examples:
 
     foxtailctl check documents/*.jsonc
+    foxtailctl check --configuration new.json --in-force config.json
     foxtailctl status --service syncdesk-api
     foxtailctl status --admin 10.20.1.1:7002 --admin 10.20.1.2:7002
     foxtailctl view --admin 10.20.1.1:7002
@@ -51,17 +52,21 @@
     footer(EXAMPLES)
 )]
 pub(crate) enum Command {
-    /// Check documents and settings, and list every finding with its location
+    /// Check documents and settings or a configuration, and list every finding with its location
     #[bpaf(
         command,
-        footer("Example:\n\n    foxtailctl check syncdesk-api.jsonc certvault.jsonc")
+        footer(
+            "Examples:
+
+    foxtailctl check syncdesk-api.jsonc certvault.jsonc
+    foxtailctl check --configuration new.json --in-force config.json"
+        )
     )]
     Check {
         #[bpaf(external)]
         json: bool,
-        /// Document or settings
-        #[bpaf(positional("FILE"), complete_shell(ShellComp::File { mask: None }), some("Name at least one file."))]
-        files: Vec<PathBuf>,
+        #[bpaf(external)]
+        checked: Checked,
     },
     /// Show members, zones, upstreams and documents as daemons see them
     #[bpaf(
@@ -168,6 +173,26 @@
     },
 }
 
+/// What `check` reads.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum Checked {
+    /// A configuration of packet mode.
+    Configuration {
+        /// Configuration of packet mode, before it is sent
+        #[bpaf(argument("FILE"), complete_shell(ShellComp::File { mask: None }))]
+        configuration: PathBuf,
+        /// Configuration in force, to list what differs
+        #[bpaf(argument("FILE"), complete_shell(ShellComp::File { mask: None }), optional)]
+        in_force: Option<PathBuf>,
+    },
+    /// Documents and settings.
+    Files {
+        /// Document or settings
+        #[bpaf(positional("FILE"), complete_shell(ShellComp::File { mask: None }), some("Name at least one file."))]
+        files: Vec<PathBuf>,
+    },
+}
+
 /// A shell for which there is a completion script.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Shell {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod caller;
 mod check;
+mod check_configuration;
 mod cli;
 mod completion;
 mod daemon_report;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -3,7 +3,11 @@
 use crate::{
     audit,
     check,
-    cli::Command,
+    check_configuration,
+    cli::{
+        Checked,
+        Command, //
+    },
     completion,
     error::{
         Outcome,
@@ -24,7 +28,18 @@
 /// to exit code 1.
 pub(crate) fn run(command: Command) -> anyhow::Result<Outcome> {
     match command {
-        Command::Check { json, files } => check::run(&files, json),
+        Command::Check {
+            json,
+            checked: Checked::Files { files },
+        } => check::run(&files, json),
+        Command::Check {
+            json,
+            checked:
+                Checked::Configuration {
+                    configuration,
+                    in_force,
+                },
+        } => check_configuration::run(&configuration, in_force.as_deref(), json),
         Command::Status {
             json,
             admin,
--- a/crates/ctl/tests/foxtailctl/check.rs
+++ b/crates/ctl/tests/foxtailctl/check.rs
@@ -105,3 +105,65 @@
     let checked = ctl(&["check", "long.jsonc"]).within(&directory);
     insta::assert_snapshot!(checked.run().all());
 }
+
+const IN_FORCE: &str = r#"{
+  "version": 41,
+  "routes": [
+    { "name": "desk", "hostname": "198.18.0.1", "prefix": "/443/", "type": "idempotent", "timeout_ms": 1500,
+      "target_latency_ms": 250, "priority": 1, "service": "syncdesk-api" },
+    { "name": "vault", "hostname": "198.18.0.2", "prefix": "/443/", "type": "upload", "timeout_ms": 2000,
+      "target_latency_ms": 300, "priority": 0, "service": "certvault" }
+  ],
+  "services": [
+    { "name": "syncdesk-api", "max_connections": 2000 },
+    { "name": "certvault", "max_connections": 400 }
+  ],
+  "limits": { "idle_timeout_ms": 15000 }
+}"#;
+
+/// The configuration of version 44: the route to the vault is gone, and a service has another limit.
+fn new_configuration() -> String {
+    let (before, vault) = IN_FORCE.split_once(",\n    { \"name\": \"vault\"").unwrap();
+    let (_, after) = vault.split_once("}").unwrap();
+    format!("{before}{after}")
+        .replace("41", "44")
+        .replace("2000", "2400")
+}
+
+/// Pipelines that stop for each warning would make operators leave the check out, and those that go on after an error
+/// would send what daemons refuse.
+#[rstest]
+#[case::good("good configuration", IN_FORCE.to_string(), &[], 0)]
+#[case::warnings("configuration with warnings", new_configuration(), &[], 0)]
+#[case::compared("configuration compared", new_configuration(), &["--in-force", "in-force.json"], 0)]
+#[case::json("configuration compared in JSON", new_configuration(), &["--json", "--in-force", "in-force.json"], 0)]
+#[case::errors("configuration with errors", new_configuration().replace("\"/443/\"", "443"), &["--in-force", "in-force.json"], 1)]
+#[case::refused("refused configuration in force", new_configuration(), &["--in-force", "refused.json"], 1)]
+fn a_configuration_is_checked_before_it_is_sent(
+    #[case] name: &str,
+    #[case] new: String,
+    #[case] options: &[&str],
+    #[case] code: i32,
+) {
+    let written = [
+        ("new.json", new),
+        ("in-force.json", IN_FORCE.to_string()),
+        ("refused.json", "{}".to_string()),
+    ];
+    let directory = files(&name.replace(' ', "-"), &written);
+    let checked = ctl(&["check", "--configuration", "new.json"]).within(&directory);
+    let all = checked.args(options).run().all();
+    assert!(all.starts_with(&format!("exit code: Some({code})\n")));
+    insta::assert_snapshot!(name, all);
+}
+
+/// A file of any length must not fill the memory.
+#[test]
+fn a_long_configuration_is_not_read_whole() {
+    let directory = files(
+        "long-configuration",
+        &[("long.json", " ".repeat(3_000_000))],
+    );
+    let checked = ctl(&["check", "--configuration", "long.json"]).within(&directory);
+    insta::assert_snapshot!(checked.run().all());
+}
