--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -4,6 +4,9 @@
 
 /// Maximum size of a text, in bytes.
 pub const TEXT_BYTES_MAX: usize = 1_000_000;
+/// Maximum size of a configuration of packet mode, in bytes: in base64 and with a page of 1 MB it fits into the longest
+/// answer of the store that a daemon reads, 16 MiB.
+pub const CONFIGURATION_BYTES_MAX: usize = 11_000_000;
 /// Maximum number of findings listed for one text; the rest are only counted.
 pub const FINDINGS_MAX: usize = 100;
 /// Maximum length of a name, in bytes.
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -44,8 +44,12 @@
 
 /// Decodes bytes as UTF-8; an error has a finding at the first invalid byte.
 pub fn decode_utf8<'t>(file: &str, bytes: &'t [u8]) -> Result<&'t str, Findings> {
-    if bytes.len() > bounds::TEXT_BYTES_MAX {
-        return Err(too_long(file, bytes.len()));
+    decode_up_to(bounds::TEXT_BYTES_MAX, file, bytes)
+}
+
+fn decode_up_to<'t>(max: usize, file: &str, bytes: &'t [u8]) -> Result<&'t str, Findings> {
+    if bytes.len() > max {
+        return Err(too_long(max, file, bytes.len()));
     }
     str::from_utf8(bytes).map_err(|e| {
         let valid = str::from_utf8(&bytes[..e.valid_up_to()]).unwrap_or_default();
@@ -64,7 +68,7 @@
     read: impl FnOnce(&Reader<'_>, &Object<'_>) -> Option<T>,
 ) -> Result<T, Findings> {
     if text.len() > bounds::TEXT_BYTES_MAX {
-        return Err(too_long(file, text.len()));
+        return Err(too_long(bounds::TEXT_BYTES_MAX, file, text.len()));
     }
     let (reader, found) = read_object(file, text, &WITH_COMMENTS, read);
     reader.finish(found)
@@ -78,7 +82,7 @@
     bytes: &[u8],
     read: impl FnOnce(&Reader<'_>, &Object<'_>) -> Option<T>,
 ) -> Review<T> {
-    let text = match decode_utf8(file, bytes) {
+    let text = match decode_up_to(bounds::CONFIGURATION_BYTES_MAX, file, bytes) {
         Ok(text) => text,
         Err(errors) => return Review::failed(errors),
     };
@@ -144,11 +148,8 @@
     allow_extended_string_escapes: false,
 };
 
-fn too_long(file: &str, bytes: usize) -> Findings {
-    let message = format!(
-        "Write at most {} bytes; these are {bytes}.",
-        bounds::TEXT_BYTES_MAX
-    );
+fn too_long(max: usize, file: &str, bytes: usize) -> Findings {
+    let message = format!("Write at most {max} bytes; these are {bytes}.");
     Findings::new(vec![Finding {
         file: file.into(),
         line: 1,
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -18,19 +18,13 @@
 use serde::Serialize;
 use std::{
     fs::File,
-    io::{
-        self,
-        Read, //
-    },
+    io::Read,
     path::{
         Path,
         PathBuf, //
     },
 };
 
-/// Files are read up to one byte above the limit of the checker, which suffices to find that they are too long.
-const READ_BYTES: u64 = bounds::TEXT_BYTES_MAX as u64 + 1;
-
 #[derive(Serialize)]
 struct Report {
     files: Vec<FileReport>,
@@ -63,7 +57,7 @@
 }
 
 fn check(checker: &mut Checker, path: &Path) -> Result<FileReport, UsageError> {
-    let bytes = read(path)?;
+    let bytes = read(path, bounds::TEXT_BYTES_MAX)?;
     let file = path.display().to_string();
     let (kind, findings) = match checker.check(&file, &bytes) {
         Ok(kind) => (Some(kind), Findings::default()),
@@ -76,12 +70,12 @@
     })
 }
 
-/// Reads a file as far as the checker accepts it.
-pub(crate) fn read(path: &Path) -> Result<Vec<u8>, UsageError> {
+/// Reads a file up to one byte above `max`, the limit of the checker, which suffices to find that it is too long.
+pub(crate) fn read(path: &Path, max: usize) -> Result<Vec<u8>, UsageError> {
     let mut bytes = Vec::new();
-    let mut read =
-        || -> io::Result<_> { File::open(path)?.take(READ_BYTES).read_to_end(&mut bytes) };
-    read().map_err(|e| UsageError::File(path.to_path_buf(), e))?;
+    let file = File::open(path).map(|file| file.take(max as u64 + 1));
+    file.and_then(|mut file| file.read_to_end(&mut bytes))
+        .map_err(|e| UsageError::File(path.to_path_buf(), e))?;
     Ok(bytes)
 }
 
--- a/crates/ctl/src/check_configuration.rs
+++ b/crates/ctl/src/check_configuration.rs
@@ -7,6 +7,7 @@
     table::Table, //
 };
 use foxtailhinge_config::{
+    bounds,
     configuration_difference::Change,
     finding::{
         RatedFinding,
@@ -46,6 +47,7 @@
 }
 
 fn report(path: &Path, in_force: Option<&Path>) -> anyhow::Result<Report> {
+    let read = |path| read(path, bounds::CONFIGURATION_BYTES_MAX);
     let bytes = read(path)?;
     let file = path.display().to_string();
     let old_bytes = in_force.map(read).transpose()?;
