Let the admitted share rise when answers take no time

Answers in less than the connect time count as zero. Without openings, the part that can be served was zero times infinity, and the share rose by 2 % a window only.

--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -46,6 +46,9 @@
 /// Least and greatest part of the throughput that is admitted, to drain queues or to fill them.
 const KEPT: (f64, f64) = (0.6, 1.15);
 
+/// Utilization under which the upstreams count as idle; the part that they could serve would be infinite at zero.
+const UTILIZATION_MIN: f64 = 0.01;
+
 /// Share of the ranks of each priority that is always admitted, so that nobody is locked out for ever.
 const GUARANTEED: f64 = 0.02;
 
@@ -77,7 +80,7 @@
         }
         let over_s = self.home.service_time().map_or(0.0, |s| s - self.goal_s);
         let kept = (1.0 - over_s / DRAIN_S).clamp(KEPT.0, KEPT.1);
-        let here = kept * served / self.utilization.clamp(f64::MIN_POSITIVE, 1.0) / wanted;
+        let here = kept * served / self.utilization.clamp(UTILIZATION_MIN, 1.0) / wanted;
         let all = (here * self.home.opened + self.left.max(self.leaving)) / forwarded;
         let unconditional = 1.0 - self.conditional;
         Some(((all - unconditional) / self.conditional).max(0.0))
