--- a/crates/policy/src/packets/congestion.rs
+++ b/crates/policy/src/packets/congestion.rs
@@ -111,15 +111,17 @@
         observation.counts.occupancy() / f64::from(observation.slots.max(1))
     }
 
-    /// Judges the observations and learns from them, once in `windows` windows; `None` if there are too few answers.
+    /// Judges the observations and learns from them, once in `windows` windows; `None` if there are too few answers or
+    /// no slots.
     pub fn update(&mut self, observation: &Observation, windows: u32) -> Option<Verdict> {
         let Observation {
             counts,
             answers,
+            slots,
             target_latency,
-            ..
         } = *observation;
-        if answers < ANSWERS_MIN {
+        // Without slots, all openings go to other zones, and answers come on old flows only.
+        if answers < ANSWERS_MIN || slots == 0 {
             return None;
         }
         let utilization = Self::utilization(observation);
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -638,9 +638,10 @@
 /// Whether the requests of a priority and of higher ones fit the slots by themselves.
 ///
 /// They are admitted then: requests of lower priorities on flows that were open before cannot be rejected, and they
-/// must not crowd out urgent callers.
+/// must not crowd out urgent callers. Without slots in the zone, no opening needs one here.
 fn fits_alone(service: &Service, priority: u8) -> bool {
-    service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
+    service.load.slots == 0
+        || service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
 }
 
 /// Observations of this daemon together with those of the others of its zone.
--- a/crates/policy/tests/packets/congestion.rs
+++ b/crates/policy/tests/packets/congestion.rs
@@ -92,6 +92,16 @@
     assert_eq!(calm().update(&observed(1.0, 0.0), 1), None);
 }
 
+/// A zone whose upstreams have all left still gets answers on old flows. Its callers go to other zones, and rejecting them
+/// because of these answers would turn the end of a zone into an outage.
+#[test]
+fn a_zone_without_slots_is_not_overloaded() {
+    let mut gone = observed(0.1, 2.0);
+    gone.slots = 0;
+    let verdict = calm().update(&gone, 1);
+    assert!(!verdict.is_some_and(|v| v.is_overloaded()), "{verdict:?}");
+}
+
 /// A load that grows faster than it is answered fills the queues before the mean service time shows it.
 #[test]
 fn a_flash_crowd_is_judged_ahead() {
