Believe an overload only with own signs of it

A daemon that reported service times of a second made the others reject 29 % of the urgent requests and 65 % of the others at 0.6 of the slots, although their own answers were in time. A verdict on the sums of the zone now needs an own pressure of 0.5, as the share of other daemons does, or own refusals.

--- a/crates/policy/src/packets/congestion.rs
+++ b/crates/policy/src/packets/congestion.rs
@@ -20,7 +20,7 @@
 const IDLE_UTILIZATION: f64 = 0.7;
 
 /// Share of refusals from which they are a sign of load by themselves: a failing upstream among twenty may refuse too.
-const REFUSALS_MAX: f64 = 0.05;
+pub const REFUSALS_MAX: f64 = 0.05;
 
 /// Pressure that each share of refusals over the maximum adds.
 const REFUSAL_WEIGHT: f64 = 2.0;
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -5,7 +5,8 @@
     choice::Busy,
     congestion::{
         Congestion,
-        Observation, //
+        Observation,
+        REFUSALS_MAX, //
     },
     directory::Directory,
     entry::Route,
@@ -58,7 +59,8 @@
 /// Utilization from which the upstreams of a zone are divided among its daemons.
 const BUSY_UTILIZATION: f64 = 0.6;
 
-/// Own pressure from which the admitted share of other daemons counts: no daemon rejects on the word of others alone.
+/// Own pressure from which the loads and admitted shares of other daemons lead to rejections: no daemon rejects on the word
+/// of others alone.
 const TRUSTED_PRESSURE: f64 = 0.5;
 
 /// Own delay above which unanswered requests say nothing about an upstream.
@@ -566,6 +568,7 @@
         let goal_s = service.congestion.goal_s(service.target_latency);
         service.own_pressure = own_counts.service_time().map_or(0.0, |mean| mean / goal_s);
         let verdict = service.congestion.update(&observation, windows);
+        let verdict = verdict.filter(|_| confirms_overload(&own_counts, service.own_pressure));
         let price = self.settings.zone_price;
         let left_before = service.spillover.leaving();
         let conditional = service.conditional_part(windows);
@@ -627,6 +630,11 @@
     }
 }
 
+/// Whether this daemon observes signs of overload by itself: service times near the goal, or refusals.
+fn confirms_overload(own: &Counts, own_pressure: f64) -> bool {
+    own_pressure >= TRUSTED_PRESSURE || own.refusal_rate() > REFUSALS_MAX
+}
+
 /// Utilization up to which requests of a priority and of higher ones fit the slots.
 const FITTING_UTILIZATION: f64 = 0.9;
 
--- a/crates/policy/tests/packets/overload.rs
+++ b/crates/policy/tests/packets/overload.rs
@@ -308,6 +308,21 @@
     assert!(fleet.resets.is_empty(), "{:?}", fleet.resets);
 }
 
+/// A daemon reports service times of a second although slots are free: the others rejected 29 % of the urgent requests and
+/// 65 % of the others, against their own observations.
+#[rstest]
+#[case::share(report(slow(), 0.0, 0.02))]
+#[case::refusals(report(Counts { refusals: 900.0, ..slow() }, 1.0, 0.02))]
+fn wrong_reports_do_not_outweigh_own_observations(#[case] wrong: LoadReport) {
+    let mut fleet = fleet(1);
+    fleet.run(0.6, 1.0);
+    fleet.reports.insert(1, Ok(wrong));
+    fleet.run(0.6, 6.5);
+    let outcomes: Vec<_> = fleet.wanted(1.0, 6.0).copied().collect();
+    let in_time = share(&outcomes, Outcome::is_in_time);
+    assert!(in_time >= 0.97, "in time: {in_time}");
+}
+
 /// All upstreams of the zone drain during an overload: their last answers are slow, but the callers go to another zone, and
 /// were rejected meanwhile.
 #[test]
