--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -5,7 +5,8 @@
     choice::Busy,
     congestion::{
         Congestion,
-        Observation, //
+        Observation,
+        REFUSALS_MAX, //
     },
     directory::Directory,
     entry::Route,
@@ -58,7 +59,8 @@
 /// Utilization from which the upstreams of a zone are divided among its daemons.
 const BUSY_UTILIZATION: f64 = 0.6;
 
-/// Own pressure from which the admitted share of other daemons counts: no daemon rejects on the word of others alone.
+/// Own pressure from which the loads and admitted shares of other daemons lead to rejections: no daemon rejects on the word
+/// of others alone.
 const TRUSTED_PRESSURE: f64 = 0.5;
 
 /// Own delay above which unanswered requests say nothing about an upstream.
@@ -76,6 +78,10 @@
 /// Smallest part of the openings that counts as admitted because of the admitted share.
 const CONDITIONAL_MIN: f64 = 0.05;
 
+/// Number of own answers from which the loads of other daemons are not used. They are 250 ms old on average, and a share
+/// that is set again in each window from the same old sums overshoots; so many answers tell the mean well enough.
+const OWN_ANSWERS_MIN: f64 = 32.0;
+
 /// Weight of a new connect time in the moving average.
 const CONNECT_GAIN: f64 = 0.125;
 
@@ -530,8 +536,10 @@
         windows: u32,
         now: Instant,
     ) {
-        let others = self.others.as_ref().map(|(others, _)| others);
         let zone = Rc::clone(&self.zone);
+        let has_enough = own.counts(name, &zone).answers >= OWN_ANSWERS_MIN;
+        let others = self.others.as_ref().map(|(others, _)| others);
+        let others = others.filter(|_| !has_enough);
         let total = Total::new(own, others, self.position.daemons);
         let slots = usable_slots(directory, name, now);
         let pool = |zone: &Rc<str>| PoolLoad {
@@ -566,6 +574,7 @@
         let goal_s = service.congestion.goal_s(service.target_latency);
         service.own_pressure = own_counts.service_time().map_or(0.0, |mean| mean / goal_s);
         let verdict = service.congestion.update(&observation, windows);
+        let verdict = verdict.filter(|_| confirms_overload(&own_counts, service.own_pressure));
         let price = self.settings.zone_price;
         let left_before = service.spillover.leaving();
         let conditional = service.conditional_part(windows);
@@ -627,6 +636,11 @@
     }
 }
 
+/// Whether this daemon observes signs of overload by itself: service times near the goal, or refusals.
+fn confirms_overload(own: &Counts, own_pressure: f64) -> bool {
+    own_pressure >= TRUSTED_PRESSURE || own.refusal_rate() > REFUSALS_MAX
+}
+
 /// Utilization up to which requests of a priority and of higher ones fit the slots.
 const FITTING_UTILIZATION: f64 = 0.9;
 
@@ -638,9 +652,10 @@
 /// Whether the requests of a priority and of higher ones fit the slots by themselves.
 ///
 /// They are admitted then: requests of lower priorities on flows that were open before cannot be rejected, and they
-/// must not crowd out urgent callers.
+/// must not crowd out urgent callers. Without slots in the zone, no opening needs one here.
 fn fits_alone(service: &Service, priority: u8) -> bool {
-    service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
+    service.load.slots == 0
+        || service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
 }
 
 /// Observations of this daemon together with those of the others of its zone.
