Teach the soak overload, uneven zones and cut links

With `overloads`, a soak of packet mode also sends two to four times the requests that the slots can serve, for 2 to 4 s: in all zones, in one zone only, or in all zones with the links between daemons cut. The other faults of a seed stay the same. It checks that requests refused as not run have not run, that no open flow is reset, that no living upstream is declared dead, and that from 2 s after the overload 95 % of the requests come in time. Openings may be rejected during the overload and in these 2 s.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -50,6 +50,8 @@
     deployment: Option<Deployment>,
     /// Also restore the store from older copies
     restorations: bool,
+    /// Also send several times the requests that the slots can serve
+    overloads: bool,
     /// List the faults of the seeds without running them
     list: bool,
     /// Path of the daemon's program; by default the one of the same build
@@ -129,6 +131,7 @@
     spec.daemons = options.daemons;
     spec.fault_window = Duration::from_secs(options.seconds);
     spec.restorations = options.restorations;
+    spec.overloads = options.overloads;
     spec
 }
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -71,6 +71,12 @@
     AddressReused(usize),
     /// A cold upstream starts.
     UpstreamAdded(usize),
+    /// Callers ask for this multiple of the requests that the slots can serve.
+    Overloaded(f64),
+    /// Only callers of one zone ask, for this multiple of the requests that the slots of one zone can serve.
+    Uneven(usize, f64),
+    /// Most new links between daemons are not answered.
+    LinksCut,
 }
 
 impl Kind {
@@ -92,9 +98,15 @@
                 | Kind::ReadersPaused
                 | Kind::ReadersRefused
                 | Kind::HistoryLost
+                | Kind::LinksCut
         )
     }
 
+    /// Whether the fault may leave requests unserved because there are more than the slots can serve.
+    pub(crate) fn overloads(self) -> bool {
+        matches!(self, Kind::Overloaded(_) | Kind::Uneven(..))
+    }
+
     /// Whether the fault affects the daemons that read the store for others at its start.
     pub(crate) fn affects_readers(self) -> bool {
         matches!(
--- a/crates/soak/src/lasting_faults.rs
+++ b/crates/soak/src/lasting_faults.rs
@@ -2,14 +2,21 @@
 
 use crate::{
     fault::Kind,
-    soak::Soak, //
+    link_cut::LinkCut,
+    soak::{
+        Soak,
+        POSTS_PER_S, //
+    },
 };
 use foxtailhinge_standins::packets::store::Fault as StoreFault;
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr, //
+};
 
 impl Soak {
     /// Applies the lasting effects of all faults in force, and ends those of the others.
-    pub(crate) fn apply_lasting_faults(&mut self) {
+    pub(crate) fn apply_lasting_faults(&mut self) -> anyhow::Result<()> {
         let kinds = self.kinds();
         let store = kinds.iter().find_map(|kind| match kind {
             Kind::StoreBusy | Kind::StoreAway | Kind::AllRestartedBlind => Some(StoreFault::Busy),
@@ -51,6 +58,43 @@
         }
         self.apply_evacuations(&kinds);
         self.apply_pauses(&kinds);
+        self.apply_rates(&kinds);
+        self.apply_link_cuts(kinds.contains(&Kind::LinksCut))
+    }
+
+    /// Sets how many requests the callers of each zone send. Those of zones 0, 2, ... use the first service, the others the
+    /// second one.
+    fn apply_rates(&self, kinds: &[Kind]) {
+        let zones = self.callers.len();
+        let overload = kinds.iter().find(|kind| kind.overloads());
+        for (zone, callers) in self.callers.iter().enumerate() {
+            let service = zone % 2;
+            let capacity_per_s = self.capacity_per_s[service];
+            callers.set_posts_per_s(match overload {
+                Some(Kind::Overloaded(times)) => {
+                    let sharing = (zones - service).div_ceil(2);
+                    capacity_per_s * times / sharing as f64
+                }
+                Some(Kind::Uneven(hot, times)) if *hot == zone => {
+                    capacity_per_s * times / zones as f64
+                }
+                Some(Kind::Uneven(..)) => 0.0,
+                _ => POSTS_PER_S,
+            });
+        }
+    }
+
+    fn apply_link_cuts(&mut self, is_cut: bool) -> anyhow::Result<()> {
+        if !is_cut {
+            self.link_cuts.clear();
+        } else if self.link_cuts.is_empty() {
+            for index in 0..self.fleet.len() {
+                if let SocketAddr::V4(addr) = self.fleet.zone_addr(index) {
+                    self.link_cuts.push(LinkCut::start(addr)?);
+                }
+            }
+        }
+        Ok(())
     }
 
     fn apply_evacuations(&mut self, kinds: &[Kind]) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod fault;
 mod lasting_faults;
+mod link_cut;
 mod packet_proxy;
 mod processes;
 mod promises;
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -33,6 +33,8 @@
 const READ_RETRY_DELAY_MAX: Duration = Duration::from_millis(3_500);
 /// Time after the recovery of the fleet during which requests are not checked yet.
 const SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Time after an overload in which the service recovers: openings may be rejected, and answers may be late.
+const OVERLOAD_RECOVERY_MAX: Duration = Duration::from_secs(2);
 /// Time in which a request should be answered.
 const TARGET_LATENCY: Duration = Duration::from_millis(250);
 /// Minimum share of the requests after the recovery that must be answered in time, as in `local_fleet`.
@@ -112,6 +114,8 @@
                 .filter_map(|o| self.opening_violation(fleet, o)),
         );
         violations.extend(self.late_answers_violation(&outcomes));
+        violations.extend(refused_and_run(&seen, &outcomes));
+        violations.extend(self.dead_violations(fleet));
         violations
     }
 
@@ -125,6 +129,9 @@
             return None;
         }
         let at = self.since_start(reset.at);
+        if !reset.was_open && self.schedule.is_overloaded(at, OVERLOAD_RECOVERY_MAX) {
+            return None;
+        }
         let is_changed = |index: usize| {
             let spec = fleet.upstreams[index].spec();
             reset.upstream.is_none_or(|id| spec.id == id)
@@ -200,9 +207,29 @@
         })
     }
 
+    /// Describes each declaration of death of an upstream that lives, if there was an overload.
+    fn dead_violations(&self, fleet: &PacketFleet) -> Vec<String> {
+        if self.schedule.overloads_end().is_none() {
+            return Vec::new();
+        }
+        let changed = self.schedule.periods(Kind::upstream);
+        let changed = changed
+            .iter()
+            .map(|(index, ..)| fleet.upstreams[*index].spec().id);
+        let changed: Vec<_> = changed.map(|id| format!("upstream={id:010x}")).collect();
+        let lines = (0..fleet.len()).flat_map(|index| fleet.events(index, "upstream_dead"));
+        lines
+            .filter(|line| !changed.iter().any(|upstream| line.contains(upstream)))
+            .map(|line| format!("a living upstream was declared dead: {line}"))
+            .collect()
+    }
+
     /// Describes the share of requests after the recovery that were answered in time, if it is too small.
     fn late_answers_violation(&self, outcomes: &[&Outcome]) -> Option<String> {
-        let calm = self.calm? + SETTLING_TIME;
+        let mut calm = self.calm? + SETTLING_TIME;
+        if let Some(end) = self.schedule.overloads_end() {
+            calm = calm.max(self.started + end + OVERLOAD_RECOVERY_MAX);
+        }
         let asked: Vec<_> = outcomes.iter().filter(|o| o.asked >= calm).collect();
         let in_time = asked
             .iter()
@@ -218,6 +245,15 @@
     }
 }
 
+/// Describes the requests that must run at most once, and ran although all their attempts were refused or rejected.
+fn refused_and_run(seen: &Observations, outcomes: &[&Outcome]) -> Option<String> {
+    let refused = outcomes.iter().filter(|o| o.not_run && !o.is_feed);
+    let ran = refused
+        .filter(|o| seen.runs.contains_key(&o.number))
+        .count();
+    (ran > 0).then(|| format!("{ran} requests were refused as not run, and ran"))
+}
+
 fn corrupted(seen: &Observations, results: &[Results]) -> Vec<String> {
     let wrong: u64 = results.iter().map(|r| r.wrong).sum();
     let mut violations = Vec::new();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -36,6 +36,16 @@
 /// Maximum occurrences of a repeated fault.
 const OCCURRENCES_MAX: u32 = 4;
 
+/// Mean time between the starts of two overloads.
+const OVERLOAD_INTERVAL: Duration = Duration::from_secs(6);
+/// Minimum and maximum duration of an overload.
+const OVERLOAD_MIN: Duration = Duration::from_secs(2);
+const OVERLOAD_MAX: Duration = Duration::from_secs(4);
+/// Requests in an overload, as a multiple of what the slots can serve.
+const OVERLOAD_TIMES: std::ops::Range<f64> = 2.0..4.0;
+/// Time from a cut of the links to the overload. Daemons open links for load reports when an overload begins.
+const LINKS_CUT_LEAD: Duration = Duration::from_millis(300);
+
 /// Number of restorations of the store, if there are any.
 const RESTORATIONS: std::ops::RangeInclusive<usize> = 1..=3;
 /// Maximum age of the copy from which the store is restored.
@@ -112,6 +122,49 @@
         self
     }
 
+    /// Adds overloads that do not overlap, each of one kind: of all zones, of one zone, or with the links cut.
+    pub(crate) fn with_overloads(mut self, seed: u64, shape: FleetShape) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed.wrapping_mul(3).wrapping_add(2));
+        let window = self.end - LEAD_TIME;
+        let count = (window.as_secs() / OVERLOAD_INTERVAL.as_secs()).max(1) as u32;
+        for index in 0..count {
+            let length = OVERLOAD_MIN + (OVERLOAD_MAX - OVERLOAD_MIN).mul_f64(rng.random());
+            let length = length.min(window / count - LINKS_CUT_LEAD);
+            let spare = window / count - LINKS_CUT_LEAD - length;
+            let cut_at = LEAD_TIME + window / count * index + spare.mul_f64(rng.random());
+            let at = cut_at + LINKS_CUT_LEAD;
+            let times = rng.random_range(OVERLOAD_TIMES);
+            let variant = seed.wrapping_add(index.into()) % 3;
+            let kind = match variant {
+                0 => Kind::Uneven(rng.random_range(0..shape.zones), times),
+                _ => Kind::Overloaded(times),
+            };
+            let duration = length;
+            self.faults.push(Fault { kind, at, duration });
+            if variant == 2 {
+                self.faults.push(Fault {
+                    kind: Kind::LinksCut,
+                    at: cut_at,
+                    duration: at + length - cut_at,
+                });
+            }
+        }
+        self.faults.sort_by_key(|fault| fault.at);
+        self
+    }
+
+    /// Whether more requests than slots were possible at a time: during an overload, or less than `after` later.
+    pub(crate) fn is_overloaded(&self, at: Duration, after: Duration) -> bool {
+        let mut overloads = self.faults.iter().filter(|fault| fault.kind.overloads());
+        overloads.any(|fault| fault.at <= at && at < fault.end() + after)
+    }
+
+    /// Time at which the last overload ends; `None` if there is none.
+    pub(crate) fn overloads_end(&self) -> Option<Duration> {
+        let overloads = self.faults.iter().filter(|fault| fault.kind.overloads());
+        overloads.map(Fault::end).max()
+    }
+
     /// Times at which the store is restored.
     pub(crate) fn restorations(&self) -> impl Iterator<Item = Duration> + '_ {
         let faults = self.faults.iter();
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     fault::Kind,
+    link_cut::LinkCut,
     promises::PromiseChecker,
     proxied_daemon::ProxiedDaemon,
     schedule::FaultSchedule,
@@ -40,7 +41,7 @@
 /// Mean interval between two requests of a feed.
 const FEED_INTERVAL: Duration = Duration::from_millis(400);
 /// Requests per second of one zone that each open a flow.
-const POSTS_PER_S: f64 = 30.0;
+pub(crate) const POSTS_PER_S: f64 = 30.0;
 
 /// A fleet under load, with the faults of one seed.
 pub struct Soak {
@@ -57,6 +58,11 @@
     /// When operators write again what the restored store has lost.
     pub(crate) rewrite_at: Option<Instant>,
     pub(crate) next_id: u64,
+    pub(crate) callers: Vec<Callers>,
+    /// Cuts of the links to all daemons, while they are in force.
+    pub(crate) link_cuts: Vec<LinkCut>,
+    /// Requests per second that the slots of each service can serve.
+    pub(crate) capacity_per_s: [f64; 2],
 }
 
 impl Soak {
@@ -91,11 +97,14 @@
             readers: BTreeSet::new(),
             rewrite_at: None,
             next_id: UPSTREAM_ID_BASE,
+            callers,
+            link_cuts: Vec::new(),
+            capacity_per_s: [0, 1].map(|service| spec.capacity_per_s(service)),
         };
-        soak.run(seed, callers)
+        soak.run(seed)
     }
 
-    fn run(mut self, seed: u64, callers: Vec<Callers>) -> anyhow::Result<Verdict> {
+    fn run(mut self, seed: u64) -> anyhow::Result<Verdict> {
         let started = self.checker.started;
         while started.elapsed() < self.schedule.end {
             self.step(started.elapsed())?;
@@ -109,7 +118,8 @@
             thread::sleep(POLL_INTERVAL);
         }
         self.checker.calm = Some(calm);
-        let results: Vec<_> = callers.into_iter().map(Callers::stop).collect();
+        let callers = std::mem::take(&mut self.callers).into_iter();
+        let results: Vec<_> = callers.map(Callers::stop).collect();
         let violations = self.checker.violations(&self.fleet, &results);
         let outcomes = results.iter().flat_map(|r| &r.outcomes);
         let answered = outcomes.clone().filter(|o| o.took.is_some()).count();
@@ -138,7 +148,7 @@
         for index in ended {
             self.end_fault(self.schedule.faults[index].kind)?;
         }
-        self.apply_lasting_faults();
+        self.apply_lasting_faults()?;
         if self
             .rewrite_at
             .take_if(|at| Instant::now() >= *at)
--- a/crates/soak/src/spec.rs
+++ b/crates/soak/src/spec.rs
@@ -33,6 +33,8 @@
     pub fault_window: Duration,
     /// Whether the store is also restored from copies. The other faults of a seed are the same with and without.
     pub restorations: bool,
+    /// Whether there are also more requests than slots. The other faults of a seed are the same with and without.
+    pub overloads: bool,
 }
 
 impl SoakSpec {
@@ -46,6 +48,7 @@
             feeds: 16,
             fault_window: Duration::from_secs(14),
             restorations: false,
+            overloads: false,
         }
     }
 
@@ -60,9 +63,13 @@
     /// Draws the faults of a seed.
     pub(crate) fn schedule(&self, seed: u64) -> FaultSchedule {
         let schedule = FaultSchedule::draw(seed, self.fault_window, self.shape());
-        match self.restorations {
+        let schedule = match self.restorations {
             true => schedule.with_restorations(seed),
             false => schedule,
+        };
+        match self.overloads {
+            true => schedule.with_overloads(seed, self.shape()),
+            false => schedule,
         }
     }
 
@@ -73,5 +80,30 @@
             .upstreams(first, second)
             .hash(HashKind::of(self.deployment))
             .name_eras(self.restorations)
+            .slots(self.slots())
+            .queue(self.queue())
+    }
+
+    /// Requests that wait for a slot. With long queues, a living upstream leaves requests unanswered for longer than the
+    /// failure detector waits.
+    fn queue(&self) -> usize {
+        match self.overloads {
+            true => 32,
+            false => 16,
+        }
+    }
+
+    /// Slots of an upstream. With few slots, a few hundred requests a second are several times what they can serve.
+    fn slots(&self) -> usize {
+        match self.overloads {
+            true => 2,
+            false => 4,
+        }
+    }
+
+    /// Requests per second that the slots of a service can serve.
+    pub(crate) fn capacity_per_s(&self, service: usize) -> f64 {
+        let slots = self.upstreams[service] * self.slots();
+        slots as f64 / self.builder().work.as_secs_f64()
     }
 }
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -39,3 +39,25 @@
         }
     }
 }
+
+/// Guards against seeds whose other faults change with overloads, so that a violation could not be traced to one of both,
+/// and against a kind of overload that no seed draws.
+#[test]
+fn overloads_are_added_to_the_faults_of_a_seed() {
+    let mut with_overloads = spec();
+    with_overloads.overloads = true;
+    for (seed, expected) in [
+        (107, "LinksCut Overloaded"),
+        (108, "Uneven"),
+        (109, "Overloaded"),
+    ] {
+        let before = Soak::list(&spec(), seed);
+        let with = Soak::list(&with_overloads, seed).into_iter();
+        let added: Vec<_> = with.filter(|line| !before.contains(line)).collect();
+        let all = Soak::list(&with_overloads, seed).len();
+        assert_eq!(all, before.len() + added.len(), "seed {seed}: {added:?}");
+        let first = added.join(" ");
+        let kinds = expected.split(' ').all(|kind| first.contains(kind));
+        assert!(kinds, "seed {seed}: {added:?}");
+    }
+}
--- a/crates/standins/src/packets/builder.rs
+++ b/crates/standins/src/packets/builder.rs
@@ -15,6 +15,10 @@
     pub upstreams: [usize; 2],
     /// How the routers choose the daemon of a flow.
     pub hash: HashKind,
+    /// Most requests that an upstream runs at a time.
+    pub slots: usize,
+    /// Most requests that wait for a slot at an upstream.
+    pub queue: usize,
     /// Mean service time of a request at an upstream.
     pub work: Duration,
     /// Whether the store names its era in each answer.
@@ -29,6 +33,8 @@
             daemons: 8,
             upstreams: [14, 4],
             hash: HashKind::Rendezvous,
+            slots: 4,
+            queue: 16,
             work: Duration::from_millis(50),
             names_eras: false,
         }
@@ -46,6 +52,18 @@
         self
     }
 
+    /// Sets how many requests an upstream runs at a time.
+    pub fn slots(mut self, slots: usize) -> Self {
+        self.slots = slots;
+        self
+    }
+
+    /// Sets how many requests wait for a slot at an upstream.
+    pub fn queue(mut self, queue: usize) -> Self {
+        self.queue = queue;
+        self
+    }
+
     /// Lets the store name its era in each answer, so that it can be restored from a copy.
     pub fn name_eras(mut self, names_eras: bool) -> Self {
         self.names_eras = names_eras;
--- a/crates/standins/src/packets/results.rs
+++ b/crates/standins/src/packets/results.rs
@@ -50,6 +50,8 @@
     pub upstream: Option<u64>,
     /// Number of attempts, the first included.
     pub attempts: u32,
+    /// Whether the last attempt was refused by an upstream, or reset before its flow was open, so that it did not run.
+    pub not_run: bool,
 }
 
 /// A reset that a caller received.
@@ -61,6 +63,8 @@
     pub upstream: Option<u64>,
     /// Whether the balancer sent the reset, and not the upstream.
     pub by_balancer: bool,
+    /// Whether the flow was open.
+    pub was_open: bool,
     /// Port of the flow's route.
     pub route: u16,
 }
