--- a/crates/policy/benches/placement/overload_sim.rs
+++ b/crates/policy/benches/placement/overload_sim.rs
@@ -11,6 +11,7 @@
         FlowId,
         Kind, //
     },
+    subset::Position,
     Balancer,
     Configuration,
     Directory,
@@ -70,8 +71,10 @@
 const REQUEST_LEN: u16 = 300;
 const RESPONSE_LEN: u16 = 2_000;
 const REFUSAL_LEN: u16 = 160;
-/// Interval of the load reports, which is also the age of a sum when it arrives.
+/// Interval of the load reports.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time from the forming of a sum to its arrival: the reports in it are 250 ms old on average then.
+const EXCHANGE_DELAY: Duration = Duration::from_millis(125);
 /// Share of load reports, and of their replies, that are lost.
 const EXCHANGE_LOSS: f64 = 0.1;
 /// Time after which a flow without packets is evicted.
@@ -662,7 +665,7 @@
         }
     }
 
-    /// A daemon reports its load, and receives the sum of the others with the same delay as its next report.
+    /// A daemon reports its load, and receives the sum of the others later.
     fn exchange(&mut self, daemon: usize) {
         self.agenda
             .push(self.now + EXCHANGE_INTERVAL, Event::Exchange(daemon));
@@ -677,10 +680,8 @@
         let sum = reports.sum_for_follower(&vm, self.now);
         reports.record(vm, balancer.load_report(), Reporter::Follower, self.now);
         if !self.rng.random_bool(EXCHANGE_LOSS) {
-            self.agenda.push(
-                self.now + EXCHANGE_INTERVAL,
-                Event::Sum(daemon, Box::new(sum)),
-            );
+            self.agenda
+                .push(self.now + EXCHANGE_DELAY, Event::Sum(daemon, Box::new(sum)));
         }
     }
 
@@ -689,8 +690,11 @@
             .push(self.now + Duration::from_secs(1), Event::Second);
         let unix = Duration::from_secs(1_800_000_000) + (self.now - self.origin);
         for (daemon, balancer) in self.balancers.iter_mut().enumerate() {
-            let in_zone = (self.site.daemons - daemon % ZONES).div_ceil(ZONES);
-            balancer.set_surroundings(unix, in_zone, self.now);
+            let position = Position {
+                index: daemon / ZONES,
+                daemons: (self.site.daemons - daemon % ZONES).div_ceil(ZONES),
+            };
+            balancer.set_surroundings(unix, position, self.now);
             balancer.evict(IDLE, self.now);
         }
     }
