--- a/crates/policy/benches/placement/overload_sim.rs
+++ b/crates/policy/benches/placement/overload_sim.rs
@@ -19,6 +19,7 @@
     LoadReport,
     LoadSettings,
     Packet,
+    Position,
     Reporter,
     Route,
     Seniority,
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -80,6 +80,7 @@
         AdmissionReason,
         LoadEvent,
         LoadSettings,
+        Rejection,
         ServiceLoad, //
     },
     lost_changes::{
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -7,6 +7,7 @@
 mod flows;
 mod labels;
 mod load;
+mod load_status;
 mod lost_changes;
 mod names;
 mod opening;
