--- a/crates/policy/benches/placement/overload_sim.rs
+++ b/crates/policy/benches/placement/overload_sim.rs
@@ -11,7 +11,6 @@
         FlowId,
         Kind, //
     },
-    subset::Position,
     Balancer,
     Configuration,
     Directory,
