--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -587,7 +587,8 @@
                 .update(&home, &others, service.target_latency, price, windows);
         }
         let left_after = service.spillover.leaving();
-        let before = service.admitted.get();
+        // Loads of other daemons may have changed the share since.
+        let before = service.load.admitted;
         let supply = Supply {
             home: counts,
             utilization: Congestion::utilization(&observation),
--- a/crates/standins/src/packets/upstream.rs
+++ b/crates/standins/src/packets/upstream.rs
@@ -42,12 +42,10 @@
 
 /// Longest wait for one packet.
 const TICK: Duration = Duration::from_millis(5);
-/// Most requests that wait for a slot; further ones are refused and do not run.
-const QUEUE_MAX: usize = 16;
-/// Length of an answer with content, in bytes. The balancer takes answers of fewer than 256 bytes for refusals.
-const ANSWER_LEN: usize = 512;
-/// Length of an answer, in bytes, under which it is a refusal: it has no content, and its request has not run.
-pub const REFUSAL_LEN_MAX: usize = 256;
+/// Length of an answer, in bytes. It begins with the number of the request and ends with the id of the upstream.
+const ANSWER_LEN: usize = 700;
+/// Length of a refusal, in bytes: like a response of status 503 without content, it is shorter than any answer.
+pub(super) const REFUSAL_LEN: usize = 160;
 /// Interval of heartbeats, which write the entry again when it has expired.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Length of the prefix of each packet that names the upstream it is for, in bytes.
@@ -66,6 +64,8 @@
     pub addr: SocketAddrV4,
     /// Most requests that run at a time.
     pub slots: usize,
+    /// Most requests that wait for a slot; further ones are refused without running.
+    pub queue: usize,
     /// Mean service time of a request.
     pub work: Duration,
     /// Time after the start during which the upstream is cold.
@@ -365,11 +365,11 @@
         let request = Request { number, packet };
         if self.running.len() < self.upstream.spec.slots {
             self.begin(request);
-        } else if self.waiting.len() < QUEUE_MAX {
+        } else if self.waiting.len() < self.upstream.spec.queue {
             self.waiting.push_back(request);
         } else {
             *self.seen().refused.entry(number).or_default() += 1;
-            self.answer(number, &request.packet, 0);
+            self.answer(number, &request.packet, REFUSAL_LEN);
         }
     }
 
@@ -401,16 +401,14 @@
         }
     }
 
-    /// Answers with the number of the request, content up to a length of `len` bytes, and the id of the upstream.
     fn answer(&mut self, number: u64, packet: &Segment, len: usize) {
         let Some(flow) = self.flows.get_mut(&packet.src) else {
             return;
         };
         let mut answer = packet.reply(ACK, flow.seq.wrapping_add(1), flow.received);
-        answer.data.extend(number.to_be_bytes());
         let id = self.upstream.spec.id.to_be_bytes();
-        let content_end = len.saturating_sub(id.len()).max(answer.data.len());
-        answer.data.resize(content_end, 0);
+        answer.data.extend(number.to_be_bytes());
+        answer.data.resize(len - id.len(), 0);
         answer.data.extend(id);
         flow.seq = flow.seq.wrapping_add(answer.data.len() as u32);
         self.send(&answer);
