--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -320,6 +320,12 @@
         }
     }
 
+    /// Whether no recent openings have a lower priority.
+    pub fn is_last(&self, priority: u8) -> bool {
+        let lowest = self.offered.0.last();
+        lowest.is_none_or(|(known, _)| *known <= priority)
+    }
+
     /// Place of an opening of a caller with a rank.
     pub fn place(&self, caller: Ipv4Addr, priority: u8, rank: f64) -> Place {
         let total = self.offered.total();
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -648,8 +648,11 @@
 /// They are admitted then: requests of lower priorities on flows that were open before cannot be rejected, and they
 /// must not crowd out urgent callers. Without slots in the zone, no opening needs one here.
 fn fits_alone(service: &Service, priority: u8) -> bool {
-    service.load.slots == 0
-        || service.load.utilization * service.order.served_share(priority) < FITTING_UTILIZATION
+    let wanted = match service.order.is_last(priority) {
+        true => service.load.utilization / service.admitted.recent().max(ADMITTED_MIN),
+        false => service.load.utilization * service.order.served_share(priority),
+    };
+    service.load.slots == 0 || wanted < FITTING_UTILIZATION
 }
 
 /// Observations of this daemon together with those of the others of its zone.
--- a/crates/policy/tests/packets/overload.rs
+++ b/crates/policy/tests/packets/overload.rs
@@ -229,6 +229,18 @@
     assert!(heavy < 0.3 && others > 0.7, "{heavy} and {others}");
 }
 
+/// Load of one priority: whenever the queues were drained, all callers were admitted at once, which filled them again, and
+/// the share sank until half of the slots were idle.
+#[rstest]
+fn one_priority_uses_the_slots_in_a_long_overload(#[values(1, 2, 3)] seed: u64) {
+    let all = callers(1_001, 160, LOWER_PORT, 1.0);
+    let mut fleet = Fleet::new(DAEMONS, UPSTREAMS, all, seed);
+    fleet.run(CALM, 2.0).run(1.6, 16.0).run(CALM, 16.5);
+    let outcomes: Vec<_> = fleet.wanted(4.0, 16.0).copied().collect();
+    let in_time = served(&outcomes, 12.0);
+    assert!(in_time >= 0.8, "slots used in time: {in_time}");
+}
+
 /// A long overload: a caller that is rejected in each period is shut out for ever.
 #[test]
 fn callers_take_turns_in_a_long_overload() {
@@ -252,6 +264,7 @@
 /// ones.
 #[rstest]
 #[case::of_one(&[1])]
+#[case::of_all(&[0, 1, 2])]
 fn reports_that_stop(#[case] silent: &[usize]) {
     let mut fleet = fleet(1);
     fleet.run(CALM, 2.0).run(TWICE, 3.0);
