Scale a daemon's own load by the share of the zone that it carries, and divide busy upstreams only near saturation

Zone loads decide for spillover and where a daemon has few answers; a daemon with 32 answers in its sums uses its own, scaled by the share that the reports show. Spillover applies also under a utilization of 0.9, a heavy caller is served in some periods, and with spill off the choice of zones is the former one.

--- a/crates/policy/src/packets/load_shedding.rs
+++ b/crates/policy/src/packets/load_shedding.rs
@@ -342,7 +342,8 @@
                 false => adjusted,
             },
             is_heavy: excess > 1.0,
-            is_guaranteed: adjusted < GUARANTEED,
+            // A heavy caller is served in some periods, too.
+            is_guaranteed: rank < GUARANTEED,
         }
     }
 }
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -14,8 +14,7 @@
         Counts,
         LoadMeter,
         LoadReport,
-        DECAY,
-        REPORT_TTL, //
+        DECAY, //
     },
     load_shedding::{
         rank,
@@ -57,7 +56,7 @@
 const EXCHANGE_UTILIZATION: f64 = 0.5;
 
 /// Utilization from which the upstreams of a zone are divided among its daemons.
-const BUSY_UTILIZATION: f64 = 0.6;
+const BUSY_UTILIZATION: f64 = 0.9;
 
 /// Own pressure from which the loads and admitted shares of other daemons lead to rejections: no daemon rejects on the word
 /// of others alone.
@@ -82,6 +81,13 @@
 /// that is set again in each window from the same old sums overshoots; so many answers tell the mean well enough.
 const OWN_ANSWERS_MIN: f64 = 32.0;
 
+/// Weight of a window in the mean share of the zone's load that this daemon carries. The loads of others are from another
+/// moment, but the shares of the daemons change only when the fabric changes.
+const SCALE_GAIN: f64 = 0.05;
+
+/// Time for which the sum of the loads of other daemons is used: two intervals of the exchange.
+const OTHERS_TTL: Duration = Duration::from_millis(500);
+
 /// Weight of a new connect time in the moving average.
 const CONNECT_GAIN: f64 = 0.125;
 
@@ -140,6 +146,8 @@
     unconditional: f64,
     /// Pressure that this daemon observes by itself.
     own_pressure: f64,
+    /// Load of the zone relative to that of this daemon; `None` before another daemon has reported.
+    own_scale: Option<f64>,
     load: ServiceLoad,
 }
 
@@ -157,6 +165,7 @@
             conditional: 0.0,
             unconditional: 0.0,
             own_pressure: 0.0,
+            own_scale: None,
             load: ServiceLoad {
                 service: name,
                 slots: 0,
@@ -186,6 +195,16 @@
         }
     }
 
+    /// Load of the zone relative to that of this daemon: the mean of what the reports of others show, or the number of live
+    /// daemons.
+    fn own_scale(&mut self, observed: Option<f64>, live_daemons: usize) -> f64 {
+        if let Some(observed) = observed {
+            let known = self.own_scale.get_or_insert(observed);
+            *known += (observed - *known) * SCALE_GAIN;
+        }
+        self.own_scale.unwrap_or(live_daemons as f64)
+    }
+
     /// Part of the openings that was admitted because of the admitted share; ends `windows` windows.
     fn conditional_part(&mut self, windows: u32) -> f64 {
         let all = self.conditional + self.unconditional;
@@ -402,10 +421,10 @@
         if let Some(count) = counted {
             *count += 1.0;
         }
-        // The last ones of all admitted callers leave first.
-        let among_admitted = match is_unconditional {
+        // The last ones within the admitted share leave first; those beyond it are few and stay.
+        let among_admitted = match place.place > admitted {
             true => 0.0,
-            false => (place.place + 1.0 - admitted).min(1.0),
+            false => place.place + 1.0 - admitted,
         };
         Admission::Admitted { among_admitted }
     }
@@ -443,7 +462,7 @@
     /// Load of a service if it is so high that its upstreams are divided among the daemons of the zone.
     pub fn busy(&self, service: &str) -> Option<Busy> {
         let utilization = self.services.get(service)?.load.utilization;
-        (utilization > BUSY_UTILIZATION).then_some(Busy {
+        (self.settings.spill && utilization > BUSY_UTILIZATION).then_some(Busy {
             utilization,
             position: self.position,
         })
@@ -499,8 +518,13 @@
         if windows == 0 {
             return;
         }
-        let others = self.others.take_if(|(_, at)| now >= *at + REPORT_TTL);
-        drop(others);
+        if self
+            .others
+            .as_ref()
+            .is_some_and(|(_, at)| now >= *at + OTHERS_TTL)
+        {
+            self.others = None;
+        }
         let own = self.meter.report(now);
         self.update_own_delay(&own, windows);
         let names: SmallVec<[Rc<str>; 4]> = self.services.keys().cloned().collect();
@@ -539,19 +563,27 @@
         let zone = Rc::clone(&self.zone);
         let has_enough = own.counts(name, &zone).answers >= OWN_ANSWERS_MIN;
         let others = self.others.as_ref().map(|(others, _)| others);
-        let others = others.filter(|_| !has_enough);
-        let total = Total::new(own, others, self.position.daemons);
+        // Few flows of one daemon go to another zone, so that its load is known only to all together.
+        let whole = Total::new(own, others, self.position.daemons);
+        let live = self.position.daemons;
+        let total = match self.services.get_mut(name).filter(|_| has_enough) {
+            Some(service) => {
+                let scale = whole.scale_of_own(name, &zone);
+                Total::of_own(own, service.own_scale(scale, live))
+            }
+            None => Total::new(own, others, live),
+        };
         let slots = usable_slots(directory, name, now);
         let pool = |zone: &Rc<str>| PoolLoad {
             zone: Rc::clone(zone),
             slots: slots.iter().find(|(z, _)| z == zone).map_or(0, |(_, n)| *n),
-            counts: total.counts(name, zone).0,
+            counts: whole.counts(name, zone).0,
         };
         let home = pool(&zone);
         let left: f64 = slots
             .iter()
             .filter(|(other, _)| *other != zone)
-            .map(|(other, _)| total.counts(name, other).0.opened)
+            .map(|(other, _)| whole.counts(name, other).0.opened)
             .sum();
         let others: SmallVec<[PoolLoad; 4]> = slots
             .iter()
@@ -614,7 +646,7 @@
                 .shares()
                 .map(|(zone, share)| (Rc::clone(zone), share))
                 .collect(),
-            daemons: total.daemons,
+            daemons: whole.daemons,
         };
         let load = &service.load;
         match (before < 1.0, after < 1.0) {
@@ -683,6 +715,24 @@
         }
     }
 
+    /// Observations of this daemon alone, scaled by a known factor.
+    fn of_own(own: &'r LoadReport, scale: f64) -> Self {
+        Self {
+            own,
+            others: None,
+            daemons: 1,
+            scale,
+        }
+    }
+
+    /// Answers of a pool in the whole zone relative to those of this daemon; `None` without reports of other daemons.
+    fn scale_of_own(&self, service: &str, zone: &str) -> Option<f64> {
+        self.others.filter(|others| others.daemons > 0)?;
+        let own = self.own.counts(service, zone).answers;
+        let (all, _) = self.counts(service, zone);
+        (own > 0.0).then(|| all.answers / own)
+    }
+
     /// Observations of a pool for the whole zone, and the number of answers that were observed, not extrapolated.
     fn counts(&self, service: &str, zone: &str) -> (Counts, f64) {
         let mut counts = self.own.counts(service, zone);
