--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -144,6 +144,8 @@
     /// Openings that were admitted because of the admitted share, and for other reasons, as sums that decay.
     conditional: f64,
     unconditional: f64,
+    /// Whether the last verdict was an overload.
+    is_overloaded: bool,
     /// Pressure that this daemon observes by itself.
     own_pressure: f64,
     /// Load of the zone relative to that of this daemon; `None` before another daemon has reported.
@@ -164,6 +166,7 @@
             order: AdmissionOrder::default(),
             conditional: 0.0,
             unconditional: 0.0,
+            is_overloaded: false,
             own_pressure: 0.0,
             own_scale: None,
             load: ServiceLoad {
@@ -308,8 +311,11 @@
                 service.congestion.adopt_baseline(*baseline_s);
             }
             let is_trusted = self.settings.shed && service.own_pressure >= TRUSTED_PRESSURE;
-            if others.daemons > 0 && is_trusted {
-                service.admitted.approach(others.admitted(name));
+            let admitted = others.admitted(name);
+            // The shares of others are some 0.3 s old, so that lower ones would slow down the return to normal.
+            let is_rise = admitted >= service.admitted.get();
+            if others.daemons > 0 && is_trusted && (is_rise || service.is_overloaded) {
+                service.admitted.approach(admitted);
             }
         }
         self.others = Some((others, now));
@@ -607,6 +613,7 @@
         service.own_pressure = own_counts.service_time().map_or(0.0, |mean| mean / goal_s);
         let verdict = service.congestion.update(&observation, windows);
         let verdict = verdict.filter(|_| confirms_overload(&own_counts, service.own_pressure));
+        service.is_overloaded = verdict.is_some_and(|verdict| verdict.is_overloaded());
         let price = self.settings.zone_price;
         let left_before = service.spillover.leaving();
         let conditional = service.conditional_part(windows);
