Decide in one place whether an upstream accepts flows, and remove unused methods

The choice of an upstream and the count of usable slots had the same condition twice. Sums of the flows that left come from the pools that are read already.

--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -123,7 +123,7 @@
             let Some(label) = self.directory.label_of(*id) else {
                 continue;
             };
-            if !self.is_usable(known, now) {
+            if !self.directory.accepts_flows(known, now) {
                 continue;
             }
             candidates += 1;
@@ -201,13 +201,6 @@
             false => load + REMOTE_PENALTY,
         }
     }
-
-    /// Whether an upstream accepts new flows at all.
-    fn is_usable(&self, known: &TrackedUpstream, now: Instant) -> bool {
-        let zone = &known.upstream.zone;
-        let cold = known.is_cold(now) || self.directory.has_returned(zone, now);
-        known.is_serving(now) && !cold && !self.directory.is_out(zone)
-    }
 }
 
 /// Counts through the usable upstreams of the own zone, which are divided among its daemons.
@@ -221,7 +214,7 @@
     fn new(chooser: &Chooser<'_>, service: &str, now: Instant) -> Self {
         let position = chooser.busy.map(|busy| busy.position);
         let is_local = |known: &TrackedUpstream| {
-            *known.upstream.zone == *chooser.zone && chooser.is_usable(known, now)
+            *known.upstream.zone == *chooser.zone && chooser.directory.accepts_flows(known, now)
         };
         let ids = chooser.directory.of_service(service).iter();
         let upstreams = match position {
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -150,6 +150,13 @@
 }
 
 impl Directory {
+    /// Whether an upstream accepts new flows at all.
+    pub fn accepts_flows(&self, known: &TrackedUpstream, now: Instant) -> bool {
+        let zone = &known.upstream.zone;
+        let cold = known.is_cold(now) || self.has_returned(zone, now);
+        known.is_serving(now) && !cold && !self.is_out(zone)
+    }
+
     /// Version up to which the directory holds all changes.
     pub fn version(&self) -> Version {
         self.version
--- a/crates/policy/src/packets/load.rs
+++ b/crates/policy/src/packets/load.rs
@@ -71,16 +71,6 @@
         self.service_s * per_second()
     }
 
-    /// Opening packets forwarded per second.
-    pub fn opened_per_s(&self) -> f64 {
-        self.opened * per_second()
-    }
-
-    /// Answers per second.
-    pub fn answers_per_s(&self) -> f64 {
-        self.answers * per_second()
-    }
-
     /// Mean service time of the requests that were served, in seconds; `None` without such requests.
     pub fn service_time(&self) -> Option<f64> {
         mean(
@@ -306,11 +296,6 @@
         windows
     }
 
-    /// Services with traffic.
-    pub fn services(&self) -> impl Iterator<Item = &Rc<str>> {
-        self.pools.keys()
-    }
-
     /// Report of this daemon at a time after the last call of `roll`, without admitted shares.
     pub fn report(&self, now: Instant) -> LoadReport {
         let age = self
--- a/crates/policy/src/packets/overload.rs
+++ b/crates/policy/src/packets/overload.rs
@@ -307,8 +307,8 @@
     /// Applies the sum of the loads that all other daemons of the zone observe.
     pub fn apply_zone_load(&mut self, others: LoadReport, now: Instant) {
         for (name, service) in &mut self.services {
-            if let Some((_, baseline_s)) = others.baseline_s.iter().find(|(n, _)| n == name) {
-                service.congestion.adopt_baseline(*baseline_s);
+            if let Some(baseline_s) = others.baseline_s(name) {
+                service.congestion.adopt_baseline(baseline_s);
             }
             let is_trusted = self.settings.shed && service.own_pressure >= TRUSTED_PRESSURE;
             let admitted = others.admitted(name);
@@ -586,16 +586,12 @@
             counts: whole.counts(name, zone).0,
         };
         let home = pool(&zone);
-        let left: f64 = slots
-            .iter()
-            .filter(|(other, _)| *other != zone)
-            .map(|(other, _)| whole.counts(name, other).0.opened)
-            .sum();
         let others: SmallVec<[PoolLoad; 4]> = slots
             .iter()
             .filter(|(other, _)| *other != zone)
             .map(|(other, _)| pool(other))
             .collect();
+        let left: f64 = others.iter().map(|other| other.counts.opened).sum();
         let slots = home.slots;
         let Some(service) = self.services.get_mut(name) else {
             return;
@@ -760,8 +756,7 @@
     let upstreams = directory.of_service(service).iter();
     for known in upstreams.filter_map(|id| directory.get(*id)) {
         let zone = &known.upstream.zone;
-        let is_usable = known.is_serving(now) && !known.is_cold(now);
-        let added = match is_usable && !is_closed(directory, zone, now) {
+        let added = match directory.accepts_flows(known, now) {
             true => known.upstream.slots,
             false => 0,
         };
@@ -772,8 +767,3 @@
     }
     slots
 }
-
-/// Whether a zone takes no new flows.
-fn is_closed(directory: &Directory, zone: &str, now: Instant) -> bool {
-    directory.is_out(zone) || directory.has_returned(zone, now)
-}
