Remember when an unanswered request was forwarded until its caller retransmits it

Callers of a dead upstream waited 0.8 s longer than necessary for the reset that lets them repeat their requests.

Cause: a request was dropped from the list of unanswered ones 75 ms after its packet as soon as another caller asked the same upstream, since it no longer counted as in progress. Its first retransmission, 200 ms after the packet, was then taken for its first packet, and the next one came too early to be evidence.

The list now keeps a request until its caller has had time to retransmit it. The number of requests in progress is counted as before.

dead_upstream::a_request_counts_from_its_first_packet_while_others_ask_too fails without the change: the flow is not reset at the retransmission after 600 ms.

--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -65,9 +65,19 @@
     fn duration(&self) -> Duration {
         match self.retransmissions {
             0 => WORK,
-            n => (RTO_MIN * 2u32.saturating_pow(n)).min(RTO_MAX) + RTO_MARGIN,
+            _ => self.timeout(),
         }
     }
+
+    /// Time after the last packet in which the caller retransmits it.
+    fn timeout(&self) -> Duration {
+        (RTO_MIN * 2u32.saturating_pow(self.retransmissions)).min(RTO_MAX) + RTO_MARGIN
+    }
+
+    /// Whether the caller has not had time to retransmit the request.
+    fn is_awaited(&self, now: Instant) -> bool {
+        now < self.last + self.timeout()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -238,11 +248,11 @@
         self.flows.is_empty()
     }
 
-    /// Evicts flows without packets for `idle`, and requests that are no longer assumed to be in progress.
+    /// Evicts flows without packets for `idle`, and requests that the callers have abandoned.
     pub fn evict(&mut self, idle: Duration, now: Instant) {
         self.flows.retain(|_, flow| now < flow.last_seen + idle);
         self.pending.retain(|_, pending| {
-            pending.retain(|_, request| request.is_in_progress(now));
+            pending.retain(|_, request| request.is_awaited(now));
             !pending.is_empty()
         });
         self.outstanding.evict(now);
@@ -266,7 +276,7 @@
 
     fn start_request(&mut self, flow: FlowId, upstream: UpstreamId, now: Instant) {
         let pending = self.pending.entry(upstream).or_default();
-        pending.retain(|_, request| request.is_in_progress(now));
+        pending.retain(|_, request| request.is_awaited(now));
         pending.insert(flow, Request::at(now));
         self.outstanding.start(flow, upstream, now);
     }
--- a/crates/policy/tests/packets/dead_upstream.rs
+++ b/crates/policy/tests/packets/dead_upstream.rs
@@ -164,6 +164,24 @@
     assert!(!verdicts.into_iter().any(is_reset));
 }
 
+/// Requests of other callers made the daemon forget when it had forwarded a request, which delayed the decision by 0.8 s.
+#[test]
+fn a_request_counts_from_its_first_packet_while_others_ask_too() {
+    let mut scene = open_flows();
+    for caller in [1, 2] {
+        ask(&mut scene, caller);
+    }
+    scene.after(100);
+    scene.request(3, DYING, 1, 1, 100);
+    scene.after(100);
+    for caller in [1, 2] {
+        ask(&mut scene, caller);
+    }
+    scene.after(400);
+    let verdicts = [1, 2].map(|caller| ask(&mut scene, caller));
+    assert!(is_reset(verdicts[1]));
+}
+
 #[test]
 fn one_caller_is_enough_when_the_entry_was_removed() {
     let mut scene = open_flows().with(Change::Unlisted(UpstreamId(DYING), None));
