Measure the silence of an upstream by its callers' retransmissions

Cause: the detector counted from the forwarding of a request to the moment in which the daemon read a retransmission of it. After a stall the socket holds retransmissions that were sent long before, followed by the acknowledgement of the answer.

The time without an answer is now at most what the retransmissions themselves show: callers send them after 0.2, 0.6, 1.4 and 3 s. An upstream that died is found with the same packet as before, since that packet shows the time.

dead_upstream::retransmissions_that_waited_in_the_socket_are_no_evidence fails without the change.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -508,7 +508,7 @@
         };
         let request = Unanswered {
             caller: *flow.caller.ip(),
-            since: asked.first,
+            since: now - asked.waited(now),
             target_latency,
             allowance,
             is_unlisted: known.is_gone(now),
--- a/crates/policy/src/packets/dead_upstream.rs
+++ b/crates/policy/src/packets/dead_upstream.rs
@@ -41,7 +41,7 @@
 pub struct Unanswered {
     /// Address of the caller's VM.
     pub caller: Ipv4Addr,
-    /// When this daemon forwarded the first packet of the request.
+    /// Latest time at which the caller can have sent the first packet of the request.
     pub since: Instant,
     /// Target latency of the route.
     pub target_latency: Duration,
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -27,6 +27,9 @@
 /// Longest retransmission timeout of callers.
 const RTO_MAX: Duration = Duration::from_millis(1_600);
 
+/// Largest number of retransmissions whose timeouts are added up; callers give up earlier.
+const RETRANSMISSIONS_MAX: u32 = 16;
+
 /// Allowance for the delay of a retransmitted packet in the network.
 const RTO_MARGIN: Duration = Duration::from_millis(50);
 
@@ -62,6 +65,15 @@
         now < self.last + self.duration()
     }
 
+    /// Time for which the caller has waited for an answer, at least: the time since the first packet, but no longer than
+    /// the retransmissions show. They may have waited in this daemon's socket together with the answer's acknowledgement.
+    pub fn waited(&self, now: Instant) -> Duration {
+        let counted = self.retransmissions.min(RETRANSMISSIONS_MAX);
+        let timeouts = (0..counted).map(|n| RTO_MIN * 2u32.saturating_pow(n));
+        let shown = timeouts.map(|timeout| timeout.min(RTO_MAX)).sum();
+        now.saturating_duration_since(self.first).min(shown)
+    }
+
     fn duration(&self) -> Duration {
         match self.retransmissions {
             0 => WORK,
--- a/crates/policy/tests/packets/dead_upstream.rs
+++ b/crates/policy/tests/packets/dead_upstream.rs
@@ -182,6 +182,22 @@
     assert!(is_reset(verdicts[1]));
 }
 
+/// A daemon that had stalled read retransmissions of requests that were answered meanwhile, and reset their flows.
+#[test]
+fn retransmissions_that_waited_in_the_socket_are_no_evidence() {
+    let mut scene = open_flows();
+    for caller in [1, 2] {
+        ask(&mut scene, caller);
+    }
+    scene.after(1_000);
+    let verdicts = [1, 2].map(|caller| ask(&mut scene, caller));
+    assert!(!verdicts.into_iter().any(is_reset));
+    for caller in [1, 2] {
+        scene.request(caller, DYING, 201, 900, 0);
+    }
+    assert_eq!(scene.balancer.take_health_changes(), []);
+}
+
 #[test]
 fn one_caller_is_enough_when_the_entry_was_removed() {
     let mut scene = open_flows().with(Change::Unlisted(UpstreamId(DYING), None));
