Compare an unanswered request with those to other upstreams before an upstream counts as dead

Cause: a daemon whose link is full of configuration for its followers forwards requests that arrive late or never, while the retransmissions of their callers reach it in time. Two such callers made it declare the upstream dead. The estimate of the own delay does not help: it comes from connect times, and no connect completes in the jam. It was 0 ns at each false verdict that was traced.

The balancer now remembers when it forwarded the requests and openings of the last 8 s, and which were answered. If most of those just before or just after the request were not answered by the time its caller sent the last copy but one, the request is no evidence, and upstream_not_judged is logged. With too few requests for a comparison it is evidence as before.

--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -289,7 +289,8 @@
 
     /// Stores changes in the health of upstreams for the daemons that follow this one.
     fn share(&self, health_changes: &[HealthChange], now: Instant) {
-        if health_changes.is_empty() {
+        let is_shared = |change: &HealthChange| !matches!(change, HealthChange::Inconclusive(_));
+        if !health_changes.iter().any(is_shared) {
             return;
         }
         let balancer = self.balancer.borrow();
@@ -299,6 +300,7 @@
                     self.evidence.record_answer(id);
                     continue;
                 }
+                HealthChange::Inconclusive(_) => continue,
                 HealthChange::Silent(id)
                 | HealthChange::Refuses(id)
                 | HealthChange::Unfollowed(id, _)
@@ -495,6 +497,9 @@
         HealthChange::Refuses(id) => ("upstream_silent", id, "refused", packet.flow),
         HealthChange::Unfollowed(id, flow) => ("upstream_silent", id, "unfollowed", flow),
         HealthChange::Dead(id) => ("upstream_dead", id, "asked_again", packet.flow),
+        HealthChange::Inconclusive(id) => {
+            ("upstream_not_judged", id, "others_unanswered", packet.flow)
+        }
         HealthChange::Answers(id) => ("upstream_answers", id, "answered", packet.flow),
     };
     Event::new(name)
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -13,6 +13,7 @@
         DeadUpstreams,
         Unanswered, //
     },
+    deliveries::Deliveries,
     directory::{
         Directory,
         TrackedUpstream, //
@@ -131,6 +132,9 @@
     Unfollowed(UpstreamId, FlowId),
     /// The upstream answers no caller; its open flows are reset.
     Dead(UpstreamId),
+    /// A request is unanswered for long enough to show that the upstream is dead, but most requests to other upstreams
+    /// are unanswered as well.
+    Inconclusive(UpstreamId),
     /// The upstream answers again.
     Answers(UpstreamId),
 }
@@ -154,6 +158,7 @@
     ejection: OutlierEjection,
     failure: CorrelatedFailure,
     dead: DeadUpstreams,
+    deliveries: Deliveries,
     herd: ThunderingHerd,
     overload: Overload,
     health_changes: Vec<HealthChange>,
@@ -171,6 +176,7 @@
             ejection: OutlierEjection::default(),
             failure: CorrelatedFailure::default(),
             dead: DeadUpstreams::default(),
+            deliveries: Deliveries::default(),
             herd: ThunderingHerd::default(),
             overload: Overload::new(Rc::clone(&zone)),
             health_changes: Vec::new(),
@@ -369,6 +375,9 @@
                 false => Verdict::Drop(DropReason::NoUpstream),
             };
         };
+        if packet.ack == 0 {
+            self.deliveries.record(packet.flow, choice.id, now);
+        }
         self.openings.record(packet.flow, choice.id, now);
         self.flows.open(packet.flow, choice.id, now);
         if let Some(known) = directory.get(choice.id) {
@@ -482,7 +491,14 @@
             FlowEvent::Answered(at) | FlowEvent::Request(at) => at,
             FlowEvent::Retransmission(_) | FlowEvent::Nothing => None,
         };
-        let Some(asked) = opened.or(answered) else {
+        let asked = opened.or(answered);
+        if asked.is_some() {
+            self.deliveries.record_answer(packet.flow, now);
+        }
+        if let FlowEvent::Request(_) = event {
+            self.deliveries.record(packet.flow, id, now);
+        }
+        let Some(asked) = asked else {
             return;
         };
         let was_dead = self.dead.record_answer(id, now);
@@ -513,6 +529,16 @@
             allowance,
             is_unlisted: known.is_gone(now),
         };
+        if !request.is_overdue(now) {
+            return;
+        }
+        if self
+            .deliveries
+            .is_lost(asked.first, asked.sending(), id, now)
+        {
+            self.health_changes.push(HealthChange::Inconclusive(id));
+            return;
+        }
         if self.dead.record(id, request, now) {
             self.ejection.record(id, asked.first, now);
             self.health_changes.push(HealthChange::Dead(id));
--- a/crates/policy/src/packets/dead_upstream.rs
+++ b/crates/policy/src/packets/dead_upstream.rs
@@ -51,6 +51,17 @@
     pub is_unlisted: bool,
 }
 
+impl Unanswered {
+    /// Whether the request is unanswered for longer than a live upstream needs.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        let latency_max = self.target_latency * UNANSWERED_LATENCIES;
+        let least = UNANSWERED_MIN
+            .max(latency_max.saturating_sub(MARGIN))
+            .saturating_add(self.allowance);
+        now.saturating_duration_since(self.since) >= least
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Evidence {
     /// Callers with unanswered requests, and the time of their last retransmission.
@@ -77,10 +88,7 @@
     /// Returns whether the upstream is considered dead now and was not before. One caller is enough if the entry of the
     /// upstream was removed too.
     pub fn record(&mut self, id: UpstreamId, request: Unanswered, now: Instant) -> bool {
-        let least = UNANSWERED_MIN
-            .max((request.target_latency * UNANSWERED_LATENCIES).saturating_sub(MARGIN))
-            .saturating_add(request.allowance);
-        if now.saturating_duration_since(request.since) < least {
+        if !request.is_overdue(now) {
             return false;
         }
         let evidence = self.evidence.entry(id).or_default();
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -68,12 +68,15 @@
     /// Time for which the caller has waited for an answer, at least: the time since the first packet, but no longer than
     /// the retransmissions show. They may have waited in this daemon's socket together with the answer's acknowledgement.
     pub fn waited(&self, now: Instant) -> Duration {
-        let counted = self.retransmissions.min(RETRANSMISSIONS_MAX);
-        let timeouts = (0..counted).map(|n| RTO_MIN * 2u32.saturating_pow(n));
-        let shown = timeouts.map(|timeout| timeout.min(RTO_MAX)).sum();
+        let shown = sent_after(self.retransmissions);
         now.saturating_duration_since(self.first).min(shown)
     }
 
+    /// Time from the first packet until the caller sent the one before the last.
+    pub fn sending(&self) -> Duration {
+        sent_after(self.retransmissions.saturating_sub(1))
+    }
+
     fn duration(&self) -> Duration {
         match self.retransmissions {
             0 => WORK,
@@ -83,7 +86,7 @@
 
     /// Time after the last packet in which the caller retransmits it.
     fn timeout(&self) -> Duration {
-        (RTO_MIN * 2u32.saturating_pow(self.retransmissions)).min(RTO_MAX) + RTO_MARGIN
+        timeout(self.retransmissions) + RTO_MARGIN
     }
 
     /// Whether the caller has not had time to retransmit the request.
@@ -92,6 +95,17 @@
     }
 }
 
+/// Time after which a caller sends this retransmission of a request.
+fn sent_after(retransmission: u32) -> Duration {
+    let timeouts = (0..retransmission.min(RETRANSMISSIONS_MAX)).map(timeout);
+    timeouts.sum()
+}
+
+/// Time that a caller waits for an answer after this retransmission; the first packet has number 0.
+fn timeout(retransmission: u32) -> Duration {
+    (RTO_MIN * 2u32.saturating_pow(retransmission)).min(RTO_MAX)
+}
+
 #[derive(Clone, Debug)]
 struct Flow {
     /// End of the bytes that the caller has sent, as a sequence number.
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -9,6 +9,7 @@
 pub mod congestion;
 pub mod correlated_failure;
 pub mod dead_upstream;
+pub mod deliveries;
 pub mod directory;
 pub mod entry;
 pub mod feed;
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -4,6 +4,7 @@
 mod congestion;
 mod correlated_failure;
 mod dead_upstream;
+mod dead_upstream_model;
 mod directory;
 mod fleet;
 mod flows;
