Pass on only the routes that a new configuration changes

A change of one route among 4,200 was passed on with all of them: some 130 KB to each of eleven followers, more than a second of a link of 10 Mbit/s, and the same again from the next reader when the answer took over half a second. The packets of callers waited behind it.

A follower now names the configuration that it has. A reader remembers which routes successive configurations changed, and answers with the contents of these routes. It sends the whole configuration if it does not know the one that the follower has, or if more than half of the routes differ. While a restored store waits for its configuration to be written again, the configuration is no longer part of each answer to a daemon that has it.

Messages have version 5; daemons of another version read the store themselves.

configuration_delta::a_follower_gets_only_the_routes_that_changed shows the fault: the follower got 4,200 routes.

--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -12,6 +12,7 @@
         LAPSE_GRACE, //
     },
     ChangeSet,
+    ConfigurationId,
     FreshnessReport,
     SyncedFrom,
     Version, //
@@ -40,11 +41,16 @@
         self.directory.borrow().is_ready()
     }
 
-    /// Changes after a version.
-    pub fn changes_since(&self, after: Version, synced_from: SyncedFrom) -> ChangeSet {
+    /// Changes after a version, for a daemon with the configuration `known`.
+    pub fn changes_for(
+        &self,
+        after: Version,
+        synced_from: SyncedFrom,
+        known: Option<ConfigurationId>,
+    ) -> ChangeSet {
         self.directory
             .borrow()
-            .changes_since(after, synced_from, Instant::now())
+            .changes_for(after, synced_from, known, Instant::now())
     }
 
     /// Waits for something new to pass on: an answer of the store or a reader, or a report on an upstream.
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -8,6 +8,8 @@
     Change,
     ChangeSet,
     Configuration,
+    ConfigurationDelta,
+    ConfigurationId,
     Item,
     Route,
     Seniority,
@@ -45,6 +47,8 @@
     pub names: Vec<String>,
     /// Changed entries.
     pub items: Vec<ItemRecord>,
+    /// Changes of the configuration that the asker has.
+    pub delta: Option<DeltaRecord>,
     /// States that the sender keeps in force although the store was restored from an older copy.
     pub awaited: Vec<ItemRecord>,
 }
@@ -71,6 +75,40 @@
     }
 }
 
+/// Identity of a configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct ConfigurationIdRecord {
+    written: VersionRecord,
+    version: u64,
+}
+
+impl From<ConfigurationId> for ConfigurationIdRecord {
+    fn from(id: ConfigurationId) -> Self {
+        Self {
+            written: id.written.into(),
+            version: id.version,
+        }
+    }
+}
+
+impl From<ConfigurationIdRecord> for ConfigurationId {
+    fn from(record: ConfigurationIdRecord) -> Self {
+        Self {
+            written: record.written.into(),
+            version: record.version,
+        }
+    }
+}
+
+/// The difference between two configurations.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct DeltaRecord {
+    base: ConfigurationIdRecord,
+    id: ConfigurationIdRecord,
+    changed: Vec<RouteRecord>,
+    removed: Vec<([u8; 4], u16)>,
+}
+
 /// A changed entry.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct ItemRecord {
@@ -149,6 +187,8 @@
             records.collect()
         };
         let (items, awaited) = (records(&changes.items), records(&changes.awaited));
+        let delta = changes.delta.as_ref();
+        let delta = delta.map(|delta| delta_record(delta, &mut names));
         Self {
             version: changes.version.into(),
             era_start: changes.era_start.into(),
@@ -156,6 +196,7 @@
             is_whole: changes.is_whole,
             names: names.list,
             items,
+            delta,
             awaited,
         }
     }
@@ -181,6 +222,10 @@
             before_era: self.before_era.into(),
             is_whole: self.is_whole,
             items: items(&self.items)?,
+            delta: match &self.delta {
+                Some(record) => Some(delta(record, &names)?),
+                None => None,
+            },
             awaited: items(&self.awaited)?,
         })
     }
@@ -253,6 +298,21 @@
     }
 }
 
+fn delta_record<'n>(delta: &'n ConfigurationDelta, names: &mut Names<'n>) -> DeltaRecord {
+    let changed = delta.changed.iter();
+    let removed = delta.removed.iter();
+    DeltaRecord {
+        base: delta.base.into(),
+        id: delta.id.into(),
+        changed: changed
+            .map(|(address, route)| route_record(address, route, names))
+            .collect(),
+        removed: removed
+            .map(|address| (address.ip().octets(), address.port()))
+            .collect(),
+    }
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
@@ -291,6 +351,19 @@
     })
 }
 
+fn delta(record: &DeltaRecord, names: &[Rc<str>]) -> Result<ConfigurationDelta, NameError> {
+    let changed = record.changed.iter().map(|record| route(record, names));
+    let removed = record.removed.iter();
+    Ok(ConfigurationDelta {
+        base: record.base.into(),
+        id: record.id.into(),
+        changed: changed.collect::<Result<_, _>>()?,
+        removed: removed
+            .map(|(ip, port)| SocketAddrV4::new(Ipv4Addr::from(*ip), *port))
+            .collect(),
+    })
+}
+
 fn upstream(record: &UpstreamRecord, names: &[Rc<str>]) -> Result<Upstream, NameError> {
     Ok(Upstream {
         service: name(names, record.service)?,
--- a/crates/daemon/src/packets/zone/follower.rs
+++ b/crates/daemon/src/packets/zone/follower.rs
@@ -3,6 +3,7 @@
 use super::{
     change_set::{
         ChangeSetRecord,
+        ConfigurationIdRecord,
         NameError, //
     },
     message::{
@@ -60,6 +61,8 @@
     Old(Duration),
     #[error("The reader's view is of era {0}, which has ended.")]
     EarlierEra(u64),
+    #[error("The reader's change is of a configuration that is not in force here any more.")]
+    OtherConfiguration,
     #[error("The reader has no view yet.")]
     NoView,
     #[error("The reader sent an unexpected answer; run the same version on both daemons.")]
@@ -167,6 +170,7 @@
         let request = ZoneRequest::Watch {
             after: self.parts.view.version().into(),
             is_here: false,
+            configuration: self.configuration_id(),
             belief: 0,
             wait_ms: 0,
             members: self.member_updates(),
@@ -209,6 +213,7 @@
         let request = ZoneRequest::Watch {
             after: after.into(),
             is_here: last.as_ref().is_some_and(|last| last.version == after),
+            configuration: self.configuration_id(),
             belief: last.map_or(0, |last| last.belief),
             wait_ms: wait.as_millis() as u32,
             members: self.member_updates(),
@@ -236,16 +241,25 @@
         }
     }
 
+    /// Identity of the configuration in force, for a request.
+    fn configuration_id(&self) -> Option<ConfigurationIdRecord> {
+        let id = self.parts.view.directory().configuration_id();
+        id.map(ConfigurationIdRecord::from)
+    }
+
     /// Applies changes of a daemon that is of no earlier era.
     fn merge_news(
         &self,
         news: &ChangeSetRecord,
         regained_ms: Option<u64>,
     ) -> Result<(), SyncError> {
-        let news = news.decode()?;
+        let mut news = news.decode()?;
         if news.version.era < self.parts.view.version().era {
             return Err(SyncError::EarlierEra(news.version.era));
         }
+        if !self.parts.view.directory().expand_delta(&mut news) {
+            return Err(SyncError::OtherConfiguration);
+        }
         let since_recovery = regained_ms.map(Duration::from_millis);
         self.parts.view.merge_changes(&news, since_recovery);
         Ok(())
@@ -272,7 +286,12 @@
 fn result(outcome: &Result<(), SyncError>) -> ZoneResult {
     match outcome {
         Ok(()) => ZoneResult::Fed,
-        Err(SyncError::Old(_) | SyncError::EarlierEra(_) | SyncError::NoView) => ZoneResult::Old,
+        Err(
+            SyncError::Old(_)
+            | SyncError::EarlierEra(_)
+            | SyncError::OtherConfiguration
+            | SyncError::NoView,
+        ) => ZoneResult::Old,
         Err(SyncError::Link(_) | SyncError::Name(_) | SyncError::BadReply) => ZoneResult::Failed,
     }
 }
--- a/crates/daemon/src/packets/zone/message.rs
+++ b/crates/daemon/src/packets/zone/message.rs
@@ -3,6 +3,7 @@
 use super::{
     change_set::{
         ChangeSetRecord,
+        ConfigurationIdRecord,
         VersionRecord, //
     },
     load_record::LoadRecord,
@@ -25,7 +26,7 @@
 
 /// Version of the messages, sent as their first byte. A daemon rejects messages of another version, so daemons of
 /// different versions each read the store themselves.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Maximum number of member updates in one message.
 pub(super) const MEMBER_UPDATES_MAX: usize = 8;
@@ -60,6 +61,8 @@
         after: VersionRecord,
         /// Whether the asker's view comes from the last answer of the daemon that it asks.
         is_here: bool,
+        /// Configuration that the asker has, which need not be sent again in full.
+        configuration: Option<ConfigurationIdRecord>,
         /// Number of the last report on an upstream that the asker has from the daemon that it asks.
         belief: u64,
         /// How long to wait for an answer of the store, in milliseconds; zero when the asker needs the current state at
--- a/crates/daemon/src/packets/zone/server.rs
+++ b/crates/daemon/src/packets/zone/server.rs
@@ -26,6 +26,7 @@
 };
 use bytes::Bytes;
 use foxtailhinge_policy::packets::{
+    ConfigurationId,
     Role,
     SyncedFrom,
     Version, //
@@ -67,6 +68,16 @@
 /// Maximum wait that a request may ask for.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
+/// What a daemon that asks for changes has already.
+struct Asker {
+    /// Version up to which its view is complete.
+    after: Version,
+    synced_from: SyncedFrom,
+    configuration: Option<ConfigurationId>,
+    /// Number of the last report on an upstream that it has from this daemon.
+    belief: u64,
+}
+
 impl Zone {
     /// Answers other daemons; never returns.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
@@ -109,6 +120,7 @@
             ZoneRequest::Watch {
                 after,
                 is_here,
+                configuration,
                 belief,
                 wait_ms,
                 members,
@@ -123,7 +135,13 @@
                     true => SyncedFrom::ThisDaemon,
                     false => SyncedFrom::Other,
                 };
-                self.watch(after.into(), synced_from, belief, wait).await
+                let asker = Asker {
+                    after: after.into(),
+                    synced_from,
+                    configuration: configuration.map(ConfigurationId::from),
+                    belief,
+                };
+                self.watch(asker, wait).await
             }
             ZoneRequest::Tell(failed) => self.apply_failed(&failed),
             ZoneRequest::Load(record) => self.answer_load(&record),
@@ -154,13 +172,13 @@
     }
 
     /// Waits until there are changes or reports that the asker does not have, or the wait ends, and answers with them.
-    async fn watch(
-        &self,
-        after: Version,
-        synced_from: SyncedFrom,
-        belief: u64,
-        wait: Duration,
-    ) -> ZoneReply {
+    async fn watch(&self, asker: Asker, wait: Duration) -> ZoneReply {
+        let Asker {
+            after,
+            synced_from,
+            configuration,
+            belief,
+        } = asker;
         let began = Instant::now();
         let is_up_to_date =
             self.parts.view.version() <= after && self.parts.evidence.last_report() <= belief;
@@ -172,12 +190,14 @@
         let silent = silent
             .iter()
             .map(|failed| FailedOpeningRecord::new(failed, now));
+        let view = &self.parts.view;
+        let changes = view.changes_for(after, synced_from, configuration);
         let millis = |time: Duration| time.as_millis() as u64;
         ZoneReply::Changes(Changes {
             held_ms: began.elapsed().as_millis() as u32,
             age_ms: self.parts.view.age_with_suspensions().map(millis),
             regained_ms: self.parts.view.time_since_recovery().map(millis),
-            news: ChangeSetRecord::new(&self.parts.view.changes_since(after, synced_from)),
+            news: ChangeSetRecord::new(&changes),
             silent: silent.collect(),
             belief,
             members: self.member_updates(),
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -25,6 +25,8 @@
     Change,
     ChangeSet,
     Configuration,
+    ConfigurationDelta,
+    ConfigurationId,
     Counts,
     Item,
     LoadReport,
@@ -136,6 +138,29 @@
             &gone.to_string(),
         )],
         items,
+        delta: None,
+    }
+}
+
+/// The difference between two configurations.
+fn delta() -> ChangeSet {
+    let Change::Configured(cfg) = configuration().change else {
+        unreachable!("the entry is a configuration");
+    };
+    let id = |revision| ConfigurationId {
+        written: Version::new(2, revision),
+        version: revision,
+    };
+    ChangeSet {
+        delta: Some(ConfigurationDelta {
+            base: id(290_000),
+            id: id(300_000),
+            changed: cfg.routes.into_iter().collect(),
+            removed: vec!["10.9.0.2:443".parse().unwrap()],
+        }),
+        items: Vec::new(),
+        is_whole: false,
+        ..change_set(0)
     }
 }
 
@@ -146,6 +171,13 @@
     assert_eq!(record.decode().unwrap(), change_set);
 }
 
+#[test]
+fn a_difference_between_configurations_round_trips() {
+    let change_set = delta();
+    let record: ChangeSetRecord = decode(&encode(&ChangeSetRecord::new(&change_set))).unwrap();
+    assert_eq!(record.decode().unwrap(), change_set);
+}
+
 #[test]
 fn an_upstream_is_encoded_compactly() {
     let len = |upstreams| encode(&ChangeSetRecord::new(&change_set(upstreams))).len();
@@ -167,6 +199,9 @@
         change: zone,
     }];
     assert!(record.decode().is_err());
+    let mut record = ChangeSetRecord::new(&delta());
+    record.names.pop();
+    assert!(record.decode().is_err());
 }
 
 fn load_counts(number: usize) -> Counts {
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -1,6 +1,10 @@
 //! Changes of the directory that a daemon passes on to another one.
 
 use super::{
+    configuration_delta::{
+        ConfigurationDelta,
+        ConfigurationId, //
+    },
     directory::{
         Directory,
         Origin,
@@ -40,6 +44,8 @@
     pub is_whole: bool,
     /// Changed entries; a removed one that may still return is listed with its last state, and then as removed.
     pub items: Vec<Item>,
+    /// The configuration, instead of an entry with the whole one, if the asker has the configuration before it.
+    pub delta: Option<ConfigurationDelta>,
     /// States that the sender keeps in force although the store was restored from an older copy.
     pub awaited: Vec<Item>,
 }
@@ -60,15 +66,33 @@
         after: Version,
         synced_from: SyncedFrom,
         now: Instant,
+    ) -> ChangeSet {
+        self.changes_for(after, synced_from, None, now)
+    }
+
+    /// Like [`Directory::changes_since`], for a daemon with the configuration `known`.
+    ///
+    /// The configuration is large, so that daemon gets only the routes that differ, if their number is small.
+    pub fn changes_for(
+        &self,
+        after: Version,
+        synced_from: SyncedFrom,
+        known: Option<ConfigurationId>,
+        now: Instant,
     ) -> ChangeSet {
         let is_whole = after < self.compacted();
         let is_newer = |version: Version| is_whole || version > after;
         let mut items = Vec::new();
+        let mut delta = None;
         if let Some((version, cfg)) = self.configured().filter(|(at, _)| is_newer(*at)) {
-            items.push(Item::without_key(
-                version,
-                Change::Configured((**cfg).clone()),
-            ));
+            delta = known
+                .zip(self.configuration_id())
+                .filter(|_| !is_whole)
+                .and_then(|(known, id)| self.configuration_history.delta(known, id, cfg));
+            if delta.is_none() {
+                let change = Change::Configured((**cfg).clone());
+                items.push(Item::without_key(version, change));
+            }
         }
         for (name, zone) in self.zones.iter().filter(|(_, z)| is_newer(z.version)) {
             let change = Change::Zone {
@@ -95,8 +119,31 @@
                 .map_or(Version::default(), |one| one.before),
             is_whole,
             items,
-            awaited: self.awaited_items(now),
+            delta,
+            awaited: self.awaited_items(known, now),
+        }
+    }
+
+    /// Replaces the difference between configurations in a change set by an entry with the whole configuration; returns
+    /// false if it is the difference from another configuration than the one in force.
+    pub fn expand_delta(&self, changes: &mut ChangeSet) -> bool {
+        let Some(delta) = changes.delta.take() else {
+            return true;
+        };
+        let Some((written, cfg)) = self.configured() else {
+            return false;
+        };
+        if written >= delta.id.written {
+            return true;
+        }
+        if self.configuration_id() != Some(delta.base) {
+            return false;
         }
+        let change = Change::Configured(delta.apply(cfg));
+        changes
+            .items
+            .push(Item::without_key(delta.id.written, change));
+        true
     }
 
     /// Applies the changes that another daemon passes on; returns `None` if they are older than the directory, or of an
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -2,6 +2,10 @@
 
 use super::{
     change_set,
+    configuration_delta::{
+        ConfigurationHistory,
+        ConfigurationId, //
+    },
     entry::{
         Change,
         Configuration,
@@ -131,6 +135,7 @@
 pub struct Directory {
     version: Version,
     pub(super) configuration: Option<(Version, Rc<Configuration>)>,
+    pub(super) configuration_history: ConfigurationHistory,
     /// Whether the configuration is newer than a copy from which the store was restored.
     pub(super) configuration_awaits_write: bool,
     pub(super) upstreams: HashMap<UpstreamId, TrackedUpstream>,
@@ -179,6 +184,15 @@
             .map(|(version, cfg)| (*version, cfg))
     }
 
+    /// Identity of the configuration in force.
+    pub fn configuration_id(&self) -> Option<ConfigurationId> {
+        let (written, cfg) = self.configured()?;
+        Some(ConfigurationId {
+            written,
+            version: cfg.version,
+        })
+    }
+
     /// Version after which all removals are recorded.
     pub(super) fn compacted(&self) -> Version {
         self.compacted
@@ -515,6 +529,11 @@
             if version <= *known || cfg.version < current.version {
                 return Outcome::Stale;
             }
+            let id = ConfigurationId {
+                written: *known,
+                version: current.version,
+            };
+            self.configuration_history.record(id, current, cfg);
         }
         self.configuration = Some((version, Rc::new(cfg.clone())));
         self.configuration_awaits_write = false;
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -6,6 +6,7 @@
 pub mod balancer;
 pub mod change_set;
 pub mod choice;
+pub mod configuration_delta;
 pub mod congestion;
 pub mod correlated_failure;
 pub mod dead_upstream;
@@ -52,6 +53,10 @@
         Choice,
         Standing, //
     },
+    configuration_delta::{
+        ConfigurationDelta,
+        ConfigurationId, //
+    },
     directory::Directory,
     entry::{
         Change,
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -15,6 +15,7 @@
     ListedState, //
 };
 use super::{
+    configuration_delta::ConfigurationId,
     directory::{
         Directory,
         Origin,
@@ -278,6 +279,7 @@
             .is_none_or(|(written, current)| (current.version, written) <= (cfg.version, version));
         if is_newer {
             self.configuration = Some((version, Rc::new(cfg.clone())));
+            self.configuration_history.clear();
             self.configuration_awaits_write = true;
         }
     }
@@ -351,8 +353,9 @@
         items.len()
     }
 
-    /// States that stay in force until their entries are written again, which has not happened up to the current version.
-    pub(super) fn awaited_items(&self, now: Instant) -> Vec<Item> {
+    /// States that stay in force until their entries are written again, which has not happened up to the current version,
+    /// without the configuration `known`.
+    pub(super) fn awaited_items(&self, known: Option<ConfigurationId>, now: Instant) -> Vec<Item> {
         if self.restoration.is_none_or(|one| one.is_settled) {
             return Vec::new();
         }
@@ -376,7 +379,7 @@
         });
         let cfg = self
             .configured()
-            .filter(|_| self.configuration_awaits_write);
+            .filter(|_| self.configuration_awaits_write && self.configuration_id() != known);
         let cfg =
             cfg.map(|(_, cfg)| Item::without_key(version, Change::Configured((**cfg).clone())));
         upstreams.chain(zones).chain(cfg).collect()
--- /dev/null
+++ b/crates/policy/tests/packets/configuration_delta.rs
@@ -0,0 +1,193 @@
+//! Differences between configurations that daemons pass on instead of whole configurations.
+
+use crate::scene::{
+    configuration,
+    SERVICE, //
+};
+use foxtailhinge_policy::packets::{
+    Change,
+    Configuration,
+    Directory,
+    Item,
+    SyncedFrom,
+    Version, //
+};
+use rand::{
+    rngs::SmallRng,
+    Rng,
+    SeedableRng, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// Number of routes of the large configuration.
+const ROUTES: u16 = 4_200;
+
+fn large() -> Configuration {
+    let targets: &[(&str, u32)] = &[(SERVICE, 1)];
+    let routes: Vec<_> = (1..=ROUTES).map(|port| (port, targets)).collect();
+    configuration(1, &routes)
+}
+
+/// Writes a configuration to the store, from which `directory` reads it.
+fn write(directory: &mut Directory, cfg: Configuration, revision: u64, now: Instant) {
+    let item = Item {
+        key: "configuration".into(),
+        version: revision.into(),
+        change: Change::Configured(cfg),
+    };
+    directory.apply(revision.into(), &[item], now);
+}
+
+/// Changes the target latency of one route.
+fn change(cfg: &Configuration, port: u16) -> Configuration {
+    let mut cfg = cfg.clone();
+    cfg.version += 1;
+    let (_, route) = cfg
+        .routes
+        .iter_mut()
+        .find(|(address, _)| address.port() == port)
+        .unwrap();
+    route.target_latency += Duration::from_millis(1);
+    cfg
+}
+
+/// Lets `follower` get the changes from `reader`; returns the number of routes that were passed on.
+fn follow(follower: &mut Directory, reader: &Directory, now: Instant) -> usize {
+    let known = follower.configuration_id();
+    let after = follower.version();
+    let mut changes = reader.changes_for(after, SyncedFrom::ThisDaemon, known, now);
+    let delta = changes.delta.as_ref();
+    let delta = delta.map(|delta| delta.changed.len() + delta.removed.len());
+    let whole = changes.items.iter().find_map(|item| match &item.change {
+        Change::Configured(cfg) => Some(cfg.routes.len()),
+        _ => None,
+    });
+    assert!(follower.expand_delta(&mut changes));
+    follower.merge_changes(&changes, now).unwrap();
+    delta.or(whole).unwrap_or(0)
+}
+
+/// Each change of one route was passed on with all 4,200 routes, which filled the link of the reader for seconds.
+#[test]
+fn a_follower_gets_only_the_routes_that_changed() {
+    let now = Instant::now();
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    write(&mut reader, large(), 1, now);
+    assert_eq!(
+        follow(&mut follower, &reader, now),
+        usize::from(ROUTES),
+        "the first one is passed on whole"
+    );
+    let cfg = change(&large(), 7);
+    write(&mut reader, cfg.clone(), 2, now);
+    assert_eq!(follow(&mut follower, &reader, now), 1);
+    let cfg = change(&change(&cfg, 7), 8);
+    write(&mut reader, cfg, 3, now);
+    assert_eq!(follow(&mut follower, &reader, now), 2);
+    assert_eq!(follower.configuration(), reader.configuration());
+    assert_eq!(follower.configuration_id(), reader.configuration_id());
+    assert_eq!(
+        follow(&mut follower, &reader, now),
+        0,
+        "nothing has changed since"
+    );
+}
+
+#[test]
+fn a_follower_with_an_unknown_configuration_gets_the_whole_one() {
+    let now = Instant::now();
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    write(&mut follower, large(), 1, now);
+    write(&mut reader, change(&large(), 7), 2, now);
+    assert_eq!(follow(&mut follower, &reader, now), usize::from(ROUTES));
+    assert_eq!(follower.configuration(), reader.configuration());
+}
+
+#[test]
+fn a_change_of_most_routes_is_passed_on_whole() {
+    let now = Instant::now();
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    write(&mut reader, large(), 1, now);
+    follow(&mut follower, &reader, now);
+    let mut cfg = large();
+    cfg.version = 2;
+    for route in cfg.routes.values_mut() {
+        route.priority += 1;
+    }
+    write(&mut reader, cfg, 2, now);
+    assert_eq!(follow(&mut follower, &reader, now), usize::from(ROUTES));
+    assert_eq!(follower.configuration(), reader.configuration());
+}
+
+/// A difference applies to no other configuration than its base, or routes would be wrong until the next change.
+#[test]
+fn a_difference_from_another_configuration_is_refused() {
+    let now = Instant::now();
+    let mut reader = Directory::default();
+    write(&mut reader, large(), 1, now);
+    let known = reader.configuration_id();
+    write(&mut reader, change(&large(), 7), 3, now);
+    let changes = reader.changes_for(1.into(), SyncedFrom::ThisDaemon, known, now);
+    assert!(changes.delta.is_some());
+    let mut other = Directory::default();
+    write(&mut other, change(&large(), 8), 2, now);
+    assert!(!other.expand_delta(&mut changes.clone()));
+    let mut newer = Directory::default();
+    write(&mut newer, change(&change(&large(), 7), 8), 4, now);
+    let mut stale = changes;
+    assert!(newer.expand_delta(&mut stale));
+    assert_eq!(stale.items, [], "a newer configuration stays");
+}
+
+/// Adds, changes and removes some routes.
+fn mutate(cfg: &Configuration, rng: &mut SmallRng) -> Configuration {
+    let mut cfg = cfg.clone();
+    cfg.version += rng.random_range(1..5);
+    let other = large();
+    for _ in 0..rng.random_range(0..30) {
+        let port = rng.random_range(1..=200);
+        let (address, route) = other
+            .routes
+            .iter()
+            .find(|(address, _)| address.port() == port)
+            .unwrap();
+        match cfg.routes.remove(address) {
+            Some(_) if rng.random() => (),
+            known => {
+                let mut route = known.unwrap_or_else(|| route.clone());
+                route.priority = rng.random();
+                cfg.routes.insert(*address, route);
+            }
+        }
+    }
+    cfg
+}
+
+#[test]
+fn followers_that_ask_at_any_time_have_the_configuration_of_the_reader() {
+    let now = Instant::now();
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut reader = Directory::default();
+        let mut followers = vec![Directory::default(); 4];
+        let mut cfg = configuration(1, &[]);
+        for revision in 1..60 {
+            cfg = mutate(&cfg, &mut rng);
+            write(&mut reader, cfg.clone(), revision, now);
+            for follower in &mut followers {
+                match rng.random_range(0..5) {
+                    0 => write(follower, cfg.clone(), revision, now),
+                    1 | 2 => {
+                        follow(follower, &reader, now);
+                        assert_eq!(follower.configuration(), reader.configuration());
+                        assert_eq!(follower.version(), Version::from(revision));
+                    }
+                    _ => (),
+                }
+            }
+        }
+    }
+}
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the packet decisions, without sockets and with a simulated clock.
 
 mod change_set;
+mod configuration_delta;
 mod congestion;
 mod correlated_failure;
 mod dead_upstream;
