Find upstreams that died with most of the others

Cause: only requests around the first packet were compared, and most of those are unanswered in such a failure. Requests that come later go to upstreams that live.

The requests around the last packet but one are compared too, if the last one came as long after it as callers wait; those that waited in a socket together say nothing.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -532,9 +532,9 @@
         if !request.is_overdue(now) {
             return;
         }
-        if self
-            .deliveries
-            .is_lost(asked.first, asked.sending(), id, now)
+        let is_lost = |at, sending| self.deliveries.is_lost(at, sending, id, now);
+        if is_lost(asked.first, asked.sending())
+            && (!asked.is_last_timely() || is_lost(asked.previous, Duration::ZERO))
         {
             self.health_changes.push(HealthChange::Inconclusive(id));
             return;
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -45,6 +45,8 @@
 pub struct Request {
     /// When this daemon forwarded the first packet of the request.
     pub first: Instant,
+    /// When this daemon forwarded the last packet but one of the request, or the only packet.
+    pub previous: Instant,
     /// When this daemon forwarded the last packet of the request.
     pub last: Instant,
     /// Number of retransmitted packets.
@@ -55,6 +57,7 @@
     fn at(now: Instant) -> Self {
         Self {
             first: now,
+            previous: now,
             last: now,
             retransmissions: 0,
         }
@@ -77,6 +80,12 @@
         sent_after(self.retransmissions.saturating_sub(1))
     }
 
+    /// Whether the last packet came as long after the one before as callers wait; otherwise both waited in a queue.
+    pub fn is_last_timely(&self) -> bool {
+        let pause = timeout(self.retransmissions.saturating_sub(1));
+        self.last + RTO_MARGIN >= self.previous + pause
+    }
+
     fn duration(&self) -> Duration {
         match self.retransmissions {
             0 => WORK,
@@ -315,6 +324,7 @@
     ) -> FlowEvent {
         let pending = self.pending.entry(upstream).or_default();
         let pending = pending.entry(flow).or_insert(Request::at(now));
+        pending.previous = pending.last;
         pending.last = now;
         pending.retransmissions += 1;
         FlowEvent::Retransmission(pending.retransmissions)
--- a/crates/policy/tests/packets/dead_upstream_model.rs
+++ b/crates/policy/tests/packets/dead_upstream_model.rs
@@ -232,13 +232,18 @@
     }
 }
 
+/// One span of time.
+fn span(from: u64, length: u64) -> Vec<Range<u64>> {
+    std::iter::once(from..from + length).collect()
+}
+
 fn cases() -> Vec<Case> {
     let case = |name, callers| Case {
         name,
         callers,
         ..Case::default()
     };
-    let jams = |length: u64| vec![4_000..4_000 + length, 12_000..12_000 + length];
+    let jams = |length| [span(4_000, length), span(12_000, length)].concat();
     vec![
         case("calm", 200),
         Case {
@@ -253,6 +258,10 @@
             dying: 6,
             ..case("6 of 20 die", 200)
         },
+        Case {
+            dying: 15,
+            ..case("15 of 20 die", 200)
+        },
         Case {
             queued: jams(800),
             ..case("link queues for 0.8 s", 200)
@@ -296,12 +305,12 @@
         },
         Case {
             dying: 1,
-            queued: vec![6_800..7_900],
+            queued: span(6_800, 1_100),
             ..case("1 of 20 dies after a queue of 1.1 s", 200)
         },
         Case {
             dying: 1,
-            queued: vec![8_200..9_300],
+            queued: span(8_200, 1_100),
             ..case("1 of 20 dies before a queue of 1.1 s", 200)
         },
     ]
