Give up an answer when its parts stop arriving, not when it takes long

Cause: a call of the store had 0.8 s for the whole answer, and a page of 1.05 MB takes 0.84 s on such a link without other traffic. A request to a reader had 0.5 s. Neither could tell a slow transfer from a peer that is gone.

The limits now hold until the first part of an answer and from each part to the next; the whole answer has 15 s, or 10 s from a daemon. A peer that sends nothing is given up as soon as before. A timer that fires late shows that the daemon itself was held up; it then waits once more, since the answer may have arrived unnoticed.

store_answers::an_answer_that_keeps_arriving_is_not_given_up fails with the limits for whole answers.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The foxtailhinge daemon. Every entry VM runs the same program.
 
+pub mod activity;
 pub mod admin;
 pub mod audit;
 pub mod command;
--- a/crates/daemon/src/links/client.rs
+++ b/crates/daemon/src/links/client.rs
@@ -10,10 +10,13 @@
     },
     transport,
 };
-use crate::members::{
-    counters::count,
-    settings::ControlLimits,
-    Control, //
+use crate::{
+    activity::Activity,
+    members::{
+        counters::count,
+        settings::ControlLimits,
+        Control, //
+    },
 };
 use bytes::Bytes;
 use foxtailhinge_policy::members::Member;
@@ -197,7 +200,7 @@
         return Err(LinkError::TooLong);
     }
     count(&control.counters().link_bytes_sent, body.len() as u64);
-    let body = transport::post(tx, body.into(), BODY_MAX).await?;
+    let body = transport::post(tx, body.into(), BODY_MAX, &Activity::default()).await?;
     count(&control.counters().link_bytes_received, body.len() as u64);
     let opened = settings.keys.open::<Vec<u8>>(me, &body)?;
     decode(&opened.message).ok_or(LinkError::Garbled)
--- a/crates/daemon/src/links/transport.rs
+++ b/crates/daemon/src/links/transport.rs
@@ -1,6 +1,7 @@
 //! Transport of requests over HTTP/2, shared by all links between daemons.
 
 use super::client::LinkError;
+use crate::activity::Activity;
 use bytes::{
     Bytes,
     BytesMut, //
@@ -87,11 +88,13 @@
     Ok(tx)
 }
 
-/// Sends a request with `body` and returns the body of the response, of at most `max` bytes.
+/// Sends a request with `body` and returns the body of the response, of at most `max` bytes; records the arrival of its
+/// parts.
 pub(crate) async fn post(
     tx: SendRequest<Bytes>,
     body: Bytes,
     max: usize,
+    activity: &Activity,
 ) -> Result<Bytes, LinkError> {
     let mut tx = tx.ready().await?;
     let head = Request::post("http://peer/")
@@ -100,10 +103,11 @@
     let (answer, mut stream) = tx.send_request(head, false)?;
     stream.send_data(body, true)?;
     let answer = answer.await?;
+    activity.record();
     if answer.status() != StatusCode::OK {
         return Err(LinkError::Status(answer.status()));
     }
-    read_body(answer.into_body(), max).await
+    read_answer(answer.into_body(), max, activity).await
 }
 
 /// Performs the HTTP/2 handshake with a connecting peer, which may have `streams` concurrent requests.
@@ -122,10 +126,20 @@
 }
 
 /// Reads a whole body of at most `max` bytes.
-pub(crate) async fn read_body(mut body: RecvStream, max: usize) -> Result<Bytes, LinkError> {
+pub(crate) async fn read_body(body: RecvStream, max: usize) -> Result<Bytes, LinkError> {
+    read_answer(body, max, &Activity::default()).await
+}
+
+/// Reads a whole body of at most `max` bytes, and records the arrival of its parts.
+pub(crate) async fn read_answer(
+    mut body: RecvStream,
+    max: usize,
+    activity: &Activity,
+) -> Result<Bytes, LinkError> {
     let mut buf = BytesMut::new();
     while let Some(data) = body.data().await {
         let data = data?;
+        activity.record();
         if buf.len() + data.len() > max {
             return Err(LinkError::TooLong);
         }
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -48,7 +48,7 @@
     /// Changed entries.
     pub items: Vec<ItemRecord>,
     /// Changes of the configuration that the asker has.
-    pub delta: Option<DeltaRecord>,
+    pub delta: Option<Box<DeltaRecord>>,
     /// States that the sender keeps in force although the store was restored from an older copy.
     pub awaited: Vec<ItemRecord>,
 }
@@ -188,7 +188,7 @@
         };
         let (items, awaited) = (records(&changes.items), records(&changes.awaited));
         let delta = changes.delta.as_ref();
-        let delta = delta.map(|delta| delta_record(delta, &mut names));
+        let delta = delta.map(|delta| Box::new(delta_record(delta, &mut names)));
         Self {
             version: changes.version.into(),
             era_start: changes.era_start.into(),
--- a/crates/daemon/src/packets/zone/load_exchange.rs
+++ b/crates/daemon/src/packets/zone/load_exchange.rs
@@ -15,6 +15,7 @@
     Zone, ANSWER,
 };
 use crate::{
+    activity::Activity,
     links::{
         transport,
         LinkError, //
@@ -174,7 +175,8 @@
     ) -> Result<(), LoadError> {
         let asked = Instant::now();
         let request = ZoneRequest::Load(self.load_record(vm, relation, asked));
-        let reply = monoio::time::timeout(ANSWER, self.send(tx, &request)).await;
+        let activity = Activity::default();
+        let reply = monoio::time::timeout(ANSWER, self.send(tx, &request, &activity)).await;
         match reply.map_err(|_| LinkError::Timeout)?? {
             ZoneReply::Load(record) if *record.vm == **vm && record.reporter == relation.into() => {
                 // The observations are at least as old as the request when the answer is delayed.
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -30,6 +30,10 @@
     view::View, //
 };
 use crate::{
+    activity::{
+        Activity,
+        AnswerLimits, //
+    },
     links::{
         transport,
         LinkError, //
@@ -71,9 +75,13 @@
     },
 };
 
-/// Time limit for an answer, in addition to the wait that a request asks for.
+/// Time limit for an answer, in addition to the wait that a request asks for, and from one part of it to the next.
 const ANSWER: Duration = Duration::from_millis(500);
 
+/// Time limit for a whole answer, in addition to the wait that a request asks for: the largest one takes 2 s on a link of
+/// 10 Mbit/s that has no other traffic.
+const WHOLE_ANSWER: Duration = Duration::from_secs(10);
+
 /// Maximum length of a message body, in bytes: all entries of the largest deployment, at some 40 bytes each.
 const BODY_MAX: usize = 2 << 20;
 
@@ -188,8 +196,14 @@
         request: &ZoneRequest,
         wait: Duration,
     ) -> Result<ZoneReply, LinkError> {
-        let answer =
-            monoio::time::timeout(wait + ANSWER, self.request_untimed(addr, request)).await;
+        let activity = Activity::default();
+        let limits = AnswerLimits {
+            first: wait + ANSWER,
+            next: ANSWER,
+            whole: wait + WHOLE_ANSWER,
+        };
+        let answer = self.request_untimed(addr, request, &activity);
+        let answer = activity.limit(limits, answer).await;
         let answer = answer.unwrap_or(Err(LinkError::Timeout));
         if answer.is_err() {
             self.link.borrow_mut().take_if(|(to, _)| *to == addr);
@@ -201,6 +215,7 @@
         &self,
         addr: SocketAddr,
         request: &ZoneRequest,
+        activity: &Activity,
     ) -> Result<ZoneReply, LinkError> {
         let kept = self
             .link
@@ -215,21 +230,22 @@
         if let ZoneRequest::Watch { .. } = request {
             *self.link.borrow_mut() = Some((addr, tx.clone()));
         }
-        self.send(tx, request).await
+        self.send(tx, request, activity).await
     }
 
-    /// Sends a request over an open link.
+    /// Sends a request over an open link, and records the arrival of the answer's parts.
     async fn send(
         &self,
         tx: SendRequest<Bytes>,
         request: &ZoneRequest,
+        activity: &Activity,
     ) -> Result<ZoneReply, LinkError> {
         let request = message::encode(request);
         self.parts
             .metrics
             .zone_bytes_sent
             .inc_by(request.len() as u64);
-        let body = transport::post(tx, request.into(), BODY_MAX).await?;
+        let body = transport::post(tx, request.into(), BODY_MAX, activity).await?;
         self.parts
             .metrics
             .zone_bytes_received
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -1,5 +1,9 @@
 //! Read-only HTTP client of a store.
 
+use crate::activity::{
+    Activity,
+    AnswerLimits, //
+};
 use bytes::Bytes;
 use foxtailhinge_policy::packets::Version;
 use http::{
@@ -29,6 +33,10 @@
 /// Unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Time limit for a whole answer, in addition to the wait that the call asked for: the largest one takes about as long on a
+/// link of 10 Mbit/s.
+const WHOLE_ANSWER: Duration = Duration::from_secs(15);
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -101,11 +109,13 @@
     /// Starts HTTP on a new TCP connection.
     fn start(stream: TcpStream) -> impl Future<Output = Result<Self::Session, StoreError>>;
 
-    /// Sends a GET request; returns the answer, of any status, and the session for the next call.
+    /// Sends a GET request and records the arrival of the answer's parts; returns the answer, of any status, and the session
+    /// for the next call.
     fn get(
         session: Self::Session,
         addr: SocketAddr,
         path: &str,
+        activity: &Activity,
     ) -> impl Future<Output = Result<(Response<Bytes>, Self::Session), StoreError>>;
 
     /// Returns another handle of the connection if it supports concurrent calls.
@@ -120,7 +130,7 @@
 pub struct CallLimits {
     /// Time limit for the TCP connection and the HTTP handshake.
     pub connect: Duration,
-    /// Time limit for an answer, in addition to the wait that the call asked for.
+    /// Time limit for an answer, in addition to the wait that the call asked for, and from one part of it to the next.
     pub answer: Duration,
 }
 
@@ -144,7 +154,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no whole answer in time; an answer may have any status.
+    /// Fails when an answer, or the next part of it, does not arrive in time; an answer may have any status.
     pub async fn get(
         &self,
         addr: SocketAddr,
@@ -158,7 +168,14 @@
         if let Some(shared) = T::share(&session) {
             *self.idle.borrow_mut() = Some((addr, shared));
         }
-        let answered = within(wait + self.limits.answer, T::get(session, addr, path)).await;
+        let activity = Activity::default();
+        let limits = AnswerLimits {
+            first: wait + self.limits.answer,
+            next: self.limits.answer,
+            whole: wait + WHOLE_ANSWER,
+        };
+        let answered = activity.limit(limits, T::get(session, addr, path, &activity));
+        let answered = answered.await.unwrap_or(Err(StoreError::Timeout));
         let (answer, session) = answered.inspect_err(|_| {
             self.idle.take();
         })?;
--- a/crates/daemon/src/store/http1.rs
+++ b/crates/daemon/src/store/http1.rs
@@ -4,7 +4,11 @@
     StoreError,
     Transport, //
 };
-use bytes::Bytes;
+use crate::activity::Activity;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use http::{
     header::HOST,
     Request,
@@ -51,6 +55,7 @@
         mut tx: Self::Session,
         addr: SocketAddr,
         path: &str,
+        activity: &Activity,
     ) -> Result<(Response<Bytes>, Self::Session), StoreError> {
         tx.ready().await.map_err(http)?;
         let req = Request::get(path).header(HOST, addr.to_string());
@@ -59,9 +64,17 @@
             .map_err(|err| StoreError::Http(err.to_string()))?;
         let answer = tx.send_request(req).await.map_err(http)?;
         let (head, body) = answer.into_parts();
-        let body = Limited::new(body, ANSWER_MAX).collect().await;
-        let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
-        Ok((Response::from_parts(head, body.to_bytes()), tx))
+        activity.record();
+        let mut body = Limited::new(body, ANSWER_MAX);
+        let mut buf = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| StoreError::Body(err.to_string()))?;
+            activity.record();
+            if let Some(data) = frame.data_ref() {
+                buf.extend_from_slice(data);
+            }
+        }
+        Ok((Response::from_parts(head, buf.freeze()), tx))
     }
 
     fn share(_: &Self::Session) -> Option<Self::Session> {
--- a/crates/daemon/src/store/http2.rs
+++ b/crates/daemon/src/store/http2.rs
@@ -4,7 +4,10 @@
     StoreError,
     Transport, //
 };
-use crate::links::transport::read_body;
+use crate::{
+    activity::Activity,
+    links::transport::read_answer, //
+};
 use bytes::Bytes;
 use h2::client::{
     Builder,
@@ -52,13 +55,15 @@
         tx: Self::Session,
         addr: SocketAddr,
         path: &str,
+        activity: &Activity,
     ) -> Result<(Response<Bytes>, Self::Session), StoreError> {
         let mut tx = tx.ready().await.map_err(http)?;
         let req = Request::get(format!("http://{addr}{path}")).body(());
         let req = req.map_err(|err| StoreError::Http(err.to_string()))?;
         let (answer, _) = tx.send_request(req, true).map_err(http)?;
         let (head, body) = answer.await.map_err(http)?.into_parts();
-        let body = read_body(body, ANSWER_MAX).await;
+        activity.record();
+        let body = read_answer(body, ANSWER_MAX, activity).await;
         let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
         Ok((Response::from_parts(head, body), tx))
     }
--- a/crates/daemon/tests/store_answers.rs
+++ b/crates/daemon/tests/store_answers.rs
@@ -52,6 +52,8 @@
 struct Step {
     bytes: Vec<u8>,
     closes: bool,
+    /// Pause in the middle of the response, and in the middle of its second half.
+    pause: Duration,
 }
 
 /// A store that answers each call with the next step of its script.
@@ -96,7 +98,15 @@
         let Some(step) = script.lock().unwrap().pop_front() else {
             return;
         };
-        if stream.write_all(&step.bytes).is_err() || step.closes {
+        let (first, second) = step.bytes.split_at(step.bytes.len() / 2);
+        let (second, third) = second.split_at(second.len() / 2);
+        for part in [first, second, third] {
+            if stream.write_all(part).is_err() {
+                return;
+            }
+            thread::sleep(step.pause);
+        }
+        if step.closes {
             return;
         }
     }
@@ -111,6 +121,7 @@
     Step {
         bytes,
         closes: false,
+        pause: Duration::ZERO,
     }
 }
 
@@ -186,8 +197,8 @@
 #[case::not_http(b"hello\r\n\r\n".to_vec())]
 fn a_truncated_or_malformed_response_changes_nothing(#[case] bytes: Vec<u8>) {
     let broken = Step {
-        bytes,
         closes: true,
+        ..step(bytes)
     };
     let store = Store::start(vec![list(), broken, step(changes(&[6], 6))]);
     block_on(async {
@@ -235,6 +246,36 @@
     });
 }
 
+/// Daemons with slow links gave up each page of a large list, however long they tried.
+#[test]
+fn an_answer_that_keeps_arriving_is_not_given_up() {
+    let large = Step {
+        pause: Duration::from_millis(600),
+        ..list()
+    };
+    let store = Store::start(vec![large]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        assert_eq!(view.version(), 5.into());
+    });
+}
+
+#[test]
+fn an_answer_that_stops_arriving_is_given_up() {
+    let stopped = Step {
+        pause: Duration::from_secs(5),
+        ..list()
+    };
+    let store = Store::start(vec![stopped]);
+    let began = Instant::now();
+    block_on(async {
+        let err = store.view().list().await.unwrap_err();
+        assert!(matches!(err, StoreError::Timeout), "{err}");
+    });
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
+
 /// A daemon that follows a reader calls the store rarely; its connection may have gone silent at any time.
 #[test]
 fn a_connection_that_was_idle_for_long_is_not_used_again() {
