List the store again when a watch answer is too long

Cause: 18 large entries of another writer made the answer to its watch longer than 16 MiB. The daemon refused it as a failed call and asked for the same changes again, whose answer only grew, until the store had forgotten them 13 s later.

--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -467,7 +467,11 @@
     fn record_failure(&self, err: &StoreError) {
         self.metrics.store_calls.inc(PlatformResult::Failed);
         self.disconnect();
-        let is_history_lost = matches!(err, StoreError::Status(StatusCode::GONE));
+        // The changes after a version only grow, so that a watch after it would be too long again.
+        let is_history_lost = matches!(
+            err,
+            StoreError::Status(StatusCode::GONE) | StoreError::TooLong { .. }
+        );
         let is_other_history = matches!(
             err,
             StoreError::RevisionDecreased { .. } | StoreError::EraBegan { .. }
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -71,6 +71,12 @@
         /// Version of the answer.
         answered: Version,
     },
+    /// The answer is longer than this daemon accepts.
+    #[error("The answer has more than {max} bytes; the store is listed in pages instead.")]
+    TooLong {
+        /// Maximum length in bytes.
+        max: usize,
+    },
     /// The answer belongs to an era that has ended.
     #[error("The store answered from era {answered}, but era {known} has begun; check any proxy between the store and this daemon.")]
     EarlierEra {
--- a/crates/daemon/src/store/http1.rs
+++ b/crates/daemon/src/store/http1.rs
@@ -17,11 +17,15 @@
 use http_body_util::{
     BodyExt,
     Empty,
+    LengthLimitError,
     Limited, //
 };
-use hyper::client::conn::http1::{
-    handshake,
-    SendRequest, //
+use hyper::{
+    body::Body,
+    client::conn::http1::{
+        handshake,
+        SendRequest, //
+    },
 };
 use monoio::{
     io::IntoPollIo,
@@ -65,10 +69,16 @@
         let answer = tx.send_request(req).await.map_err(http)?;
         let (head, body) = answer.into_parts();
         activity.record();
+        if body.size_hint().lower() > ANSWER_MAX as u64 {
+            return Err(StoreError::TooLong { max: ANSWER_MAX });
+        }
         let mut body = Limited::new(body, ANSWER_MAX);
         let mut buf = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|err| StoreError::Body(err.to_string()))?;
+            let frame = frame.map_err(|err| match err.is::<LengthLimitError>() {
+                true => StoreError::TooLong { max: ANSWER_MAX },
+                false => StoreError::Body(err.to_string()),
+            })?;
             activity.record();
             if let Some(data) = frame.data_ref() {
                 buf.extend_from_slice(data);
--- a/crates/daemon/src/store/http2.rs
+++ b/crates/daemon/src/store/http2.rs
@@ -6,7 +6,10 @@
 };
 use crate::{
     activity::Activity,
-    links::transport::read_answer, //
+    links::{
+        transport::read_answer,
+        LinkError, //
+    },
 };
 use bytes::Bytes;
 use h2::client::{
@@ -64,7 +67,10 @@
         let (head, body) = answer.await.map_err(http)?.into_parts();
         activity.record();
         let body = read_answer(body, ANSWER_MAX, activity).await;
-        let body = body.map_err(|err| StoreError::Body(err.to_string()))?;
+        let body = body.map_err(|err| match err {
+            LinkError::TooLong => StoreError::TooLong { max: ANSWER_MAX },
+            err => StoreError::Body(err.to_string()),
+        })?;
         Ok((Response::from_parts(head, body), tx))
     }
 
--- a/crates/daemon/tests/store_answers.rs
+++ b/crates/daemon/tests/store_answers.rs
@@ -276,6 +276,29 @@
     assert!(began.elapsed() < Duration::from_secs(2));
 }
 
+/// A daemon asked again and again for changes that were too long for it, until the store had forgotten them.
+#[test]
+fn the_store_is_listed_again_when_the_changes_are_too_long() {
+    let large = json!({"events": [], "padding": " ".repeat(17 << 20)});
+    let store = Store::start(vec![
+        list(),
+        step(response(&large.to_string())),
+        list(),
+        step(changes(&[6], 6)),
+    ]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        let err = view.watch(5).await.unwrap_err();
+        assert!(matches!(err, StoreError::TooLong { .. }), "{err}");
+        view.record_failure(&err);
+        assert_eq!(view.position(), None, "the store is listed again");
+        view.list().await.unwrap();
+        view.watch(5).await.unwrap();
+        assert_eq!(view.version(), 6.into());
+    });
+}
+
 /// A daemon that follows a reader calls the store rarely; its connection may have gone silent at any time.
 #[test]
 fn a_connection_that_was_idle_for_long_is_not_used_again() {
