--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -532,6 +532,8 @@
         if !request.is_overdue(now) {
             return;
         }
+        // A request that this daemon itself holds up is no evidence. The comparison around the last packet but one finds
+        // upstreams that died with most others, because requests that come later go to live ones.
         let is_lost = |at, sending| self.deliveries.is_lost(at, sending, id, now);
         if is_lost(asked.first, asked.sending())
             && (!asked.is_last_timely() || is_lost(asked.previous, Duration::ZERO))
--- a/crates/policy/src/packets/deliveries.rs
+++ b/crates/policy/src/packets/deliveries.rs
@@ -81,7 +81,7 @@
 
     /// Whether this daemon seems to have lost or delayed a request to an upstream, of which it forwarded the first packet at
     /// `at` and the last one `sending` later: just before that time or just after it, most requests to other upstreams were
-    /// not answered within `sending`.
+    /// not answered within `sending`, which counts as 250 ms at least.
     ///
     /// Returns false if there were no requests to other upstreams.
     pub fn is_lost(
