Tell lost requests by their retransmissions, not by missing acknowledgements

Feeds of a dead upstream were not reset where callers acknowledge an answer only with their next request, as callers may that get it in one packet. The comparison with other upstreams took the missing acknowledgements for missing answers.

A caller that has its answer does not send the request again. So the comparison now counts how often the callers of the other requests sent them again, which needs no acknowledgement.

upstreams::feeds_of_a_dead_upstream_continue_at_other_upstreams failed in seven of seven runs before (upstream_not_judged twelve times, upstream_dead never) and passes.

--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -375,8 +375,9 @@
                 false => Verdict::Drop(DropReason::NoUpstream),
             };
         };
-        if packet.ack == 0 {
-            self.deliveries.record(packet.flow, choice.id, now);
+        match packet.ack {
+            0 => self.deliveries.record(packet.flow, choice.id, now),
+            _ => self.deliveries.record_retransmission(packet.flow),
         }
         self.openings.record(packet.flow, choice.id, now);
         self.flows.open(packet.flow, choice.id, now);
@@ -495,8 +496,10 @@
         if asked.is_some() {
             self.deliveries.record_answer(packet.flow, now);
         }
-        if let FlowEvent::Request(_) = event {
-            self.deliveries.record(packet.flow, id, now);
+        match event {
+            FlowEvent::Request(_) => self.deliveries.record(packet.flow, id, now),
+            FlowEvent::Retransmission(_) => self.deliveries.record_retransmission(packet.flow),
+            FlowEvent::Answered(_) | FlowEvent::Nothing => (),
         }
         let Some(asked) = asked else {
             return;
@@ -534,9 +537,9 @@
         }
         // A request that this daemon itself holds up is no evidence. The comparison around the last packet but one finds
         // upstreams that died with most others, because requests that come later go to live ones.
-        let is_lost = |at, sending| self.deliveries.is_lost(at, sending, id, now);
-        if is_lost(asked.first, asked.sending())
-            && (!asked.is_last_timely() || is_lost(asked.previous, Duration::ZERO))
+        let is_lost = |at, n| self.deliveries.is_lost(at, n, id, now);
+        if is_lost(asked.first, asked.retransmissions.saturating_sub(1))
+            && (!asked.is_last_timely() || is_lost(asked.previous, 1))
         {
             self.health_changes.push(HealthChange::Inconclusive(id));
             return;
--- a/crates/policy/src/packets/deliveries.rs
+++ b/crates/policy/src/packets/deliveries.rs
@@ -5,6 +5,7 @@
 
 use super::{
     entry::UpstreamId,
+    flows::sent_after,
     packet::FlowId, //
 };
 use smallvec::SmallVec;
@@ -29,9 +30,8 @@
 /// retransmit them at about the same times.
 const SAMPLE_MAX: usize = 5;
 
-/// Shortest time in which other requests must have been answered: the first retransmission timeout of callers, with a
-/// margin for services that take about as long.
-const ANSWER_TIME_MIN: Duration = Duration::from_millis(250);
+/// Margin for the delay of a retransmission, and for services that take about as long as the first retransmission timeout.
+const MARGIN: Duration = Duration::from_millis(50);
 
 /// Opening or first packet of a request.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +40,19 @@
     upstream: UpstreamId,
     at: Instant,
     answered: Option<Instant>,
+    /// Number of retransmissions before the answer.
+    retransmissions: u32,
+}
+
+impl Sent {
+    /// Whether the caller sent this retransmission, and the answer did not come about then either.
+    ///
+    /// The acknowledgement of an answer may come as late as the caller's next request, so its absence shows nothing.
+    fn is_unanswered(&self, retransmission: u32) -> bool {
+        let time = sent_after(retransmission) + MARGIN;
+        let is_answered = self.answered.is_some_and(|at| at < self.at + time);
+        self.retransmissions >= retransmission && !is_answered
+    }
 }
 
 /// Recent openings and requests in the order of forwarding; each flow has at most one that is awaited.
@@ -68,6 +81,7 @@
                 upstream,
                 at: now,
                 answered: None,
+                retransmissions: 0,
             });
         }
     }
@@ -79,27 +93,34 @@
         }
     }
 
-    /// Whether this daemon seems to have lost or delayed a request to an upstream, of which it forwarded the first packet at
-    /// `at` and the last one `sending` later: just before that time or just after it, most requests to other upstreams were
-    /// not answered within `sending`, which counts as 250 ms at least.
+    /// Records that the awaited packet of a flow is forwarded again.
+    pub fn record_retransmission(&mut self, flow: FlowId) {
+        if let Some(sent) = self.awaited(flow) {
+            sent.retransmissions += 1;
+        }
+    }
+
+    /// Whether this daemon seems to have lost or delayed a packet for an upstream that it forwarded at `at`, and the
+    /// retransmissions of it before number `retransmission`: just before that time or just after it, the callers of most
+    /// requests to other upstreams sent that retransmission too.
     ///
     /// Returns false if there were no requests to other upstreams.
     pub fn is_lost(
         &self,
         at: Instant,
-        sending: Duration,
+        retransmission: u32,
         upstream: UpstreamId,
         now: Instant,
     ) -> bool {
-        let time = sending.max(ANSWER_TIME_MIN);
+        let time = sent_after(retransmission) + MARGIN;
         let middle = self.packets.partition_point(|sent| sent.at < at);
         let is_compared = |sent: &&Sent| sent.upstream != upstream && sent.at + time <= now;
         let before = self.packets.range(..middle).rev();
         let before = before.take_while(|sent| at < sent.at + NEIGHBORHOOD);
         let after = self.packets.range(middle..);
         let after = after.take_while(|sent| sent.at < at + NEIGHBORHOOD);
-        is_unanswered(before.filter(is_compared), time)
-            || is_unanswered(after.filter(is_compared), time)
+        are_unanswered(before.filter(is_compared), retransmission)
+            || are_unanswered(after.filter(is_compared), retransmission)
     }
 
     fn awaited(&mut self, flow: FlowId) -> Option<&mut Sent> {
@@ -108,12 +129,12 @@
     }
 }
 
-/// Whether most of the first requests were not answered within `time`.
-fn is_unanswered<'s>(requests: impl Iterator<Item = &'s Sent>, time: Duration) -> bool {
+/// Whether most of the first requests were unanswered when this retransmission of them was due.
+fn are_unanswered<'s>(requests: impl Iterator<Item = &'s Sent>, retransmission: u32) -> bool {
     let sample: SmallVec<[bool; SAMPLE_MAX]> = requests
         .take(SAMPLE_MAX)
-        .map(|sent| sent.answered.is_some_and(|at| at < sent.at + time))
+        .map(|sent| sent.is_unanswered(retransmission))
         .collect();
-    let answered = sample.iter().filter(|is_answered| **is_answered).count();
-    answered * 2 < sample.len()
+    let unanswered = sample.iter().filter(|is_unanswered| **is_unanswered);
+    unanswered.count() * 2 > sample.len()
 }
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -75,11 +75,6 @@
         now.saturating_duration_since(self.first).min(shown)
     }
 
-    /// Time from the first packet until the caller sent the one before the last.
-    pub fn sending(&self) -> Duration {
-        sent_after(self.retransmissions.saturating_sub(1))
-    }
-
     /// Whether the last packet came as long after the one before as callers wait; otherwise both waited in a queue.
     pub fn is_last_timely(&self) -> bool {
         let pause = timeout(self.retransmissions.saturating_sub(1));
@@ -105,7 +100,7 @@
 }
 
 /// Time after which a caller sends this retransmission of a request.
-fn sent_after(retransmission: u32) -> Duration {
+pub(super) fn sent_after(retransmission: u32) -> Duration {
     let timeouts = (0..retransmission.min(RETRANSMISSIONS_MAX)).map(timeout);
     timeouts.sum()
 }
--- a/crates/policy/tests/packets/dead_upstream_model.rs
+++ b/crates/policy/tests/packets/dead_upstream_model.rs
@@ -54,6 +54,8 @@
     lost: Vec<Range<u64>>,
     /// Times in which the daemon reads no packets.
     stalled: Vec<Range<u64>>,
+    /// Whether callers acknowledge an answer only with their next request.
+    delays_acks: bool,
 }
 
 /// What the callers see of a case.
@@ -208,7 +210,9 @@
             ..request
         };
         self.answered.insert(next.caller, next.number);
-        self.plan(self.read_at(at), Step::ReadAck, request);
+        if !self.case.delays_acks {
+            self.plan(self.read_at(at), Step::ReadAck, request);
+        }
         let pause = self.rng.random_range(PAUSE);
         self.plan(at + pause, Step::Send { copy: 0 }, next);
     }
@@ -262,6 +266,16 @@
             dying: 15,
             ..case("15 of 20 die", 200)
         },
+        Case {
+            dying: 1,
+            delays_acks: true,
+            ..case("1 of 20 dies, late acks", 200)
+        },
+        Case {
+            queued: jams(1_500),
+            delays_acks: true,
+            ..case("link queues for 1.5 s, late acks", 200)
+        },
         Case {
             queued: jams(800),
             ..case("link queues for 0.8 s", 200)
