Record sent requests where they are forwarded, and keep one function for changes after a version

What a second reading of the change found; nothing behaves differently.

- Balancer::observe_answer recorded requests and retransmissions too; Balancer::forward does that now.
- Directory::changes_since was left to the tests beside changes_for.
The tests pass None for the configuration that the asker has; their assertions are the same.
- Directory::configure built the identity that configuration_id returns.
- The comments on the limits of a whole answer told how the values were found, and two functions were called timeout.

--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -42,7 +42,7 @@
     }
 
     /// Changes after a version, for a daemon with the configuration `known`.
-    pub fn changes_for(
+    pub fn changes_since(
         &self,
         after: Version,
         synced_from: SyncedFrom,
@@ -50,7 +50,7 @@
     ) -> ChangeSet {
         self.directory
             .borrow()
-            .changes_for(after, synced_from, known, Instant::now())
+            .changes_since(after, synced_from, known, Instant::now())
     }
 
     /// Waits for something new to pass on: an answer of the store or a reader, or a report on an upstream.
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -222,10 +222,11 @@
             before_era: self.before_era.into(),
             is_whole: self.is_whole,
             items: items(&self.items)?,
-            delta: match &self.delta {
-                Some(record) => Some(delta(record, &names)?),
-                None => None,
-            },
+            delta: self
+                .delta
+                .as_ref()
+                .map(|record| delta(record, &names))
+                .transpose()?,
             awaited: items(&self.awaited)?,
         })
     }
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -78,8 +78,8 @@
 /// Time limit for an answer, in addition to the wait that a request asks for, and from one part of it to the next.
 const ANSWER: Duration = Duration::from_millis(500);
 
-/// Time limit for a whole answer, in addition to the wait that a request asks for: the largest one takes 2 s on a link of
-/// 10 Mbit/s that has no other traffic.
+/// Time limit for a whole answer, in addition to the wait that a request asks for; it ends one whose parts arrive without
+/// end.
 const WHOLE_ANSWER: Duration = Duration::from_secs(10);
 
 /// Maximum length of a message body, in bytes: all entries of the largest deployment, at some 40 bytes each.
--- a/crates/daemon/src/packets/zone/server.rs
+++ b/crates/daemon/src/packets/zone/server.rs
@@ -191,7 +191,7 @@
             .iter()
             .map(|failed| FailedOpeningRecord::new(failed, now));
         let view = &self.parts.view;
-        let changes = view.changes_for(after, synced_from, configuration);
+        let changes = view.changes_since(after, synced_from, configuration);
         let millis = |time: Duration| time.as_millis() as u64;
         ZoneReply::Changes(Changes {
             held_ms: began.elapsed().as_millis() as u32,
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -33,8 +33,8 @@
 /// Unanswered keepalive probes after which the kernel closes the connection.
 const KEEPALIVE_RETRIES: u32 = 2;
 
-/// Time limit for a whole answer, in addition to the wait that the call asked for: the largest one takes about as long on a
-/// link of 10 Mbit/s.
+/// Time limit for a whole answer, in addition to the wait that the call asked for; it ends one whose parts arrive without
+/// end.
 const WHOLE_ANSWER: Duration = Duration::from_secs(15);
 
 /// Why a call failed.
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -455,6 +455,11 @@
                 .record_response(service, zone, priority, response);
         }
         self.observe_answer(packet, (id, known), event, now);
+        match event {
+            FlowEvent::Request(_) => self.deliveries.record(packet.flow, id, now),
+            FlowEvent::Retransmission(_) => self.deliveries.record_retransmission(packet.flow),
+            FlowEvent::Answered(_) | FlowEvent::Nothing => (),
+        }
         if let Some(route) = route.filter(|route| route.is_idempotent) {
             if let FlowEvent::Retransmission(_) = event {
                 self.suspect(packet.flow, (id, known), route.target_latency, now);
@@ -492,18 +497,10 @@
             FlowEvent::Answered(at) | FlowEvent::Request(at) => at,
             FlowEvent::Retransmission(_) | FlowEvent::Nothing => None,
         };
-        let asked = opened.or(answered);
-        if asked.is_some() {
-            self.deliveries.record_answer(packet.flow, now);
-        }
-        match event {
-            FlowEvent::Request(_) => self.deliveries.record(packet.flow, id, now),
-            FlowEvent::Retransmission(_) => self.deliveries.record_retransmission(packet.flow),
-            FlowEvent::Answered(_) | FlowEvent::Nothing => (),
-        }
-        let Some(asked) = asked else {
+        let Some(asked) = opened.or(answered) else {
             return;
         };
+        self.deliveries.record_answer(packet.flow, now);
         let was_dead = self.dead.record_answer(id, now);
         if self.ejection.record_answer(id, asked) || was_dead {
             self.health_changes.push(HealthChange::Answers(id));
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -61,19 +61,10 @@
 
 impl Directory {
     /// Returns the changes after a version, or all entries if the removals since then are no longer known.
-    pub fn changes_since(
-        &self,
-        after: Version,
-        synced_from: SyncedFrom,
-        now: Instant,
-    ) -> ChangeSet {
-        self.changes_for(after, synced_from, None, now)
-    }
-
-    /// Like [`Directory::changes_since`], for a daemon with the configuration `known`.
     ///
-    /// The configuration is large, so that daemon gets only the routes that differ, if their number is small.
-    pub fn changes_for(
+    /// The configuration is large, so a daemon that has the configuration `known` gets only the routes that differ, if their
+    /// number is small.
+    pub fn changes_since(
         &self,
         after: Version,
         synced_from: SyncedFrom,
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -525,14 +525,10 @@
     }
 
     fn configure(&mut self, cfg: &Configuration, version: Version) -> Outcome {
-        if let Some((known, current)) = &self.configuration {
-            if version <= *known || cfg.version < current.version {
+        if let Some((id, (_, current))) = self.configuration_id().zip(self.configuration.as_ref()) {
+            if version <= id.written || cfg.version < id.version {
                 return Outcome::Stale;
             }
-            let id = ConfigurationId {
-                written: *known,
-                version: current.version,
-            };
             self.configuration_history.record(id, current, cfg);
         }
         self.configuration = Some((version, Rc::new(cfg.clone())));
--- a/crates/policy/src/packets/flows.rs
+++ b/crates/policy/src/packets/flows.rs
@@ -77,7 +77,7 @@
 
     /// Whether the last packet came as long after the one before as callers wait; otherwise both waited in a queue.
     pub fn is_last_timely(&self) -> bool {
-        let pause = timeout(self.retransmissions.saturating_sub(1));
+        let pause = retransmission_timeout(self.retransmissions.saturating_sub(1));
         self.last + RTO_MARGIN >= self.previous + pause
     }
 
@@ -90,7 +90,7 @@
 
     /// Time after the last packet in which the caller retransmits it.
     fn timeout(&self) -> Duration {
-        timeout(self.retransmissions) + RTO_MARGIN
+        retransmission_timeout(self.retransmissions) + RTO_MARGIN
     }
 
     /// Whether the caller has not had time to retransmit the request.
@@ -101,12 +101,12 @@
 
 /// Time after which a caller sends this retransmission of a request.
 pub(super) fn sent_after(retransmission: u32) -> Duration {
-    let timeouts = (0..retransmission.min(RETRANSMISSIONS_MAX)).map(timeout);
+    let timeouts = (0..retransmission.min(RETRANSMISSIONS_MAX)).map(retransmission_timeout);
     timeouts.sum()
 }
 
 /// Time that a caller waits for an answer after this retransmission; the first packet has number 0.
-fn timeout(retransmission: u32) -> Duration {
+fn retransmission_timeout(retransmission: u32) -> Duration {
     (RTO_MIN * 2u32.saturating_pow(retransmission)).min(RTO_MAX)
 }
 
--- a/crates/policy/tests/packets/change_set.rs
+++ b/crates/policy/tests/packets/change_set.rs
@@ -173,7 +173,7 @@
 /// Passes the changes of one daemon on to another, as a request between them does.
 fn pass_on(from: &Directory, to: &mut Directory, synced_from: SyncedFrom, now: Instant) -> bool {
     let known = to.version();
-    let changes = from.changes_since(known, synced_from, now);
+    let changes = from.changes_since(known, synced_from, None, now);
     let recovered_at = from.recovered_at();
     if let Some(at) = recovered_at.filter(|at| Some(*at) > to.recovered_at()) {
         to.record_recovery(at);
@@ -271,7 +271,7 @@
     let at = now + Duration::from_secs(20);
     assert_eq!(
         reader
-            .changes_since(0.into(), SyncedFrom::Other, at)
+            .changes_since(0.into(), SyncedFrom::Other, None, at)
             .items
             .len(),
         1,
@@ -279,7 +279,7 @@
     );
     assert_eq!(
         reader
-            .changes_since(1.into(), SyncedFrom::ThisDaemon, at)
+            .changes_since(1.into(), SyncedFrom::ThisDaemon, None, at)
             .items,
         [],
         "the others change nothing significant"
@@ -288,7 +288,7 @@
     reader.apply(30.into(), &[restarted], at);
     assert_eq!(
         reader
-            .changes_since(20.into(), SyncedFrom::ThisDaemon, at)
+            .changes_since(20.into(), SyncedFrom::ThisDaemon, None, at)
             .items
             .len(),
         1,
@@ -313,7 +313,7 @@
             at,
         );
         passed_on += reader
-            .changes_since(beat.into(), SyncedFrom::ThisDaemon, at)
+            .changes_since(beat.into(), SyncedFrom::ThisDaemon, None, at)
             .items
             .len();
         let known = reader.get(UpstreamId(1)).unwrap();
@@ -338,7 +338,10 @@
     reader.apply(8.into(), &gone, now);
     let mut new = Directory::default();
     new.record_recovery(reader.recovered_at().expect("the entries lapsed together"));
-    new.merge_changes(&reader.changes_since(0.into(), SyncedFrom::Other, now), now);
+    new.merge_changes(
+        &reader.changes_since(0.into(), SyncedFrom::Other, None, now),
+        now,
+    );
     for id in 1..=4 {
         assert!(new.get(UpstreamId(id)).unwrap().is_serving(now), "{id}");
         let later = now + LAPSE_GRACE;
@@ -360,7 +363,10 @@
     }
     let now = now + Duration::from_secs(30);
     assert!(reader.get(UpstreamId(1)).unwrap().is_gone(now));
-    follower.merge_changes(&reader.changes_since(3.into(), SyncedFrom::Other, now), now);
+    follower.merge_changes(
+        &reader.changes_since(3.into(), SyncedFrom::Other, None, now),
+        now,
+    );
     assert!(follower.get(UpstreamId(1)).unwrap().is_gone(now));
 }
 
@@ -380,11 +386,11 @@
         now,
     );
     for changes in [
-        behind.changes_since(0.into(), SyncedFrom::Other, now),
-        behind.changes_since(3.into(), SyncedFrom::Other, now),
+        behind.changes_since(0.into(), SyncedFrom::Other, None, now),
+        behind.changes_since(3.into(), SyncedFrom::Other, None, now),
         ChangeSet {
             is_whole: true,
-            ..behind.changes_since(0.into(), SyncedFrom::Other, now)
+            ..behind.changes_since(0.into(), SyncedFrom::Other, None, now)
         },
     ] {
         ahead.merge_changes(&changes, now);
--- a/crates/policy/tests/packets/configuration_delta.rs
+++ b/crates/policy/tests/packets/configuration_delta.rs
@@ -2,6 +2,7 @@
 
 use crate::scene::{
     configuration,
+    flow,
     SERVICE, //
 };
 use foxtailhinge_policy::packets::{
@@ -45,11 +46,7 @@
 fn change(cfg: &Configuration, port: u16) -> Configuration {
     let mut cfg = cfg.clone();
     cfg.version += 1;
-    let (_, route) = cfg
-        .routes
-        .iter_mut()
-        .find(|(address, _)| address.port() == port)
-        .unwrap();
+    let route = cfg.routes.get_mut(&flow(0, port).route).unwrap();
     route.target_latency += Duration::from_millis(1);
     cfg
 }
@@ -58,7 +55,7 @@
 fn follow(follower: &mut Directory, reader: &Directory, now: Instant) -> usize {
     let known = follower.configuration_id();
     let after = follower.version();
-    let mut changes = reader.changes_for(after, SyncedFrom::ThisDaemon, known, now);
+    let mut changes = reader.changes_since(after, SyncedFrom::ThisDaemon, known, now);
     let delta = changes.delta.as_ref();
     let delta = delta.map(|delta| delta.changed.len() + delta.removed.len());
     let whole = changes.items.iter().find_map(|item| match &item.change {
@@ -130,7 +127,7 @@
     write(&mut reader, large(), 1, now);
     let known = reader.configuration_id();
     write(&mut reader, change(&large(), 7), 3, now);
-    let changes = reader.changes_for(1.into(), SyncedFrom::ThisDaemon, known, now);
+    let changes = reader.changes_since(1.into(), SyncedFrom::ThisDaemon, known, now);
     assert!(changes.delta.is_some());
     let mut other = Directory::default();
     write(&mut other, change(&large(), 8), 2, now);
@@ -142,24 +139,19 @@
     assert_eq!(stale.items, [], "a newer configuration stays");
 }
 
-/// Adds, changes and removes some routes.
-fn mutate(cfg: &Configuration, rng: &mut SmallRng) -> Configuration {
+/// Adds routes of `all`, and changes and removes some.
+fn mutate(cfg: &Configuration, all: &Configuration, rng: &mut SmallRng) -> Configuration {
     let mut cfg = cfg.clone();
     cfg.version += rng.random_range(1..5);
-    let other = large();
     for _ in 0..rng.random_range(0..30) {
         let port = rng.random_range(1..=200);
-        let (address, route) = other
-            .routes
-            .iter()
-            .find(|(address, _)| address.port() == port)
-            .unwrap();
-        match cfg.routes.remove(address) {
+        let address = flow(0, port).route;
+        match cfg.routes.remove(&address) {
             Some(_) if rng.random() => (),
             known => {
-                let mut route = known.unwrap_or_else(|| route.clone());
+                let mut route = known.unwrap_or_else(|| all.routes[&address].clone());
                 route.priority = rng.random();
-                cfg.routes.insert(*address, route);
+                cfg.routes.insert(address, route);
             }
         }
     }
@@ -169,13 +161,14 @@
 #[test]
 fn followers_that_ask_at_any_time_have_the_configuration_of_the_reader() {
     let now = Instant::now();
+    let all = large();
     for seed in 0..20 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut reader = Directory::default();
         let mut followers = vec![Directory::default(); 4];
         let mut cfg = configuration(1, &[]);
         for revision in 1..60 {
-            cfg = mutate(&cfg, &mut rng);
+            cfg = mutate(&cfg, &all, &mut rng);
             write(&mut reader, cfg.clone(), revision, now);
             for follower in &mut followers {
                 match rng.random_range(0..5) {
--- a/crates/policy/tests/packets/restoration.rs
+++ b/crates/policy/tests/packets/restoration.rs
@@ -237,7 +237,8 @@
     store.restore();
     store.list(&mut directory);
     store.write_watched(&mut directory, "1", serving(1));
-    let changes = directory.changes_since(follower.version(), SyncedFrom::ThisDaemon, store.now);
+    let changes =
+        directory.changes_since(follower.version(), SyncedFrom::ThisDaemon, None, store.now);
     assert!(changes.is_whole);
     follower.merge_changes(&changes, store.now);
     assert!(
@@ -400,7 +401,7 @@
     store.list(&mut new);
     assert!(store.is_used(&new, 1), "its list has the copy's entry");
     new.record_recovery(directory.recovered_at().unwrap());
-    let changes = directory.changes_since(new.version(), SyncedFrom::Other, store.now);
+    let changes = directory.changes_since(new.version(), SyncedFrom::Other, None, store.now);
     new.merge_changes(&changes, store.now);
     assert!(!store.is_used(&new, 1) && !store.is_used(&new, 2));
     assert!(store.is_used(&new, 3) && store.is_used(&new, 4) && store.is_used(&new, 5));
@@ -428,7 +429,7 @@
     store.write("away", zone(true));
     store.list(&mut new);
     store.write_watched(&mut new, "away", zone(false));
-    let changes = directory.changes_since(new.version(), SyncedFrom::Other, store.now);
+    let changes = directory.changes_since(new.version(), SyncedFrom::Other, None, store.now);
     new.merge_changes(&changes, store.now);
     assert!(store.is_used(&new, 1));
     assert!(!new.is_out(AWAY));
@@ -446,12 +447,12 @@
     store.write_watched(&mut ahead, "3", draining(3));
     let known = ahead.version();
     for after in [Version::default(), behind.version(), known] {
-        let changes = behind.changes_since(after, SyncedFrom::Other, store.now);
+        let changes = behind.changes_since(after, SyncedFrom::Other, None, store.now);
         assert_eq!(ahead.merge_changes(&changes, store.now), None);
         assert_eq!(ahead.version(), known);
         assert!(!store.is_used(&ahead, 3));
     }
-    let changes = ahead.changes_since(behind.version(), SyncedFrom::ThisDaemon, store.now);
+    let changes = ahead.changes_since(behind.version(), SyncedFrom::ThisDaemon, None, store.now);
     behind.merge_changes(&changes, store.now);
     assert_eq!(behind.version(), known);
     assert!(!store.is_used(&behind, 3));
--- a/crates/policy/tests/packets/restoration_model.rs
+++ b/crates/policy/tests/packets/restoration_model.rs
@@ -232,7 +232,7 @@
         let after = follower.directory.version();
         let changes = reader
             .directory
-            .changes_since(after, SyncedFrom::Other, self.now);
+            .changes_since(after, SyncedFrom::Other, None, self.now);
         let is_newer = changes.version >= after;
         let recovered_at = reader.directory.recovered_at();
         if let Some(at) = recovered_at.filter(|at| Some(*at) > follower.directory.recovered_at()) {
