--- a/review/13/case.py
+++ b/review/13/case.py
@@ -11,7 +11,7 @@
 
 from world import BROKEN, HELD, NotRun, run
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.250.0.1", 443)
 END = 14.0
 RESTART_DELAY_S = 1.0
 EXITS = 3  # ends of a process in a day that are a fault
