--- a/review/14/case.py
+++ b/review/14/case.py
@@ -8,7 +8,7 @@
 
 from world import BROKEN, HELD, NotRun, run
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.250.0.1", 443)
 WARMUP_S, WARMUP_PER_S = 2.0, 2.0
 DOWN_AT, CRASH_AT, CRASH_S, BACK_AT, END = 12.0, 12.1, 2.5, 16.5, 20.0
 
