--- a/review/15/case.py
+++ b/review/15/case.py
@@ -10,7 +10,7 @@
 
 from world import BROKEN, CONTACT_S, HELD, NotRun, run
 
-ROUTE = ("198.18.0.1", 443)
+ROUTE = ("127.250.0.1", 443)
 COPY_AT, FIRST_AT, FIRST_S, AWAY_AT, AWAY_S, WATCHED_S = 7.0, 7.5, 2.0, 10.5, 1.0, 20.0
 EVACUATION_S = 5.0
 
