Read limits, durations and weights with fractions

Cause: the settings and the store's entries were read with whole numbers only, while the platform writes its bounds as whole numbers, fractions, or true or false.

A watch waits at most 30 s, whatever the limits say.

Changed tests: the messages of findings name the wider ranges.

--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -44,13 +44,13 @@
 /// Slot by which a ticket refers to a key.
 pub const KEY_SLOT: RangeInclusive<u64> = 0..=15;
 /// Age from which a flow may be evicted, in seconds.
-pub const FLOW_S: RangeInclusive<u64> = 1..=86_400;
+pub const FLOW_S: RangeInclusive<f64> = 0.1..=86_400.0;
 /// Time from the request to stop until the process exits, in seconds.
-pub const GRACE_S: RangeInclusive<u64> = 1..=600;
+pub const GRACE_S: RangeInclusive<f64> = 0.0..=86_400.0;
 /// Time within which a lost response of the store must be detected, in milliseconds.
-pub const NOTICE_MS: RangeInclusive<u64> = 1_000..=60_000;
+pub const NOTICE_MS: RangeInclusive<f64> = 100.0..=600_000.0;
 /// Time within which a published change must be in force, in milliseconds.
-pub const CHANGE_DEADLINE_MS: RangeInclusive<u64> = 500..=600_000;
+pub const CHANGE_DEADLINE_MS: RangeInclusive<f64> = 100.0..=600_000.0;
 /// Time that a flow must save to leave its zone, in milliseconds. At the maximum no flow leaves unless its own zone is
 /// slower by a whole second; `"spill": false` keeps flows in the zone in any case.
 pub const ZONE_PRICE_MS: RangeInclusive<u64> = 0..=1_000;
--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -19,6 +19,7 @@
     },
 };
 use jsonc_parser::ast::{
+    BooleanLit,
     Object,
     Value, //
 };
@@ -26,7 +27,8 @@
 use serde_with::{
     serde_as,
     DurationMilliSeconds,
-    DurationSeconds, //
+    DurationMilliSecondsWithFrac,
+    DurationSecondsWithFrac, //
 };
 use std::{
     net::{
@@ -75,27 +77,27 @@
 pub struct PacketLimits {
     /// Age from which a flow may be evicted.
     #[serde(rename = "flow_s")]
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub flow: Duration,
     /// Time from the request to stop until the process exits.
     #[serde(rename = "grace_s")]
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub grace: Duration,
     /// Time within which a lost response of the store must be detected.
     #[serde(rename = "notice_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub notice: Duration,
     /// Time within which a new configuration must be in force.
     #[serde(rename = "configure_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub configure: Duration,
     /// Time within which a draining upstream must stop getting new flows.
     #[serde(rename = "drain_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub drain: Duration,
     /// Time within which a zone that is taken out must stop getting new flows.
     #[serde(rename = "zone_out_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub zone_out: Duration,
 }
 
@@ -241,6 +243,10 @@
 ];
 const LOAD_FIELDS: [&str; 3] = ["shed", "spill", "zone_price_ms"];
 
+/// Units of the limits, in seconds.
+const SECOND_S: f64 = 1.0;
+const MILLI_S: f64 = 0.001;
+
 fn read_settings(reader: &Reader<'_>, object: &Object<'_>) -> Option<PacketSettings> {
     let fields = reader.fields(object, &FIELDS);
     let interface = fields
@@ -301,10 +307,15 @@
         return Some(default);
     };
     let fields = reader.fields(reader.object(value)?, &LIMITS_FIELDS);
-    let flow = fields.seconds_or("flow_s", &bounds::FLOW_S, default.flow);
-    let grace = fields.seconds_or("grace_s", &bounds::GRACE_S, default.grace);
-    let notice = fields.millis_or("notice_ms", &bounds::NOTICE_MS, default.notice);
-    let in_force = |name, default| fields.millis_or(name, &bounds::CHANGE_DEADLINE_MS, default);
+    let limit = |name, bounds, unit_s, default| match fields.optional(name) {
+        // The platform writes `true` for a limit without a figure.
+        None | Some(Value::BooleanLit(BooleanLit { value: true, .. })) => Some(default),
+        Some(value) => reader.decimal_duration(value, bounds, unit_s),
+    };
+    let flow = limit("flow_s", &bounds::FLOW_S, SECOND_S, default.flow);
+    let grace = limit("grace_s", &bounds::GRACE_S, SECOND_S, default.grace);
+    let notice = limit("notice_ms", &bounds::NOTICE_MS, MILLI_S, default.notice);
+    let in_force = |name, default| limit(name, &bounds::CHANGE_DEADLINE_MS, MILLI_S, default);
     let configure = in_force("configure_ms", default.configure);
     let drain = in_force("drain_ms", default.drain);
     let zone_out = in_force("zone_out_ms", default.zone_out);
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -379,6 +379,26 @@
         number
     }
 
+    /// Reads a duration in a unit of `unit_s` seconds, with or without a fraction, within `bounds`.
+    pub fn decimal_duration(
+        &self,
+        value: &Value<'_>,
+        bounds: &RangeInclusive<f64>,
+        unit_s: f64,
+    ) -> Option<Duration> {
+        let wanted = format!("a number from {} to {}", bounds.start(), bounds.end());
+        let Some(found) = value.as_number_lit() else {
+            self.wrong_type(value, &wanted);
+            return None;
+        };
+        let number = found.value.parse().ok().filter(|n| bounds.contains(n));
+        let duration = number.and_then(|n: f64| Duration::try_from_secs_f64(n * unit_s).ok());
+        if duration.is_none() {
+            self.report(start(value), format!("Write {wanted}."));
+        }
+        duration
+    }
+
     /// The text of a value as it was written.
     pub fn source(&self, value: &Value<'_>) -> &'t str {
         let range = value.range();
--- a/crates/config/tests/packet_settings.rs
+++ b/crates/config/tests/packet_settings.rs
@@ -2,6 +2,7 @@
 
 use foxtailhinge_config::packet_settings::{
     AnySettings,
+    PacketLimits,
     PacketLoad,
     PacketSettings, //
 };
@@ -61,6 +62,9 @@
     "false"
 )]
 #[case::unknown_load_field("\"spill\"", "\"spillover\"")]
+#[case::negative("\"grace_s\": 6", "\"grace_s\": -0.5")]
+#[case::infinite("\"grace_s\": 6", "\"grace_s\": 1e999")]
+#[case::no_flow("\"flow_s\": 90", "\"flow_s\": 0")]
 fn findings_name_their_place(#[case] text: &str, #[case] other: &str) {
     let changed = GOOD.replace(text, other);
     assert_ne!(changed, GOOD);
@@ -77,6 +81,35 @@
     assert_eq!(read.load, PacketLoad::default());
 }
 
+/// A limit with a fraction, or without a figure, must not keep the daemon from starting: the platform writes its bounds
+/// as whole numbers, fractions, or true or false.
+#[rstest]
+#[case::fraction("6.5", 6.5)]
+#[case::whole_with_point("7.0", 7.0)]
+#[case::exponent("65e-1", 6.5)]
+#[case::under_a_second("0.25", 0.25)]
+#[case::zero("0", 0.0)]
+#[case::no_figure("true", PacketLimits::default().grace.as_secs_f64())]
+fn limits_may_have_fractions(#[case] written: &str, #[case] seconds: f64) {
+    let text = GOOD.replace("\"grace_s\": 6", &format!("\"grace_s\": {written}"));
+    let read = PacketSettings::parse("fraction.jsonc", &text).unwrap();
+    assert_eq!(read.limits.grace.as_secs_f64(), seconds);
+}
+
+/// Each limit is read in its own unit.
+#[test]
+fn each_limit_may_have_a_fraction() {
+    let limits =
+        "{ \"flow_s\": 1.5, \"grace_s\": 2.5, \"notice_ms\": 3000.5, \"configure_ms\": 4000.5,
+        \"drain_ms\": 5000.5, \"zone_out_ms\": 6000.5 }";
+    let text = GOOD.replace(
+        r#"{ "flow_s": 90, "grace_s": 6, "notice_ms": 4000 }"#,
+        limits,
+    );
+    let read = PacketSettings::parse("fractions.jsonc", &text).unwrap();
+    insta::assert_json_snapshot!(read.limits);
+}
+
 #[test]
 fn all_findings_are_reported_together() {
     let changed = GOOD
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -31,7 +31,8 @@
     read_changes,
     read_list,
     watch_path,
-    ReadConsistency, //
+    ReadConsistency,
+    WAIT_MAX, //
 };
 use foxtailhinge_policy::packets::{
     directory::{
@@ -240,7 +241,7 @@
         let notice = self.limits.borrow().notice;
         let silent_for = self.heard.get().map_or(Duration::ZERO, |at| began - at);
         let wait = notice.saturating_sub(silent_for + ANSWER + NOTICE_MARGIN);
-        let wait = wait.max(WAIT_MIN);
+        let wait = wait.clamp(WAIT_MIN, WAIT_MAX);
         let wait = match self.is_reader.get() {
             true => wait.min(READER_WAIT),
             false => wait,
