Keep an upstream that was silent on probation until it is known to be warm

Cause: an ejection that ended made an upstream as good as any other, although it had answered nothing, and the view was older than the silence, so that it could not show a warm-up. An answer to a new opening ended an ejection at once, which a new process gives as well.

Fix: after an ejection the upstream is on probation until the directory is complete as of the end of the silence, or an earlier flow shows that the process lives on. In a long outage each daemon sends one opening, one after the other, and an upstream that has answered for 10 s is warm.

The simulations of load confirm their directory every second, since their store answers throughout; without that each ejection would count as one in an outage.

--- a/crates/daemon/src/packets/path.rs
+++ b/crates/daemon/src/packets/path.rs
@@ -186,8 +186,9 @@
         self.view.expire_awaited(now);
         self.view.directory_mut().evict(flow_max, now);
         let mut balancer = self.balancer.borrow_mut();
-        balancer.evict(IDLE, now);
-        balancer.update_load(&self.view.directory(), now);
+        let directory = self.view.directory();
+        balancer.evict(IDLE, directory.as_of(), now);
+        balancer.update_load(&directory, now);
         let load_events = balancer.take_load_events();
         drop(balancer);
         log_load_events(load_events);
@@ -289,7 +290,12 @@
 
     /// Stores changes in the health of upstreams for the daemons that follow this one.
     fn share(&self, health_changes: &[HealthChange], now: Instant) {
-        let is_shared = |change: &HealthChange| !matches!(change, HealthChange::Inconclusive(_));
+        let is_shared = |change: &HealthChange| {
+            !matches!(
+                change,
+                HealthChange::Inconclusive(_) | HealthChange::Probed(_)
+            )
+        };
         if !health_changes.iter().any(is_shared) {
             return;
         }
@@ -300,7 +306,7 @@
                     self.evidence.record_answer(id);
                     continue;
                 }
-                HealthChange::Inconclusive(_) => continue,
+                HealthChange::Inconclusive(_) | HealthChange::Probed(_) => continue,
                 HealthChange::Silent(id)
                 | HealthChange::Refuses(id)
                 | HealthChange::Unfollowed(id, _)
@@ -501,6 +507,7 @@
             ("upstream_not_judged", id, "others_unanswered", packet.flow)
         }
         HealthChange::Answers(id) => ("upstream_answers", id, "answered", packet.flow),
+        HealthChange::Probed(id) => ("upstream_probed", id, "ejection_ended", packet.flow),
     };
     Event::new(name)
         .field("upstream", id)
--- a/crates/policy/benches/placement/overload_sim.rs
+++ b/crates/policy/benches/placement/overload_sim.rs
@@ -684,13 +684,15 @@
         self.agenda
             .push(self.now + Duration::from_secs(1), Event::Second);
         let unix = Duration::from_secs(1_800_000_000) + (self.now - self.origin);
+        // The store answers throughout.
+        self.directory.confirm(self.now);
         for (daemon, balancer) in self.balancers.iter_mut().enumerate() {
             let position = Position {
                 index: daemon / ZONES,
                 daemons: (self.site.daemons - daemon % ZONES).div_ceil(ZONES),
             };
             balancer.set_surroundings(unix, position, self.now);
-            balancer.evict(IDLE, self.now);
+            balancer.evict(IDLE, self.directory.as_of(), self.now);
         }
     }
 }
--- a/crates/policy/src/packets/balancer.rs
+++ b/crates/policy/src/packets/balancer.rs
@@ -137,6 +137,8 @@
     Inconclusive(UpstreamId),
     /// The upstream answers again.
     Answers(UpstreamId),
+    /// The upstream was silent and may be cold; one opening is sent to find out whether it answers.
+    Probed(UpstreamId),
 }
 
 /// Report of another daemon about an upstream.
@@ -271,6 +273,7 @@
     /// Sets the time of day and the position among the live daemons of the zone; to be called every second.
     pub fn set_surroundings(&mut self, unix: Duration, position: Position, now: Instant) {
         self.overload.set_surroundings(unix, position, now);
+        self.ejection.set_position(position);
     }
 
     /// Judges the load of each service again; packets do so too, but there may be none.
@@ -324,9 +327,11 @@
     }
 
     /// Evicts expired state, and flows without packets for `idle`.
-    pub fn evict(&mut self, idle: Duration, now: Instant) {
+    ///
+    /// `as_of` is the time up to which the directory is complete.
+    pub fn evict(&mut self, idle: Duration, as_of: Option<Instant>, now: Instant) {
         self.openings.evict(now);
-        self.ejection.evict(now);
+        self.ejection.evict(as_of, now);
         self.dead.evict(now);
         self.flows.evict(idle, now);
     }
@@ -380,6 +385,9 @@
             _ => self.deliveries.record_retransmission(packet.flow),
         }
         self.openings.record(packet.flow, choice.id, now);
+        if self.ejection.record_opening(choice.id, now) {
+            self.health_changes.push(HealthChange::Probed(choice.id));
+        }
         self.flows.open(packet.flow, choice.id, now);
         if let Some(known) = directory.get(choice.id) {
             let Upstream { service, zone, .. } = &known.upstream;
@@ -502,7 +510,8 @@
         };
         self.deliveries.record_answer(packet.flow, now);
         let was_dead = self.dead.record_answer(id, now);
-        if self.ejection.record_answer(id, asked) || was_dead {
+        let flow_since = opened.or(self.flows.first_seen(packet.flow)).unwrap_or(now);
+        if self.ejection.record_answer(id, asked, flow_since, now) || was_dead {
             self.health_changes.push(HealthChange::Answers(id));
         }
     }
--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -9,7 +9,10 @@
     entry::UpstreamId,
     flows::Flows,
     openings::Attempts,
-    outlier_ejection::OutlierEjection,
+    outlier_ejection::{
+        Ejected,
+        OutlierEjection, //
+    },
     packet::Label,
     subset::Position, //
 };
@@ -46,6 +49,8 @@
 pub enum Standing {
     /// No reason against the upstream is known.
     Good,
+    /// The upstream was silent, and may have started again and be cold.
+    OnProbation,
     /// The upstream recently left an opening packet unanswered.
     Silent,
     /// The upstream left an opening packet of this flow unanswered.
@@ -151,12 +156,12 @@
         tried: &Attempts,
         now: Instant,
     ) -> Choice {
-        let standing = if tried.iter().any(|t| t.upstream == id) {
-            Standing::Tried
-        } else if self.ejection.is_silent(id, now) {
-            Standing::Silent
-        } else {
-            Standing::Good
+        let ejected = self.ejection.ejected(id, self.directory.as_of(), now);
+        let standing = match ejected {
+            _ if tried.iter().any(|t| t.upstream == id) => Standing::Tried,
+            Ejected::Silent => Standing::Silent,
+            Ejected::OnProbation => Standing::OnProbation,
+            Ejected::ProbeDue | Ejected::No => Standing::Good,
         };
         Choice {
             id,
--- a/crates/policy/src/packets/subset.rs
+++ b/crates/policy/src/packets/subset.rs
@@ -13,6 +13,12 @@
     pub daemons: usize,
 }
 
+impl Default for Position {
+    fn default() -> Self {
+        Self::ALONE
+    }
+}
+
 impl Position {
     /// Position of the only daemon of a zone.
     pub const ALONE: Self = Self {
--- a/crates/policy/tests/packets/fleet.rs
+++ b/crates/policy/tests/packets/fleet.rs
@@ -380,11 +380,13 @@
             Event::Second => {
                 let daemons = self.daemons.len();
                 let (now, unix) = (self.instant(), UNIX + self.now);
+                // The store answers throughout.
+                self.directory.confirm(now);
                 let all = self.daemons.iter_mut().enumerate();
                 let all = all.chain(self.unloaded.iter_mut().enumerate());
                 for (index, balancer) in all {
                     balancer.set_surroundings(unix, Position { index, daemons }, now);
-                    balancer.evict(Duration::from_secs(60), now);
+                    balancer.evict(Duration::from_secs(60), self.directory.as_of(), now);
                 }
                 self.plan(Duration::from_secs(1), Event::Second);
             }
--- a/crates/policy/tests/packets/opening.rs
+++ b/crates/policy/tests/packets/opening.rs
@@ -13,12 +13,17 @@
 use foxtailhinge_policy::packets::{
     directory::LAPSE_GRACE,
     entry::Change,
-    outlier_ejection::EJECTION_MIN,
+    outlier_ejection::{
+        EJECTION_MIN,
+        PROBE_INTERVAL,
+        WARMUP_MAX, //
+    },
     packet::Kind,
     Choice,
     DropReason,
     HealthChange,
     Packet,
+    Position,
     ResetReason,
     Standing,
     Upstream,
@@ -102,6 +107,105 @@
     assert_eq!(scene.choose(100).id, UpstreamId(1));
 }
 
+/// Openings at upstream 1 among those of one caller every 50 ms for this long; each is answered.
+fn openings_at_first(scene: &mut Scene, first: u16, duration: Duration) -> usize {
+    const PAUSE_MS: u64 = 50;
+    let callers = (duration.as_millis() as u64 / PAUSE_MS) as u16;
+    let openings = (first..first + callers).map(|caller| {
+        let id = scene.after(PAUSE_MS).choose(caller).id;
+        scene.after(1).follow(flow(caller, PORT), id);
+        usize::from(id == UpstreamId(1))
+    });
+    openings.sum()
+}
+
+/// A daemon that has found upstream 1 silent of three that were equal, at a time up to which its directory is complete.
+fn silent_first() -> Scene {
+    let mut scene = Scene::new()
+        .upstream(1, upstream())
+        .upstream(2, away())
+        .upstream(3, away());
+    scene.directory.confirm(scene.now);
+    assert_eq!(scene.after(100).choose(1).id, UpstreamId(1));
+    scene.after(200).open(1, 1);
+    assert!(scene.balancer.is_silent(UpstreamId(1), scene.now));
+    scene
+}
+
+/// A crashed upstream started again in an outage of the store, and got its full part of the flows while it was cold.
+#[test]
+fn an_upstream_that_was_silent_in_an_outage_gets_one_probe_until_it_is_surely_warm() {
+    let mut scene = silent_first();
+    scene.after(EJECTION_MIN.as_millis() as u64);
+    assert_eq!(openings_at_first(&mut scene, 100, WARMUP_MAX * 4 / 5), 1);
+    scene.after(WARMUP_MAX.as_millis() as u64 / 5);
+    assert!(openings_at_first(&mut scene, 1_000, Duration::from_secs(1)) > 10);
+}
+
+#[test]
+fn an_upstream_that_was_silent_is_used_again_once_the_store_was_heard() {
+    let mut scene = silent_first();
+    scene.after(EJECTION_MIN.as_millis() as u64);
+    assert_eq!(
+        openings_at_first(&mut scene, 100, Duration::from_secs(1)),
+        1
+    );
+    scene.directory.confirm(scene.now);
+    assert!(openings_at_first(&mut scene, 1_000, Duration::from_secs(1)) > 10);
+}
+
+/// A process that has started again does not know the flows of before.
+#[test]
+fn an_answer_on_an_earlier_flow_shows_that_the_upstream_is_not_cold() {
+    let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
+    scene.request(50, 1, 1, 1, 200);
+    scene.after(100).request(50, 1, 201, 301, 0);
+    assert_eq!(scene.after(100).choose(1).id, UpstreamId(1));
+    scene.after(200).open(1, 1);
+    scene.after(700).request(50, 1, 201, 301, 200);
+    scene.after(30).request(50, 1, 401, 601, 0);
+    assert!(openings_at_first(&mut scene, 100, Duration::from_secs(1)) > 10);
+}
+
+#[test]
+fn the_daemons_of_a_zone_probe_one_after_the_other() {
+    let mut scene = Scene::new().upstream(1, upstream()).upstream(2, away());
+    let position = Position {
+        index: 3,
+        daemons: 5,
+    };
+    scene
+        .balancer
+        .set_surroundings(Duration::ZERO, position, scene.now);
+    scene.choose(1);
+    scene.after(200).open(1, 1);
+    scene.after(EJECTION_MIN.as_millis() as u64);
+    let wait = PROBE_INTERVAL * 3;
+    assert_eq!(openings_at_first(&mut scene, 100, wait * 9 / 10), 0);
+    assert_eq!(openings_at_first(&mut scene, 1_000, wait), 1);
+}
+
+/// An upstream that does not answer its probe is silent for longer.
+#[test]
+fn an_unanswered_probe_doubles_the_ejection() {
+    let mut scene = silent_first();
+    scene.after(EJECTION_MIN.as_millis() as u64);
+    assert_eq!(scene.choose(100).id, UpstreamId(1));
+    scene.after(200).open(100, 1);
+    scene.after(EJECTION_MIN.as_millis() as u64);
+    assert!(scene.balancer.is_silent(UpstreamId(1), scene.now));
+}
+
+/// Callers are served although each upstream may be cold.
+#[test]
+fn upstreams_on_probation_are_used_if_there_are_no_others() {
+    let mut scene = Scene::new().upstream(1, upstream());
+    scene.choose(1);
+    scene.after(200).open(1, 1);
+    scene.after(EJECTION_MIN.as_millis() as u64).choose(100);
+    assert_eq!(scene.choose(101).standing, Standing::OnProbation);
+}
+
 #[test]
 fn a_caller_that_is_refused_gets_another_upstream_each_time() {
     let mut scene = Scene::new()
