Take a zone out that a restored store lists as evacuated, whatever the revision

Cause: an evacuation in the list of a new era that had the revision of an earlier one counted as that one, which had ended, for 30 s. The restored store gives revisions out again, so a new evacuation can have it.

Fix: a listed evacuation always applies. A zone that is out by mistake returns when its evacuation is taken back, which the operator writes again.

--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -122,8 +122,6 @@
 pub(super) struct Zone {
     pub(super) version: Version,
     pub(super) out: bool,
-    /// First and last revision at which the zone was taken out of service before it last returned.
-    pub(super) taken_out: Option<(u64, u64)>,
     /// When the zone last returned to service.
     pub(super) returned: Option<Instant>,
     /// Whether this state is newer than a copy from which the store was restored.
@@ -552,18 +550,9 @@
             true => Some(now),
             false => known.and_then(|zone| zone.returned),
         };
-        let taken_out = known.and_then(|zone| zone.taken_out);
-        let taken_out = match (out, taken_out) {
-            (false, _) => taken_out,
-            (true, Some((first, _))) if was_out => {
-                Some((first.min(version.revision), version.revision))
-            }
-            (true, _) => Some((version.revision, version.revision)),
-        };
         let zone = Zone {
             version,
             out,
-            taken_out,
             returned,
             awaits_write: false,
         };
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -2,8 +2,8 @@
 //!
 //! A restored store has lost its last changes, but the servers and operators that made them still exist and write them
 //! again. Until then, the directory keeps what it knows to be newer than the copy: removed and draining upstreams stay
-//! out, upstreams that registered since stay in use for [`LAPSE_GRACE`], zones stay out of or in service for
-//! [`REWRITE_TIME`], and the configuration never goes back. An entry that is later than the start of the era was
+//! out, upstreams that registered since stay in use for [`LAPSE_GRACE`], zones stay out of service for [`REWRITE_TIME`],
+//! and the configuration never goes back. An entry that is later than the start of the era was
 //! written since and always applies.
 
 mod list;
@@ -18,7 +18,6 @@
     configuration_delta::ConfigurationId,
     directory::{
         Directory,
-        Origin,
         TrackedUpstream,
         Zone,
         LAPSE_GRACE, //
@@ -40,7 +39,7 @@
     },
 };
 
-/// Time in which operators write lost changes again; a zone then takes the state that the store publishes.
+/// Time in which operators write lost changes again; a zone whose evacuation is not written again then returns to service.
 pub const REWRITE_TIME: Duration = Duration::from_secs(30);
 
 /// Maximum age of a directory that is assumed to be newer than the copy even if the restored store has already passed
@@ -141,7 +140,7 @@
     fn states_newer_than_copy(&self, era: NewEra, items: &[Item], now: Instant) -> Vec<Item> {
         let listed = Listed::new(era.start, items);
         let mut changes = self.newer_upstreams(era.start, &listed, now);
-        changes.extend(self.newer_zones(era, &listed));
+        changes.extend(self.newer_zones(&listed));
         let cfg = self.configuration().filter(|known| {
             let listed = listed.configuration;
             listed.is_some_and(|version| version < known.version)
@@ -185,27 +184,18 @@
         newer.chain(removed).collect()
     }
 
-    /// Zones whose state is newer than the copy: out of service if the copy lacks the evacuation, and in service if it has
-    /// the one that ended. An evacuation with another revision is a new one, and may be one if an era has passed unseen or
-    /// another daemon passes it on.
-    fn newer_zones(&self, era: NewEra, listed: &Listed<'_>) -> Vec<Change> {
-        let may_have_ended = era.origin == Origin::Store && era.is_next_after(self.version());
-        let newer = self.zones.iter().filter_map(|(name, zone)| {
-            let is_newer = match listed.zones.get(&**name) {
-                Some((at, out)) => {
-                    let is_known = zone
-                        .taken_out
-                        .is_some_and(|(first, last)| (first..=last).contains(at));
-                    *out && !zone.out && is_known && may_have_ended
-                }
-                None => zone.out,
-            };
-            is_newer.then(|| Change::Zone {
-                zone: Rc::clone(name),
-                out: zone.out,
-            })
+    /// Zones that stay out of service although the list lacks their evacuation.
+    ///
+    /// A listed evacuation always applies. It may be one that ended since the copy was taken, but the restored store gives
+    /// revisions out again, so a new evacuation can look the same.
+    fn newer_zones(&self, listed: &Listed<'_>) -> Vec<Change> {
+        let out = self.zones.iter().filter(|(_, zone)| zone.out);
+        let kept = out.filter(|(name, _)| !listed.zones.contains(&***name));
+        let kept = kept.map(|(name, _)| Change::Zone {
+            zone: Rc::clone(name),
+            out: true,
         });
-        newer.collect()
+        kept.collect()
     }
 
     /// Keeps states in force that are newer than the copy from which the store was restored.
@@ -218,7 +208,7 @@
                 Change::Listed(id, _) | Change::Unlisted(id, _) => {
                     self.hold_upstream_out(*id, item, now);
                 }
-                Change::Zone { zone, out } => self.keep_zone(zone, *out, item.version, now),
+                Change::Zone { zone, .. } => self.keep_zone_out(zone, item.version),
                 Change::Configured(cfg) => self.keep_configuration(cfg, item.version),
                 Change::Unusable(_) | Change::Foreign => (),
             }
@@ -284,18 +274,16 @@
         }
     }
 
-    fn keep_zone(&mut self, name: &Rc<str>, out: bool, version: Version, now: Instant) {
+    /// Keeps a zone out of service, unless an entry is known that was written since.
+    fn keep_zone_out(&mut self, name: &Rc<str>, version: Version) {
         let known = self.zones.get(name);
         if known.is_some_and(|zone| zone.version > version) {
             return;
         }
-        let returned = known.and_then(|zone| zone.returned);
         let zone = Zone {
             version,
-            out,
-            taken_out: known.and_then(|zone| zone.taken_out),
-            // A zone that stays in service did not return to it with the list.
-            returned: returned.filter(|at| *at < now),
+            out: true,
+            returned: known.and_then(|zone| zone.returned),
             awaits_write: true,
         };
         self.zones.insert(Rc::clone(name), zone);
@@ -331,7 +319,7 @@
             }
         }
         if now >= restoration.at + REWRITE_TIME {
-            restoration.given_up += self.take_published_zones(now);
+            restoration.given_up += self.return_zones(now);
             restoration.given_up +=
                 usize::from(std::mem::take(&mut self.configuration_awaits_write));
         }
@@ -340,17 +328,15 @@
         Some(restoration).filter(|one| one.is_settled)
     }
 
-    /// Sets zones that were not written again to the state that the store publishes; returns their number.
-    fn take_published_zones(&mut self, now: Instant) -> usize {
+    /// Returns zones to service whose evacuations were not written again; returns their number.
+    fn return_zones(&mut self, now: Instant) -> usize {
         let zones = self.zones.iter().filter(|(_, zone)| zone.awaits_write);
-        let items: Vec<_> = zones
-            .map(|(name, zone)| (Rc::clone(name), !zone.out))
-            .collect();
+        let names: Vec<_> = zones.map(|(name, _)| Rc::clone(name)).collect();
         let version = self.version();
-        for (name, out) in &items {
-            self.set_zone(name, *out, version, now);
+        for name in &names {
+            self.set_zone(name, false, version, now);
         }
-        items.len()
+        names.len()
     }
 
     /// States that stay in force until their entries are written again, which has not happened up to the current version,
--- a/crates/policy/src/packets/restoration/list.rs
+++ b/crates/policy/src/packets/restoration/list.rs
@@ -10,7 +10,10 @@
     },
     version::Version,
 };
-use std::collections::HashMap;
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 
 /// Beginning of an era, as a list shows it.
 #[derive(Clone, Copy, Debug)]
@@ -36,11 +39,6 @@
         }
     }
 
-    /// Whether no era has passed unseen since a version.
-    pub(super) fn is_next_after(self, version: Version) -> bool {
-        self.start.era == version.era + 1
-    }
-
     /// Whether another daemon passes the list on that knew at least as much of the former era: it has kept what is newer
     /// than the copy, and says so.
     pub(super) fn is_passed_on_by_one_ahead_of(self, version: Version) -> bool {
@@ -64,8 +62,8 @@
 /// Entries of a list with their revisions.
 pub(super) struct Listed<'i> {
     pub(super) upstreams: HashMap<UpstreamId, (u64, ListedState)>,
-    /// Whether zones are out of service.
-    pub(super) zones: HashMap<&'i str, (u64, bool)>,
+    /// Zones that are out of service.
+    pub(super) zones: HashSet<&'i str>,
     /// Version of the configuration.
     pub(super) configuration: Option<u64>,
 }
@@ -75,7 +73,7 @@
     pub(super) fn new(start: Version, items: &'i [Item]) -> Self {
         let mut listed = Self {
             upstreams: HashMap::new(),
-            zones: HashMap::new(),
+            zones: HashSet::new(),
             configuration: None,
         };
         for item in items {
@@ -92,13 +90,13 @@
                 Change::Unlisted(id, _) => {
                     listed.upstreams.insert(*id, (at, ListedState::Removed));
                 }
-                Change::Zone { zone, out } => {
-                    listed.zones.insert(zone, (at, *out));
+                Change::Zone { zone, out: true } => {
+                    listed.zones.insert(zone);
                 }
                 Change::Configured(cfg) => {
                     listed.configuration = Some(cfg.version);
                 }
-                Change::Unusable(_) | Change::Foreign => (),
+                Change::Zone { out: false, .. } | Change::Unusable(_) | Change::Foreign => (),
             }
         }
         listed
