Pass no configuration on that a daemon has already

Cause: a daemon that has listed the store does not know the removals since a follower's version and passes all entries on, the configuration among them. Each reader sent 120 KB to each of its followers at once, although they had that configuration: up to 2.6 MB, which fills a link of 10 Mbit/s for up to 2.1 s. A configuration that a restored store had lost was part of each answer, since its version was that of the answer and so never the asker's.

Fix: the configuration goes by its identity, not by the version up to which the asker is complete, also with a whole set of entries; differences survive a list and a restoration. Messages have version 6.

--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -107,6 +107,7 @@
     id: ConfigurationIdRecord,
     changed: Vec<RouteRecord>,
     removed: Vec<([u8; 4], u16)>,
+    awaits_write: bool,
 }
 
 /// A changed entry.
@@ -311,6 +312,7 @@
         removed: removed
             .map(|address| (address.ip().octets(), address.port()))
             .collect(),
+        awaits_write: delta.awaits_write,
     }
 }
 
@@ -362,6 +364,7 @@
         removed: removed
             .map(|(ip, port)| SocketAddrV4::new(Ipv4Addr::from(*ip), *port))
             .collect(),
+        awaits_write: record.awaits_write,
     })
 }
 
--- a/crates/daemon/src/packets/zone/message.rs
+++ b/crates/daemon/src/packets/zone/message.rs
@@ -26,7 +26,7 @@
 
 /// Version of the messages, sent as their first byte. A daemon rejects messages of another version, so daemons of
 /// different versions each read the store themselves.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Maximum number of member updates in one message.
 pub(super) const MEMBER_UPDATES_MAX: usize = 8;
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -157,6 +157,7 @@
             id: id(300_000),
             changed: cfg.routes.into_iter().collect(),
             removed: vec!["10.9.0.2:443".parse().unwrap()],
+            awaits_write: true,
         }),
         items: Vec::new(),
         is_whole: false,
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -50,6 +50,14 @@
     pub awaited: Vec<Item>,
 }
 
+/// The configuration in the form in which it is passed on.
+enum ConfigurationChange {
+    /// The routes that differ from the asker's configuration.
+    Delta(ConfigurationDelta),
+    /// All routes.
+    Whole(Item),
+}
+
 /// Source of the state that the asking daemon has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SyncedFrom {
@@ -62,8 +70,8 @@
 impl Directory {
     /// Returns the changes after a version, or all entries if the removals since then are no longer known.
     ///
-    /// The configuration is large, so a daemon that has the configuration `known` gets only the routes that differ, if their
-    /// number is small.
+    /// The configuration is large, so a daemon that has the configuration `known` gets none if it is the current one, and
+    /// only the routes that differ if their number is small.
     pub fn changes_since(
         &self,
         after: Version,
@@ -74,17 +82,23 @@
         let is_whole = after < self.compacted();
         let is_newer = |version: Version| is_whole || version > after;
         let mut items = Vec::new();
-        let mut delta = None;
-        if let Some((version, cfg)) = self.configured().filter(|(at, _)| is_newer(*at)) {
-            delta = known
-                .zip(self.configuration_id())
-                .filter(|_| !is_whole)
-                .and_then(|(known, id)| self.configuration_history.delta(known, id, cfg));
-            if delta.is_none() {
-                let change = Change::Configured((**cfg).clone());
-                items.push(Item::without_key(version, change));
+        let mut awaited = self.awaited_items(now);
+        let cfg = match self.configuration_is_missing(known, is_newer) {
+            true => self.configuration_change(known),
+            false => None,
+        };
+        let delta = match cfg {
+            Some(ConfigurationChange::Delta(delta)) => Some(delta),
+            Some(ConfigurationChange::Whole(item)) if self.configuration_awaits_write => {
+                awaited.push(item);
+                None
             }
-        }
+            Some(ConfigurationChange::Whole(item)) => {
+                items.push(item);
+                None
+            }
+            None => None,
+        };
         for (name, zone) in self.zones.iter().filter(|(_, z)| is_newer(z.version)) {
             let change = Change::Zone {
                 zone: Rc::clone(name),
@@ -111,10 +125,39 @@
             is_whole,
             items,
             delta,
-            awaited: self.awaited_items(known, now),
+            awaited,
         }
     }
 
+    /// Whether a daemon with the configuration `known` lacks the current one.
+    fn configuration_is_missing(
+        &self,
+        known: Option<ConfigurationId>,
+        is_newer: impl Fn(Version) -> bool,
+    ) -> bool {
+        let Some(id) = self.configuration_id() else {
+            return false;
+        };
+        known != Some(id) && (self.configuration_awaits_write || is_newer(id.written))
+    }
+
+    /// The current configuration for a daemon that has the configuration `known`.
+    fn configuration_change(&self, known: Option<ConfigurationId>) -> Option<ConfigurationChange> {
+        let (written, cfg) = self.configured()?;
+        let id = self.configuration_id()?;
+        let delta = known.and_then(|known| self.configuration_history.delta(known, id, cfg));
+        Some(match delta {
+            Some(delta) => ConfigurationChange::Delta(ConfigurationDelta {
+                awaits_write: self.configuration_awaits_write,
+                ..delta
+            }),
+            None => {
+                let change = Change::Configured((**cfg).clone());
+                ConfigurationChange::Whole(Item::without_key(written, change))
+            }
+        })
+    }
+
     /// Replaces the difference between configurations in a change set by an entry with the whole configuration; returns
     /// false if it is the difference from another configuration than the one in force.
     pub fn expand_delta(&self, changes: &mut ChangeSet) -> bool {
@@ -131,9 +174,11 @@
             return false;
         }
         let change = Change::Configured(delta.apply(cfg));
-        changes
-            .items
-            .push(Item::without_key(delta.id.written, change));
+        let items = match delta.awaits_write {
+            true => &mut changes.awaited,
+            false => &mut changes.items,
+        };
+        items.push(Item::without_key(delta.id.written, change));
         true
     }
 
--- a/crates/policy/src/packets/configuration_delta.rs
+++ b/crates/policy/src/packets/configuration_delta.rs
@@ -41,6 +41,8 @@
     pub changed: Vec<(SocketAddrV4, Route)>,
     /// Addresses of routes that the newer configuration lacks.
     pub removed: Vec<SocketAddrV4>,
+    /// Whether the newer configuration stays in force although a restored store has lost it.
+    pub awaits_write: bool,
 }
 
 impl ConfigurationDelta {
@@ -91,11 +93,6 @@
         }
     }
 
-    /// Forgets all differences.
-    pub(super) fn clear(&mut self) {
-        self.steps.clear();
-    }
-
     /// Difference of the current configuration from the one with the identity `base`; `None` if it is not known, or not
     /// much smaller than the current configuration.
     pub(super) fn delta(
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -15,7 +15,6 @@
     ListedState, //
 };
 use super::{
-    configuration_delta::ConfigurationId,
     directory::{
         Directory,
         TrackedUpstream,
@@ -268,8 +267,12 @@
             .configured()
             .is_none_or(|(written, current)| (current.version, written) <= (cfg.version, version));
         if is_newer {
+            if let Some((id, (_, current))) =
+                self.configuration_id().zip(self.configuration.as_ref())
+            {
+                self.configuration_history.record(id, current, cfg);
+            }
             self.configuration = Some((version, Rc::new(cfg.clone())));
-            self.configuration_history.clear();
             self.configuration_awaits_write = true;
         }
     }
@@ -339,9 +342,9 @@
         names.len()
     }
 
-    /// States that stay in force until their entries are written again, which has not happened up to the current version,
-    /// without the configuration `known`.
-    pub(super) fn awaited_items(&self, known: Option<ConfigurationId>, now: Instant) -> Vec<Item> {
+    /// States of upstreams and zones that stay in force until their entries are written again, which has not happened up
+    /// to the current version.
+    pub(super) fn awaited_items(&self, now: Instant) -> Vec<Item> {
         if self.restoration.is_none_or(|one| one.is_settled) {
             return Vec::new();
         }
@@ -363,12 +366,7 @@
             };
             Item::without_key(version, change)
         });
-        let cfg = self
-            .configured()
-            .filter(|_| self.configuration_awaits_write && self.configuration_id() != known);
-        let cfg =
-            cfg.map(|(_, cfg)| Item::without_key(version, Change::Configured((**cfg).clone())));
-        upstreams.chain(zones).chain(cfg).collect()
+        upstreams.chain(zones).collect()
     }
 }
 
--- a/crates/policy/tests/packets/configuration_delta.rs
+++ b/crates/policy/tests/packets/configuration_delta.rs
@@ -58,7 +58,8 @@
     let mut changes = reader.changes_since(after, SyncedFrom::ThisDaemon, known, now);
     let delta = changes.delta.as_ref();
     let delta = delta.map(|delta| delta.changed.len() + delta.removed.len());
-    let whole = changes.items.iter().find_map(|item| match &item.change {
+    let mut items = changes.items.iter().chain(&changes.awaited);
+    let whole = items.find_map(|item| match &item.change {
         Change::Configured(cfg) => Some(cfg.routes.len()),
         _ => None,
     });
@@ -119,6 +120,68 @@
     assert_eq!(follower.configuration(), reader.configuration());
 }
 
+/// Lets a daemon list the store, as after the store has lost its history.
+fn list(directory: &mut Directory, version: Version, cfg: (Version, Configuration), now: Instant) {
+    let item = Item {
+        key: "configuration".into(),
+        version: cfg.0,
+        change: Change::Configured(cfg.1),
+    };
+    directory.replace(version, &[item], now).unwrap();
+}
+
+/// After the store had lost its history, a reader passed the whole configuration on to each of its followers, which had it
+/// already: 120 KB each, so that its link was full for up to 2 s.
+#[test]
+fn a_list_of_the_store_passes_no_known_configuration_on() {
+    let now = Instant::now();
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    write(&mut reader, large(), 1, now);
+    follow(&mut follower, &reader, now);
+    list(&mut reader, 5.into(), (1.into(), large()), now);
+    let changes = reader.changes_since(
+        follower.version(),
+        SyncedFrom::ThisDaemon,
+        follower.configuration_id(),
+        now,
+    );
+    assert!(changes.is_whole);
+    assert_eq!(follow(&mut follower, &reader, now), 0);
+    assert_eq!(follower.version(), 5.into());
+    // A configuration that was written before the list differs in one route.
+    let cfg = change(&large(), 7);
+    list(&mut reader, 9.into(), (8.into(), cfg), now);
+    assert_eq!(follow(&mut follower, &reader, now), 1);
+    assert_eq!(follower.configuration(), reader.configuration());
+    assert_eq!(follower.configuration_id(), reader.configuration_id());
+}
+
+/// A configuration that a restored store has lost was part of each answer until it was written again.
+#[test]
+fn a_configuration_that_awaits_its_write_is_passed_on_once() {
+    let now = Instant::now();
+    let mut reader = Directory::default();
+    write(&mut reader, large(), 1, now);
+    let mut behind = reader.clone();
+    write(&mut reader, change(&large(), 7), 2, now);
+    let mut follower = reader.clone();
+    let copy = (Version::new(1, 1), large());
+    list(&mut reader, Version::new(1, 1), copy.clone(), now);
+    assert_eq!(reader.configuration().unwrap().version, 2);
+    assert_eq!(follow(&mut follower, &reader, now), 0, "it is the same");
+    assert_eq!(follow(&mut behind, &reader, now), 1, "one route differs");
+    let mut new = Directory::default();
+    list(&mut new, Version::new(1, 1), copy, now);
+    assert_eq!(follow(&mut new, &reader, now), usize::from(ROUTES));
+    reader.apply(Version::new(1, 2), &[], now);
+    for directory in [&mut follower, &mut behind, &mut new] {
+        assert_eq!(directory.configuration(), reader.configuration());
+        assert_eq!(directory.configuration_id(), reader.configuration_id());
+        assert_eq!(directory.awaited(), 1);
+        assert_eq!(follow(directory, &reader, now), 0, "it was passed on");
+    }
+}
+
 /// A difference applies to no other configuration than its base, or routes would be wrong until the next change.
 #[test]
 fn a_difference_from_another_configuration_is_refused() {
