Let a daemon that others begin to follow call the store at once

Cause: a daemon that becomes a reader, because it is elected or asked, relied on the last report of the reader that it had followed until that had expired, up to 3.8 s later, and another answer to its last request renewed it. In that time its followers relied on it, and nobody read the store.

Fix: the next call of a new reader is due at once, and reports of another reader do not postpone the calls of a reader.

--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -123,7 +123,8 @@
     /// When the last answer arrived on the open connection.
     heard: Cell<Option<Instant>>,
     schedule: RefCell<PollSchedule>,
-    missing: Wake,
+    /// Set when the next call of the store may have become due earlier.
+    call_due: Wake,
     /// Whether this daemon reads the store for others of its zone.
     is_reader: Cell<bool>,
     /// Whether the zone has a daemon that reads the store for this one.
@@ -151,7 +152,7 @@
         Self {
             client: Client::new(call_limits),
             schedule: RefCell::new(PollSchedule::new(watch_interval(&limits))),
-            missing: Wake::default(),
+            call_due: Wake::default(),
             is_reader: Cell::new(false),
             has_reader: Cell::new(false),
             freshness: Cell::default(),
@@ -177,9 +178,14 @@
         self.set_reader(self.is_reader.get());
     }
 
-    /// Sets whether this daemon reads the store for others, from the next call on.
+    /// Sets whether this daemon reads the store for others.
+    ///
+    /// A daemon that begins to do so may have followed another one until now, so its next call is due at once.
     pub fn set_reader(&self, is_reader: bool) {
-        self.is_reader.set(is_reader);
+        let was_reader = self.is_reader.replace(is_reader);
+        if is_reader && !was_reader {
+            self.call_due.set();
+        }
         let alone = watch_interval(&self.limits.borrow());
         self.schedule.borrow_mut().set_interval(match is_reader {
             true => alone.min(READER_INTERVAL),
@@ -223,7 +229,7 @@
     /// earlier.
     pub fn record_missing(&self, missing: Missing) {
         if self.schedule.borrow_mut().record_missing(missing) {
-            self.missing.set();
+            self.call_due.set();
         }
     }
 
@@ -458,14 +464,16 @@
 
     async fn wait_until_due(&self) {
         loop {
-            let due = self.fresh_until().or_else(|| self.due());
+            // Others rely on the calls of a reader, whatever another reader reports to it.
+            let fresh_until = self.fresh_until().filter(|_| !self.is_reader.get());
+            let due = fresh_until.or_else(|| self.due());
             let left = due.map(|due| due.saturating_duration_since(Instant::now()));
             let Some(left) = left.filter(|left| !left.is_zero()) else {
                 return;
             };
             let due = pin!(monoio::time::sleep(left));
-            let missing = pin!(self.missing.wait());
-            select(due, missing).await;
+            let earlier = pin!(self.call_due.wait());
+            select(due, earlier).await;
         }
     }
 
--- a/crates/daemon/tests/packets/zone.rs
+++ b/crates/daemon/tests/packets/zone.rs
@@ -6,6 +6,7 @@
     Scene, //
 };
 use foxtailhinge::packets::zone::{
+    change_set::VersionRecord,
     load_record::{
         PoolRecord,
         ReporterRecord,
@@ -148,6 +149,44 @@
     }
 }
 
+/// A daemon that others began to follow did not call the store until the last report of its own reader had expired, so
+/// that they learned of an evacuation up to 3.4 s late.
+#[test]
+fn a_new_reader_calls_the_store_at_once() {
+    let mut scene = start();
+    for index in 0..DAEMONS {
+        let edit = |text: String| {
+            let mut settings: serde_json::Value = serde_json::from_str(&text).unwrap();
+            for limit in ["configure_ms", "drain_ms", "zone_out_ms"] {
+                settings["limits"][limit] = 30_000.into();
+            }
+            settings.to_string()
+        };
+        scene.edit_settings(index, edit).unwrap();
+    }
+    scene.reload_all();
+    scene.run(1_000);
+    let is_follower = |index: &usize| scene.status(*index).unwrap().role == StoreRole::Follower;
+    let follower = (0..DAEMONS).find(is_follower).unwrap();
+    let request = ZoneRequest::Watch {
+        after: VersionRecord::default(),
+        is_here: false,
+        configuration: None,
+        belief: 0,
+        wait_ms: 1,
+        members: Vec::new(),
+    };
+    post(scene.zone_addr(follower), &request);
+    assert_eq!(scene.status(follower).unwrap().role, StoreRole::Reader);
+    // The last request to its former reader may still be answered within 2 s.
+    scene.run(2_100);
+    scene.configure(&[ROUTE_PORT]);
+    let version = scene.version();
+    scene.run(1_500);
+    let configuration = scene.status(follower).unwrap().configuration;
+    assert_eq!(configuration, Some(version));
+}
+
 #[test]
 fn a_view_ages_while_its_reader_cannot_reach_the_store() {
     let scene = start();
