Send large answers to other daemons one after the other

Cause: a daemon answered all its followers at the same moment, each on a link of its own with a window of 64 KB, so that packets of callers waited behind all of these windows, and followers whose answer did not arrive within 0.5 s took their reader for lost. With known configurations left out such answers are rare, but daemons that lack the configuration, as after starts of their readers, still get all of it, and at the size to design for all entries are 400 KB.

Evidence: large_answers_are_sent_one_after_the_other fails with the limit switched off ('two large answers are sent at once').

Fix: answers from 16 KB on are sent one after the other, as fast as the asker accepts them. A daemon that would wait for more than 0.3 s gets the evacuations and draining upstreams at once and asks again; its view counts as no newer than before. An asker that does not read holds the others up for 1 s at most.

--- a/crates/daemon/src/links/transport.rs
+++ b/crates/daemon/src/links/transport.rs
@@ -9,7 +9,9 @@
 use h2::{
     client::SendRequest,
     server::Connection,
-    RecvStream, //
+    Reason,
+    RecvStream,
+    SendStream, //
 };
 use http::{
     Request,
@@ -22,7 +24,10 @@
 use monoio_compat::StreamWrapper;
 use std::{
     cell::Cell,
-    future::Future,
+    future::{
+        poll_fn,
+        Future, //
+    },
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -125,6 +130,21 @@
     Ok(builder.handshake(io).await?)
 }
 
+/// Sends a body, which is not empty, as fast as the peer accepts it; returns when all but the last window has arrived there.
+pub(crate) async fn send_body(
+    stream: &mut SendStream<Bytes>,
+    mut body: Bytes,
+) -> Result<(), LinkError> {
+    while !body.is_empty() {
+        stream.reserve_capacity(body.len());
+        let capacity = poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let capacity = capacity.unwrap_or(Err(Reason::STREAM_CLOSED.into()))?;
+        let part = body.split_to(capacity.min(body.len()));
+        stream.send_data(part, body.is_empty())?;
+    }
+    Ok(())
+}
+
 /// Reads a whole body of at most `max` bytes.
 pub(crate) async fn read_body(body: RecvStream, max: usize) -> Result<Bytes, LinkError> {
     read_answer(body, max, &Activity::default()).await
--- a/crates/daemon/src/packets/zone/discovery.rs
+++ b/crates/daemon/src/packets/zone/discovery.rs
@@ -122,7 +122,9 @@
         let request = ZoneRequest::Meet(self.member_updates());
         match self.request(addr, &request, Duration::ZERO).await {
             Ok(ZoneReply::Met(members)) => self.merge_members(members),
-            Ok(ZoneReply::Changes(_) | ZoneReply::Noted | ZoneReply::Load(_)) => {
+            Ok(
+                ZoneReply::Changes(_) | ZoneReply::Busy(_) | ZoneReply::Noted | ZoneReply::Load(_),
+            ) => {
                 Event::new("peer_confused").field("peer", addr).warn();
             }
             Err(err) => Event::new("peer_not_met")
--- a/crates/daemon/src/packets/zone/follower.rs
+++ b/crates/daemon/src/packets/zone/follower.rs
@@ -65,6 +65,8 @@
     OtherConfiguration,
     #[error("The reader has no view yet.")]
     NoView,
+    #[error("The reader sends large answers to other daemons.")]
+    Busy,
     #[error("The reader sent an unexpected answer; run the same version on both daemons.")]
     BadReply,
 }
@@ -178,8 +180,10 @@
         let reply = self
             .request(member.control, &request, Duration::ZERO)
             .await?;
-        let ZoneReply::Changes(changes) = reply else {
-            return Err(SyncError::BadReply);
+        let changes = match reply {
+            ZoneReply::Changes(changes) => changes,
+            ZoneReply::Busy(_) => return Err(SyncError::Busy),
+            _ => return Err(SyncError::BadReply),
         };
         self.merge_members(changes.members);
         self.merge_news(&changes.news, changes.regained_ms)?;
@@ -237,6 +241,10 @@
                 });
                 applied
             }
+            ZoneReply::Busy(urgent) => {
+                self.merge_news(&urgent, None)?;
+                Err(SyncError::Busy)
+            }
             ZoneReply::Met(_) | ZoneReply::Noted | ZoneReply::Load(_) => Err(SyncError::BadReply),
         }
     }
@@ -290,7 +298,8 @@
             SyncError::Old(_)
             | SyncError::EarlierEra(_)
             | SyncError::OtherConfiguration
-            | SyncError::NoView,
+            | SyncError::NoView
+            | SyncError::Busy,
         ) => ZoneResult::Old,
         Err(SyncError::Link(_) | SyncError::Name(_) | SyncError::BadReply) => ZoneResult::Failed,
     }
--- a/crates/daemon/src/packets/zone/load_exchange.rs
+++ b/crates/daemon/src/packets/zone/load_exchange.rs
@@ -184,7 +184,7 @@
                 Ok(())
             }
             ZoneReply::Noted => Err(LoadError::Declined),
-            ZoneReply::Load(_) | ZoneReply::Met(_) | ZoneReply::Changes(_) => {
+            ZoneReply::Load(_) | ZoneReply::Met(_) | ZoneReply::Changes(_) | ZoneReply::Busy(_) => {
                 Err(LoadError::BadReply)
             }
         }
--- a/crates/daemon/src/packets/zone/message.rs
+++ b/crates/daemon/src/packets/zone/message.rs
@@ -112,6 +112,8 @@
     Met(Vec<MemberUpdate>),
     /// Changes after the version asked for.
     Changes(Changes),
+    /// The changes are many, and the daemon sends such answers to others now. Holds those that must not wait.
+    Busy(ChangeSetRecord),
     /// The request needs no other answer, or is not answered because the daemons disagree on their roles.
     Noted,
     /// Load that the answering daemon and others observe, without that of the asker.
--- a/crates/daemon/src/packets/zone/mod.rs
+++ b/crates/daemon/src/packets/zone/mod.rs
@@ -60,6 +60,7 @@
     },
 };
 use foxtailhinge_wire::message::MemberUpdate;
+use futures::lock::Mutex;
 use h2::client::SendRequest;
 use rand::Rng;
 use std::{
@@ -126,6 +127,8 @@
     /// Daemons that are asked for changes which a restored store has lost.
     lost_changes: RefCell<LostChanges>,
     loads: LoadExchange,
+    /// Held while a large answer is sent.
+    large_answer: Mutex<()>,
 }
 
 impl Zone {
@@ -151,6 +154,7 @@
             asked: Cell::new(None),
             lost_changes: RefCell::default(),
             loads: LoadExchange::default(),
+            large_answer: Mutex::default(),
         })
     }
 
--- a/crates/daemon/src/packets/zone/server.rs
+++ b/crates/daemon/src/packets/zone/server.rs
@@ -26,6 +26,7 @@
 };
 use bytes::Bytes;
 use foxtailhinge_policy::packets::{
+    ChangeSet,
     ConfigurationId,
     Role,
     SyncedFrom,
@@ -46,6 +47,7 @@
 };
 use rand::seq::IteratorRandom;
 use std::{
+    pin::pin,
     rc::Rc,
     time::{
         Duration,
@@ -68,10 +70,19 @@
 /// Maximum wait that a request may ask for.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
-/// Length from which an answer is logged, in bytes: 13 ms of a link of 10 Mbit/s.
+/// Length from which answers are sent one after the other, in bytes: 13 ms of a link of 10 Mbit/s. Several at once would
+/// delay the packets of callers on the same link.
 const LARGE_ANSWER: usize = 16 << 10;
 
+/// Time after which a daemon that waits for a large answer is told to ask again, before it gives this one up.
+const TURN_WAIT: Duration = Duration::from_millis(300);
+
+/// Time after which the next large answer may be sent although the peer has not accepted this one, as on a link of
+/// 1 Mbit/s or less.
+const TURN_MAX: Duration = Duration::from_secs(1);
+
 /// What a daemon that asks for changes has already.
+#[derive(Clone, Copy)]
 struct Asker {
     /// Version up to which its view is complete.
     after: Version,
@@ -108,7 +119,7 @@
     async fn answer(
         &self,
         req: Request<RecvStream>,
-        mut respond: SendResponse<Bytes>,
+        respond: SendResponse<Bytes>,
     ) -> Result<(), LinkError> {
         let body = transport::read_body(req.into_body(), REQUEST_MAX);
         let body = monoio::time::timeout(IDLE, body).await;
@@ -118,6 +129,7 @@
             .zone_bytes_received
             .inc_by(body.len() as u64);
         let request = message::decode(&body).ok_or(LinkError::Garbled)?;
+        let mut asker = None;
         let reply = match request {
             ZoneRequest::Meet(members) => self.answer_meet(members),
             ZoneRequest::Watch {
@@ -138,25 +150,63 @@
                     true => SyncedFrom::ThisDaemon,
                     false => SyncedFrom::Other,
                 };
-                let asker = Asker {
+                let asking = Asker {
                     after: after.into(),
                     synced_from,
                     configuration: configuration.map(ConfigurationId::from),
                     belief,
                 };
-                self.watch(asker, wait).await
+                asker = Some(asking);
+                self.watch(asking, wait).await
             }
             ZoneRequest::Tell(failed) => self.apply_failed(&failed),
             ZoneRequest::Load(record) => self.answer_load(&record),
         };
-        let body = message::encode(&reply);
-        self.parts.metrics.zone_bytes_sent.inc_by(body.len() as u64);
-        if body.len() >= LARGE_ANSWER {
-            log_large_answer(&reply, body.len());
+        let body = Bytes::from(message::encode(&reply));
+        match asker.filter(|_| body.len() >= LARGE_ANSWER) {
+            Some(asker) => self.send_large(respond, asker, &reply, body).await,
+            None => self.send_answer(respond, body).await,
         }
+    }
+
+    async fn send_answer(
+        &self,
+        mut respond: SendResponse<Bytes>,
+        body: Bytes,
+    ) -> Result<(), LinkError> {
+        self.parts.metrics.zone_bytes_sent.inc_by(body.len() as u64);
         let mut stream = respond.send_response(Response::new(()), false)?;
-        stream.send_data(body.into(), true)?;
-        Ok(())
+        transport::send_body(&mut stream, body).await
+    }
+
+    /// Sends a large answer when no other one is being sent; tells the asker to ask again if that takes too long.
+    async fn send_large(
+        &self,
+        respond: SendResponse<Bytes>,
+        asker: Asker,
+        reply: &ZoneReply,
+        body: Bytes,
+    ) -> Result<(), LinkError> {
+        let turn = monoio::time::timeout(TURN_WAIT, self.large_answer.lock()).await;
+        let Ok(turn) = turn else {
+            Event::new("large_answer_postponed")
+                .field("bytes", body.len())
+                .info();
+            let urgent = self.changes_since(asker).into_urgent(asker.after);
+            let reply = ZoneReply::Busy(ChangeSetRecord::new(&urgent));
+            return self
+                .send_answer(respond, message::encode(&reply).into())
+                .await;
+        };
+        log_large_answer(reply, body.len());
+        let mut sending = pin!(self.send_answer(respond, body));
+        match monoio::time::timeout(TURN_MAX, sending.as_mut()).await {
+            Ok(sent) => sent,
+            Err(_) => {
+                drop(turn);
+                sending.await
+            }
+        }
     }
 
     fn answer_meet(&self, members: Vec<MemberUpdate>) -> ZoneReply {
@@ -179,12 +229,7 @@
 
     /// Waits until there are changes or reports that the asker does not have, or the wait ends, and answers with them.
     async fn watch(&self, asker: Asker, wait: Duration) -> ZoneReply {
-        let Asker {
-            after,
-            synced_from,
-            configuration,
-            belief,
-        } = asker;
+        let Asker { after, belief, .. } = asker;
         let began = Instant::now();
         let is_up_to_date =
             self.parts.view.version() <= after && self.parts.evidence.last_report() <= belief;
@@ -196,8 +241,7 @@
         let silent = silent
             .iter()
             .map(|failed| FailedOpeningRecord::new(failed, now));
-        let view = &self.parts.view;
-        let changes = view.changes_since(after, synced_from, configuration);
+        let changes = self.changes_since(asker);
         let millis = |time: Duration| time.as_millis() as u64;
         ZoneReply::Changes(Changes {
             held_ms: began.elapsed().as_millis() as u32,
@@ -209,6 +253,17 @@
             members: self.member_updates(),
         })
     }
+
+    fn changes_since(&self, asker: Asker) -> ChangeSet {
+        let Asker {
+            after,
+            synced_from,
+            configuration,
+            ..
+        } = asker;
+        let view = &self.parts.view;
+        view.changes_since(after, synced_from, configuration)
+    }
 }
 
 fn log_large_answer(reply: &ZoneReply, bytes: usize) {
--- a/crates/daemon/tests/packets/zone.rs
+++ b/crates/daemon/tests/packets/zone.rs
@@ -25,10 +25,15 @@
     PacketStatus,
     StoreRole, //
 };
+use foxtailhinge_policy::packets::{
+    Change,
+    Item, //
+};
 use foxtailhinge_standins::packets::{
     fleet::ROUTE_PORT,
     store::Fault, //
 };
+use h2::RecvStream;
 use http::Request;
 use monoio::{
     LegacyDriver,
@@ -37,12 +42,16 @@
 use monoio_compat::StreamWrapper;
 use rstest::rstest;
 use std::{
+    future::Future,
     io::Write,
     net::{
         SocketAddr,
         TcpStream, //
     },
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Number of daemons in each of the four zones.
@@ -134,7 +143,7 @@
     }
     scene.configure(&[ROUTE_PORT]);
     let version = scene.version();
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     scene
         .wait_until("all other daemons have the configuration", |fleet| {
             let others = (0..DAEMONS).filter(|index| !readers.contains(index));
@@ -204,7 +213,7 @@
     scene.store.set_fault(Fault::Silent);
     scene.kill(IN_ZONE);
     scene.start_daemon(IN_ZONE).unwrap();
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     scene
         .wait_until("the daemon is ready", |fleet| {
             fleet.status(IN_ZONE).is_ok_and(|status| status.ready)
@@ -236,7 +245,7 @@
         (0..DAEMONS).map(of).collect()
     };
     let before = sent(&scene);
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     // A release of 250 upstreams, each of which writes its entry once a second while it warms up.
     while began.elapsed() < Duration::from_secs(4) {
         let elapsed_ms = began.elapsed().as_millis() as u64;
@@ -284,28 +293,83 @@
 
 /// Sends a message to a daemon as another one of its zone would, and returns the answer.
 fn post(addr: SocketAddr, request: &ZoneRequest) -> ZoneReply {
-    let body = encode(request);
+    in_runtime(async { read(open(addr, request).await).await })
+}
+
+fn in_runtime<T>(work: impl Future<Output = T>) -> T {
     let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
     let mut runtime = runtime.unwrap();
-    let answer = runtime.block_on(async move {
-        let stream = monoio::net::TcpStream::connect(addr).await.unwrap();
-        let link = h2::client::handshake(StreamWrapper::new(stream)).await;
-        let (tx, connection) = link.unwrap();
-        monoio::spawn(connection);
-        let mut tx = tx.ready().await.unwrap();
-        let head = Request::post("http://peer/").body(()).unwrap();
-        let (answer, mut stream) = tx.send_request(head, false).unwrap();
-        stream.send_data(body.into(), true).unwrap();
-        let mut body = answer.await.unwrap().into_body();
-        let mut bytes = Vec::new();
-        while let Some(data) = body.data().await {
-            bytes.extend_from_slice(&data.unwrap());
-        }
-        bytes
-    });
+    let done = runtime.block_on(work);
     // h2 wakes tasks when a link is dropped, which monoio does not allow outside of a runtime.
     std::mem::forget(runtime);
-    decode(&answer).expect("the daemon answers")
+    done
+}
+
+/// Sends a message over a new link, and returns the answer's body as soon as the answer begins.
+async fn open(addr: SocketAddr, request: &ZoneRequest) -> RecvStream {
+    let body = encode(request);
+    let stream = monoio::net::TcpStream::connect(addr).await.unwrap();
+    let link = h2::client::handshake(StreamWrapper::new(stream)).await;
+    let (tx, connection) = link.unwrap();
+    monoio::spawn(connection);
+    let mut tx = tx.ready().await.unwrap();
+    let head = Request::post("http://peer/").body(()).unwrap();
+    let (answer, mut stream) = tx.send_request(head, false).unwrap();
+    stream.send_data(body.into(), true).unwrap();
+    answer.await.unwrap().into_body()
+}
+
+async fn read(mut body: RecvStream) -> ZoneReply {
+    let mut bytes = Vec::new();
+    while let Some(data) = body.data().await {
+        let data = data.unwrap();
+        bytes.extend_from_slice(&data);
+        body.flow_control().release_capacity(data.len()).unwrap();
+    }
+    decode(&bytes).expect("the daemon answers")
+}
+
+/// A reader sent the configuration to all its followers at once, which filled its link for seconds: packets of callers were
+/// late, and evacuations too.
+#[test]
+fn large_answers_are_sent_one_after_the_other() {
+    let mut scene = Scene::of(builder().start(&program()).unwrap());
+    // The configuration takes some 100 KB, more than the flow-control window of a link.
+    let ports: Vec<_> = (0..3_000).map(|port| ROUTE_PORT + port).collect();
+    scene.configure(&ports);
+    scene.await_configuration().unwrap();
+    let zone = scene.zones()[1];
+    scene.evacuate(zone);
+    scene.run(4_000);
+    let request = ZoneRequest::Watch {
+        after: VersionRecord::default(),
+        is_here: false,
+        configuration: None,
+        belief: 0,
+        wait_ms: 0,
+        members: Vec::new(),
+    };
+    let addr = scene.zone_addr(0);
+    in_runtime(async {
+        let unread = open(addr, &request).await;
+        let asked = Instant::now();
+        let ZoneReply::Busy(urgent) = read(open(addr, &request).await).await else {
+            panic!("two large answers are sent at once");
+        };
+        assert!(asked.elapsed() < Duration::from_millis(500), "in time");
+        let urgent = urgent.decode().unwrap();
+        let is_out = |item: &Item| matches!(&item.change, Change::Zone { zone: name, out: true } if **name == *zone);
+        assert!(urgent.items.iter().any(is_out), "{:?}", urgent.items);
+        assert_eq!(urgent.items.len(), 1);
+        // A peer that does not read holds up others for a second only.
+        monoio::time::sleep(Duration::from_millis(1_000)).await;
+        for body in [open(addr, &request).await, unread] {
+            let ZoneReply::Changes(changes) = read(body).await else {
+                panic!("the answer is sent when no other one is");
+            };
+            assert_eq!(changes.news.decode().unwrap().items.len(), 14);
+        }
+    });
 }
 
 #[test]
@@ -345,7 +409,7 @@
         post(scene.zone_addr(reader), &ZoneRequest::Tell(vec![failed(5)])),
         ZoneReply::Noted
     );
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     while !followers.iter().all(has_report) {
         // The target is 0.1 s; the rest allows for a busy machine.
         assert!(
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -15,7 +15,8 @@
         Change,
         Item,
         Upstream,
-        UpstreamId, //
+        UpstreamId,
+        UpstreamState, //
     },
     restoration::NewEra,
     version::Version,
@@ -50,6 +51,28 @@
     pub awaited: Vec<Item>,
 }
 
+impl ChangeSet {
+    /// The changes that must not wait for the others: evacuations, and upstreams that drain. They can be applied to a
+    /// directory that is complete up to `after`, which they do not make complete up to a later version.
+    pub fn into_urgent(self, after: Version) -> Self {
+        let is_urgent = |item: &Item| match &item.change {
+            Change::Zone { out, .. } => *out,
+            Change::Listed(_, upstream) => upstream.state == UpstreamState::Draining,
+            Change::Unlisted(..)
+            | Change::Configured(_)
+            | Change::Unusable(_)
+            | Change::Foreign => false,
+        };
+        let mut items = self.items;
+        items.retain(|item| item.version.era == after.era && is_urgent(item));
+        Self {
+            version: after,
+            items,
+            ..Self::default()
+        }
+    }
+}
+
 /// The configuration in the form in which it is passed on.
 enum ConfigurationChange {
     /// The routes that differ from the asker's configuration.
