Keep a zone out until the end of its evacuation is known

Cause: a zone whose evacuation a restored store had lost returned to service 30 s after the restoration, whether the evacuation was written again or not. Operators may take longer.

Fix: the evacuation holds until it is written again and removed. Daemons tell each other the latest evacuation of a former era of each zone and whether they have seen its end, so that a zone whose evacuation ended in the moments that the store lost returns when one of them knows.

The last part of a_daemon_that_starts_in_the_new_era_learns_what_its_peers_know expects the zone out as well, and that nothing but its evacuation is awaited.

--- a/crates/daemon/src/packets/view/log.rs
+++ b/crates/daemon/src/packets/view/log.rs
@@ -8,6 +8,8 @@
         Item,
         UpstreamState, //
     },
+    Directory,
+    Evacuation,
     Restoration,
     Version, //
 };
@@ -66,6 +68,19 @@
         .warn();
 }
 
+/// Logs the zones that were out of service by evacuations of former eras, and are not any more because another daemon has
+/// seen their end.
+pub(super) fn log_ended_evacuations(before: &[Evacuation], directory: &Directory) {
+    let in_force = before.iter().filter(|evacuation| evacuation.is_in_force);
+    for Evacuation { zone, version, .. } in in_force.filter(|one| !directory.is_out(&one.zone)) {
+        Event::new("zone_in")
+            .field("key", zone)
+            .field("revision", directory.version())
+            .field("evacuated", version)
+            .info();
+    }
+}
+
 /// Logs that all entries which a restored store had lost are written again or given up.
 pub(super) fn log_era_settled(restoration: &Restoration, now: Instant) {
     Event::new("era_settled")
--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -1,7 +1,10 @@
 //! Exchange of a view's state with other daemons of its zone.
 
 use super::{
-    log::log_change,
+    log::{
+        log_change,
+        log_ended_evacuations, //
+    },
     watch_interval,
     View, //
 };
@@ -82,6 +85,7 @@
         let now = Instant::now();
         let recovered_at = since_recovery.and_then(|age| now.checked_sub(age));
         let (was_ready, known) = (self.is_ready(), self.version());
+        let evacuations = self.directory().former_evacuations();
         let outcomes = {
             let mut directory = self.directory.borrow_mut();
             if let Some(at) = recovered_at.filter(|at| Some(*at) > directory.recovered_at()) {
@@ -99,6 +103,7 @@
             self.advance(changes.version);
             self.record_restoration(&self.directory(), known);
         }
+        log_ended_evacuations(&evacuations, &self.directory());
         let applied = &outcomes[outcomes.len() - changes.items.len()..];
         if was_ready {
             let changed = changes.items.iter().zip(applied);
--- a/crates/daemon/src/packets/zone/change_set.rs
+++ b/crates/daemon/src/packets/zone/change_set.rs
@@ -10,6 +10,7 @@
     Configuration,
     ConfigurationDelta,
     ConfigurationId,
+    Evacuation,
     Item,
     Route,
     Seniority,
@@ -49,8 +50,19 @@
     pub items: Vec<ItemRecord>,
     /// Changes of the configuration that the asker has.
     pub delta: Option<Box<DeltaRecord>>,
-    /// States that the sender keeps in force although the store was restored from an older copy.
+    /// States of upstreams, and the configuration, that the sender keeps in force although the store was restored from an
+    /// older copy.
     pub awaited: Vec<ItemRecord>,
+    /// What the sender knows of evacuations that a restored store may have lost.
+    pub evacuations: Vec<EvacuationRecord>,
+}
+
+/// The latest evacuation of a zone that the sender knows of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct EvacuationRecord {
+    zone: Name,
+    version: VersionRecord,
+    is_in_force: bool,
 }
 
 /// A version of the store.
@@ -190,6 +202,15 @@
         let (items, awaited) = (records(&changes.items), records(&changes.awaited));
         let delta = changes.delta.as_ref();
         let delta = delta.map(|delta| Box::new(delta_record(delta, &mut names)));
+        let evacuations = changes
+            .evacuations
+            .iter()
+            .map(|evacuation| EvacuationRecord {
+                zone: names.index(&evacuation.zone),
+                version: evacuation.version.into(),
+                is_in_force: evacuation.is_in_force,
+            });
+        let evacuations = evacuations.collect();
         Self {
             version: changes.version.into(),
             era_start: changes.era_start.into(),
@@ -199,6 +220,7 @@
             items,
             delta,
             awaited,
+            evacuations,
         }
     }
 
@@ -229,6 +251,17 @@
                 .map(|record| delta(record, &names))
                 .transpose()?,
             awaited: items(&self.awaited)?,
+            evacuations: self
+                .evacuations
+                .iter()
+                .map(|record| {
+                    Ok(Evacuation {
+                        zone: name(&names, record.zone)?,
+                        version: record.version.into(),
+                        is_in_force: record.is_in_force,
+                    })
+                })
+                .collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/daemon/tests/zone_messages.rs
+++ b/crates/daemon/tests/zone_messages.rs
@@ -28,6 +28,7 @@
     ConfigurationDelta,
     ConfigurationId,
     Counts,
+    Evacuation,
     Item,
     LoadReport,
     Pool,
@@ -139,6 +140,11 @@
         )],
         items,
         delta: None,
+        evacuations: vec![Evacuation {
+            zone: "whk-b".into(),
+            version: Version::new(1, 77),
+            is_in_force: true,
+        }],
     }
 }
 
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -18,7 +18,10 @@
         UpstreamId,
         UpstreamState, //
     },
-    restoration::NewEra,
+    restoration::{
+        Evacuation,
+        NewEra, //
+    },
     version::Version,
 };
 use std::{
@@ -47,8 +50,11 @@
     pub items: Vec<Item>,
     /// The configuration, instead of an entry with the whole one, if the asker has the configuration before it.
     pub delta: Option<ConfigurationDelta>,
-    /// States that the sender keeps in force although the store was restored from an older copy.
+    /// States of upstreams, and the configuration, that the sender keeps in force although the store was restored from an
+    /// older copy.
     pub awaited: Vec<Item>,
+    /// What the sender knows of evacuations that a restored store may have lost.
+    pub evacuations: Vec<Evacuation>,
 }
 
 impl ChangeSet {
@@ -122,7 +128,8 @@
             }
             None => None,
         };
-        for (name, zone) in self.zones.iter().filter(|(_, z)| is_newer(z.version)) {
+        let zones = self.zones.iter().filter(|(_, zone)| !zone.awaits_write);
+        for (name, zone) in zones.filter(|(_, zone)| is_newer(zone.version)) {
             let change = Change::Zone {
                 zone: Rc::clone(name),
                 out: zone.out,
@@ -149,6 +156,7 @@
             items,
             delta,
             awaited,
+            evacuations: self.former_evacuations(),
         }
     }
 
@@ -225,6 +233,7 @@
             false => self.apply_items(version, &changes.items, Origin::Peer, now),
         };
         self.merge_awaited(&changes.awaited, now);
+        self.merge_evacuations(&changes.evacuations, version, now);
         Some(outcomes)
     }
 }
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -122,6 +122,8 @@
 pub(super) struct Zone {
     pub(super) version: Version,
     pub(super) out: bool,
+    /// Version of the entry by which the zone last went out of service, in the era in which it was written.
+    pub(super) evacuated: Version,
     /// When the zone last returned to service.
     pub(super) returned: Option<Instant>,
     /// Whether this state is newer than a copy from which the store was restored.
@@ -399,7 +401,8 @@
         let back = self
             .zones
             .iter()
-            .filter(|(_, zone)| zone.out && !zone.awaits_write)
+            // A restored store may have lost the evacuation of a former era.
+            .filter(|(_, zone)| zone.out && zone.evacuated.era == version.era)
             .filter(|(name, _)| !zones.contains(name.as_ref()))
             .map(|(name, _)| {
                 item(Change::Zone {
@@ -553,6 +556,10 @@
         let zone = Zone {
             version,
             out,
+            evacuated: match out {
+                true => version,
+                false => known.map_or(Version::default(), |zone| zone.evacuated),
+            },
             returned,
             awaits_write: false,
         };
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -102,7 +102,10 @@
         PollSchedule, //
     },
     readers::Role,
-    restoration::Restoration,
+    restoration::{
+        Evacuation,
+        Restoration, //
+    },
     shared_evidence::{
         FailedOpening,
         SilenceReports, //
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -2,9 +2,9 @@
 //!
 //! A restored store has lost its last changes, but the servers and operators that made them still exist and write them
 //! again. Until then, the directory keeps what it knows to be newer than the copy: removed and draining upstreams stay
-//! out, upstreams that registered since stay in use for [`LAPSE_GRACE`], zones stay out of service for [`REWRITE_TIME`],
-//! and the configuration never goes back. An entry that is later than the start of the era was
-//! written since and always applies.
+//! out, upstreams that registered since stay in use for [`LAPSE_GRACE`], and the configuration never goes back. A zone
+//! stays out of service until its evacuation is written again and ends, or another daemon is found to have seen its end.
+//! An entry that is later than the start of the era was written since and always applies.
 
 mod list;
 
@@ -38,13 +38,24 @@
     },
 };
 
-/// Time in which operators write lost changes again; a zone whose evacuation is not written again then returns to service.
+/// Time in which operators and upstreams write lost changes again, other than evacuations.
 pub const REWRITE_TIME: Duration = Duration::from_secs(30);
 
 /// Maximum age of a directory that is assumed to be newer than the copy even if the restored store has already passed
 /// its revision.
 const RECENT: Duration = Duration::from_secs(10);
 
+/// The latest evacuation of a zone that a daemon knows of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evacuation {
+    /// Name of the zone.
+    pub zone: Rc<str>,
+    /// Version at which it was written, in the era in which that was.
+    pub version: Version,
+    /// Whether its end is not known.
+    pub is_in_force: bool,
+}
+
 /// The latest restoration of the store in the life of the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Restoration {
@@ -286,27 +297,79 @@
         let zone = Zone {
             version,
             out: true,
+            evacuated: known.map_or(Version::default(), |zone| zone.evacuated),
             returned: known.and_then(|zone| zone.returned),
             awaits_write: true,
         };
         self.zones.insert(Rc::clone(name), zone);
     }
 
-    /// Applies the states that another daemon of the same era keeps in force, unless they have been given up here.
+    /// What is known of the latest evacuation of each zone, if it was written in a former era.
+    pub fn former_evacuations(&self) -> Vec<Evacuation> {
+        let era = self.version().era;
+        let is_former = |version: Version| version != Version::default() && version.era < era;
+        let zones = self.zones.iter().filter(|(_, z)| is_former(z.evacuated));
+        let evacuations = zones.map(|(name, zone)| Evacuation {
+            zone: Rc::clone(name),
+            version: zone.evacuated,
+            is_in_force: zone.out,
+        });
+        evacuations.collect()
+    }
+
+    /// Applies what another daemon of the same era knows of evacuations of former eras: of two evacuations the later one
+    /// counts, and a daemon that has seen its end knows more than one that has not.
+    pub(super) fn merge_evacuations(
+        &mut self,
+        evacuations: &[Evacuation],
+        version: Version,
+        now: Instant,
+    ) {
+        for Evacuation {
+            zone,
+            version: evacuated,
+            is_in_force,
+        } in evacuations
+        {
+            let known = self.zones.get(zone);
+            let known_at = known.map_or(Version::default(), |zone| zone.evacuated);
+            let is_out = known.is_some_and(|zone| zone.out);
+            match is_in_force {
+                true if known_at < *evacuated || (known_at == *evacuated && is_out) => {
+                    self.keep_zone_out(zone, version);
+                    self.restoration_learned(&[], now).is_settled = false;
+                }
+                false if known_at <= *evacuated && is_out => {
+                    self.set_zone(zone, false, self.version(), now);
+                }
+                _ => (),
+            }
+            if let Some(zone) = self.zones.get_mut(zone) {
+                zone.evacuated = zone.evacuated.max(*evacuated);
+            }
+        }
+    }
+
+    /// Applies the states of upstreams and the configuration that another daemon of the same era keeps in force, unless
+    /// they have been given up here.
     pub(super) fn merge_awaited(&mut self, awaited: &[Item], now: Instant) {
         if awaited.is_empty() {
             return;
         }
-        let (before, start) = (Version::default(), self.era_start);
-        let restoration = self
-            .restoration
-            .get_or_insert_with(|| Restoration::new(before, start, awaited, now));
+        let restoration = self.restoration_learned(awaited, now);
         if now < restoration.at + REWRITE_TIME {
             restoration.is_settled = false;
             self.keep_awaited(awaited, now);
         }
     }
 
+    /// The latest restoration, which this daemon may have learned of from another one.
+    fn restoration_learned(&mut self, awaited: &[Item], now: Instant) -> &mut Restoration {
+        let (before, start) = (Version::default(), self.era_start);
+        self.restoration
+            .get_or_insert_with(|| Restoration::new(before, start, awaited, now))
+    }
+
     /// Gives up entries that were not written again in time.
     ///
     /// Returns the restoration once, when no entry is awaited any more.
@@ -322,7 +385,6 @@
             }
         }
         if now >= restoration.at + REWRITE_TIME {
-            restoration.given_up += self.return_zones(now);
             restoration.given_up +=
                 usize::from(std::mem::take(&mut self.configuration_awaits_write));
         }
@@ -331,19 +393,8 @@
         Some(restoration).filter(|one| one.is_settled)
     }
 
-    /// Returns zones to service whose evacuations were not written again; returns their number.
-    fn return_zones(&mut self, now: Instant) -> usize {
-        let zones = self.zones.iter().filter(|(_, zone)| zone.awaits_write);
-        let names: Vec<_> = zones.map(|(name, _)| Rc::clone(name)).collect();
-        let version = self.version();
-        for name in &names {
-            self.set_zone(name, false, version, now);
-        }
-        names.len()
-    }
-
-    /// States of upstreams and zones that stay in force until their entries are written again, which has not happened up
-    /// to the current version.
+    /// States of upstreams that stay in force until their entries are written again, which has not happened up to the
+    /// current version.
     pub(super) fn awaited_items(&self, now: Instant) -> Vec<Item> {
         if self.restoration.is_none_or(|one| one.is_settled) {
             return Vec::new();
@@ -358,15 +409,7 @@
             };
             Item::without_key(version, change)
         });
-        let zones = self.zones.iter().filter(|(_, zone)| zone.awaits_write);
-        let zones = zones.map(|(name, zone)| {
-            let change = Change::Zone {
-                zone: Rc::clone(name),
-                out: zone.out,
-            };
-            Item::without_key(version, change)
-        });
-        upstreams.chain(zones).collect()
+        upstreams.collect()
     }
 }
 
