--- a/crates/policy/src/packets/dead_upstream.rs
+++ b/crates/policy/src/packets/dead_upstream.rs
@@ -2,8 +2,7 @@
 //!
 //! A caller is not notified when its upstream dies, so on an open flow it waits for the answer until its timeout. A
 //! reset lets it repeat the request at another upstream immediately. A live upstream answers or sheds each request, so
-//! one that answers no caller while several callers retransmit their requests is considered dead. Requests in its queue may
-//! wait for as long while it answers others.
+//! one that answers no caller while several callers retransmit their requests is considered dead.
 
 use super::entry::UpstreamId;
 use smallvec::SmallVec;
@@ -29,11 +28,6 @@
 /// Number of callers that must have unanswered requests at the same time.
 const CALLERS_MIN: usize = 2;
 
-/// Time after an answer in which unanswered requests are no evidence: they wait behind others at an upstream that works.
-/// It is shorter than [`UNANSWERED_MIN`], so that the requests which were just forwarded when an upstream died still count
-/// with their second retransmission.
-const WORKING_TTL: Duration = Duration::from_millis(400);
-
 /// How long an unanswered request remains evidence after its last packet: the longest retransmission timeout, with a
 /// margin.
 const EVIDENCE_TTL: Duration = Duration::from_millis(1_650);
@@ -86,8 +80,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct DeadUpstreams {
     evidence: HashMap<UpstreamId, Evidence>,
-    /// When each upstream last answered.
-    answered: HashMap<UpstreamId, Instant>,
 }
 
 impl DeadUpstreams {
@@ -96,9 +88,7 @@
     /// Returns whether the upstream is considered dead now and was not before. One caller is enough if the entry of the
     /// upstream was removed too.
     pub fn record(&mut self, id: UpstreamId, request: Unanswered, now: Instant) -> bool {
-        let answered = self.answered.get(&id);
-        let is_working = answered.is_some_and(|at| now < *at + WORKING_TTL);
-        if is_working || !request.is_overdue(now) {
+        if !request.is_overdue(now) {
             return false;
         }
         let evidence = self.evidence.entry(id).or_default();
@@ -117,7 +107,6 @@
     /// Records that an upstream answered, which discards the evidence against it; returns whether it was considered
     /// dead.
     pub fn record_answer(&mut self, id: UpstreamId, now: Instant) -> bool {
-        self.answered.insert(id, now);
         let evidence = self.evidence.remove(&id);
         evidence.is_some_and(|evidence| evidence.is_dead(now))
     }
@@ -130,7 +119,6 @@
 
     /// Evicts expired evidence.
     pub fn evict(&mut self, now: Instant) {
-        self.answered.retain(|_, at| now < *at + WORKING_TTL);
         self.evidence.retain(|_, evidence| {
             evidence.callers.retain(|(_, at)| now < *at + EVIDENCE_TTL);
             !evidence.callers.is_empty() || evidence.is_dead(now)
