--- a/crates/config/src/packet_settings.rs
+++ b/crates/config/src/packet_settings.rs
@@ -308,7 +308,7 @@
     };
     let fields = reader.fields(reader.object(value)?, &LIMITS_FIELDS);
     let limit = |name, bounds, unit_s, default| match fields.optional(name) {
-        // The platform writes `true` for a limit without a figure.
+        // `true` stands for a limit without a figure of its own.
         None | Some(Value::BooleanLit(BooleanLit { value: true, .. })) => Some(default),
         Some(value) => reader.decimal_duration(value, bounds, unit_s),
     };
--- a/crates/policy/src/packets/choice.rs
+++ b/crates/policy/src/packets/choice.rs
@@ -10,7 +10,7 @@
     flows::Flows,
     openings::Attempts,
     outlier_ejection::{
-        Ejected,
+        EjectionState,
         OutlierEjection, //
     },
     packet::Label,
@@ -156,12 +156,11 @@
         tried: &Attempts,
         now: Instant,
     ) -> Choice {
-        let ejected = self.ejection.ejected(id, self.directory.as_of(), now);
-        let standing = match ejected {
+        let standing = match self.ejection.state(id, self.directory.as_of(), now) {
             _ if tried.iter().any(|t| t.upstream == id) => Standing::Tried,
-            Ejected::Silent => Standing::Silent,
-            Ejected::OnProbation => Standing::OnProbation,
-            Ejected::ProbeDue | Ejected::No => Standing::Good,
+            EjectionState::Ejected => Standing::Silent,
+            EjectionState::OnProbation => Standing::OnProbation,
+            EjectionState::ProbeDue | EjectionState::Clear => Standing::Good,
         };
         Choice {
             id,
--- a/crates/policy/src/packets/outlier_ejection.rs
+++ b/crates/policy/src/packets/outlier_ejection.rs
@@ -70,15 +70,15 @@
 
 /// Whether an upstream may get new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ejected {
+pub enum EjectionState {
     /// No recent silence is known, or the upstream is known not to be cold.
-    No,
+    Clear,
     /// The upstream was silent and may have started again since; one opening is due to find out whether it answers.
     ProbeDue,
     /// The upstream was silent and may have started again since.
     OnProbation,
     /// The upstream is silent.
-    Silent,
+    Ejected,
 }
 
 /// Time within which a second refusal confirms the first one. A single one is not enough: several users of one VM that
@@ -185,14 +185,14 @@
     }
 
     /// Whether an upstream may get new flows, by a directory that is complete as of `as_of`.
-    pub fn ejected(&self, id: UpstreamId, as_of: Option<Instant>, now: Instant) -> Ejected {
+    pub fn state(&self, id: UpstreamId, as_of: Option<Instant>, now: Instant) -> EjectionState {
         match self.silent.get(&id) {
-            None => Ejected::No,
-            Some(silent) if now < silent.until => Ejected::Silent,
-            Some(silent) if !silent.is_on_probation(as_of, now) => Ejected::No,
+            None => EjectionState::Clear,
+            Some(silent) if now < silent.until => EjectionState::Ejected,
+            Some(silent) if !silent.is_on_probation(as_of, now) => EjectionState::Clear,
             Some(silent) => match silent.probe {
-                Probe::Due(at) if now >= at => Ejected::ProbeDue,
-                _ => Ejected::OnProbation,
+                Probe::Due(at) if now >= at => EjectionState::ProbeDue,
+                _ => EjectionState::OnProbation,
             },
         }
     }
