Take the end of an evacuation from a reader of a later era

A follower that began an era with its reader's list kept a zone out although the list told it that the zone was back in service: the fix for revisions that are given out again looked for evacuations in the list only, not for ends that a reader passes on. The kept zone was then passed on in turn.

Fix: a zone is kept out unless the list has a later state of it, in or out.

--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -200,7 +200,10 @@
     /// revisions out again, so a new evacuation can look the same.
     fn newer_zones(&self, listed: &Listed<'_>) -> Vec<Change> {
         let out = self.zones.iter().filter(|(_, zone)| zone.out);
-        let kept = out.filter(|(name, _)| !listed.zones.contains(&***name));
+        let kept = out.filter(|(name, zone)| match listed.zones.get(&***name) {
+            None => true,
+            Some((at, is_out)) => !is_out && *at < zone.evacuated,
+        });
         let kept = kept.map(|(name, _)| Change::Zone {
             zone: Rc::clone(name),
             out: true,
--- a/crates/policy/src/packets/restoration/list.rs
+++ b/crates/policy/src/packets/restoration/list.rs
@@ -10,10 +10,7 @@
     },
     version::Version,
 };
-use std::collections::{
-    HashMap,
-    HashSet, //
-};
+use std::collections::HashMap;
 
 /// Beginning of an era, as a list shows it.
 #[derive(Clone, Copy, Debug)]
@@ -62,8 +59,8 @@
 /// Entries of a list with their revisions.
 pub(super) struct Listed<'i> {
     pub(super) upstreams: HashMap<UpstreamId, (u64, ListedState)>,
-    /// Zones that are out of service.
-    pub(super) zones: HashSet<&'i str>,
+    /// Versions of the entries of zones, and whether they are out of service; a reader also passes on those that returned.
+    pub(super) zones: HashMap<&'i str, (Version, bool)>,
     /// Version of the configuration.
     pub(super) configuration: Option<u64>,
 }
@@ -73,7 +70,7 @@
     pub(super) fn new(start: Version, items: &'i [Item]) -> Self {
         let mut listed = Self {
             upstreams: HashMap::new(),
-            zones: HashSet::new(),
+            zones: HashMap::new(),
             configuration: None,
         };
         for item in items {
@@ -90,13 +87,13 @@
                 Change::Unlisted(id, _) => {
                     listed.upstreams.insert(*id, (at, ListedState::Removed));
                 }
-                Change::Zone { zone, out: true } => {
-                    listed.zones.insert(zone);
+                Change::Zone { zone, out } => {
+                    listed.zones.insert(zone, (item.version, *out));
                 }
                 Change::Configured(cfg) => {
                     listed.configuration = Some(cfg.version);
                 }
-                Change::Zone { out: false, .. } | Change::Unusable(_) | Change::Foreign => (),
+                Change::Unusable(_) | Change::Foreign => (),
             }
         }
         listed
--- a/crates/policy/tests/packets/restoration.rs
+++ b/crates/policy/tests/packets/restoration.rs
@@ -355,6 +355,44 @@
     }
 }
 
+/// A follower that had missed two eras kept a zone out although its reader told it the end of the evacuation.
+#[test]
+fn a_follower_takes_the_end_of_an_evacuation_from_a_reader_of_a_later_era() {
+    let (mut store, mut follower) = start();
+    store.write_watched(&mut follower, "away", zone(true));
+    let mut reader = follower.clone();
+    for _ in 0..2 {
+        store.restore();
+        store.list(&mut reader);
+    }
+    let mut behind = follower.clone();
+    pass_on(&reader, &mut behind, store.now);
+    assert!(behind.is_out(AWAY), "its end is not known");
+    store.write_watched(&mut reader, "away", zone(true));
+    store.write_watched(&mut reader, "away", zone(false));
+    for directory in [&mut follower, &mut behind] {
+        pass_on(&reader, directory, store.now);
+        assert!(!directory.is_out(AWAY));
+        assert_eq!(directory.awaited(), 0);
+    }
+}
+
+/// A reader that had not seen the evacuation knows the end of an earlier one only.
+#[test]
+fn a_reader_that_was_behind_does_not_end_an_evacuation() {
+    let (mut store, mut follower) = start();
+    store.write_watched(&mut follower, "away", zone(true));
+    store.write_watched(&mut follower, "away", zone(false));
+    let mut reader = follower.clone();
+    store.write_watched(&mut follower, "away", zone(true));
+    store.restore();
+    store.list(&mut reader);
+    pass_on(&reader, &mut follower, store.now);
+    assert!(follower.is_out(AWAY));
+    pass_on(&follower, &mut reader, store.now);
+    assert!(reader.is_out(AWAY));
+}
+
 /// A restored store gave a new evacuation the revision of one that had ended, and the zone stayed in service. It may also
 /// be the evacuation that ended; the zone is then out until that is taken back again.
 #[test]
