Let an answer reset the duration of the next ejection

An upstream that had answered after a silence kept its ejection record while it was on probation, so that its next ejection lasted twice as long as before the probation existed, although it had answered in between.

Evidence: an_answer_resets_the_duration_of_the_next_ejection fails without this change.

--- a/crates/policy/src/packets/outlier_ejection.rs
+++ b/crates/policy/src/packets/outlier_ejection.rs
@@ -120,10 +120,11 @@
     ///
     /// Returns false if the upstream is ejected already.
     pub fn record(&mut self, id: UpstreamId, since: Instant, now: Instant) -> bool {
-        let known = self
-            .silent
-            .get(&id)
-            .filter(|s| now < s.until + BACKOFF_RESET || matches!(s.probe, Probe::Sent));
+        let known = self.silent.get(&id).filter(|s| match s.probe {
+            Probe::Due(_) => now < s.until + BACKOFF_RESET,
+            Probe::Sent => true,
+            Probe::Answered(_) => false,
+        });
         let duration = match known {
             Some(silent) if now < silent.until => return false,
             Some(silent) => (silent.duration * 2).min(EJECTION_MAX),
--- a/crates/policy/tests/packets/opening.rs
+++ b/crates/policy/tests/packets/opening.rs
@@ -196,6 +196,22 @@
     assert!(scene.balancer.is_silent(UpstreamId(1), scene.now));
 }
 
+/// An upstream that had answered in between was ejected for twice as long, as if it had been silent all the time.
+#[test]
+fn an_answer_resets_the_duration_of_the_next_ejection() {
+    let mut scene = Scene::new().upstream(1, upstream());
+    scene.choose(1);
+    scene.after(200).open(1, 1);
+    let id = scene.after(1_000).choose(2).id;
+    scene.after(5).follow(flow(2, PORT), id);
+    scene.directory.confirm(scene.now);
+    scene.after(100).choose(3);
+    scene.after(200).open(3, 1);
+    assert!(scene.balancer.is_silent(id, scene.now));
+    scene.after(EJECTION_MIN.as_millis() as u64);
+    assert!(!scene.balancer.is_silent(id, scene.now));
+}
+
 /// Callers are served although each upstream may be cold.
 #[test]
 fn upstreams_on_probation_are_used_if_there_are_no_others() {
