Say once how a configuration is replaced, and how changes are sent

No behaviour changes.

- Directory::replace_configuration serves configure and keep_configuration, which recorded the differences in the same way.
- configuration_change decides whether the asker lacks the configuration and builds it; both looked up the same identity.
- answer returns from its branch for changes, instead of keeping the asker aside until after the match.
- Three comments of outlier_ejection say what the duration is for.

--- a/crates/daemon/src/packets/zone/server.rs
+++ b/crates/daemon/src/packets/zone/server.rs
@@ -129,7 +129,6 @@
             .zone_bytes_received
             .inc_by(body.len() as u64);
         let request = message::decode(&body).ok_or(LinkError::Garbled)?;
-        let mut asker = None;
         let reply = match request {
             ZoneRequest::Meet(members) => self.answer_meet(members),
             ZoneRequest::Watch {
@@ -150,23 +149,20 @@
                     true => SyncedFrom::ThisDaemon,
                     false => SyncedFrom::Other,
                 };
-                let asking = Asker {
+                let asker = Asker {
                     after: after.into(),
                     synced_from,
                     configuration: configuration.map(ConfigurationId::from),
                     belief,
                 };
-                asker = Some(asking);
-                self.watch(asking, wait).await
+                let reply = self.watch(asker, wait).await;
+                return self.send_changes(respond, asker, &reply).await;
             }
             ZoneRequest::Tell(failed) => self.apply_failed(&failed),
             ZoneRequest::Load(record) => self.answer_load(&record),
         };
-        let body = Bytes::from(message::encode(&reply));
-        match asker.filter(|_| body.len() >= LARGE_ANSWER) {
-            Some(asker) => self.send_large(respond, asker, &reply, body).await,
-            None => self.send_answer(respond, body).await,
-        }
+        self.send_answer(respond, message::encode(&reply).into())
+            .await
     }
 
     async fn send_answer(
@@ -179,14 +175,18 @@
         transport::send_body(&mut stream, body).await
     }
 
-    /// Sends a large answer when no other one is being sent; tells the asker to ask again if that takes too long.
-    async fn send_large(
+    /// Sends changes; a large answer waits until no other one is being sent, and if that takes too long, the asker is told
+    /// to ask again.
+    async fn send_changes(
         &self,
         respond: SendResponse<Bytes>,
         asker: Asker,
         reply: &ZoneReply,
-        body: Bytes,
     ) -> Result<(), LinkError> {
+        let body = Bytes::from(message::encode(reply));
+        if body.len() < LARGE_ANSWER {
+            return self.send_answer(respond, body).await;
+        }
         let turn = monoio::time::timeout(TURN_WAIT, self.large_answer.lock()).await;
         let Ok(turn) = turn else {
             Event::new("large_answer_postponed")
--- a/crates/daemon/tests/packets/zone.rs
+++ b/crates/daemon/tests/packets/zone.rs
@@ -177,15 +177,7 @@
     scene.run(1_000);
     let is_follower = |index: &usize| scene.status(*index).unwrap().role == StoreRole::Follower;
     let follower = (0..DAEMONS).find(is_follower).unwrap();
-    let request = ZoneRequest::Watch {
-        after: VersionRecord::default(),
-        is_here: false,
-        configuration: None,
-        belief: 0,
-        wait_ms: 1,
-        members: Vec::new(),
-    };
-    post(scene.zone_addr(follower), &request);
+    post(scene.zone_addr(follower), &watch_from_start(1));
     assert_eq!(scene.status(follower).unwrap().role, StoreRole::Reader);
     // The last request to its former reader may still be answered within 2 s.
     scene.run(2_100);
@@ -291,6 +283,18 @@
     })
 }
 
+/// Request of a daemon without a view for all changes.
+fn watch_from_start(wait_ms: u32) -> ZoneRequest {
+    ZoneRequest::Watch {
+        after: VersionRecord::default(),
+        is_here: false,
+        configuration: None,
+        belief: 0,
+        wait_ms,
+        members: Vec::new(),
+    }
+}
+
 /// Sends a message to a daemon as another one of its zone would, and returns the answer.
 fn post(addr: SocketAddr, request: &ZoneRequest) -> ZoneReply {
     in_runtime(async { read(open(addr, request).await).await })
@@ -341,14 +345,7 @@
     let zone = scene.zones()[1];
     scene.evacuate(zone);
     scene.run(4_000);
-    let request = ZoneRequest::Watch {
-        after: VersionRecord::default(),
-        is_here: false,
-        configuration: None,
-        belief: 0,
-        wait_ms: 0,
-        members: Vec::new(),
-    };
+    let request = watch_from_start(0);
     let addr = scene.zone_addr(0);
     in_runtime(async {
         let unread = open(addr, &request).await;
--- a/crates/policy/src/packets/change_set.rs
+++ b/crates/policy/src/packets/change_set.rs
@@ -112,11 +112,7 @@
         let is_newer = |version: Version| is_whole || version > after;
         let mut items = Vec::new();
         let mut awaited = self.awaited_items(now);
-        let cfg = match self.configuration_is_missing(known, is_newer) {
-            true => self.configuration_change(known),
-            false => None,
-        };
-        let delta = match cfg {
+        let delta = match self.configuration_change(known, is_newer) {
             Some(ConfigurationChange::Delta(delta)) => Some(delta),
             Some(ConfigurationChange::Whole(item)) if self.configuration_awaits_write => {
                 awaited.push(item);
@@ -160,22 +156,17 @@
         }
     }
 
-    /// Whether a daemon with the configuration `known` lacks the current one.
-    fn configuration_is_missing(
+    /// The current configuration for a daemon that has the configuration `known`; `None` if that daemon does not lack it.
+    fn configuration_change(
         &self,
         known: Option<ConfigurationId>,
         is_newer: impl Fn(Version) -> bool,
-    ) -> bool {
-        let Some(id) = self.configuration_id() else {
-            return false;
-        };
-        known != Some(id) && (self.configuration_awaits_write || is_newer(id.written))
-    }
-
-    /// The current configuration for a daemon that has the configuration `known`.
-    fn configuration_change(&self, known: Option<ConfigurationId>) -> Option<ConfigurationChange> {
+    ) -> Option<ConfigurationChange> {
         let (written, cfg) = self.configured()?;
         let id = self.configuration_id()?;
+        if known == Some(id) || !(self.configuration_awaits_write || is_newer(written)) {
+            return None;
+        }
         let delta = known.and_then(|known| self.configuration_history.delta(known, id, cfg));
         Some(match delta {
             Some(delta) => ConfigurationChange::Delta(ConfigurationDelta {
--- a/crates/policy/src/packets/directory.rs
+++ b/crates/policy/src/packets/directory.rs
@@ -526,15 +526,21 @@
     }
 
     fn configure(&mut self, cfg: &Configuration, version: Version) -> Outcome {
+        let id = self.configuration_id();
+        if id.is_some_and(|id| version <= id.written || cfg.version < id.version) {
+            return Outcome::Stale;
+        }
+        self.replace_configuration(cfg, version);
+        self.configuration_awaits_write = false;
+        Outcome::Applied
+    }
+
+    /// Replaces the configuration in force, and records in which routes they differ.
+    pub(super) fn replace_configuration(&mut self, cfg: &Configuration, version: Version) {
         if let Some((id, (_, current))) = self.configuration_id().zip(self.configuration.as_ref()) {
-            if version <= id.written || cfg.version < id.version {
-                return Outcome::Stale;
-            }
             self.configuration_history.record(id, current, cfg);
         }
         self.configuration = Some((version, Rc::new(cfg.clone())));
-        self.configuration_awaits_write = false;
-        Outcome::Applied
     }
 
     pub(super) fn set_zone(
--- a/crates/policy/src/packets/outlier_ejection.rs
+++ b/crates/policy/src/packets/outlier_ejection.rs
@@ -27,14 +27,14 @@
 /// Time after the end of an ejection until the duration of the next one starts at the minimum again.
 const BACKOFF_RESET: Duration = Duration::from_secs(3);
 
-/// Time within which a process does not end and start again, so that an answer shows that it has lived on.
+/// Shortest time in which a process ends and starts again; an answer that comes sooner shows that it lives on.
 const RESTART_MIN: Duration = Duration::from_millis(500);
 
-/// Longest warm-up of an upstream, if its entry is not known.
+/// Time after which an upstream that answers is warm, whenever it started.
 pub const WARMUP_MAX: Duration = Duration::from_secs(10);
 
-/// Interval between the probes of an upstream by the daemons of a zone: less than the openings that a cold upstream may
-/// get, also if those of other zones probe it.
+/// Interval between the probes of an upstream by the daemons of a zone, so that a cold one stays within the number of
+/// openings that it may get.
 pub const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/policy/src/packets/restoration.rs
+++ b/crates/policy/src/packets/restoration.rs
@@ -281,12 +281,7 @@
             .configured()
             .is_none_or(|(written, current)| (current.version, written) <= (cfg.version, version));
         if is_newer {
-            if let Some((id, (_, current))) =
-                self.configuration_id().zip(self.configuration.as_ref())
-            {
-                self.configuration_history.record(id, current, cfg);
-            }
-            self.configuration = Some((version, Rc::new(cfg.clone())));
+            self.replace_configuration(cfg, version);
             self.configuration_awaits_write = true;
         }
     }
