Measure how late the return of the store and changes are noticed

A daemon that takes a change up just in time looked like one that takes it up at once: store_regained tells the length of the outage, and configured no time at all.

store_regained now has unnoticed_max_ms, the time since the last unanswered call began; configured, zone_out and upstream_draining have delay_max_ms, the time since the view was last complete or, if the store failed since then, since that call. Both are upper bounds, and histograms show them. A daemon that lacks a configuration of its revision shows no unnoticed_max_ms before a late configured; one whose reader is behind shows a small delay_max_ms.

--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -41,6 +41,9 @@
 /// Bounds of the histogram of list calls, in seconds.
 const LIST_BUCKETS: [f64; 8] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1.0];
 
+/// Bounds of the histograms of delays of changes, in seconds.
+const DELAY_BUCKETS: [f64; 9] = [0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0];
+
 /// Outcome of a packet from a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PacketResult {
@@ -271,6 +274,10 @@
     pub store_calls: Counters<PlatformResult>,
     /// Time of a list call of the store, in seconds.
     pub list_seconds: Histogram,
+    /// Longest time for which the store can have been available again before this daemon noticed, in seconds.
+    pub return_seconds: Histogram,
+    /// Longest time that a change with a deadline can have waited, without outages of the store, in seconds.
+    pub change_delay_seconds: Histogram,
     /// Requests to other daemons of the zone for their views, by result.
     pub zone_requests: Counters<ZoneResult>,
     /// Bytes of messages sent to other daemons.
@@ -338,6 +345,18 @@
                 "Time of a list call of the store.",
                 &LIST_BUCKETS,
             ),
+            return_seconds: histogram(
+                r,
+                "foxtailhinge_store_return_seconds",
+                "Longest time for which the store can have been available again before this daemon noticed.",
+                &DELAY_BUCKETS,
+            ),
+            change_delay_seconds: histogram(
+                r,
+                "foxtailhinge_change_delay_seconds",
+                "Longest time that a configuration, an evacuation or a draining upstream can have waited for this daemon, without outages of the store.",
+                &DELAY_BUCKETS,
+            ),
             zone_requests: Counters::new(
                 r,
                 "foxtailhinge_zone_requests_total",
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -5,8 +5,8 @@
 mod shared;
 
 use self::log::{
-    log_change,
-    log_changes, //
+    has_deadline,
+    log_change, //
 };
 use super::metrics::PacketMetrics;
 use crate::{
@@ -120,6 +120,10 @@
     /// the history in between.
     consistency: Cell<ReadConsistency>,
     failing_since: Cell<Option<Instant>>,
+    /// When the last call began that the store did not answer; it may have been available since then.
+    unanswered_since: Cell<Option<Instant>>,
+    /// When the last call began.
+    called_at: Cell<Option<Instant>>,
     /// When the last answer arrived on the open connection.
     heard: Cell<Option<Instant>>,
     schedule: RefCell<PollSchedule>,
@@ -167,6 +171,8 @@
             era: Cell::new(0),
             consistency: Cell::new(ReadConsistency::Stale),
             failing_since: Cell::new(None),
+            unanswered_since: Cell::new(None),
+            called_at: Cell::new(None),
             heard: Cell::new(None),
         }
     }
@@ -289,12 +295,37 @@
         if outage >= OUTAGE_MIN && self.directory.borrow().is_ready() {
             self.directory.borrow_mut().record_recovery(now);
         }
+        let unnoticed = self
+            .unanswered_since
+            .get()
+            .map_or(Duration::ZERO, |at| now - at);
+        self.metrics.return_seconds.observe(unnoticed.as_secs_f64());
         Event::new("store_regained")
             .field("store", self.store.get())
             .field("after_ms", outage.as_millis())
+            .field("unnoticed_max_ms", unnoticed.as_millis())
             .info();
     }
 
+    /// Longest time that a change which arrives at `now` can have waited since it was written, without the time in which
+    /// the store was unavailable; `None` before the first complete view.
+    fn change_delay(&self, now: Instant) -> Option<Duration> {
+        let complete = self.directory.borrow().as_of()?;
+        let since = self.unanswered_since.get().max(Some(complete))?;
+        Some(now.saturating_duration_since(since))
+    }
+
+    /// Logs the outcome of a change, and records the delay of one that must be in force within a time limit.
+    fn record_change(&self, item: &Item, outcome: &Outcome, delay: Option<Duration>) {
+        log_change(item, outcome, delay);
+        let is_in_force = *outcome == Outcome::Applied && has_deadline(&item.change);
+        if let Some(delay) = delay.filter(|_| is_in_force) {
+            self.metrics
+                .change_delay_seconds
+                .observe(delay.as_secs_f64());
+        }
+    }
+
     /// When the store is to be called next; `None` for at once.
     fn due(&self) -> Option<Instant> {
         let due = self.schedule.borrow().due()?;
@@ -312,6 +343,7 @@
         expected: Option<u64>,
     ) -> Result<(Bytes, u64), StoreError> {
         let began = Instant::now();
+        self.called_at.set(Some(began));
         let answer = self.client.get(self.store.get(), path, wait).await?;
         self.heard.set(Some(Instant::now()));
         let took = began.elapsed().as_secs_f64();
@@ -384,7 +416,7 @@
 
     async fn list(&self) -> Result<Progress, StoreError> {
         let began = Instant::now();
-        let version_before = self.version();
+        let (version_before, age) = (self.version(), self.age(began));
         let (answered, items, bytes) = self.list_pages().await?;
         match self.consistency.get() {
             ReadConsistency::Exact => self.confirm(began),
@@ -402,7 +434,7 @@
         let listed = &outcomes[outcomes.len() - items.len()..];
         for (item, outcome) in items.iter().zip(listed) {
             if let Outcome::Refused(_) = outcome {
-                log_change(item, outcome);
+                log_change(item, outcome, None);
             }
         }
         self.position.set(Some(answered));
@@ -416,6 +448,7 @@
                 "configuration",
                 directory.configuration().map_or(0, |c| c.version),
             )
+            .field("age_ms", age.map_or(0, |age| age.as_millis()))
             .field("took_ms", began.elapsed().as_millis())
             .info();
         drop(directory);
@@ -444,6 +477,10 @@
         if !answer.matches_call() {
             return Err(StoreError::Mismatched);
         }
+        // A call that waits is answered as soon as there is a change.
+        let delay = self
+            .change_delay(now)
+            .map(|delay| delay.saturating_sub(answer.time_held(CONNECT + ANSWER)));
         match answer.is_whole() {
             true => self.confirm(answer.as_of()),
             false => self.record_response(),
@@ -452,7 +489,9 @@
             let mut directory = self.directory.borrow_mut();
             directory.apply(changes.version, &changes.items, now)
         };
-        log_changes(&changes.items, &outcomes);
+        for (item, outcome) in changes.items.iter().zip(&outcomes) {
+            self.record_change(item, outcome, delay);
+        }
         let brings =
             |missing: Missing| changes.items.iter().any(|item| missing.is_in(&item.change));
         self.schedule.borrow_mut().record_answer(&answer, brings);
@@ -499,6 +538,7 @@
             return;
         }
         let now = Instant::now();
+        self.unanswered_since.set(self.called_at.get());
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(now));
             Event::new("store_lost")
--- a/crates/daemon/src/packets/view/log.rs
+++ b/crates/daemon/src/packets/view/log.rs
@@ -13,17 +13,13 @@
     Restoration,
     Version, //
 };
-use std::time::Instant;
-
-/// Logs the outcome of each change.
-pub(super) fn log_changes(items: &[Item], outcomes: &[Outcome]) {
-    for (item, outcome) in items.iter().zip(outcomes) {
-        log_change(item, outcome);
-    }
-}
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-/// Logs the outcome of one change.
-pub(super) fn log_change(item: &Item, outcome: &Outcome) {
+/// Logs the outcome of one change, which waited for `delay` at most since it was written; `None` if that is not known.
+pub(super) fn log_change(item: &Item, outcome: &Outcome, delay: Option<Duration>) {
     let (name, event) = match (&item.change, outcome) {
         (_, Outcome::Ignored) => return,
         (_, Outcome::Refused(cause)) => ("entry_refused", Some(("cause", cause.to_string()))),
@@ -46,12 +42,24 @@
     if let Some((field, value)) = event {
         line = line.field(field, value);
     }
+    if let Some(delay) = delay.filter(|_| has_deadline(&item.change)) {
+        line = line.field("delay_max_ms", delay.as_millis());
+    }
     match outcome {
         Outcome::Refused(_) => line.warn(),
         _ => line.info(),
     }
 }
 
+/// Whether a change must be in force within a time limit.
+pub(super) fn has_deadline(change: &Change) -> bool {
+    match change {
+        Change::Configured(_) | Change::Zone { out: true, .. } => true,
+        Change::Listed(_, upstream) => upstream.state == UpstreamState::Draining,
+        _ => false,
+    }
+}
+
 /// Logs that the store was restored from a copy, after a list at `version` that began the era.
 pub(super) fn log_era(restoration: &Restoration, version: Version) {
     let lost = restoration.lost_revisions();
--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -1,10 +1,7 @@
 //! Exchange of a view's state with other daemons of its zone.
 
 use super::{
-    log::{
-        log_change,
-        log_ended_evacuations, //
-    },
+    log::log_ended_evacuations,
     watch_interval,
     View, //
 };
@@ -85,6 +82,7 @@
         let now = Instant::now();
         let recovered_at = since_recovery.and_then(|age| now.checked_sub(age));
         let (was_ready, known) = (self.is_ready(), self.version());
+        let delay = self.change_delay(now);
         let evacuations = self.directory().former_evacuations();
         let outcomes = {
             let mut directory = self.directory.borrow_mut();
@@ -108,7 +106,7 @@
         if was_ready {
             let changed = changes.items.iter().zip(applied);
             let changed = changed.filter(|(_, outcome)| **outcome != Outcome::Stale);
-            changed.for_each(|(item, outcome)| log_change(item, outcome));
+            changed.for_each(|(item, outcome)| self.record_change(item, outcome, delay));
         } else if self.is_ready() {
             Event::new("view_passed_on")
                 .field("revision", changes.version)
--- a/crates/policy/src/packets/answer.rs
+++ b/crates/policy/src/packets/answer.rs
@@ -51,6 +51,11 @@
         self.entries < ENTRIES_CUT && self.bytes < BYTES_CUT
     }
 
+    /// Time for which the store held the call before there was a change, if the exchange itself took `exchange` at most.
+    pub fn time_held(&self, exchange: Duration) -> Duration {
+        (self.ended - self.began).saturating_sub(exchange)
+    }
+
     /// Time up to which no change is missing, if the answer is whole.
     ///
     /// The store sends an answer without changes at the end of the wait; it may have sent one with changes as early as
