Keep the deadline for changes after an outage of the store

Callers saw: after a silence of the store of 13 to 17 s, a new flow was handled by the former configuration although the store had been back for the time within which changes must be in force (contact_ms, 4 s).

Cause: the limits of the steps until a change is in force were chosen one by one, and nothing derived them from the deadline. A call that the store took just before its return was given up after the wait of a watch and an answer (3.3 s), then came a back-off of up to 1.2 s, and a connection might take 1.2 s.

CallBudget derives all limits from the two deadlines, so that each sequence adds up to its deadline at most: - While the store fails, watches are short, and the next call begins a bounded time after the start of the last one, whatever the back-off. - A connection is tried twice, since the kernel repeats a lost SYN after a second. - While an answer is overdue, the connection for the next call is opened. Interval and wait of watches stay what they are while the store answers, so that it is not called more often. The wait has jitter in an outage, so that daemons which lost calls together do not return together.

--- a/crates/daemon/src/activity.rs
+++ b/crates/daemon/src/activity.rs
@@ -38,6 +38,11 @@
         self.last.set(Some(Instant::now()));
     }
 
+    /// Whether a part has arrived.
+    pub fn has_begun(&self) -> bool {
+        self.last.get().is_some()
+    }
+
     /// Runs `work`, which records the parts of an answer here; returns `None` if they fail to arrive within `limits`.
     pub async fn limit<F: Future>(&self, limits: AnswerLimits, work: F) -> Option<F::Output> {
         let began = Instant::now();
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -40,6 +40,7 @@
         Outcome, //
     },
     Answer,
+    CallBudget,
     Freshness,
     Item,
     Missing,
@@ -66,26 +67,9 @@
     },
 };
 
-/// Time limit for a connection: its SYN, lost once, is retransmitted after a second.
-const CONNECT: Duration = Duration::from_millis(1_200);
-
-/// Time limit for an answer, in addition to the wait that a call asked for: the store answers within milliseconds, and
-/// within a quarter of a second when it is slow.
-const ANSWER: Duration = Duration::from_millis(800);
-
-/// Margin for the reconnection after a lost answer was detected.
-const NOTICE_MARGIN: Duration = Duration::from_millis(700);
-
-/// Minimum wait of a watch.
-const WAIT_MIN: Duration = Duration::from_millis(500);
-
 /// Minimum wait of a watch that only has to confirm that nothing more has changed.
 const CONFIRM_WAIT_MIN: Duration = Duration::from_millis(20);
 
-/// The minimum interval between the starts of two watches is the time limit for a change to take effect, divided by
-/// this.
-const INTERVAL_DIVISOR: u32 = 2;
-
 /// Minimum and maximum back-off between calls while the store fails.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(800)];
 
@@ -96,9 +80,6 @@
 /// Maximum wait of the watches of such a daemon, for the same reason.
 const READER_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Maximum time for which a daemon that follows a reader waits for the reader's list before it lists the store itself.
-const LIST_SPREAD: Duration = Duration::from_secs(1);
-
 /// Shortest outage during which entries can lapse.
 const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
@@ -110,6 +91,7 @@
     client: Client<Http1>,
     store: Cell<SocketAddr>,
     limits: RefCell<PacketLimits>,
+    budget: Cell<CallBudget>,
     metrics: Rc<PacketMetrics>,
     directory: RefCell<Directory>,
     /// Version after which the next watch starts; `None` if the store has to be listed.
@@ -146,16 +128,13 @@
 impl View {
     /// Creates an empty view of `store`.
     ///
-    /// The wait of its watches is short enough that a lost answer is detected, and the call repeated, within
-    /// `limits.notice`.
+    /// A lost answer is detected, and the call repeated, within `limits.notice`.
     pub fn new(store: SocketAddr, limits: PacketLimits, metrics: Rc<PacketMetrics>) -> Self {
-        let call_limits = CallLimits {
-            connect: CONNECT,
-            answer: ANSWER,
-        };
+        let budget = budget(&limits);
         Self {
-            client: Client::new(call_limits),
-            schedule: RefCell::new(PollSchedule::new(watch_interval(&limits))),
+            client: Client::new(call_limits(&budget)),
+            schedule: RefCell::new(PollSchedule::new(budget.interval)),
+            budget: Cell::new(budget),
             call_due: Wake::default(),
             is_reader: Cell::new(false),
             has_reader: Cell::new(false),
@@ -180,6 +159,8 @@
     /// Replaces the store's address and the limits from the next call on.
     pub fn reconfigure(&self, store: SocketAddr, limits: PacketLimits) {
         self.store.set(store);
+        self.budget.set(budget(&limits));
+        self.client.set_limits(call_limits(&self.budget.get()));
         *self.limits.borrow_mut() = limits;
         self.set_reader(self.is_reader.get());
     }
@@ -192,7 +173,7 @@
         if is_reader && !was_reader {
             self.call_due.set();
         }
-        let alone = watch_interval(&self.limits.borrow());
+        let alone = self.budget.get().interval;
         self.schedule.borrow_mut().set_interval(match is_reader {
             true => alone.min(READER_INTERVAL),
             false => alone,
@@ -245,15 +226,20 @@
     }
 
     /// Wait of a watch that starts at `began`: until a lost answer must be detected, or until the upstreams of a
-    /// returned zone have reported their state.
+    /// returned zone have reported their state. While the store fails, it is short and has jitter.
     ///
     /// The connection may have gone silent just after the last answer, so the time since then is part of the time in
     /// which that must be detected.
     fn wait(&self, began: Instant) -> Duration {
-        let notice = self.limits.borrow().notice;
-        let silent_for = self.heard.get().map_or(Duration::ZERO, |at| began - at);
-        let wait = notice.saturating_sub(silent_for + ANSWER + NOTICE_MARGIN);
-        let wait = wait.clamp(WAIT_MIN, WAIT_MAX);
+        let budget = self.budget.get();
+        let idle = self.heard.get().map_or(Duration::ZERO, |at| began - at);
+        let wait = match self.failing_since.get() {
+            Some(_) => budget
+                .retry_wait()
+                .mul_f64(rand::rng().random_range(0.5..=1.0)),
+            None => budget.wait(idle),
+        };
+        let wait = wait.min(WAIT_MAX);
         let wait = match self.is_reader.get() {
             true => wait.min(READER_WAIT),
             false => wait,
@@ -266,18 +252,13 @@
 
     /// Drops the connection if it has been idle for so long that a watch on it could not be given up in time.
     fn disconnect_if_silent(&self, now: Instant) {
-        let notice = self.limits.borrow().notice;
-        let silence_max = notice.saturating_sub(WAIT_MIN + ANSWER + NOTICE_MARGIN);
-        if self.heard.get().is_some_and(|at| now - at > silence_max) {
-            self.disconnect();
+        let idle_max = self.budget.get().idle_max();
+        if self.heard.get().is_some_and(|at| now - at > idle_max) {
+            self.client.disconnect();
+            self.heard.set(None);
         }
     }
 
-    fn disconnect(&self) {
-        self.client.disconnect();
-        self.heard.set(None);
-    }
-
     /// Records an answer that contains all changes up to `at`.
     fn confirm(&self, at: Instant) {
         self.confirm_as_of(at);
@@ -402,7 +383,7 @@
         if !self.has_reader.get() || !self.is_ready() {
             return;
         }
-        let until = Instant::now() + LIST_SPREAD.mul_f64(rand::rng().random());
+        let until = Instant::now() + self.budget.get().list_spread.mul_f64(rand::rng().random());
         while self.position.get().is_none() {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -478,9 +459,11 @@
             return Err(StoreError::Mismatched);
         }
         // A call that waits is answered as soon as there is a change.
+        let budget = self.budget.get();
+        let held = answer.time_held(budget.connect + budget.answer);
         let delay = self
             .change_delay(now)
-            .map(|delay| delay.saturating_sub(answer.time_held(CONNECT + ANSWER)));
+            .map(|delay| delay.saturating_sub(held));
         match answer.is_whole() {
             true => self.confirm(answer.as_of()),
             false => self.record_response(),
@@ -518,7 +501,10 @@
 
     fn record_failure(&self, err: &StoreError) {
         self.metrics.store_calls.inc(PlatformResult::Failed);
-        self.disconnect();
+        self.heard.set(None);
+        if !err.is_connection_lost() {
+            self.client.disconnect();
+        }
         // The changes after a version only grow, so that a watch after it would be too long again.
         let is_history_lost = matches!(
             err,
@@ -556,15 +542,19 @@
         BackoffLimits {
             backoff_min: BACKOFF[0],
             backoff_max: BACKOFF[1],
+            interval_max: self.budget.get().retry_interval,
         }
     }
 }
 
-/// Interval between the starts of two watches while the directory lacks nothing: a series of changes then costs few
-/// calls. The time that is left until a change has to be in force covers a connection whose SYN is lost once.
-fn watch_interval(limits: &PacketLimits) -> Duration {
-    let in_force = limits.change_deadline();
-    in_force
-        .saturating_sub(CONNECT)
-        .max(in_force / INTERVAL_DIVISOR)
+fn budget(limits: &PacketLimits) -> CallBudget {
+    CallBudget::new(limits.notice, limits.change_deadline())
+}
+
+fn call_limits(budget: &CallBudget) -> CallLimits {
+    CallLimits {
+        connect: budget.connect,
+        answer: budget.answer,
+        overdue: budget.answer - budget.connect,
+    }
 }
--- a/crates/daemon/src/packets/view/shared.rs
+++ b/crates/daemon/src/packets/view/shared.rs
@@ -2,7 +2,6 @@
 
 use super::{
     log::log_ended_evacuations,
-    watch_interval,
     View, //
 };
 use crate::logging::Event;
@@ -129,7 +128,7 @@
 
     /// Time until which the reports of readers make a call of the store unnecessary.
     pub(super) fn fresh_until(&self) -> Option<Instant> {
-        let interval = watch_interval(&self.limits.borrow());
+        let interval = self.budget.get().interval;
         self.freshness.get().fresh_until(interval, Instant::now())
     }
 
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -35,9 +35,11 @@
 impl Client {
     /// Creates a client that is not connected yet.
     pub fn new(control: Rc<Control>) -> Self {
+        let answer = control.settings().limits.platform_timeout;
         let limits = CallLimits {
             connect: CONNECT,
-            answer: control.settings().limits.platform_timeout,
+            answer,
+            overdue: answer / 2,
         };
         Self {
             control,
@@ -87,9 +89,11 @@
             Ok(answer) => store::ok_body(answer).and_then(|body| decode(&body)),
             Err(err) => Err(err),
         };
-        if result.is_err() {
+        if let Err(err) = &result {
             count(&counters.platform_failures, 1);
-            self.store.disconnect();
+            if !err.is_connection_lost() {
+                self.store.disconnect();
+            }
         }
         result
     }
--- a/crates/daemon/src/platform/reader.rs
+++ b/crates/daemon/src/platform/reader.rs
@@ -147,6 +147,7 @@
         BackoffLimits {
             backoff_min: BACKOFF_MIN,
             backoff_max: self.control.settings().limits.platform_backoff,
+            interval_max: Duration::MAX,
         }
     }
 
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -6,6 +6,10 @@
 };
 use bytes::Bytes;
 use foxtailhinge_policy::packets::Version;
+use futures::future::{
+    select,
+    Either, //
+};
 use http::{
     Response,
     StatusCode, //
@@ -16,7 +20,10 @@
     TcpKeepalive, //
 };
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     future::Future,
     io,
     net::SocketAddr,
@@ -24,6 +31,7 @@
         AsRawFd,
         BorrowedFd, //
     },
+    pin::pin,
     time::Duration, //
 };
 
@@ -37,6 +45,10 @@
 /// end.
 const WHOLE_ANSWER: Duration = Duration::from_secs(15);
 
+/// Share of the time limit for a connection after which a second one is tried, since the kernel repeats a lost SYN only
+/// after a second.
+const SECOND_SYN: u32 = 2;
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -95,6 +107,16 @@
     },
 }
 
+impl StoreError {
+    /// Whether the call ended without a whole answer, so that the client does not use its connection again.
+    pub fn is_connection_lost(&self) -> bool {
+        matches!(
+            self,
+            Self::Timeout | Self::Io(_) | Self::Http(_) | Self::TooLong { .. }
+        )
+    }
+}
+
 /// Returns the body of an answer with status 200.
 ///
 /// # Errors
@@ -138,12 +160,15 @@
     pub connect: Duration,
     /// Time limit for an answer, in addition to the wait that the call asked for, and from one part of it to the next.
     pub answer: Duration,
+    /// Time without any part of an answer, in addition to that wait, after which a new connection is opened for the next
+    /// call.
+    pub overdue: Duration,
 }
 
 /// A client of the store that reconnects after a failure.
 #[derive(Debug)]
 pub struct Client<T: Transport> {
-    limits: CallLimits,
+    limits: Cell<CallLimits>,
     idle: RefCell<Option<(SocketAddr, T::Session)>>,
 }
 
@@ -151,13 +176,20 @@
     /// A client that is not connected yet.
     pub fn new(limits: CallLimits) -> Self {
         Self {
-            limits,
+            limits: Cell::new(limits),
             idle: RefCell::default(),
         }
     }
 
+    /// Changes the limits of the next calls.
+    pub fn set_limits(&self, limits: CallLimits) {
+        self.limits.set(limits);
+    }
+
     /// Gets `path` from the store at `addr`, which may delay its answer by `wait`.
     ///
+    /// While an answer is overdue, a new connection is opened, which the next call uses if the answer does not arrive.
+    ///
     /// # Errors
     ///
     /// Fails when an answer, or the next part of it, does not arrive in time; an answer may have any status.
@@ -167,26 +199,36 @@
         path: &str,
         wait: Duration,
     ) -> Result<Response<Bytes>, StoreError> {
+        let limits = self.limits.get();
         let session = match self.idle_session(addr) {
             Some(session) => session,
-            None => within(self.limits.connect, connect::<T>(addr)).await?,
+            None => within(limits.connect, connect::<T>(addr, limits)).await?,
         };
         if let Some(shared) = T::share(&session) {
             *self.idle.borrow_mut() = Some((addr, shared));
         }
         let activity = Activity::default();
-        let limits = AnswerLimits {
-            first: wait + self.limits.answer,
-            next: self.limits.answer,
+        let answer_limits = AnswerLimits {
+            first: wait + limits.answer,
+            next: limits.answer,
             whole: wait + WHOLE_ANSWER,
         };
-        let answered = activity.limit(limits, T::get(session, addr, path, &activity));
-        let answered = answered.await.unwrap_or(Err(StoreError::Timeout));
-        let (answer, session) = answered.inspect_err(|_| {
-            self.idle.take();
-        })?;
-        *self.idle.borrow_mut() = Some((addr, session));
-        Ok(answer)
+        let answered = pin!(activity.limit(answer_limits, T::get(session, addr, path, &activity)));
+        let spare = pin!(connect_when_overdue::<T>(addr, limits, wait, &activity));
+        let (answered, spare) = match select(answered, spare).await {
+            Either::Left((answered, _)) => (answered, None),
+            Either::Right((spare, answered)) => (answered.await, spare),
+        };
+        match answered.unwrap_or(Err(StoreError::Timeout)) {
+            Ok((answer, session)) => {
+                *self.idle.borrow_mut() = Some((addr, session));
+                Ok(answer)
+            }
+            Err(err) => {
+                *self.idle.borrow_mut() = spare.map(|session| (addr, session));
+                Err(err)
+            }
+        }
     }
 
     /// Drops the idle connection, so that the next call opens a new one.
@@ -200,13 +242,43 @@
     }
 }
 
-async fn connect<T: Transport>(addr: SocketAddr) -> Result<T::Session, StoreError> {
-    let stream = TcpStream::connect(addr).await?;
+/// Connects, on a second connection if the first one is not established in time.
+async fn connect<T: Transport>(
+    addr: SocketAddr,
+    limits: CallLimits,
+) -> Result<T::Session, StoreError> {
+    let first = TcpStream::connect(addr);
+    let second = async {
+        monoio::time::sleep(limits.connect / SECOND_SYN).await;
+        TcpStream::connect(addr).await
+    };
+    let stream = match select(pin!(first), pin!(second)).await {
+        Either::Left((Ok(stream), _)) | Either::Right((Ok(stream), _)) => stream,
+        Either::Left((Err(err), _)) => return Err(err.into()),
+        Either::Right((Err(_), first)) => first.await?,
+    };
     stream.set_nodelay(true)?;
     enable_keepalive(&stream)?;
     T::start(stream).await
 }
 
+/// Opens a connection if no part of an answer that may be delayed by `wait` has arrived in time; returns `None`
+/// otherwise, and if that fails.
+async fn connect_when_overdue<T: Transport>(
+    addr: SocketAddr,
+    limits: CallLimits,
+    wait: Duration,
+    activity: &Activity,
+) -> Option<T::Session> {
+    monoio::time::sleep(wait + limits.overdue).await;
+    if activity.has_begun() {
+        return None;
+    }
+    within(limits.connect, connect::<T>(addr, limits))
+        .await
+        .ok()
+}
+
 async fn within<T>(
     limit: Duration,
     work: impl Future<Output = Result<T, StoreError>>,
--- a/crates/daemon/src/store/follow.rs
+++ b/crates/daemon/src/store/follow.rs
@@ -35,8 +35,10 @@
 pub struct BackoffLimits {
     /// Back-off after the first failed call; it doubles with each further one.
     pub backoff_min: Duration,
-    /// Longest back-off.
+    /// Longest back-off, without the jitter.
     pub backoff_max: Duration,
+    /// Longest time from the start of a failed call to the start of the next one, unless the call takes longer.
+    pub interval_max: Duration,
 }
 
 /// A store whose contents are listed once and then kept up to date by watches.
@@ -68,6 +70,7 @@
     let mut backoff = Backoff::new(source.backoff_limits());
     loop {
         source.wait_turn().await;
+        let began = Instant::now();
         let after = source.position();
         let called = match after {
             Some(after) => source.watch(after).await,
@@ -79,13 +82,14 @@
                 if after.is_some() {
                     source.wait_until_due().await;
                 }
+                continue;
             }
-            Ok(Progress::Idle) => monoio::time::sleep(backoff.next()).await,
-            Err(err) => {
-                source.record_failure(&err);
-                monoio::time::sleep(backoff.next()).await;
-            }
+            Ok(Progress::Idle) => (),
+            Err(err) => source.record_failure(&err),
         }
+        let interval_max = source.backoff_limits().interval_max;
+        let pause = interval_max.saturating_sub(began.elapsed());
+        monoio::time::sleep(backoff.next().min(pause)).await;
     }
 }
 
--- a/crates/daemon/tests/store_answers.rs
+++ b/crates/daemon/tests/store_answers.rs
@@ -18,6 +18,11 @@
 };
 use rstest::rstest;
 use serde_json::json;
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use std::{
     collections::VecDeque,
     future::Future,
@@ -64,7 +69,10 @@
 
 impl Store {
     fn start(script: Vec<Step>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::serve(TcpListener::bind("127.0.0.1:0").unwrap(), script)
+    }
+
+    fn serve(listener: TcpListener, script: Vec<Step>) -> Self {
         let addr = listener.local_addr().unwrap();
         let connections = Arc::new(AtomicUsize::new(0));
         let counted = Arc::clone(&connections);
@@ -246,6 +254,47 @@
     });
 }
 
+/// The time for a new connection came on top of that for the lost answer.
+#[test]
+fn a_connection_is_open_when_an_answer_is_given_up() {
+    let store = Store::start(vec![list(), silence(), step(changes(&[6], 6))]);
+    block_on(async {
+        let view = store.view();
+        view.list().await.unwrap();
+        let err = view.watch(5).await.unwrap_err();
+        assert_eq!(store.connections(), 2);
+        view.record_failure(&err);
+        view.watch(5).await.unwrap();
+    });
+    assert_eq!(store.connections(), 2, "the new connection is used");
+}
+
+/// The kernel repeats a lost SYN after a second, which is a third of the time in which a change must be in force.
+#[test]
+fn a_lost_syn_delays_a_call_by_less_than_half_a_second() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let addr: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&addr.into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    // Linux drops a SYN while the queue for accepted connections is full.
+    let _queued = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let serving = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(100));
+        Store::serve(listener, vec![list()])
+    });
+    let began = Instant::now();
+    block_on(async {
+        let metrics = Rc::new(PacketMetrics::new());
+        let view = View::new(addr, PacketLimits::default(), metrics);
+        view.list().await.unwrap();
+    });
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    serving.join().unwrap();
+}
+
 /// Daemons with slow links gave up each page of a large list, however long they tried.
 #[test]
 fn an_answer_that_keeps_arriving_is_not_given_up() {
--- a/crates/policy/src/packets/mod.rs
+++ b/crates/policy/src/packets/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod balancer;
+pub mod call_budget;
 pub mod change_set;
 pub mod choice;
 pub mod configuration_delta;
@@ -45,6 +46,7 @@
         ResetReason,
         Verdict, //
     },
+    call_budget::CallBudget,
     change_set::{
         ChangeSet,
         SyncedFrom, //
--- a/crates/policy/tests/packets/main.rs
+++ b/crates/policy/tests/packets/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the packet decisions, without sockets and with a simulated clock.
 
+mod call_budget;
 mod change_set;
 mod configuration_delta;
 mod congestion;
--- a/crates/standins/src/packets/store.rs
+++ b/crates/standins/src/packets/store.rs
@@ -97,6 +97,10 @@
     /// Revision and entries that stale reads are answered with, when they are frozen.
     frozen: Option<(u64, BTreeMap<String, Entry>)>,
     calls: u64,
+    /// Number of further calls that are not answered before the fault ends.
+    calls_until_return: Option<u64>,
+    /// When the last fault with a number of calls ended.
+    returned_at: Option<Instant>,
     /// Number of the era, sent with each answer if there is one.
     era: Option<u64>,
     /// Contents that the store can be restored from.
@@ -174,6 +178,18 @@
         self.state().fault = fault;
     }
 
+    /// Leaves calls unanswered, and answers again from right after the arrival of the `calls`-th one on.
+    pub fn fall_silent_for(&self, calls: u64) {
+        let mut state = self.state();
+        state.fault = Fault::Silent;
+        state.calls_until_return = Some(calls);
+    }
+
+    /// Returns when the last silence for a number of calls ended.
+    pub fn returned_at(&self) -> Option<Instant> {
+        self.state().returned_at
+    }
+
     /// Answers calls at these addresses of the store with 503 Service Unavailable, and serves the other addresses.
     pub fn refuse(&self, addrs: &[SocketAddr]) {
         self.state().refused = addrs.to_vec();
@@ -326,6 +342,19 @@
         }
     }
 
+    /// Ends the fault if the call that has just arrived is the last one that is not answered.
+    fn count_down(&self) {
+        let mut state = self.state();
+        state.calls_until_return = match state.calls_until_return {
+            Some(1) => {
+                state.fault = Fault::None;
+                state.returned_at = Some(Instant::now());
+                None
+            }
+            left => left.map(|left| left - 1),
+        };
+    }
+
     async fn answer(
         &self,
         req: Request<Incoming>,
@@ -344,7 +373,9 @@
         req: Request<Incoming>,
         addr: SocketAddr,
     ) -> Option<Response<Full<Bytes>>> {
-        match self.fault(addr) {
+        let fault = self.fault(addr);
+        self.count_down();
+        match fault {
             Fault::None => (),
             Fault::Busy => return Some(respond(StatusCode::SERVICE_UNAVAILABLE, json!({}))),
             Fault::Silent => std::future::pending().await,
