Check that daemons pass whole configurations on, as differences too

The property of change_set asked for changes as a daemon without any configuration, so that it never saw what a daemon gets that names one. It names its configuration now, expands differences, and expects a configuration that the store has held.

--- a/crates/policy/tests/packets/change_set.rs
+++ b/crates/policy/tests/packets/change_set.rs
@@ -18,6 +18,7 @@
         Item, //
     },
     ChangeSet,
+    Configuration,
     SyncedFrom,
     Upstream,
     UpstreamId,
@@ -48,6 +49,8 @@
 const KEEP: Duration = Duration::from_secs(4);
 /// Number of daemons: a reader, its follower, and a follower of that one.
 const DAEMONS: usize = 3;
+/// Number of routes of a configuration, at most.
+const ROUTES: u64 = 6;
 /// Number of upstreams.
 const UPSTREAMS: u8 = 6;
 
@@ -71,11 +74,27 @@
     for zone in [HOME, AWAY] {
         snapshot.insert(zone.into(), directory.is_out(zone).to_string());
     }
-    let version = directory.configuration().map_or(0, |cfg| cfg.version);
-    snapshot.insert("version".into(), version.to_string());
+    snapshot.insert("version".into(), version(directory).to_string());
     snapshot
 }
 
+/// Configuration with several routes, of which two successive versions share most.
+fn store_configuration(version: u64) -> Configuration {
+    let ports: Vec<_> = (0..ROUTES)
+        .filter(|index| version % (ROUTES + 2) != *index)
+        .map(|index| PORT + index as u16)
+        .collect();
+    let targets = [(SERVICE, 1)];
+    let routes: Vec<_> = ports.iter().map(|port| (*port, &targets[..])).collect();
+    configuration(version, &routes)
+}
+
+/// Whether the configuration of a daemon is one that the store has held.
+fn has_whole_configuration(directory: &Directory) -> bool {
+    let cfg = directory.configuration();
+    cfg.is_none_or(|cfg| **cfg == store_configuration(cfg.version))
+}
+
 /// Change of the store, derived from two random numbers.
 fn change(kind: u8, which: u8, revision: u64) -> Change {
     let id = UpstreamId(u64::from(which % UPSTREAMS));
@@ -96,7 +115,7 @@
             zone: [HOME, AWAY][usize::from(which & 1)].into(),
             out: which & 2 == 0,
         },
-        _ => Change::Configured(configuration(revision, &[(PORT, &[(SERVICE, 1)])])),
+        _ => Change::Configured(store_configuration(revision)),
     }
 }
 
@@ -173,7 +192,11 @@
 /// Passes the changes of one daemon on to another, as a request between them does.
 fn pass_on(from: &Directory, to: &mut Directory, synced_from: SyncedFrom, now: Instant) -> bool {
     let known = to.version();
-    let changes = from.changes_since(known, synced_from, None, now);
+    let mut changes = from.changes_since(known, synced_from, to.configuration_id(), now);
+    assert!(
+        to.expand_delta(&mut changes),
+        "the difference is from the asker's configuration"
+    );
     let recovered_at = from.recovered_at();
     if let Some(at) = recovered_at.filter(|at| Some(*at) > to.recovered_at()) {
         to.record_recovery(at);
@@ -213,6 +236,9 @@
                     if after.0 < before.0 || after.1 < before.1 {
                         return false;
                     }
+                    if !has_whole_configuration(&daemons[asker]) {
+                        return false;
+                    }
                     if is_newer && !agrees(&daemons[asker], &source_state, now) {
                         return false;
                     }
