Spread the calls in an outage over time

Daemons that lost a call together called again together for the whole outage, and so at its end: the wait of a watch had jitter, but the back-off after it filled the rest of the retry interval, so that all calls began one interval apart.

The interval from the start of one call to the next has jitter of its own now. Its upper limit is the same, so the deadline is kept; store_return and store_answers pass.

--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -226,7 +226,7 @@
     }
 
     /// Wait of a watch that starts at `began`: until a lost answer must be detected, or until the upstreams of a
-    /// returned zone have reported their state. While the store fails, it is short and has jitter.
+    /// returned zone have reported their state. While the store fails, it is short.
     ///
     /// The connection may have gone silent just after the last answer, so the time since then is part of the time in
     /// which that must be detected.
@@ -234,9 +234,7 @@
         let budget = self.budget.get();
         let idle = self.heard.get().map_or(Duration::ZERO, |at| began - at);
         let wait = match self.failing_since.get() {
-            Some(_) => budget
-                .retry_wait()
-                .mul_f64(rand::rng().random_range(0.5..=1.0)),
+            Some(_) => with_jitter(budget.retry_wait()),
             None => budget.wait(idle),
         };
         let wait = wait.min(WAIT_MAX);
@@ -542,11 +540,16 @@
         BackoffLimits {
             backoff_min: BACKOFF[0],
             backoff_max: BACKOFF[1],
-            interval_max: self.budget.get().retry_interval,
+            interval_max: with_jitter(self.budget.get().retry_interval),
         }
     }
 }
 
+/// Between half and all of a time limit, so that daemons which lost calls together do not call again together.
+fn with_jitter(limit: Duration) -> Duration {
+    limit.mul_f64(rand::rng().random_range(0.5..=1.0))
+}
+
 fn budget(limits: &PacketLimits) -> CallBudget {
     CallBudget::new(limits.notice, limits.change_deadline())
 }
