Log how long before a late change the last call failed

delay_max_ms left the time before the last failed call out, also where one call was lost while the store was available, so that the change looked less late than it was. It is the time since the view was last complete now, and since_failure_ms tells the outage apart.

--- a/crates/daemon/src/packets/metrics.rs
+++ b/crates/daemon/src/packets/metrics.rs
@@ -354,7 +354,7 @@
             change_delay_seconds: histogram(
                 r,
                 "foxtailhinge_change_delay_seconds",
-                "Longest time that a configuration, an evacuation or a draining upstream can have waited for this daemon, without outages of the store.",
+                "Longest time that a change with a deadline can have waited, without outages of the store.",
                 &DELAY_BUCKETS,
             ),
             zone_requests: Counters::new(
--- a/crates/daemon/src/packets/view.rs
+++ b/crates/daemon/src/packets/view.rs
@@ -6,7 +6,8 @@
 
 use self::log::{
     has_deadline,
-    log_change, //
+    log_change,
+    ChangeDelay, //
 };
 use super::metrics::PacketMetrics;
 use crate::{
@@ -102,10 +103,10 @@
     /// the history in between.
     consistency: Cell<ReadConsistency>,
     failing_since: Cell<Option<Instant>>,
-    /// When the last call began that the store did not answer; it may have been available since then.
-    unanswered_since: Cell<Option<Instant>>,
+    /// When the last failed call began; the store may have been available since then.
+    failed_call_began: Cell<Option<Instant>>,
     /// When the last call began.
-    called_at: Cell<Option<Instant>>,
+    call_began: Cell<Option<Instant>>,
     /// When the last answer arrived on the open connection.
     heard: Cell<Option<Instant>>,
     schedule: RefCell<PollSchedule>,
@@ -130,7 +131,7 @@
     ///
     /// A lost answer is detected, and the call repeated, within `limits.notice`.
     pub fn new(store: SocketAddr, limits: PacketLimits, metrics: Rc<PacketMetrics>) -> Self {
-        let budget = budget(&limits);
+        let budget = call_budget(&limits);
         Self {
             client: Client::new(call_limits(&budget)),
             schedule: RefCell::new(PollSchedule::new(budget.interval)),
@@ -150,8 +151,8 @@
             era: Cell::new(0),
             consistency: Cell::new(ReadConsistency::Stale),
             failing_since: Cell::new(None),
-            unanswered_since: Cell::new(None),
-            called_at: Cell::new(None),
+            failed_call_began: Cell::new(None),
+            call_began: Cell::new(None),
             heard: Cell::new(None),
         }
     }
@@ -159,7 +160,7 @@
     /// Replaces the store's address and the limits from the next call on.
     pub fn reconfigure(&self, store: SocketAddr, limits: PacketLimits) {
         self.store.set(store);
-        self.budget.set(budget(&limits));
+        self.budget.set(call_budget(&limits));
         self.client.set_limits(call_limits(&self.budget.get()));
         *self.limits.borrow_mut() = limits;
         self.set_reader(self.is_reader.get());
@@ -275,7 +276,7 @@
             self.directory.borrow_mut().record_recovery(now);
         }
         let unnoticed = self
-            .unanswered_since
+            .failed_call_began
             .get()
             .map_or(Duration::ZERO, |at| now - at);
         self.metrics.return_seconds.observe(unnoticed.as_secs_f64());
@@ -286,19 +287,22 @@
             .info();
     }
 
-    /// Longest time that a change which arrives at `now` can have waited since it was written, without the time in which
-    /// the store was unavailable; `None` before the first complete view.
-    fn change_delay(&self, now: Instant) -> Option<Duration> {
+    /// How long a change may have waited that arrives at `now`; `None` before the first complete view.
+    fn change_delay(&self, now: Instant) -> Option<ChangeDelay> {
         let complete = self.directory.borrow().as_of()?;
-        let since = self.unanswered_since.get().max(Some(complete))?;
-        Some(now.saturating_duration_since(since))
+        let failed = self.failed_call_began.get().filter(|at| *at > complete);
+        Some(ChangeDelay {
+            since_complete: now.saturating_duration_since(complete),
+            since_failure: failed.map(|at| now.saturating_duration_since(at)),
+        })
     }
 
     /// Logs the outcome of a change, and records the delay of one that must be in force within a time limit.
-    fn record_change(&self, item: &Item, outcome: &Outcome, delay: Option<Duration>) {
+    fn record_change(&self, item: &Item, outcome: &Outcome, delay: Option<ChangeDelay>) {
         log_change(item, outcome, delay);
         let is_in_force = *outcome == Outcome::Applied && has_deadline(&item.change);
         if let Some(delay) = delay.filter(|_| is_in_force) {
+            let delay = delay.since_failure.unwrap_or(delay.since_complete);
             self.metrics
                 .change_delay_seconds
                 .observe(delay.as_secs_f64());
@@ -322,7 +326,7 @@
         expected: Option<u64>,
     ) -> Result<(Bytes, u64), StoreError> {
         let began = Instant::now();
-        self.called_at.set(Some(began));
+        self.call_began.set(Some(began));
         let answer = self.client.get(self.store.get(), path, wait).await?;
         self.heard.set(Some(Instant::now()));
         let took = began.elapsed().as_secs_f64();
@@ -459,9 +463,7 @@
         // A call that waits is answered as soon as there is a change.
         let budget = self.budget.get();
         let held = answer.time_held(budget.connect + budget.answer);
-        let delay = self
-            .change_delay(now)
-            .map(|delay| delay.saturating_sub(held));
+        let delay = self.change_delay(now - held);
         match answer.is_whole() {
             true => self.confirm(answer.as_of()),
             false => self.record_response(),
@@ -522,7 +524,7 @@
             self.client.disconnect();
         }
         let now = Instant::now();
-        self.unanswered_since.set(self.called_at.get());
+        self.failed_call_began.set(self.call_began.get());
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(now));
             Event::new("store_lost")
@@ -550,7 +552,7 @@
     limit.mul_f64(rand::rng().random_range(0.5..=1.0))
 }
 
-fn budget(limits: &PacketLimits) -> CallBudget {
+fn call_budget(limits: &PacketLimits) -> CallBudget {
     CallBudget::new(limits.notice, limits.change_deadline())
 }
 
--- a/crates/daemon/src/packets/view/log.rs
+++ b/crates/daemon/src/packets/view/log.rs
@@ -18,8 +18,18 @@
     Instant, //
 };
 
-/// Logs the outcome of one change, which waited for `delay` at most since it was written; `None` if that is not known.
-pub(super) fn log_change(item: &Item, outcome: &Outcome, delay: Option<Duration>) {
+/// How long a change may have waited until it arrived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ChangeDelay {
+    /// Time since the view was last complete; the change was written later.
+    pub(super) since_complete: Duration,
+    /// Time since the last failed call began, if the view was complete before it; the store may have been available
+    /// since then.
+    pub(super) since_failure: Option<Duration>,
+}
+
+/// Logs the outcome of one change, with its delay if that is known.
+pub(super) fn log_change(item: &Item, outcome: &Outcome, delay: Option<ChangeDelay>) {
     let (name, event) = match (&item.change, outcome) {
         (_, Outcome::Ignored) => return,
         (_, Outcome::Refused(cause)) => ("entry_refused", Some(("cause", cause.to_string()))),
@@ -43,7 +53,10 @@
         line = line.field(field, value);
     }
     if let Some(delay) = delay.filter(|_| has_deadline(&item.change)) {
-        line = line.field("delay_max_ms", delay.as_millis());
+        line = line.field("delay_max_ms", delay.since_complete.as_millis());
+        if let Some(since) = delay.since_failure {
+            line = line.field("since_failure_ms", since.as_millis());
+        }
     }
     match outcome {
         Outcome::Refused(_) => line.warn(),
--- a/crates/daemon/src/store/follow.rs
+++ b/crates/daemon/src/store/follow.rs
@@ -90,7 +90,8 @@
             Ok(Progress::Idle) => (),
             Err(err) => {
                 source.record_failure(&err);
-                // The store has answered that its history is lost. A list that does not help against that backs off.
+                // The store is available but has lost its history, so the list need not be delayed, unless that was so
+                // after the last list too.
                 let is_list_due = after.is_some() && source.position().is_none();
                 if is_list_due && mem::take(&mut can_list_at_once) {
                     continue;
--- a/crates/policy/src/packets/call_budget.rs
+++ b/crates/policy/src/packets/call_budget.rs
@@ -16,8 +16,10 @@
 /// Minimum wait of a watch while the store answers.
 const WAIT_MIN: Duration = Duration::from_millis(500);
 
-/// Shortest times for which the limits above leave room; they are shortened for shorter deadlines.
+/// Shortest time to make up for a lost answer for which the limits above leave room; they are scaled down for less.
 const NOTICE_MIN: Duration = Duration::from_secs(3);
+
+/// The same for the time within which a change must be in force.
 const CHANGE_MIN: Duration = Duration::from_millis(2_400);
 
 /// Maximum time for which a daemon that follows a reader waits for the reader's list before it lists the store itself.
